--- /dev/null
+++ b/base/unittests/token_bucket_test.cc
@@ -0,0 +1,21 @@
+// Guards against extra load exceeding its fraction of regular load.
+#include "berylreach/base/token_bucket.h"
+
+#include <gtest/gtest.h>
+
+namespace berylreach::base {
+namespace {
+
+TEST(TokenBucketTest, BoundsExtraWorkToItsRatio) {
+  TokenBucket bucket(0.05, 10);
+  int extra = 0;
+  for (int i = 0; i < 10000; ++i) {
+    bucket.Earn();
+    if (bucket.TrySpend()) ++extra;
+  }
+  EXPECT_LE(extra, 510);
+  EXPECT_GE(extra, 490);
+}
+
+}  // namespace
+}  // namespace berylreach::base
--- /dev/null
+++ b/model/include/berylreach/model/head_record.h
@@ -0,0 +1,31 @@
+// The membership record in the store.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "berylreach/model/departed.h"
+#include "berylreach/model/document_ref.h"
+#include "berylreach/model/member.h"
+
+namespace berylreach::model {
+
+/// Value of the store key `<environment>/head`.
+struct HeadRecord {
+  /// Rises with each change of `members`.
+  std::uint64_t epoch = 0;
+  /// Drawn anew for each write, so that a lost answer can be resolved by
+  /// reading back.
+  std::uint64_t nonce = 0;
+  /// Host or operator that wrote the record.
+  std::string writer;
+  std::vector<Member> members;
+  /// Removed hosts that may still be running.
+  std::vector<Departed> departed;
+  DocumentRef document;
+
+  friend bool operator==(const HeadRecord&, const HeadRecord&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/host_list.h
@@ -0,0 +1,30 @@
+// What the platform host list shows.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace berylreach::model {
+
+/// One entry of the platform's host list.
+struct HostListEntry {
+  /// Host or leaf name.
+  std::string node;
+  bool leaving = false;
+
+  friend auto operator<=>(const HostListEntry&, const HostListEntry&) = default;
+};
+
+/// A host list as read at one moment. Only leaving entries matter, so only
+/// those travel.
+struct HostList {
+  /// The platform's index of the list; rises with each change.
+  std::uint64_t index = 0;
+  std::vector<HostListEntry> entries;
+
+  friend bool operator==(const HostList&, const HostList&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/leaf_reply.h
@@ -0,0 +1,55 @@
+// The outcome of a leaf call.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "berylreach/model/call_id.h"
+#include "berylreach/model/holding.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::model {
+
+/// How a leaf call ended.
+enum class LeafOutcome : std::uint8_t {
+  kOk,
+  kVersionGone,  ///< The leaf no longer holds the version; `holdings` says what
+                 ///< it holds.
+  kShed,         ///< The leaf refused and proved that the call did not run.
+  kDraining,     ///< The leaf is leaving and did not run the call.
+  kOverloaded,   ///< The owner's queue cannot serve the call in time; nothing
+                 ///< was sent.
+  kNotOwner,     ///< The receiver does not own the leaf; nothing was sent.
+  kBlocked,      ///< The fingerprint is blocked; nothing was sent.
+  kNotSent,  ///< Cancelled, past its deadline or without connection before a
+             ///< byte was sent.
+  kLost,  ///< The connection ended or the answer was invalid after bytes were
+          ///< sent.
+  kLeafDied,  ///< Like kLost, and the leaf process is known to have ended.
+  kTimedOut,  ///< No answer before the deadline, after bytes were sent.
+};
+
+/// True if the outcome proves that the leaf did not run the call.
+bool ProvesNotRun(LeafOutcome outcome);
+
+/// Reply of the owner to a LeafCall.
+struct LeafReply {
+  CallId id;
+  LeafName leaf;
+  LeafOutcome outcome = LeafOutcome::kNotSent;
+  std::uint64_t version = 0;
+  std::uint32_t shard = 0;
+  std::uint32_t shard_count = 0;
+  std::string result;
+  std::vector<Holding> holdings;
+  /// Calls queued or running for this leaf at its owner when the reply was
+  /// made.
+  std::uint32_t load = 0;
+  std::chrono::milliseconds retry_after{0};
+
+  friend bool operator==(const LeafReply&, const LeafReply&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/leaf_states.h
@@ -0,0 +1,17 @@
+// Publication of leaf states.
+#pragma once
+
+#include <vector>
+
+#include "berylreach/model/leaf_state.h"
+
+namespace berylreach::model {
+
+/// States of leaves that the sender owns.
+struct LeafStates {
+  std::vector<LeafState> states;
+
+  friend bool operator==(const LeafStates&, const LeafStates&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/member.h
@@ -0,0 +1,23 @@
+// A host in the membership record.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "berylreach/model/names.h"
+
+namespace berylreach::model {
+
+/// One host process that takes part in serving.
+struct Member {
+  HostName host;
+  /// Drawn at random when the process starts.
+  std::uint64_t incarnation = 0;
+  ZoneName zone;
+  std::string rpc_address;
+  std::string http_address;
+
+  friend auto operator<=>(const Member&, const Member&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/names.h
@@ -0,0 +1,20 @@
+// Names of the things an environment consists of.
+#pragma once
+
+#include "berylreach/base/name.h"
+
+namespace berylreach::model {
+
+/// Name of an entry host; unique in an environment.
+using HostName = base::Name<struct HostNameTag>;
+
+/// Name of an availability zone.
+using ZoneName = base::Name<struct ZoneNameTag>;
+
+/// Name of a search service.
+using ServiceName = base::Name<struct ServiceNameTag>;
+
+/// Name of a leaf; unique in an environment.
+using LeafName = base::Name<struct LeafNameTag>;
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/release.h
@@ -0,0 +1,20 @@
+// Release of ownership.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "berylreach/model/names.h"
+
+namespace berylreach::model {
+
+/// The sender is at `epoch` and has no running work on leaves that it does not
+/// own at that epoch, except on the leaves in `held`.
+struct Release {
+  std::uint64_t epoch = 0;
+  std::vector<LeafName> held;
+
+  friend bool operator==(const Release&, const Release&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/store_request.h
@@ -0,0 +1,34 @@
+// A call to the platform key-value service.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace berylreach::model {
+
+/// Kinds of store calls.
+enum class StoreOperation : std::uint8_t {
+  kRead,
+  kWatch,  ///< A read that waits until the key's revision differs from
+           ///< `revision`.
+  kCompareAndSwap,
+};
+
+/// One store call; `id` is echoed by its result.
+struct StoreRequest {
+  std::uint64_t id = 0;
+  StoreOperation operation = StoreOperation::kRead;
+  std::string key;
+  /// Value to write; compare-and-swap only.
+  std::string value;
+  /// Expected revision of a compare-and-swap (0 creates the key), last seen
+  /// revision of a watch.
+  std::uint64_t revision = 0;
+  /// Longest wait of a watch.
+  std::chrono::milliseconds wait{0};
+
+  friend bool operator==(const StoreRequest&, const StoreRequest&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/upstream_call.h
@@ -0,0 +1,38 @@
+// A call that an owner sends to its leaf.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/model/call_id.h"
+#include "berylreach/model/names.h"
+#include "berylreach/model/request_kind.h"
+
+namespace berylreach::model {
+
+/// One HTTP call to a leaf.
+struct UpstreamCall {
+  CallId id;
+  LeafName leaf;
+  /// IP address and port of the leaf.
+  std::string address;
+  /// Most connections to hold to this leaf.
+  std::uint32_t connections = 1;
+  ServiceName service;
+  RequestKind kind = RequestKind::kQuery;
+  std::uint32_t shard = 0;
+  std::uint64_t version = 0;
+  std::string payload;
+  std::string key;
+  /// Nothing may be written after this time: the earlier of the deadline and
+  /// the lease expiry.
+  base::TimePoint not_after;
+  /// Deadline for the leaf, in wall-clock time.
+  std::chrono::system_clock::time_point deadline;
+
+  friend bool operator==(const UpstreamCall&, const UpstreamCall&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/include/berylreach/model/zone.h
@@ -0,0 +1,26 @@
+// An availability zone as described by the document.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "berylreach/model/names.h"
+
+namespace berylreach::model {
+
+/// Whether operators let a zone take work.
+enum class ZoneState : std::uint8_t {
+  kIn,
+  kOut,  ///< No new work; running work completes.
+};
+
+/// An availability zone.
+struct Zone {
+  ZoneName name;
+  std::string region;
+  ZoneState state = ZoneState::kIn;
+
+  friend bool operator==(const Zone&, const Zone&) = default;
+};
+
+}  // namespace berylreach::model
--- /dev/null
+++ b/model/lib/leaf_reply.cc
@@ -0,0 +1,25 @@
+// Classification of leaf outcomes.
+#include "berylreach/model/leaf_reply.h"
+
+namespace berylreach::model {
+
+bool ProvesNotRun(LeafOutcome outcome) {
+  switch (outcome) {
+    case LeafOutcome::kVersionGone:
+    case LeafOutcome::kShed:
+    case LeafOutcome::kDraining:
+    case LeafOutcome::kOverloaded:
+    case LeafOutcome::kNotOwner:
+    case LeafOutcome::kBlocked:
+    case LeafOutcome::kNotSent:
+      return true;
+    case LeafOutcome::kOk:
+    case LeafOutcome::kLost:
+    case LeafOutcome::kLeafDied:
+    case LeafOutcome::kTimedOut:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace berylreach::model
