--- a/model/include/berylreach/model/head_record.h
+++ b/model/include/berylreach/model/head_record.h
@@ -1,16 +1,21 @@
 // The membership record in the store.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "berylreach/model/departed.h"
+#include "berylreach/model/document_entry.h"
 #include "berylreach/model/document_ref.h"
 #include "berylreach/model/member.h"
 
 namespace berylreach::model {
 
+/// Most entries of `HeadRecord::history`; older ones are dropped.
+inline constexpr std::size_t kMaxHistoryEntries = 50;
+
 /// Value of the store key `<environment>/head`.
 struct HeadRecord {
   /// Rises with each change of `members`.
@@ -24,6 +29,8 @@
   /// Removed hosts that may still be running.
   std::vector<Departed> departed;
   DocumentRef document;
+  /// Accepted documents, newest last.
+  std::vector<DocumentEntry> history;
 
   friend bool operator==(const HeadRecord&, const HeadRecord&) = default;
 };
--- /dev/null
+++ b/model/include/berylreach/model/order_journal.h
@@ -0,0 +1,18 @@
+// All orders of one bucket.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "berylreach/model/order_record.h"
+
+namespace berylreach::model {
+
+/// Value of the store key `<environment>/orders/<bucket>`.
+struct OrderJournal {
+  std::vector<OrderRecord> records;
+
+  friend bool operator==(const OrderJournal&, const OrderJournal&) = default;
+};
+
+}  // namespace berylreach::model
