--- /dev/null
+++ b/config/include/berylreach/config/bounds.h
@@ -0,0 +1,44 @@
+// Bounds on the size of parsed inputs.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace berylreach::config {
+
+/// Most bytes of a whole document.
+inline constexpr std::size_t kMaxDocumentBytes = 8'000'000;
+
+/// Most bytes of a value in the store, which takes values up to 1 MB. Bounds
+/// document parts, head records and order journals.
+inline constexpr std::size_t kMaxStoreValueBytes = 1'000'000;
+
+/// Most bytes of a body received from a caller.
+inline constexpr std::size_t kMaxCallerBodyBytes = 64 * 1024;
+
+/// Most bytes of a body received from a leaf.
+inline constexpr std::size_t kMaxLeafBodyBytes = 1024 * 1024;
+
+/// Most bytes of a status or timeline body received from a host.
+inline constexpr std::size_t kMaxHostBodyBytes = 8 * 1024 * 1024;
+
+/// Most bytes of the settings file of a host.
+inline constexpr std::size_t kMaxSettingsBytes = 64 * 1024;
+
+/// Deepest nesting of arrays and objects in any parsed input.
+inline constexpr std::size_t kMaxDepth = 32;
+
+/// Most bytes of the name of a host, zone, service, leaf or deployment.
+inline constexpr std::size_t kMaxNameBytes = 64;
+
+/// Most bytes of a lookup key or an order key.
+inline constexpr std::size_t kMaxKeyBytes = 256;
+
+inline constexpr std::size_t kMaxZones = 64;
+inline constexpr std::size_t kMaxServices = 256;
+inline constexpr std::size_t kMaxLeavesPerService = 20'000;
+inline constexpr std::uint32_t kMaxShards = 10'000;
+inline constexpr std::uint32_t kMaxPriority = 100;
+inline constexpr std::uint32_t kMaxConnections = 10'000;
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/include/berylreach/config/host_status.h
@@ -0,0 +1,37 @@
+// The status that a host reports to operators.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "berylreach/config/parsed.h"
+#include "berylreach/model/document_ref.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::config {
+
+/// Answer of a host to `GET /v1/status`.
+struct HostStatus {
+  model::HostName host;
+  std::uint64_t incarnation = 0;
+  model::ZoneName zone;
+  std::uint64_t epoch = 0;
+  /// The document in force on the host.
+  model::DocumentRef document;
+  /// Whether the host holds a serving lease.
+  bool lease = false;
+  /// Whether the balancer may send it requests.
+  bool ready = false;
+
+  friend bool operator==(const HostStatus&, const HostStatus&) = default;
+};
+
+/// JSON body of a host status; the incarnation is a 16-digit hexadecimal
+/// string.
+std::string EncodeHostStatus(const HostStatus& status);
+
+/// Reads the form of EncodeHostStatus. Unknown members are ignored.
+Parsed<HostStatus> ParseHostStatus(std::string_view body);
+
+}  // namespace berylreach::config
