Implement documents, codecs and settings in config

Cause: hosts and operators need one checked reading of documents, stored records, caller and leaf bodies and settings. Change: parses each input once with Boost.JSON, collects all findings with their JSON pointers, and rejects repeated members, deep nesting and oversized input. Documents have one canonical form, from which parts and differences follow.

--- a/config/include/berylreach/config/bounds.h
+++ b/config/include/berylreach/config/bounds.h
@@ -14,16 +14,16 @@
 inline constexpr std::size_t kMaxStoreValueBytes = 1'000'000;
 
 /// Most bytes of a body received from a caller.
-inline constexpr std::size_t kMaxCallerBodyBytes = 64 * 1024;
+inline constexpr std::size_t kMaxCallerBodyBytes = 65'536;
 
 /// Most bytes of a body received from a leaf.
-inline constexpr std::size_t kMaxLeafBodyBytes = 1024 * 1024;
+inline constexpr std::size_t kMaxLeafBodyBytes = 1'048'576;
 
 /// Most bytes of a status or timeline body received from a host.
-inline constexpr std::size_t kMaxHostBodyBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t kMaxHostBodyBytes = 8'388'608;
 
 /// Most bytes of the settings file of a host.
-inline constexpr std::size_t kMaxSettingsBytes = 64 * 1024;
+inline constexpr std::size_t kMaxSettingsBytes = 65'536;
 
 /// Deepest nesting of arrays and objects in any parsed input.
 inline constexpr std::size_t kMaxDepth = 32;
@@ -34,6 +34,9 @@
 /// Most bytes of a lookup key or an order key.
 inline constexpr std::size_t kMaxKeyBytes = 256;
 
+/// Most holdings that one leaf may report.
+inline constexpr std::size_t kMaxHoldings = 10'000;
+
 inline constexpr std::size_t kMaxZones = 64;
 inline constexpr std::size_t kMaxServices = 256;
 inline constexpr std::size_t kMaxLeavesPerService = 20'000;
--- a/config/include/berylreach/config/document_parts.h
+++ b/config/include/berylreach/config/document_parts.h
@@ -28,7 +28,7 @@
 };
 
 /// Checks a document and cuts it into parts. The same content gives the same
-/// hashes, whatever the white space and order of the input. A part that the
+/// hashes, whatever the white space and order of the input. A service that
 /// store cannot take is a finding.
 Parsed<DocumentParts> SplitDocument(std::string_view bytes);
 
--- a/config/include/berylreach/config/host_limits.h
+++ b/config/include/berylreach/config/host_limits.h
@@ -13,7 +13,7 @@
   /// as overloaded.
   std::uint32_t running_requests = 1024;
   /// Most bytes of a caller's request body, at most kMaxCallerBodyBytes.
-  std::uint32_t request_bytes = 64 * 1024;
+  std::uint32_t request_bytes = 65'536;
   /// Most calls that wait for one leaf at its owner.
   std::uint32_t queued_calls_per_leaf = 256;
   /// Events kept for the time line.
--- a/config/include/berylreach/config/parsed.h
+++ b/config/include/berylreach/config/parsed.h
@@ -11,7 +11,7 @@
 template <typename T>
 struct Parsed {
   std::optional<T> value;
-  /// All problems of the input, in the order of their places in it.
+  /// All problems of the input.
   base::Findings findings;
 };
 
--- /dev/null
+++ b/config/lib/call_id_reader.cc
@@ -0,0 +1,19 @@
+// Reads call ids.
+#include "call_id_reader.h"
+
+namespace berylreach::config {
+namespace {
+
+constexpr std::size_t kCallIdBytes = 33;
+
+}  // namespace
+
+model::CallId ReadCallId(ObjectReader& reader, std::string_view name) {
+  const std::string text = reader.NonEmptyText(name, kCallIdBytes);
+  const auto id = model::ParseCallId(text);
+  if (!id && !text.empty())
+    reader.Add(name, "must be two 16-digit hexadecimal numbers joined by '-'");
+  return id.value_or(model::CallId{});
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/caller_reply_codec.cc
@@ -0,0 +1,200 @@
+// JSON bodies of replies to callers.
+#include "berylreach/config/caller_reply_codec.h"
+
+#include <array>
+#include <utility>
+
+#include "berylreach/config/bounds.h"
+#include "json_output.h"
+#include "object_reader.h"
+
+namespace berylreach::config {
+namespace {
+
+using model::ErrorCode;
+using model::MissingReason;
+
+constexpr std::size_t kMaxReplyBytes = 1ULL << 30;
+constexpr std::int64_t kMaxRetryAfterMs = 24LL * 60 * 60 * 1000;
+
+constexpr std::array<ErrorCode, 15> kCodes{ErrorCode::kBadRequest,
+                                           ErrorCode::kUnknownService,
+                                           ErrorCode::kDeadlineInPast,
+                                           ErrorCode::kDeadlineExceeded,
+                                           ErrorCode::kOverloaded,
+                                           ErrorCode::kUnavailable,
+                                           ErrorCode::kInsufficientCoverage,
+                                           ErrorCode::kNotServing,
+                                           ErrorCode::kStoreUnavailable,
+                                           ErrorCode::kKeyConflict,
+                                           ErrorCode::kKeyExpired,
+                                           ErrorCode::kInProgress,
+                                           ErrorCode::kRequestBlocked,
+                                           ErrorCode::kUpstreamFailed,
+                                           ErrorCode::kNoSnapshot};
+
+constexpr std::array<MissingReason, 5> kReasons{
+    MissingReason::kNoReplica, MissingReason::kTimedOut,
+    MissingReason::kOverloaded, MissingReason::kFailed,
+    MissingReason::kVersionGone};
+
+constexpr std::array<model::Ran, 3> kRanValues{
+    model::Ran::kNotRun, model::Ran::kMayHaveRun, model::Ran::kRan};
+
+/// Reads a member that holds the name of one of `values`.
+template <typename T, std::size_t Size>
+T ReadEnum(ObjectReader& reader, std::string_view name,
+           const std::array<T, Size>& values) {
+  std::vector<std::string_view> names;
+  for (const T value : values) names.push_back(ToString(value));
+  const std::size_t position = reader.OneOf(name, names);
+  return position < Size ? values[position] : T{};
+}
+
+std::string Encode(const model::Coverage& coverage) {
+  std::string body =
+      "{\"shards_answered\":" + std::to_string(coverage.shards_answered) +
+      ",\"shards_total\":" + std::to_string(coverage.shards_total) +
+      ",\"missing\":[";
+  bool first = true;
+  for (const model::MissingShard& missing : coverage.missing) {
+    if (!std::exchange(first, false)) body += ',';
+    body += "{\"shard\":" + std::to_string(missing.shard) +
+            ",\"reason\":" + Quote(ToString(missing.reason)) + '}';
+  }
+  return body + "]}";
+}
+
+std::string Encode(const model::Answer& answer) {
+  std::string body = "{\"results\":[";
+  bool first = true;
+  for (const model::ShardResult& result : answer.results) {
+    if (!std::exchange(first, false)) body += ',';
+    body += "{\"shard\":" + std::to_string(result.shard) + ",\"result\":" +
+            (result.result.empty() ? std::string("null") : result.result) + '}';
+  }
+  return body + "],\"version\":" + std::to_string(answer.version) +
+         ",\"coverage\":" + Encode(answer.coverage) + '}';
+}
+
+std::string Encode(const model::Refusal& refusal) {
+  return "{\"error\":{\"code\":" + Quote(ToString(refusal.code)) +
+         ",\"message\":" + Quote(refusal.message) +
+         "},\"ran\":" + Quote(ToString(refusal.ran)) +
+         ",\"retry_after_ms\":" + std::to_string(refusal.retry_after.count()) +
+         '}';
+}
+
+model::Coverage ReadCoverage(const json::value& value, const std::string& place,
+                             base::Findings& findings) {
+  ObjectReader reader(value, place, findings);
+  model::Coverage coverage;
+  coverage.shards_answered = reader.Count("shards_answered");
+  coverage.shards_total = reader.Count("shards_total");
+  reader.Each("missing", 0, kMaxShards,
+              [&](const json::value& item, const std::string& item_place) {
+                ObjectReader missing(item, item_place, findings);
+                const std::uint32_t shard = missing.Count("shard");
+                coverage.missing.push_back(
+                    {shard, ReadEnum(missing, "reason", kReasons)});
+              });
+  return coverage;
+}
+
+model::Answer ReadAnswer(ObjectReader& reader, base::Findings& findings) {
+  model::Answer answer;
+  reader.Each("results", 0, kMaxShards,
+              [&](const json::value& item, const std::string& place) {
+                ObjectReader result(item, place, findings);
+                const std::uint32_t shard = result.Count("shard");
+                answer.results.push_back({shard, result.AnyValue("result")});
+              });
+  answer.version = reader.Unsigned("version");
+  reader.Member("coverage",
+                [&](const json::value& item, const std::string& place) {
+                  answer.coverage = ReadCoverage(item, place, findings);
+                });
+  return answer;
+}
+
+model::Refusal ReadRefusal(ObjectReader& reader, base::Findings& findings) {
+  model::Refusal refusal;
+  reader.Member("error",
+                [&](const json::value& item, const std::string& place) {
+                  ObjectReader error(item, place, findings);
+                  refusal.code = ReadEnum(error, "code", kCodes);
+                  refusal.message = error.Text("message", kMaxReplyBytes);
+                });
+  refusal.ran = ReadEnum(reader, "ran", kRanValues);
+  refusal.retry_after = std::chrono::milliseconds(
+      reader.Integer("retry_after_ms", 0, kMaxRetryAfterMs));
+  return refusal;
+}
+
+unsigned HttpStatusOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kBadRequest:
+    case ErrorCode::kDeadlineInPast:
+      return 400;
+    case ErrorCode::kUnknownService:
+      return 404;
+    case ErrorCode::kKeyConflict:
+    case ErrorCode::kInProgress:
+      return 409;
+    case ErrorCode::kKeyExpired:
+      return 410;
+    case ErrorCode::kRequestBlocked:
+      return 422;
+    case ErrorCode::kUpstreamFailed:
+      return 502;
+    case ErrorCode::kDeadlineExceeded:
+      return 504;
+    case ErrorCode::kOverloaded:
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kInsufficientCoverage:
+    case ErrorCode::kNotServing:
+    case ErrorCode::kStoreUnavailable:
+    case ErrorCode::kNoSnapshot:
+      return 503;
+  }
+  return 500;
+}
+
+}  // namespace
+
+std::string_view ToString(model::Ran ran) {
+  switch (ran) {
+    case model::Ran::kNotRun:
+      return "not_run";
+    case model::Ran::kMayHaveRun:
+      return "may_have_run";
+    case model::Ran::kRan:
+      return "ran";
+  }
+  return "may_have_run";
+}
+
+std::string EncodeCallerReply(const model::CallerReply& reply) {
+  return std::visit([](const auto& value) { return Encode(value); }, reply);
+}
+
+unsigned HttpStatus(const model::CallerReply& reply) {
+  const auto* refusal = std::get_if<model::Refusal>(&reply);
+  return refusal == nullptr ? 200 : HttpStatusOf(refusal->code);
+}
+
+Parsed<model::CallerReply> ParseCallerReply(std::string_view body) {
+  Parsed<model::CallerReply> result;
+  const auto value = ParseJson(body, kMaxReplyBytes, result.findings);
+  if (!value) return result;
+  ObjectReader reader(*value, "", result.findings);
+  model::CallerReply reply;
+  if (reader.Has("error"))
+    reply = ReadRefusal(reader, result.findings);
+  else
+    reply = ReadAnswer(reader, result.findings);
+  if (result.findings.empty()) result.value = std::move(reply);
+  return result;
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/document_diff.cc
@@ -0,0 +1,137 @@
+// Semantic difference of documents.
+#include "berylreach/config/document_diff.h"
+
+#include <string>
+#include <utility>
+
+#include "document_json.h"
+#include "json_input.h"
+
+namespace berylreach::config {
+namespace {
+
+/// Place of a value in a document, by position and by name.
+struct Location {
+  std::string place;
+  std::string subject;
+
+  Location Member(std::string_view name) const {
+    const std::string text(name);
+    return {ChildPlace(place, name),
+            subject.empty() ? text : subject + '/' + text};
+  }
+  Location Element(std::size_t index, std::string_view name) const {
+    return {ChildPlace(place, index), subject + '/' + std::string(name)};
+  }
+};
+
+std::string_view NameOf(const json::value& element) {
+  const json::string& name = element.as_object().at("name").as_string();
+  return {name.data(), name.size()};
+}
+
+/// Whether the array holds zones, services or leaves.
+bool HasNames(const json::value& value) {
+  const json::array* array = value.if_array();
+  return array != nullptr && !array->empty() && array->front().is_object();
+}
+
+/// Compares two canonical documents, whose named lists are sorted by name.
+class Comparison {
+ public:
+  std::vector<DocumentChange> Take() { return std::move(changes_); }
+
+  void Compare(const Location& before_at, const json::value& before,
+               const Location& after_at, const json::value& after) {
+    if (before == after) return;
+    if (before.is_object() && after.is_object()) {
+      CompareMembers(before_at, before.get_object(), after_at,
+                     after.get_object());
+    } else if (HasNames(before) && HasNames(after)) {
+      CompareNamed(before_at, before.get_array(), after_at, after.get_array());
+    } else {
+      changes_.push_back({ChangeKind::kChanged, after_at.place,
+                          after_at.subject, json::serialize(before),
+                          json::serialize(after)});
+    }
+  }
+
+ private:
+  /// Canonical objects of one kind always have the same members.
+  void CompareMembers(const Location& before_at, const json::object& before,
+                      const Location& after_at, const json::object& after) {
+    for (const auto& member : after) {
+      const std::string_view name(member.key().data(), member.key().size());
+      Compare(before_at.Member(name), before.at(member.key()),
+              after_at.Member(name), member.value());
+    }
+  }
+
+  void CompareNamed(const Location& before_at, const json::array& before,
+                    const Location& after_at, const json::array& after) {
+    std::size_t b = 0;
+    std::size_t a = 0;
+    while (b < before.size() || a < after.size()) {
+      const int order = Order(before, b, after, a);
+      if (order < 0) {
+        Remove(before_at.Element(b, NameOf(before[b])), before[b]);
+      } else if (order > 0) {
+        Insert(after_at.Element(a, NameOf(after[a])), after[a]);
+      } else {
+        Compare(before_at.Element(b, NameOf(before[b])), before[b],
+                after_at.Element(a, NameOf(after[a])), after[a]);
+      }
+      if (order <= 0) ++b;
+      if (order >= 0) ++a;
+    }
+  }
+
+  /// Which of the two next elements comes first by name.
+  static int Order(const json::array& before, std::size_t b,
+                   const json::array& after, std::size_t a) {
+    if (b == before.size()) return 1;
+    if (a == after.size()) return -1;
+    return NameOf(before[b]).compare(NameOf(after[a]));
+  }
+
+  void Remove(const Location& at, const json::value& value) {
+    changes_.push_back({ChangeKind::kRemoved, at.place, at.subject,
+                        json::serialize(value), ""});
+  }
+
+  void Insert(const Location& at, const json::value& value) {
+    changes_.push_back(
+        {ChangeKind::kAdded, at.place, at.subject, "", json::serialize(value)});
+  }
+
+  std::vector<DocumentChange> changes_;
+};
+
+json::value Canonical(const model::Environment& environment) {
+  model::Environment sorted = environment;
+  SortDocument(sorted);
+  return DocumentToJson(sorted);
+}
+
+}  // namespace
+
+std::vector<DocumentChange> DiffDocuments(const model::Environment& before,
+                                          const model::Environment& after) {
+  Comparison comparison;
+  comparison.Compare({}, Canonical(before), {}, Canonical(after));
+  return comparison.Take();
+}
+
+std::string_view ToString(ChangeKind kind) {
+  switch (kind) {
+    case ChangeKind::kAdded:
+      return "added";
+    case ChangeKind::kRemoved:
+      return "removed";
+    case ChangeKind::kChanged:
+      return "changed";
+  }
+  return "unknown";
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/head_record_codec.cc
@@ -0,0 +1,145 @@
+// JSON form of the membership record.
+#include "berylreach/config/head_record_codec.h"
+
+#include "berylreach/config/bounds.h"
+#include "json_output.h"
+#include "object_reader.h"
+
+namespace berylreach::config {
+namespace {
+
+/// More members than any environment has; a bound against damaged records.
+constexpr std::size_t kMaxMembers = 100'000;
+constexpr std::size_t kMaxTextBytes = 4096;
+
+json::object ToJson(const model::Member& member) {
+  return {{"host", member.host.value},
+          {"incarnation", ToHex(member.incarnation)},
+          {"zone", member.zone.value},
+          {"rpc_address", member.rpc_address},
+          {"http_address", member.http_address}};
+}
+
+json::object ToJson(const model::DocumentRef& document) {
+  return {{"version", document.version}, {"hash", document.hash}};
+}
+
+json::object ToJson(const model::Departed& departed) {
+  return {{"member", ToJson(departed.member)},
+          {"epoch", departed.epoch},
+          {"quorum", departed.quorum}};
+}
+
+json::object ToJson(const model::DocumentEntry& entry) {
+  return {{"document", ToJson(entry.document)},
+          {"author", entry.author},
+          {"at", ToUnixMs(entry.at)},
+          {"note", entry.note}};
+}
+
+template <typename T>
+json::array ToJsonArray(const std::vector<T>& items) {
+  json::array result;
+  result.reserve(items.size());
+  for (const T& item : items) result.push_back(ToJson(item));
+  return result;
+}
+
+/// Reads the parts of a head record.
+class HeadRecordReader {
+ public:
+  explicit HeadRecordReader(base::Findings& findings) : findings_(findings) {}
+
+  model::HeadRecord Record(const json::value& value) {
+    ObjectReader reader(value, "", findings_);
+    model::HeadRecord record;
+    record.epoch = reader.Unsigned("epoch");
+    record.nonce = reader.Hex("nonce");
+    record.writer = reader.Text("writer", kMaxTextBytes);
+    reader.Each("members", 0, kMaxMembers, [&](const auto& item, auto& place) {
+      record.members.push_back(Member(item, place));
+    });
+    reader.Each("departed", 0, kMaxMembers, [&](const auto& item, auto& place) {
+      record.departed.push_back(Departed(item, place));
+    });
+    reader.Member("document", [&](const auto& item, auto& place) {
+      record.document = Document(item, place);
+    });
+    reader.Each("history", 0, model::kMaxHistoryEntries,
+                [&](const auto& item, auto& place) {
+                  record.history.push_back(Entry(item, place));
+                });
+    return record;
+  }
+
+ private:
+  model::Member Member(const json::value& value, const std::string& place) {
+    ObjectReader reader(value, place, findings_);
+    model::Member member;
+    member.host.value = reader.NonEmptyText("host", kMaxTextBytes);
+    member.incarnation = reader.Hex("incarnation");
+    member.zone.value = reader.Text("zone", kMaxTextBytes);
+    member.rpc_address = reader.Text("rpc_address", kMaxTextBytes);
+    member.http_address = reader.Text("http_address", kMaxTextBytes);
+    return member;
+  }
+
+  model::Departed Departed(const json::value& value, const std::string& place) {
+    ObjectReader reader(value, place, findings_);
+    model::Departed departed;
+    reader.Member("member", [&](const auto& item, auto& member_place) {
+      departed.member = Member(item, member_place);
+    });
+    departed.epoch = reader.Unsigned("epoch");
+    departed.quorum = reader.Count("quorum");
+    return departed;
+  }
+
+  model::DocumentRef Document(const json::value& value,
+                              const std::string& place) {
+    ObjectReader reader(value, place, findings_);
+    model::DocumentRef document;
+    document.version = reader.Unsigned("version");
+    document.hash = reader.Text("hash", kMaxTextBytes);
+    return document;
+  }
+
+  model::DocumentEntry Entry(const json::value& value,
+                             const std::string& place) {
+    ObjectReader reader(value, place, findings_);
+    model::DocumentEntry entry;
+    reader.Member("document", [&](const auto& item, auto& document_place) {
+      entry.document = Document(item, document_place);
+    });
+    entry.author = reader.Text("author", kMaxTextBytes);
+    entry.at = reader.Time("at");
+    entry.note = reader.Text("note", kMaxTextBytes);
+    return entry;
+  }
+
+  base::Findings& findings_;
+};
+
+}  // namespace
+
+std::string EncodeHeadRecord(const model::HeadRecord& record) {
+  return json::serialize(
+      json::object{{"epoch", record.epoch},
+                   {"nonce", ToHex(record.nonce)},
+                   {"writer", record.writer},
+                   {"members", ToJsonArray(record.members)},
+                   {"departed", ToJsonArray(record.departed)},
+                   {"document", ToJson(record.document)},
+                   {"history", ToJsonArray(record.history)}});
+}
+
+Parsed<model::HeadRecord> DecodeHeadRecord(std::string_view bytes) {
+  Parsed<model::HeadRecord> result;
+  const auto value = ParseJson(bytes, kMaxStoreValueBytes, result.findings);
+  if (!value) return result;
+  auto record = HeadRecordReader(result.findings).Record(*value);
+  if (result.findings.empty()) result.value = std::move(record);
+  return result;
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/host_settings.cc
@@ -0,0 +1,70 @@
+// Process settings of an entry host.
+#include "berylreach/config/host_settings.h"
+
+#include "berylreach/config/address.h"
+#include "berylreach/config/bounds.h"
+#include "object_reader.h"
+
+namespace berylreach::config {
+namespace {
+
+constexpr std::uint32_t kMaxRunningRequests = 100'000;
+constexpr std::uint32_t kMaxTimelineEvents = 100'000;
+
+std::string ReadListenAddress(ObjectReader& reader, std::string_view name) {
+  std::string text = reader.IpAddress(name, true);
+  const auto address = ParseAddress(text);
+  if (address && IsUnspecified(*address))
+    reader.Add(name, "must be an address that other hosts can reach");
+  return text;
+}
+
+void ReadLimit(ObjectReader& reader, std::string_view name, std::uint32_t max,
+               std::uint32_t& limit) {
+  if (reader.Has(name)) limit = reader.Count(name, 1, max);
+}
+
+HostLimits ReadLimits(const json::value& value, const std::string& place,
+                      base::Findings& findings) {
+  ObjectReader reader(value, place, findings);
+  HostLimits limits;
+  ReadLimit(reader, "caller_connections", kMaxRunningRequests,
+            limits.caller_connections);
+  ReadLimit(reader, "running_requests", kMaxRunningRequests,
+            limits.running_requests);
+  ReadLimit(reader, "request_bytes", kMaxCallerBodyBytes, limits.request_bytes);
+  ReadLimit(reader, "queued_calls_per_leaf", kMaxRunningRequests,
+            limits.queued_calls_per_leaf);
+  ReadLimit(reader, "timeline_events", kMaxTimelineEvents,
+            limits.timeline_events);
+  reader.RejectUnknown();
+  return limits;
+}
+
+}  // namespace
+
+Parsed<HostSettings> ParseHostSettings(std::string_view bytes) {
+  Parsed<HostSettings> result;
+  const auto value = ParseJson(bytes, kMaxSettingsBytes, result.findings);
+  if (!value) return result;
+  ObjectReader reader(*value, "", result.findings);
+  HostSettings settings;
+  settings.host.value = reader.Name("host");
+  settings.environment = reader.Name("environment");
+  settings.zone.value = reader.Name("zone");
+  settings.http_listen = ReadListenAddress(reader, "http_listen");
+  settings.rpc_listen = ReadListenAddress(reader, "rpc_listen");
+  settings.store_address = reader.IpAddress("store_address");
+  settings.host_list_address = reader.IpAddress("host_list_address");
+  if (reader.Has("limits")) {
+    reader.Member("limits",
+                  [&](const json::value& item, const std::string& place) {
+                    settings.limits = ReadLimits(item, place, result.findings);
+                  });
+  }
+  reader.RejectUnknown();
+  if (result.findings.empty()) result.value = std::move(settings);
+  return result;
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/host_status.cc
@@ -0,0 +1,44 @@
+// The status that a host reports to operators.
+#include "berylreach/config/host_status.h"
+
+#include "berylreach/config/bounds.h"
+#include "json_output.h"
+#include "object_reader.h"
+
+namespace berylreach::config {
+
+std::string EncodeHostStatus(const HostStatus& status) {
+  return json::serialize(json::object{
+      {"host", status.host.value},
+      {"incarnation", ToHex(status.incarnation)},
+      {"zone", status.zone.value},
+      {"epoch", status.epoch},
+      {"document",
+       {{"version", status.document.version}, {"hash", status.document.hash}}},
+      {"lease", status.lease},
+      {"ready", status.ready}});
+}
+
+Parsed<HostStatus> ParseHostStatus(std::string_view body) {
+  Parsed<HostStatus> result;
+  const auto value = ParseJson(body, kMaxHostBodyBytes, result.findings);
+  if (!value) return result;
+  ObjectReader reader(*value, "", result.findings);
+  HostStatus status;
+  status.host.value = reader.NonEmptyText("host", kMaxNameBytes);
+  status.incarnation = reader.Hex("incarnation");
+  status.zone.value = reader.Text("zone", kMaxNameBytes);
+  status.epoch = reader.Unsigned("epoch");
+  reader.Member("document",
+                [&](const json::value& item, const std::string& place) {
+                  ObjectReader document(item, place, result.findings);
+                  status.document.version = document.Unsigned("version");
+                  status.document.hash = document.Text("hash", kMaxNameBytes);
+                });
+  status.lease = reader.Flag("lease");
+  status.ready = reader.Flag("ready");
+  if (result.findings.empty()) result.value = std::move(status);
+  return result;
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/json_output.h
@@ -0,0 +1,28 @@
+// Writes JSON text. Private to the package.
+#pragma once
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "berylreach/model/holding.h"
+
+namespace berylreach::config {
+
+namespace json = boost::json;
+
+/// `text` as a JSON string.
+std::string Quote(std::string_view text);
+
+/// 16-digit lower-case hexadecimal form of a 64-bit number.
+std::string ToHex(std::uint64_t value);
+
+/// Milliseconds since the Unix epoch, rounded down.
+std::int64_t ToUnixMs(std::chrono::system_clock::time_point at);
+
+json::array ToJson(const std::vector<model::Holding>& holdings);
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/leaf_status.cc
@@ -0,0 +1,32 @@
+// The status that a leaf reports about itself.
+#include "berylreach/config/leaf_status.h"
+
+#include "berylreach/config/bounds.h"
+#include "json_output.h"
+#include "object_reader.h"
+
+namespace berylreach::config {
+
+std::string EncodeLeafStatus(const LeafStatus& status) {
+  return json::serialize(
+      json::object{{"leaf", status.leaf.value},
+                   {"incarnation", ToHex(status.incarnation)},
+                   {"state", status.draining ? "draining" : "live"},
+                   {"holdings", ToJson(status.holdings)}});
+}
+
+Parsed<LeafStatus> ParseLeafStatus(std::string_view body) {
+  Parsed<LeafStatus> result;
+  const auto value = ParseJson(body, kMaxLeafBodyBytes, result.findings);
+  if (!value) return result;
+  ObjectReader reader(*value, "", result.findings);
+  LeafStatus status;
+  status.leaf.value = reader.NonEmptyText("leaf", kMaxNameBytes);
+  status.incarnation = reader.HexOrUnsigned("incarnation");
+  status.draining = reader.OneOf("state", {"live", "draining"}) == 1;
+  status.holdings = reader.Holdings("holdings");
+  if (result.findings.empty()) result.value = std::move(status);
+  return result;
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/lib/object_reader.cc
@@ -0,0 +1,274 @@
+// Reads the members of a JSON object and collects findings.
+#include "object_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "berylreach/config/address.h"
+#include "berylreach/config/bounds.h"
+
+namespace berylreach::config {
+namespace {
+
+constexpr std::size_t kHexDigits = 16;
+
+std::string Range(std::uint64_t min, std::uint64_t max) {
+  return std::to_string(min) + " to " + std::to_string(max);
+}
+
+bool IsAlphanumeric(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9');
+}
+
+bool IsName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameBytes) return false;
+  if (!IsAlphanumeric(text.front())) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return IsAlphanumeric(c) || c == '.' || c == '_' || c == '-';
+  });
+}
+
+bool ParseHex(std::string_view text, std::uint64_t& value) {
+  if (text.size() != kHexDigits) return false;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value, 16);
+  return result.ec == std::errc() && result.ptr == end;
+}
+
+bool ToUnsigned(const json::value& value, std::uint64_t& number) {
+  if (value.is_uint64()) {
+    number = value.get_uint64();
+    return true;
+  }
+  if (!value.is_int64() || value.get_int64() < 0) return false;
+  number = static_cast<std::uint64_t>(value.get_int64());
+  return true;
+}
+
+}  // namespace
+
+ObjectReader::ObjectReader(const json::value& value, std::string place,
+                           base::Findings& findings)
+    : object_(value.if_object()),
+      place_(std::move(place)),
+      findings_(findings) {
+  if (object_ == nullptr) findings_.push_back({place_, "must be an object"});
+}
+
+std::string ObjectReader::Place(std::string_view name) const {
+  return ChildPlace(place_, name);
+}
+
+void ObjectReader::Add(std::string_view name, std::string message) {
+  findings_.push_back({Place(name), std::move(message)});
+}
+
+bool ObjectReader::Has(std::string_view name) {
+  known_.emplace_back(name);
+  return object_ != nullptr &&
+         object_->contains(json::string_view(name.data(), name.size()));
+}
+
+const json::value* ObjectReader::Require(std::string_view name) {
+  if (Has(name))
+    return object_->if_contains(json::string_view(name.data(), name.size()));
+  if (object_ != nullptr) Add(name, "is missing");
+  return nullptr;
+}
+
+const json::string* ObjectReader::RequireString(std::string_view name) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return nullptr;
+  if (!value->is_string()) Add(name, "must be a string");
+  return value->if_string();
+}
+
+std::string ObjectReader::Text(std::string_view name, std::size_t max_bytes) {
+  const json::string* text = RequireString(name);
+  if (text == nullptr) return {};
+  if (text->size() > max_bytes) {
+    Add(name, "must have at most " + std::to_string(max_bytes) + " bytes");
+    return {};
+  }
+  return std::string(text->data(), text->size());
+}
+
+std::string ObjectReader::NonEmptyText(std::string_view name,
+                                       std::size_t max_bytes) {
+  const json::string* text = RequireString(name);
+  if (text == nullptr) return {};
+  if (text->empty() || text->size() > max_bytes) {
+    Add(name, "must have " + Range(1, max_bytes) + " bytes");
+    return {};
+  }
+  return std::string(text->data(), text->size());
+}
+
+std::string ObjectReader::Name(std::string_view name) {
+  const json::string* text = RequireString(name);
+  if (text == nullptr) return {};
+  if (!IsName({text->data(), text->size()})) {
+    Add(name, "must be 1 to " + std::to_string(kMaxNameBytes) +
+                  " letters, digits, '.', '_' or '-', starting with a letter "
+                  "or digit");
+    return {};
+  }
+  return std::string(text->data(), text->size());
+}
+
+std::string ObjectReader::IpAddress(std::string_view name,
+                                    bool allow_any_port) {
+  const json::string* text = RequireString(name);
+  if (text == nullptr) return {};
+  const auto address = ParseAddress({text->data(), text->size()});
+  if (!address || (address->port == 0 && !allow_any_port)) {
+    Add(name, "must be an IP address and a port, such as \"10.0.0.7:8080\"");
+    return {};
+  }
+  return std::string(text->data(), text->size());
+}
+
+std::int64_t ObjectReader::Integer(std::string_view name, std::int64_t min,
+                                   std::int64_t max) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return 0;
+  if (value->is_int64() && value->get_int64() >= min &&
+      value->get_int64() <= max)
+    return value->get_int64();
+  Add(name, "must be an integer from " + std::to_string(min) + " to " +
+                std::to_string(max));
+  return 0;
+}
+
+std::uint32_t ObjectReader::Count(std::string_view name, std::uint32_t min,
+                                  std::uint32_t max) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return 0;
+  std::uint64_t number = 0;
+  if (ToUnsigned(*value, number) && number >= min && number <= max)
+    return static_cast<std::uint32_t>(number);
+  Add(name, "must be an integer from " + Range(min, max));
+  return 0;
+}
+
+std::uint64_t ObjectReader::Unsigned(std::string_view name) {
+  const json::value* value = Require(name);
+  std::uint64_t number = 0;
+  if (value != nullptr && !ToUnsigned(*value, number))
+    Add(name, "must be an unsigned integer");
+  return number;
+}
+
+std::uint64_t ObjectReader::Hex(std::string_view name) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return 0;
+  const json::string* text = value->if_string();
+  std::uint64_t number = 0;
+  if (text != nullptr && ParseHex({text->data(), text->size()}, number))
+    return number;
+  Add(name, "must be a string of 16 hexadecimal digits");
+  return 0;
+}
+
+std::uint64_t ObjectReader::HexOrUnsigned(std::string_view name) {
+  std::uint64_t number = 0;
+  if (Has(name) &&
+      ToUnsigned(object_->at(json::string_view(name.data(), name.size())),
+                 number))
+    return number;
+  return Hex(name);
+}
+
+double ObjectReader::Fraction(std::string_view name, double min, double max) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return 0;
+  const double number = value->is_number() ? value->to_number<double>() : -1;
+  if (value->is_number() && number >= min && number <= max) return number;
+  Add(name, "must be a number from " + std::to_string(static_cast<int>(min)) +
+                " to " + std::to_string(static_cast<int>(max)));
+  return 0;
+}
+
+bool ObjectReader::Flag(std::string_view name) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return false;
+  if (!value->is_bool()) Add(name, "must be true or false");
+  return value->is_bool() && value->get_bool();
+}
+
+std::chrono::system_clock::time_point ObjectReader::Time(
+    std::string_view name) {
+  return std::chrono::system_clock::time_point(std::chrono::milliseconds(
+      Integer(name, 0, static_cast<std::int64_t>(kMaxExactInteger / 1000))));
+}
+
+std::string ObjectReader::AnyValue(std::string_view name) {
+  const json::value* value = Require(name);
+  return value == nullptr ? std::string() : json::serialize(*value);
+}
+
+std::size_t ObjectReader::OneOf(std::string_view name,
+                                const std::vector<std::string_view>& names) {
+  const json::string* text = RequireString(name);
+  if (text == nullptr) return names.size();
+  const std::string_view wanted(text->data(), text->size());
+  const auto found = std::find(names.begin(), names.end(), wanted);
+  if (found == names.end()) {
+    std::string list;
+    for (const std::string_view each : names)
+      list += (list.empty() ? "\"" : ", \"") + std::string(each) + "\"";
+    Add(name, "must be one of " + list);
+  }
+  return static_cast<std::size_t>(found - names.begin());
+}
+
+void ObjectReader::Each(
+    std::string_view name, std::size_t min, std::size_t max,
+    const std::function<void(const json::value&, const std::string&)>& read) {
+  const json::value* value = Require(name);
+  if (value == nullptr) return;
+  const json::array* array = value->if_array();
+  if (array == nullptr) return Add(name, "must be an array");
+  if (array->size() < min || array->size() > max)
+    Add(name, "must have " + Range(min, max) + " entries");
+  if (array->size() > max) return;
+  const std::string place = Place(name);
+  for (std::size_t i = 0; i < array->size(); ++i)
+    read((*array)[i], ChildPlace(place, i));
+}
+
+void ObjectReader::Member(
+    std::string_view name,
+    const std::function<void(const json::value&, const std::string&)>& read) {
+  const json::value* value = Require(name);
+  if (value != nullptr) read(*value, Place(name));
+}
+
+std::vector<model::Holding> ObjectReader::Holdings(std::string_view name) {
+  std::vector<model::Holding> result;
+  Each(name, 0, kMaxHoldings,
+       [&](const json::value& value, const std::string& place) {
+         ObjectReader reader(value, place, findings_);
+         model::Holding holding;
+         holding.version = reader.Unsigned("version");
+         holding.shard = reader.Count("shard");
+         holding.shard_count = reader.Count("shard_count", 1, kMaxShards);
+         if (holding.shard_count != 0 && holding.shard >= holding.shard_count)
+           reader.Add("shard", "must be below shard_count");
+         result.push_back(holding);
+       });
+  return result;
+}
+
+void ObjectReader::RejectUnknown() {
+  if (object_ == nullptr) return;
+  for (const auto& member : *object_) {
+    const std::string_view key(member.key().data(), member.key().size());
+    if (std::find(known_.begin(), known_.end(), key) == known_.end())
+      Add(key, "is unknown");
+  }
+}
+
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/unittests/caller_codec_test.cc
@@ -0,0 +1,139 @@
+// Guards against caller bodies that are misread, and against refusals that do
+// not say what is wrong.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "berylreach/config/bounds.h"
+#include "berylreach/config/caller_reply_codec.h"
+#include "berylreach/config/caller_request_codec.h"
+
+namespace berylreach::config {
+namespace {
+
+using model::ErrorCode;
+using model::RequestKind;
+using std::chrono::milliseconds;
+using testing::HasSubstr;
+
+const base::TimePoint kNow{std::chrono::seconds(100)};
+const model::CallId kId{1, 2};
+
+CallerRequestOrRefusal Parse(RequestKind kind, std::string_view body) {
+  return ParseCallerRequest(kind, body, kId, kNow);
+}
+
+model::CallerRequest Accepted(RequestKind kind, std::string_view body) {
+  const auto parsed = Parse(kind, body);
+  const auto* refusal = std::get_if<model::Refusal>(&parsed);
+  EXPECT_EQ(refusal, nullptr) << refusal->message;
+  return refusal == nullptr ? std::get<model::CallerRequest>(parsed)
+                            : model::CallerRequest{};
+}
+
+model::Refusal Refused(RequestKind kind, std::string_view body) {
+  const auto parsed = Parse(kind, body);
+  EXPECT_TRUE(std::holds_alternative<model::Refusal>(parsed));
+  const auto refusal = std::get<model::Refusal>(parsed);
+  EXPECT_EQ(refusal.ran, model::Ran::kNotRun);
+  EXPECT_EQ(refusal.retry_after, milliseconds(0));
+  return refusal;
+}
+
+TEST(CallerRequestTest, ReadsQueries) {
+  const auto request = Accepted(
+      RequestKind::kQuery,
+      R"({"service":"desk","payload":{"b": [1, "x"]},"deadline_ms":250,"least_coverage":0.5})");
+  EXPECT_EQ(request.id, kId);
+  EXPECT_EQ(request.service.value, "desk");
+  EXPECT_EQ(request.payload, R"({"b":[1,"x"]})");
+  EXPECT_EQ(request.deadline, kNow + milliseconds(250));
+  EXPECT_EQ(request.least_coverage, 0.5);
+}
+
+// Lookups without a payload would all have one fingerprint, and leaves would
+// not learn the key.
+TEST(CallerRequestTest, LookupPayloadIsTheKey) {
+  const auto request =
+      Accepted(RequestKind::kLookup, R"({"service":"desk","key":"a\"b"})");
+  EXPECT_EQ(request.key, "a\"b");
+  EXPECT_EQ(request.payload, R"("a\"b")");
+  EXPECT_EQ(request.deadline, kNow + kDefaultDeadline);
+}
+
+TEST(CallerRequestTest, SurvivesItsJsonForm) {
+  model::CallerRequest order;
+  order.id = kId;
+  order.kind = RequestKind::kOrder;
+  order.service.value = "ledger";
+  order.key = "k\n1";
+  order.payload = R"({"cut":[1,null]})";
+  order.issued_at =
+      std::chrono::system_clock::time_point(milliseconds(1767225600001));
+  order.deadline = kNow + milliseconds(70);
+  EXPECT_EQ(Accepted(RequestKind::kOrder, EncodeCallerRequest(order, kNow)),
+            order);
+}
+
+TEST(CallerRequestTest, ReportsAllFindings) {
+  const auto refusal =
+      Refused(RequestKind::kOrder,
+              R"({"service":"","key":"","issued_at_ms":"now","deadline_ms":1e9,
+                  "least_coverage":1})");
+  EXPECT_EQ(refusal.code, ErrorCode::kBadRequest);
+  for (const char* place :
+       {"/service ", "/key ", "/issued_at_ms ", "/payload is missing",
+        "/deadline_ms ", "/least_coverage is unknown"})
+    EXPECT_THAT(refusal.message, HasSubstr(place));
+}
+
+// A late request must not be sent to leaves.
+TEST(CallerRequestTest, RefusesDeadlinesInThePast) {
+  for (const char* body : {R"({"service":"s","payload":1,"deadline_ms":0})",
+                           R"({"service":"s","payload":1,"deadline_ms":-5})"})
+    EXPECT_EQ(Refused(RequestKind::kQuery, body).code,
+              ErrorCode::kDeadlineInPast);
+}
+
+// Unbounded bodies would exhaust the host, and an unbounded refusal would
+// return as much.
+TEST(CallerRequestTest, BoundsDepthSizeAndRefusal) {
+  const std::string deep = R"({"service":"s","payload":)" +
+                           std::string(40, '[') + std::string(40, ']') + '}';
+  EXPECT_THAT(Refused(RequestKind::kQuery, deep).message,
+              HasSubstr("nested deeper"));
+  const std::string large(kMaxCallerBodyBytes + 1, ' ');
+  EXPECT_THAT(Refused(RequestKind::kQuery, large).message,
+              HasSubstr("longer than"));
+  std::string unknown = R"({"service":"s","payload":1)";
+  for (int i = 0; i < 1000; ++i) unknown += ",\"x" + std::to_string(i) + "\":1";
+  EXPECT_THAT(Refused(RequestKind::kQuery, unknown + '}').message,
+              HasSubstr("and 980 more"));
+}
+
+TEST(CallerReplyTest, AnswerSurvivesItsJsonForm) {
+  const model::CallerReply reply =
+      model::Answer{{{0, R"({"a":1})"}, {2, "null"}},
+                    9,
+                    {2, 3, {{1, model::MissingReason::kVersionGone}}}};
+  const std::string body = EncodeCallerReply(reply);
+  EXPECT_EQ(
+      body,
+      R"({"results":[{"shard":0,"result":{"a":1}},{"shard":2,"result":null}],"version":9,)"
+      R"("coverage":{"shards_answered":2,"shards_total":3,"missing":[{"shard":1,"reason":"version_gone"}]}})");
+  EXPECT_EQ(ParseCallerReply(body).value, reply);
+  EXPECT_EQ(HttpStatus(reply), 200U);
+}
+
+// A code without a name of its own or with status 200 would look like success.
+TEST(CallerReplyTest, EveryRefusalSurvivesItsJsonForm) {
+  for (int code = 0; code <= static_cast<int>(ErrorCode::kNoSnapshot); ++code) {
+    const model::CallerReply reply =
+        model::Refusal{static_cast<ErrorCode>(code), "said \"so\"",
+                       model::Ran::kMayHaveRun, milliseconds(40)};
+    EXPECT_EQ(ParseCallerReply(EncodeCallerReply(reply)).value, reply) << code;
+    EXPECT_GE(HttpStatus(reply), 400U) << code;
+  }
+}
+
+}  // namespace
+}  // namespace berylreach::config
--- /dev/null
+++ b/config/unittests/document_test.cc
@@ -0,0 +1,133 @@
+// Guards against documents that are accepted with mistakes, or whose mistakes
+// are reported one at a time.
+#include "berylreach/config/document.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "berylreach/config/bounds.h"
+
+namespace berylreach::config {
+namespace {
+
+using testing::ElementsAre;
+using testing::HasSubstr;
+using testing::IsEmpty;
+using testing::UnorderedElementsAre;
+
+constexpr std::string_view kSmall = R"({"name":"small","zones":[
+  {"name":"b","region":"r","state":"out"},{"name":"a","region":"r","state":"in"}],
+ "services":[{"name":"desk","priority":0,"shards":1,"accepts":["order","query"],
+  "leaves":[{"name":"l2","address":"[::1]:81","zone":"b","slots":2,"connections":25},
+            {"name":"l1","address":"127.0.0.1:81","zone":"a","slots":2,"connections":25}]}]})";
+
+std::vector<std::string> Places(const base::Findings& findings) {
+  std::vector<std::string> places;
+  for (const base::Finding& finding : findings) places.push_back(finding.place);
+  return places;
+}
+
+/// The only finding of a document that is wrong as a whole.
+std::string OnlyMessage(std::string_view bytes) {
+  const auto parsed = ParseDocument(bytes);
+  EXPECT_FALSE(parsed.value);
+  EXPECT_EQ(parsed.findings.size(), 1U);
+  EXPECT_EQ(parsed.findings.at(0).place, "");
+  return parsed.findings.at(0).message;
+}
+
+TEST(DocumentTest, KeepsEveryMember) {
+  const auto parsed = ParseDocument(kSmall);
+  ASSERT_THAT(parsed.findings, IsEmpty());
+  const model::Environment& environment = *parsed.value;
+  EXPECT_EQ(environment.name, "small");
+  ASSERT_EQ(environment.zones.size(), 2U);
+  EXPECT_EQ(environment.zones[1],
+            (model::Zone{{"b"}, "r", model::ZoneState::kOut}));
+  ASSERT_EQ(environment.services.size(), 1U);
+  EXPECT_THAT(
+      environment.services[0].accepts,
+      ElementsAre(model::RequestKind::kQuery, model::RequestKind::kOrder));
+  EXPECT_EQ(environment.services[0].leaves[1],
+            (model::Leaf{{"l2"}, "[::1]:81", {"b"}, 2, 25}));
+}
+
+TEST(DocumentTest, CanonicalFormParsesToTheSameValue) {
+  const auto parsed = ParseDocument(kSmall);
+  const std::string canonical = EncodeDocument(parsed.value.value());
+  EXPECT_EQ(ParseDocument(canonical).value, parsed.value);
+  EXPECT_EQ(EncodeDocument(ParseDocument(canonical).value.value()), canonical);
+}
+
+// A parser that stops at the first mistake costs the operator one round for
+// each.
+TEST(DocumentTest, ReportsTwentyMistakesAtOnce) {
+  const auto parsed = ParseDocument(R"({
+    "name": 7, "colour": "red",
+    "zones": [{"name": "a", "region": "", "state": "out"},
+              {"name": "a", "region": "r", "state": "half"},
+              {"name": "c", "region": "r", "state": "out", "x/y~": 1}],
+    "services": [
+      {"name": "desk", "priority": -1, "shards": 0, "accepts": [],
+       "leaves": []},
+      {"name": "desk", "priority": 0, "shards": 5, "accepts": ["query", "buy"],
+       "leaves": [
+        {"name": "l", "address": "localhost:80", "zone": "a", "slots": 0, "connections": 1},
+        {"name": "l", "address": "127.0.0.1:0", "zone": "mars", "slots": 3, "connections": 2},
+        {"name": "m", "address": "1.2.3.4:5", "zone": "a", "slots": 1, "connections": 0},
+        {"name": "n", "address": "1.2.3.4:5", "zone": "a", "slots": 1.5}]}]})");
+  EXPECT_FALSE(parsed.value);
+  EXPECT_THAT(
+      Places(parsed.findings),
+      UnorderedElementsAre(
+          "/name", "/colour", "/zones/0/region", "/zones/1/name",
+          "/zones/1/state", "/zones/2/x~1y~0", "/services/0/priority",
+          "/services/0/shards", "/services/0/accepts", "/services/0/leaves",
+          "/services/1/name", "/services/1/leaves", "/services/1/accepts/1",
+          "/services/1/leaves/0/address", "/services/1/leaves/0/slots",
+          "/services/1/leaves/1/name", "/services/1/leaves/1/address",
+          "/services/1/leaves/1/zone", "/services/1/leaves/1/slots",
+          "/services/1/leaves/2/connections", "/services/1/leaves/3/address",
+          "/services/1/leaves/3/slots", "/services/1/leaves/3/connections"));
+}
+
+// An environment without a serving zone would refuse every request.
+TEST(DocumentTest, RejectsAllZonesOut) {
+  std::string text(kSmall);
+  text.replace(text.find("\"in\""), 4, "\"out\"");
+  EXPECT_THAT(Places(ParseDocument(text).findings), ElementsAre("/zones"));
+}
+
+TEST(DocumentTest, RejectsInputThatIsNoDocument) {
+  EXPECT_THAT(OnlyMessage(""), HasSubstr("not complete"));
+  EXPECT_THAT(OnlyMessage("{\"name\":"), HasSubstr("not complete"));
+  EXPECT_THAT(OnlyMessage("{\n\n\"name\" 7}"), HasSubstr("in line 3"));
+  EXPECT_THAT(OnlyMessage("[]"), HasSubstr("must be an object"));
+  EXPECT_THAT(OnlyMessage("{} {}"), HasSubstr("not valid"));
+}
+
+// Invalid UTF-8 would be passed on to tools that reject it.
+TEST(DocumentTest, RejectsInvalidUtf8) {
+  EXPECT_THAT(OnlyMessage("{\"name\":\"\xc3\x28\"}"), HasSubstr("UTF-8"));
+}
+
+// Unbounded nesting and size would exhaust the stack and memory.
+TEST(DocumentTest, BoundsDepthAndSize) {
+  EXPECT_THAT(OnlyMessage(std::string(100, '[') + std::string(100, ']')),
+              HasSubstr("nested deeper than 32"));
+  EXPECT_THAT(OnlyMessage(std::string(kMaxDocumentBytes + 1, ' ')),
+              HasSubstr("longer than"));
+}
+
+// The last of two equal members would win silently.
+TEST(DocumentTest, RejectsRepeatedMembers) {
+  const auto parsed =
+      ParseDocument(R"({"a":[1,{"b":1,"c":{"b":2},"b":3}],"a":2})");
+  EXPECT_THAT(Places(parsed.findings), ElementsAre("/a/1/b", "/a"));
+}
+
+}  // namespace
+}  // namespace berylreach::config
