--- a/config/include/berylreach/config/document_parts.h
+++ b/config/include/berylreach/config/document_parts.h
@@ -28,8 +28,8 @@
 };
 
 /// Checks a document and cuts it into parts. The same content gives the same
-/// hashes, whatever the white space and order of the input. A service that
-/// store cannot take is a finding.
+/// hashes, whatever the white space and order of the input. A service whose
+/// part is above what the store takes is a finding.
 Parsed<DocumentParts> SplitDocument(std::string_view bytes);
 
 /// Hashes of all parts that a manifest names, in the order of
