Add the public headers of membership and rollout

Cause: other packages code against membership and rollout. Change: actions, events and queries of both packages, without the implementation. Conclusion: the interface can be used; it does not link yet.

--- /dev/null
+++ b/membership/include/berylreach/membership/action.h
@@ -0,0 +1,28 @@
+// All actions of this package.
+#pragma once
+
+#include <variant>
+#include <vector>
+
+#include "berylreach/membership/cas_head.h"
+#include "berylreach/membership/document_announced.h"
+#include "berylreach/membership/head_changed.h"
+#include "berylreach/membership/leaf_taken_over.h"
+#include "berylreach/membership/peer_versions.h"
+#include "berylreach/membership/poll_host_list.h"
+#include "berylreach/membership/read_head.h"
+#include "berylreach/membership/record_event.h"
+#include "berylreach/membership/send_to.h"
+#include "berylreach/membership/watch_head.h"
+
+namespace berylreach::membership {
+
+/// One action that the caller must carry out.
+using Action = std::variant<SendTo, ReadHead, WatchHead, CasHead, PollHostList,
+                            HeadChanged, DocumentAnnounced, LeafTakenOver,
+                            PeerVersions, RecordEvent>;
+
+/// Actions in the order in which they must be carried out.
+using Actions = std::vector<Action>;
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/include/berylreach/membership/constants.h
@@ -0,0 +1,51 @@
+// Time constants of membership.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace berylreach::membership {
+
+/// Length of a serving lease, from the start of the proof.
+inline constexpr std::chrono::milliseconds kLeaseDuration{1500};
+/// Bound on the drift between two hosts' clocks during one lease.
+inline constexpr std::chrono::milliseconds kClockMargin{200};
+/// Interval between heartbeats, and between repeats of Release.
+inline constexpr std::chrono::milliseconds kHeartbeatInterval{300};
+/// Silence after which a member is suspected.
+inline constexpr std::chrono::milliseconds kFailureTimeout{1000};
+/// Delay between the proposals of two witnesses of consecutive rank.
+inline constexpr std::chrono::milliseconds kProposalStagger{300};
+/// A gap between events that shows that this host was frozen.
+inline constexpr std::chrono::milliseconds kFreezeThreshold{500};
+/// A lease with less time left than this is extended through the store. Two
+/// lost heartbeats leave 900 ms.
+inline constexpr std::chrono::milliseconds kTouchThreshold{900};
+/// Least time between two store touches, and between a failed store call and
+/// its repeat.
+inline constexpr std::chrono::milliseconds kStoreRetryInterval{500};
+/// Longest time between a failed store call and its repeat, without jitter.
+inline constexpr std::chrono::milliseconds kMaxStoreRetryInterval{2000};
+/// A read or compare-and-swap without an answer for this long counts as
+/// unknown.
+inline constexpr std::chrono::milliseconds kStoreCallTimeout{2000};
+/// Wait of a watch of the head record.
+inline constexpr std::chrono::milliseconds kWatchWait{10000};
+/// Time after `kWatchWait` at which an unanswered watch is abandoned.
+inline constexpr std::chrono::milliseconds kWatchGrace{2000};
+/// Host list polling interval of the first delegate.
+inline constexpr std::chrono::milliseconds kFirstDelegatePoll{750};
+/// Host list polling interval of the second delegate.
+inline constexpr std::chrono::milliseconds kSecondDelegatePoll{3000};
+/// Delay before a removed host joins again; doubles with each removal that
+/// follows within `kStableMembership`, so that a host that reaches the store
+/// but not its peers does not change the epoch every second.
+inline constexpr std::chrono::milliseconds kRejoinDelay{200};
+inline constexpr std::chrono::milliseconds kMaxRejoinDelay{30000};
+inline constexpr std::chrono::milliseconds kStableMembership{30000};
+/// Longest time between two calls of Tick.
+inline constexpr std::chrono::milliseconds kTickInterval{100};
+/// Most witnesses of a member.
+inline constexpr std::size_t kMaxWitnesses = 5;
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/include/berylreach/membership/head_watch.h
@@ -0,0 +1,40 @@
+// The watch of the head record by a delegate.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/membership/action.h"
+#include "berylreach/membership/backoff.h"
+#include "berylreach/model/store_result.h"
+
+namespace berylreach::membership {
+
+/// Keeps one blocking read of the head record open.
+class HeadWatch {
+ public:
+  explicit HeadWatch(std::uint64_t seed) : backoff_(seed) {}
+
+  /// Whether a watch may be issued now.
+  bool Due(base::TimePoint now) const;
+
+  /// Issues a watch that waits for a revision other than `revision`.
+  void Issue(std::uint64_t id, std::uint64_t revision, base::TimePoint now,
+             Actions& out);
+
+  /// Takes an answer; returns false if `id` is not the open watch. `newer` says
+  /// whether it brought a newer record.
+  bool OnAnswer(std::uint64_t id, model::StoreOutcome outcome, bool newer,
+                base::TimePoint now);
+
+  bool Owns(std::uint64_t id) const { return id_ == id; }
+
+ private:
+  Backoff backoff_;
+  std::optional<std::uint64_t> id_;
+  base::TimePoint issued_ = base::TimePoint::min();
+  base::TimePoint not_before_ = base::TimePoint::min();
+};
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/include/berylreach/membership/membership.h
@@ -0,0 +1,186 @@
+// Membership of this host: head record, lease, failures, takeover, delegates.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/membership/action.h"
+#include "berylreach/membership/departed_fences.h"
+#include "berylreach/membership/failure_detector.h"
+#include "berylreach/membership/head_client.h"
+#include "berylreach/membership/head_watch.h"
+#include "berylreach/membership/quorum_history.h"
+#include "berylreach/membership/release_sender.h"
+#include "berylreach/membership/release_table.h"
+#include "berylreach/membership/serving_lease.h"
+#include "berylreach/membership/takeover_waits.h"
+#include "berylreach/membership/versions.h"
+#include "berylreach/model/head_record.h"
+#include "berylreach/model/head_update.h"
+#include "berylreach/model/heartbeat.h"
+#include "berylreach/model/heartbeat_ack.h"
+#include "berylreach/model/member.h"
+#include "berylreach/model/names.h"
+#include "berylreach/model/peer_message.h"
+#include "berylreach/model/release.h"
+#include "berylreach/model/store_result.h"
+
+namespace berylreach::membership {
+
+/// State machine of sections 3.2 and 3.3 of docs/design.md. Event methods
+/// append to `out`, whose actions must be carried out in order. Not
+/// thread-safe.
+class Membership {
+ public:
+  /// `self.incarnation` must be random; it also seeds nonces and jitter.
+  /// `clock` must outlive this object.
+  Membership(const base::Clock& clock, model::Member self);
+
+  Membership(const Membership&) = delete;
+  Membership& operator=(const Membership&) = delete;
+
+  /// Starts to join.
+  void Start(Actions& out);
+
+  /// Advances all timers; must be called at `NextWakeup()` or before.
+  void Tick(Actions& out);
+
+  /// Answer of a ReadHead or WatchHead; `record` is set if `outcome` is kOk.
+  void OnHeadRead(std::uint64_t id, model::StoreOutcome outcome,
+                  const std::optional<model::HeadRecord>& record,
+                  std::uint64_t revision, Actions& out);
+
+  /// Answer of a CasHead; `revision` is the new one if `outcome` is kOk.
+  void OnHeadCas(std::uint64_t id, model::StoreOutcome outcome,
+                 std::uint64_t revision, Actions& out);
+
+  /// Takes Heartbeat, HeartbeatAck, HeadUpdate and Release; ignores others.
+  void OnMessage(const model::HostName& from, std::uint64_t incarnation,
+                 const model::PeerMessage& message, Actions& out);
+
+  /// Starts to leave for good; `has_left()` tells when it is done.
+  void Leave(Actions& out);
+
+  /// Sets what heartbeats carry; the document also decides which proofs count
+  /// towards the lease.
+  void SetVersions(const Versions& versions, Actions& out);
+
+  /// Sets the leaves that this host owns at `epoch`. Must be called after each
+  /// HeadChanged with a new epoch and when the document changes ownership;
+  /// ignored if `epoch` is not the current one.
+  void SetOwnedLeaves(std::uint64_t epoch,
+                      const std::vector<model::LeafName>& leaves, Actions& out);
+
+  /// Sets the leaves that this host does not own at `epoch` but still has
+  /// running work on. Must be called after each HeadChanged with a new epoch,
+  /// after `SetOwnedLeaves`, and whenever such work ends; ignored if `epoch` is
+  /// not the current one.
+  void SetHeldLeaves(std::uint64_t epoch,
+                     const std::vector<model::LeafName>& held, Actions& out);
+
+  /// When Tick is next needed.
+  base::TimePoint NextWakeup() const;
+
+  /// End of the serving lease; the minimum of the time type if there is none.
+  base::TimePoint LeaseExpiry() const { return lease_.expiry(); }
+
+  /// Whether this host may take new work now.
+  bool HoldsLease() const;
+
+  /// Epoch adopted; 0 before the first.
+  std::uint64_t epoch() const { return epoch_; }
+
+  const std::vector<model::Member>& members() const {
+    return head_.record().members;
+  }
+
+  /// Newest head record known.
+  const model::HeadRecord& record() const { return head_.record(); }
+
+  /// Whether this incarnation is a member at `epoch()`.
+  bool is_member() const { return is_member_; }
+
+  /// Whether work on the owned `leaf` may start; also requires `HoldsLease()`.
+  bool TakeoverComplete(const model::LeafName& leaf) const;
+
+  /// 0 for the first delegate, 1 for the second, nothing for other hosts.
+  std::optional<std::size_t> delegate_rank() const { return delegate_rank_; }
+
+  /// Whether the planned stop has removed this host from the record.
+  bool has_left() const { return has_left_; }
+
+ private:
+  enum class HeadSource : std::uint8_t { kStore, kPeer };
+
+  void BeginEvent();
+  void Finish(Actions& out);
+  void Adopt(HeadSource source, Actions& out);
+  void StartEpoch(HeadSource source, Actions& out);
+  void OnBecameMember(Actions& out);
+  void OnRemoved(Actions& out);
+  void PushHead(Actions& out) const;
+  void SendHead(const model::HostName& host, Actions& out) const;
+  void RequestHead(const model::HostName& host, Actions& out);
+  void NoteEpoch(const model::HostName& from, std::uint64_t epoch,
+                 Actions& out);
+  void TakeHead(HeadSource source, Actions& out);
+
+  void OnHeartbeat(const model::HostName& from, std::uint64_t incarnation,
+                   const model::Heartbeat& heartbeat, Actions& out);
+  void OnHeartbeatAck(const model::HostName& from, std::uint64_t incarnation,
+                      const model::HeartbeatAck& ack, Actions& out);
+  void OnHeadUpdate(const model::HeadUpdate& update, Actions& out);
+  void OnRelease(const model::HostName& from, std::uint64_t incarnation,
+                 const model::Release& release, Actions& out);
+
+  void DriveHeartbeats(Actions& out);
+  void SendHeartbeat(const model::HostName& host, Actions& out);
+  void DriveStore(Actions& out);
+  bool DriveLeave(Actions& out);
+  bool DriveJoin(Actions& out);
+  bool DriveRemovals(Actions& out);
+  void DriveTouch(Actions& out);
+  void DriveDelegate(Actions& out);
+  void DriveTakeovers(Actions& out);
+  void NoteLease(Actions& out);
+  void Record(std::string type, std::string subject, std::string detail,
+              Actions& out) const;
+
+  const base::Clock& clock_;
+  model::Member self_;
+  base::TimePoint now_;
+  base::TimePoint last_event_;
+  Versions versions_;
+
+  HeadClient head_;
+  HeadWatch watch_;
+  ServingLease lease_;
+  FailureDetector detector_;
+  QuorumHistory quorums_;
+  ReleaseTable releases_;
+  DepartedFences fences_;
+  TakeoverWaits takeovers_;
+  ReleaseSender release_sender_;
+
+  bool started_ = false;
+  bool is_member_ = false;
+  bool leaving_ = false;
+  bool has_left_ = false;
+  bool held_lease_ = false;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t announced_document_ = 0;
+  std::uint64_t sequence_;
+  std::optional<std::size_t> delegate_rank_;
+  base::TimePoint next_heartbeat_;
+  base::TimePoint next_touch_;
+  base::TimePoint next_poll_;
+  base::TimePoint next_head_request_;
+  base::TimePoint member_since_;
+  base::TimePoint rejoin_at_;
+  base::Duration rejoin_delay_;
+};
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/include/berylreach/membership/peer_versions.h
@@ -0,0 +1,25 @@
+// Action: the versions that a peer reported.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "berylreach/model/document_ref.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::membership {
+
+/// Versions from a heartbeat or an acknowledgement of a current member; they
+/// drive anti-entropy.
+struct PeerVersions {
+  model::HostName host;
+  model::DocumentRef document;
+  std::uint64_t host_list_index = 0;
+  std::uint64_t quarantine_digest = 0;
+  /// Absent in acknowledgements.
+  std::optional<std::uint64_t> leaf_states_digest;
+
+  friend bool operator==(const PeerVersions&, const PeerVersions&) = default;
+};
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/include/berylreach/membership/record_event.h
@@ -0,0 +1,17 @@
+// Action: an entry of the time line.
+#pragma once
+
+#include <string>
+
+namespace berylreach::membership {
+
+/// An event for the time line; fields as in model::TimelineEvent.
+struct RecordEvent {
+  std::string type;
+  std::string subject;
+  std::string detail;
+
+  friend bool operator==(const RecordEvent&, const RecordEvent&) = default;
+};
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/include/berylreach/membership/witness_set.h
@@ -0,0 +1,32 @@
+// Selection of the witnesses of a member.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "berylreach/model/member.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::membership {
+
+/// The up to `kMaxWitnesses` other members with the highest rendezvous weight
+/// for `host`, highest first.
+std::vector<model::Member> WitnessesOf(
+    const std::vector<model::Member>& members, const model::HostName& host);
+
+/// Acknowledgements needed for a lease in an epoch of `member_count` members:
+/// the majority of its witness set. It is 1 for a sole member, which has no
+/// witness and therefore leases through the store only.
+std::uint32_t WitnessQuorum(std::size_t member_count);
+
+/// The member with that host name and incarnation; null if there is none.
+const model::Member* FindMember(const std::vector<model::Member>& members,
+                                const model::HostName& host,
+                                std::uint64_t incarnation);
+
+/// The member with that host name; null if there is none.
+const model::Member* FindMember(const std::vector<model::Member>& members,
+                                const model::HostName& host);
+
+}  // namespace berylreach::membership
