Implement membership and rollout

Cause: the headers of both packages had no implementation. Change: serving lease, witnesses, failure detection, departed fences, takeover waits, delegates, head client and the composing Membership; the fetching of parts and the Rollout template. A host waits for Releases of exactly its own epoch, since the sender of a later one may own the leaf again. The quorum of a departed entry is the least quorum of all epochs that the host may still be at. Conclusion: other packages can link; behaviour is not proven yet.

--- /dev/null
+++ b/membership/lib/backoff.cc
@@ -0,0 +1,25 @@
+// Exponential backoff with jitter.
+#include "berylreach/membership/backoff.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "berylreach/membership/constants.h"
+
+namespace berylreach::membership {
+namespace {
+
+constexpr int kMaxDoublings = 4;
+
+}  // namespace
+
+base::Duration Backoff::NextDelay() {
+  const int doublings = std::min(failures_, kMaxDoublings);
+  ++failures_;
+  const auto delay =
+      std::min(kStoreRetryInterval * (1 << doublings), kMaxStoreRetryInterval);
+  std::uniform_int_distribution<int> jitter(0, 250);
+  return delay + std::chrono::milliseconds(jitter(random_));
+}
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/lib/failure_detector.cc
@@ -0,0 +1,62 @@
+// Failure detection by missed heartbeats.
+#include "berylreach/membership/failure_detector.h"
+
+#include <utility>
+
+#include "berylreach/membership/constants.h"
+#include "berylreach/membership/witness_set.h"
+
+namespace berylreach::membership {
+
+void FailureDetector::StartEpoch(const std::vector<model::Member>& members,
+                                 base::TimePoint now) {
+  std::map<model::HostName, Tracked> tracked;
+  for (const model::Member& member : members) {
+    if (member.host == self_) continue;
+    const std::vector<model::Member> witnesses =
+        WitnessesOf(members, member.host);
+    for (std::size_t rank = 0; rank < witnesses.size(); ++rank) {
+      if (witnesses[rank].host != self_) continue;
+      const auto before = tracked_.find(member.host);
+      const bool known = before != tracked_.end() &&
+                         before->second.incarnation == member.incarnation;
+      tracked[member.host] = Tracked{member.incarnation, rank,
+                                     known ? before->second.last_heard : now};
+    }
+  }
+  tracked_ = std::move(tracked);
+}
+
+void FailureDetector::OnHeartbeat(const model::HostName& host,
+                                  std::uint64_t incarnation,
+                                  base::TimePoint now) {
+  const auto found = tracked_.find(host);
+  if (found == tracked_.end()) return;
+  if (found->second.incarnation == incarnation) found->second.last_heard = now;
+}
+
+void FailureDetector::Restart(base::TimePoint now) {
+  for (auto& [host, tracked] : tracked_) tracked.last_heard = now;
+}
+
+std::vector<model::HostName> FailureDetector::Suspects(
+    base::TimePoint now) const {
+  std::vector<model::HostName> suspects;
+  for (const auto& [host, tracked] : tracked_) {
+    if (now - tracked.last_heard >= kFailureTimeout) suspects.push_back(host);
+  }
+  return suspects;
+}
+
+std::vector<model::HostName> FailureDetector::RemovalsDue(
+    base::TimePoint now) const {
+  std::vector<model::HostName> due;
+  for (const auto& [host, tracked] : tracked_) {
+    const auto timeout =
+        kFailureTimeout + kProposalStagger * static_cast<int>(tracked.rank);
+    if (now - tracked.last_heard >= timeout) due.push_back(host);
+  }
+  return due;
+}
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/lib/head_client.cc
@@ -0,0 +1,118 @@
+// Reads and writes of the head record.
+#include "berylreach/membership/head_client.h"
+
+#include <utility>
+
+#include "berylreach/membership/constants.h"
+
+namespace berylreach::membership {
+namespace {
+
+/// Conflicts in a row that are repeated without a delay; racing writers make
+/// progress on each round.
+constexpr int kImmediateConflicts = 3;
+
+}  // namespace
+
+HeadClient::HeadClient(std::uint64_t seed)
+    : random_(seed), backoff_(random_()) {}
+
+bool HeadClient::Ready(base::TimePoint now) const {
+  return !call_ && now >= not_before_;
+}
+
+bool HeadClient::NeedsRead() const {
+  return needs_read_ || outdated_.has_value();
+}
+
+void HeadClient::StartRead(base::TimePoint now, Actions& out) {
+  call_ = Call{NextId(), false, now};
+  out.push_back(ReadHead{call_->id});
+}
+
+void HeadClient::StartWrite(model::HeadRecord record, base::TimePoint now,
+                            Actions& out) {
+  record.nonce = random_();
+  call_ = Call{NextId(), true, now};
+  write_ = HeadWrite{std::move(record), revision_, now};
+  out.push_back(CasHead{call_->id, revision_, write_->record});
+}
+
+bool HeadClient::OnRead(std::uint64_t id, model::StoreOutcome outcome,
+                        const std::optional<model::HeadRecord>& record,
+                        std::uint64_t revision, base::TimePoint now) {
+  if (!call_ || call_->id != id) return false;
+  call_.reset();
+  if (outcome == model::StoreOutcome::kUnknown) {
+    OnUnknown(now);
+    return true;
+  }
+  backoff_.Reset();
+  needs_read_ = false;
+  if (record) Learn(*record, revision);
+  // Without its nonce in the record, the write proves nothing. If it is still
+  // under way, the next write conflicts with it.
+  write_.reset();
+  if (outdated_) not_before_ = now + backoff_.NextDelay();
+  return true;
+}
+
+bool HeadClient::OnWrite(std::uint64_t id, model::StoreOutcome outcome,
+                         std::uint64_t revision, base::TimePoint now) {
+  if (!call_ || call_->id != id) return false;
+  call_.reset();
+  if (outcome == model::StoreOutcome::kUnknown) {
+    needs_read_ = true;
+    OnUnknown(now);
+    return true;
+  }
+  backoff_.Reset();
+  if (!write_) return true;  // Resolved by a watch or a peer meanwhile.
+  if (outcome != model::StoreOutcome::kOk) {
+    OnConflict(now);
+    return true;
+  }
+  conflicts_ = 0;
+  applied_ = std::exchange(write_, std::nullopt);
+  Learn(applied_->record, revision);
+  return true;
+}
+
+void HeadClient::ExpireCall(base::TimePoint now) {
+  if (!call_ || now - call_->started < kStoreCallTimeout) return;
+  if (call_->is_write) needs_read_ = true;
+  call_.reset();
+  OnUnknown(now);
+}
+
+bool HeadClient::Learn(const model::HeadRecord& record,
+                       std::uint64_t revision) {
+  if (revision <= revision_) return false;
+  if (record.epoch < record_.epoch) return false;
+  if (record.document.version < record_.document.version) return false;
+  record_ = record;
+  revision_ = revision;
+  if (outdated_ && revision > *outdated_) outdated_.reset();
+  if (write_ && write_->record.nonce == record.nonce) {
+    applied_ = std::exchange(write_, std::nullopt);
+  }
+  return true;
+}
+
+std::optional<HeadWrite> HeadClient::TakeApplied() {
+  return std::exchange(applied_, std::nullopt);
+}
+
+void HeadClient::OnUnknown(base::TimePoint now) {
+  not_before_ = now + backoff_.NextDelay();
+}
+
+void HeadClient::OnConflict(base::TimePoint now) {
+  if (revision_ <= write_->revision) outdated_ = write_->revision;
+  write_.reset();
+  if (++conflicts_ <= kImmediateConflicts) return;
+  conflicts_ = 0;
+  not_before_ = now + backoff_.NextDelay();
+}
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/lib/head_edits.cc
@@ -0,0 +1,42 @@
+// The changes that a host makes to the head record.
+#include "berylreach/membership/head_edits.h"
+
+#include <algorithm>
+
+#include "berylreach/membership/witness_set.h"
+
+namespace berylreach::membership {
+
+model::HeadRecord WithJoined(const model::HeadRecord& head,
+                             const model::Member& self) {
+  model::HeadRecord next = head;
+  ++next.epoch;
+  next.writer = self.host.value;
+  std::erase_if(next.members,
+                [&](const model::Member& m) { return m.host == self.host; });
+  std::erase_if(next.departed, [&](const model::Departed& entry) {
+    return entry.member.host == self.host;
+  });
+  next.members.push_back(self);
+  std::sort(next.members.begin(), next.members.end());
+  return next;
+}
+
+model::HeadRecord WithRemoved(const model::HeadRecord& head,
+                              const std::vector<model::HostName>& removed,
+                              const QuorumHistory& quorums,
+                              const FencedPredicate& fenced) {
+  model::HeadRecord next = head;
+  ++next.epoch;
+  std::erase_if(next.departed, fenced);
+  for (const model::HostName& host : removed) {
+    const model::Member* member = FindMember(head.members, host);
+    if (member == nullptr) continue;
+    next.departed.push_back(
+        model::Departed{*member, next.epoch, quorums.LeastQuorum(*member)});
+    std::erase(next.members, *member);
+  }
+  return next;
+}
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/lib/head_watch.cc
@@ -0,0 +1,34 @@
+// The watch of the head record by a delegate.
+#include "berylreach/membership/head_watch.h"
+
+#include "berylreach/membership/constants.h"
+
+namespace berylreach::membership {
+
+bool HeadWatch::Due(base::TimePoint now) const {
+  if (now < not_before_) return false;
+  return !id_ || now - issued_ >= kWatchWait + kWatchGrace;
+}
+
+void HeadWatch::Issue(std::uint64_t id, std::uint64_t revision,
+                      base::TimePoint now, Actions& out) {
+  id_ = id;
+  issued_ = now;
+  out.push_back(WatchHead{id, revision, kWatchWait});
+}
+
+bool HeadWatch::OnAnswer(std::uint64_t id, model::StoreOutcome outcome,
+                         bool newer, base::TimePoint now) {
+  if (id_ != id) return false;
+  id_.reset();
+  if (outcome == model::StoreOutcome::kUnknown) {
+    not_before_ = now + backoff_.NextDelay();
+    return true;
+  }
+  backoff_.Reset();
+  // A stale answer can return at once and must not start a busy loop.
+  not_before_ = newer ? now : issued_ + kStoreRetryInterval;
+  return true;
+}
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/lib/membership_drive.cc
@@ -0,0 +1,109 @@
+// Timed work of the membership machine: heartbeats, store calls, delegates.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "berylreach/membership/constants.h"
+#include "berylreach/membership/delegates.h"
+#include "berylreach/membership/head_edits.h"
+#include "berylreach/membership/membership.h"
+#include "berylreach/membership/witness_set.h"
+
+namespace berylreach::membership {
+
+void Membership::DriveHeartbeats(Actions& out) {
+  if (!is_member_ || now_ < next_heartbeat_) return;
+  next_heartbeat_ = now_ + kHeartbeatInterval;
+  ++sequence_;
+  lease_.HeartbeatSent(sequence_, now_);
+  for (const model::Member& witness : WitnessesOf(members(), self_.host)) {
+    SendHeartbeat(witness.host, out);
+  }
+}
+
+void Membership::DriveTakeovers(Actions& out) {
+  if (is_member_) {
+    fences_.Update(record(), self_.host, now_);
+    for (model::LeafName& leaf : takeovers_.Advance(record(), now_)) {
+      out.push_back(LeafTakenOver{std::move(leaf)});
+    }
+  }
+  release_sender_.Repeat(record(), releases_, !is_member_, now_, out);
+}
+
+void Membership::DriveStore(Actions& out) {
+  head_.ExpireCall(now_);
+  if (!started_ || has_left_ || !head_.Ready(now_)) return;
+  if (head_.NeedsRead()) {
+    head_.StartRead(now_, out);
+    return;
+  }
+  if (DriveLeave(out) || DriveJoin(out) || DriveRemovals(out)) return;
+  DriveTouch(out);
+}
+
+bool Membership::DriveLeave(Actions& out) {
+  if (!leaving_) return false;
+  if (!is_member_) {
+    has_left_ = true;
+    return true;
+  }
+  model::HeadRecord next = WithRemoved(
+      record(), {self_.host}, quorums_, [this](const model::Departed& entry) {
+        return fences_.Fenced(entry, record(), now_);
+      });
+  next.writer = self_.host.value;
+  head_.StartWrite(std::move(next), now_, out);
+  return true;
+}
+
+bool Membership::DriveJoin(Actions& out) {
+  if (is_member_) return false;
+  if (now_ < rejoin_at_) return true;
+  head_.StartWrite(WithJoined(record(), self_), now_, out);
+  return true;
+}
+
+bool Membership::DriveRemovals(Actions& out) {
+  if (!HoldsLease()) return false;
+  const std::vector<model::HostName> due = detector_.RemovalsDue(now_);
+  if (due.empty()) return false;
+  for (const model::HostName& host : due) {
+    Record("removal_proposed", host.value, "no heartbeat", out);
+  }
+  model::HeadRecord next = WithRemoved(
+      record(), due, quorums_, [this](const model::Departed& entry) {
+        return fences_.Fenced(entry, record(), now_);
+      });
+  next.writer = self_.host.value;
+  head_.StartWrite(std::move(next), now_, out);
+  return true;
+}
+
+void Membership::DriveTouch(Actions& out) {
+  const bool low = lease_.expiry() < now_ + kTouchThreshold;
+  if (!low || now_ < next_touch_) return;
+  next_touch_ = now_ + kStoreRetryInterval;
+  model::HeadRecord next = record();
+  next.writer = self_.host.value;
+  head_.StartWrite(std::move(next), now_, out);
+}
+
+void Membership::DriveDelegate(Actions& out) {
+  delegate_rank_.reset();
+  if (!is_member_) return;
+  delegate_rank_ =
+      DelegateRank(members(), detector_.Suspects(now_), self_.host);
+  if (!delegate_rank_) return;
+  if (watch_.Due(now_)) {
+    watch_.Issue(head_.NextId(), head_.revision(), now_, out);
+  }
+  const auto interval =
+      *delegate_rank_ == 0 ? kFirstDelegatePoll : kSecondDelegatePoll;
+  next_poll_ = std::min(next_poll_, now_ + interval);
+  if (now_ < next_poll_) return;
+  next_poll_ = now_ + interval;
+  out.push_back(PollHostList{});
+}
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/lib/release_table.cc
@@ -0,0 +1,59 @@
+// Bookkeeping of Release messages.
+#include "berylreach/membership/release_table.h"
+
+#include <algorithm>
+
+#include "berylreach/membership/witness_set.h"
+
+namespace berylreach::membership {
+namespace {
+
+bool Names(const model::HeadRecord& record, const model::HostName& host,
+           std::uint64_t incarnation) {
+  if (FindMember(record.members, host, incarnation) != nullptr) return true;
+  return std::any_of(record.departed.begin(), record.departed.end(),
+                     [&](const model::Departed& entry) {
+                       return entry.member.host == host &&
+                              entry.member.incarnation == incarnation;
+                     });
+}
+
+}  // namespace
+
+bool ReleaseTable::Record(const model::HostName& host,
+                          std::uint64_t incarnation,
+                          const model::Release& release) {
+  model::Release& known = releases_[{host, incarnation}];
+  if (release.epoch < known.epoch || release == known) return false;
+  known = release;
+  return true;
+}
+
+const model::Release* ReleaseTable::Find(const model::Member& member) const {
+  const auto found = releases_.find({member.host, member.incarnation});
+  return found == releases_.end() ? nullptr : &found->second;
+}
+
+bool ReleaseTable::ReachedEpoch(const model::Member& member,
+                                std::uint64_t epoch) const {
+  const model::Release* release = Find(member);
+  return release != nullptr && release->epoch >= epoch;
+}
+
+bool ReleaseTable::Released(const model::Member& member, std::uint64_t epoch,
+                            const model::LeafName& leaf) const {
+  const model::Release* release = Find(member);
+  if (release == nullptr || release->epoch != epoch) return false;
+  const auto& held = release->held;
+  return std::find(held.begin(), held.end(), leaf) == held.end();
+}
+
+void ReleaseTable::Prune(const model::HeadRecord& record) {
+  std::erase_if(releases_, [&](const auto& entry) {
+    const auto& [key, release] = entry;
+    return release.epoch <= record.epoch &&
+           !Names(record, key.first, key.second);
+  });
+}
+
+}  // namespace berylreach::membership
--- a/model/include/berylreach/model/member.h
+++ b/model/include/berylreach/model/member.h
@@ -17,6 +17,8 @@
   std::string rpc_address;
   std::string http_address;
 
+  // The check mistakes the 0 of the rewritten comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Member&, const Member&) = default;
 };
 
--- a/rollout/include/berylreach/rollout/constants.h
+++ b/rollout/include/berylreach/rollout/constants.h
@@ -14,8 +14,5 @@
 inline constexpr std::chrono::milliseconds kStoreRetryInterval{500};
 /// Most peers asked before the store.
 inline constexpr std::size_t kMaxPeersAsked = 2;
-/// Most bytes of parts kept beyond those of the current and the wanted
-/// document.
-inline constexpr std::size_t kMaxSpareParts = 64;
 
 }  // namespace berylreach::rollout
--- a/rollout/include/berylreach/rollout/part_fetcher.h
+++ b/rollout/include/berylreach/rollout/part_fetcher.h
@@ -27,8 +27,9 @@
   void Drive(const std::vector<std::string>& missing, base::TimePoint now,
              Actions& out);
 
-  /// Closes the request to `peer` if it is the open one.
-  void OnPeerAnswer(const model::HostName& peer);
+  /// Closes the request to `peer` if it is the open one. A peer that was
+  /// `useful` is asked again, another one is replaced.
+  void OnPeerAnswer(const model::HostName& peer, bool useful);
 
   /// Records the end of a store read.
   void OnStoreAnswer(const std::string& hash, bool found, base::TimePoint now);
@@ -48,6 +49,7 @@
   model::HostName asked_peer_;
   bool peer_open_ = false;
   std::set<std::string> store_open_;
+  bool store_failed_ = false;
   base::TimePoint deadline_ = base::TimePoint::min();
 };
 
--- a/rollout/include/berylreach/rollout/rollout.h
+++ b/rollout/include/berylreach/rollout/rollout.h
@@ -1,6 +1,8 @@
 // Adoption of documents.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +11,8 @@
 #include <vector>
 
 #include "berylreach/base/clock.h"
+#include "berylreach/base/finding.h"
+#include "berylreach/base/hash.h"
 #include "berylreach/model/document_offer.h"
 #include "berylreach/model/document_ref.h"
 #include "berylreach/model/environment.h"
@@ -83,7 +87,10 @@
              Actions& out) const;
   void OnReply(const model::HostName& from, const model::PartsReply& reply,
                Actions& out);
-  void AddPart(const std::string& bytes);
+  std::optional<std::string> AddIfMissing(const std::string& bytes,
+                                          Actions& out);
+  void RetainCurrent();
+  std::vector<model::HostName> NextPeers();
 
   const base::Clock& clock_;
   A assembler_;
@@ -95,6 +102,166 @@
   std::optional<model::DocumentRef> wanted_;
   /// Highest version found invalid; it is not fetched again.
   model::DocumentRef rejected_;
+  std::size_t next_peer_ = 0;
 };
 
+template <Assembler A>
+void Rollout<A>::OnAnnounced(const model::DocumentRef& document, Actions& out) {
+  Want(document, NextPeers(), out);
+}
+
+template <Assembler A>
+void Rollout<A>::OnPeerDocument(const model::HostName& peer,
+                                const model::DocumentRef& document,
+                                Actions& out) {
+  if (wanted_ == document) {
+    fetcher_.AddSource(peer);
+  } else {
+    Want(document, {peer}, out);
+  }
+}
+
+template <Assembler A>
+void Rollout<A>::OnMessage(const model::HostName& from,
+                           const model::PeerMessage& message, Actions& out) {
+  if (const auto* offer = std::get_if<model::DocumentOffer>(&message)) {
+    OnPeerDocument(from, offer->document, out);
+  } else if (const auto* request = std::get_if<model::PartsRequest>(&message)) {
+    Serve(from, *request, out);
+  } else if (const auto* reply = std::get_if<model::PartsReply>(&message)) {
+    OnReply(from, *reply, out);
+  }
+}
+
+template <Assembler A>
+void Rollout<A>::OnPartRead(const std::string& hash,
+                            model::StoreOutcome outcome,
+                            const std::string& bytes, Actions& out) {
+  const bool found =
+      outcome == model::StoreOutcome::kOk && AddIfMissing(bytes, out) == hash;
+  fetcher_.OnStoreAnswer(hash, found, clock_.Now());
+  Advance(out);
+}
+
+template <Assembler A>
+void Rollout<A>::Want(const model::DocumentRef& document,
+                      std::vector<model::HostName> sources, Actions& out) {
+  if (document.version <= current_.version) return;
+  if (document.version <= rejected_.version) return;
+  if (wanted_ && document.version <= wanted_->version) return;
+  wanted_ = document;
+  fetcher_.Reset(std::move(sources));
+  Advance(out);
+}
+
+template <Assembler A>
+void Rollout<A>::Advance(Actions& out) {
+  if (!wanted_) return;
+  const auto missing = MissingParts(out);
+  if (!missing) return;
+  if (missing->empty()) {
+    PutInForce(out);
+  } else {
+    fetcher_.Drive(*missing, clock_.Now(), out);
+  }
+}
+
+template <Assembler A>
+std::optional<std::vector<std::string>> Rollout<A>::MissingParts(Actions& out) {
+  const std::string* manifest = parts_.Find(wanted_->hash);
+  if (manifest == nullptr) return std::vector<std::string>{wanted_->hash};
+  const auto hashes = assembler_.PartHashes(*manifest);
+  if (hashes) return parts_.Missing(*hashes);
+  Reject({base::Finding{"", "manifest cannot be read"}}, out);
+  return std::nullopt;
+}
+
+template <Assembler A>
+void Rollout<A>::PutInForce(Actions& out) {
+  const std::string manifest = *parts_.Find(wanted_->hash);
+  Assembled assembled = assembler_.Assemble(manifest, parts_.parts());
+  if (auto* findings = std::get_if<base::Findings>(&assembled)) {
+    Reject(std::move(*findings), out);
+    return;
+  }
+  current_ = *wanted_;
+  wanted_.reset();
+  environment_ = std::move(std::get<model::Environment>(assembled));
+  RetainCurrent();
+  out.push_back(DocumentInForce{current_});
+  out.push_back(RecordEvent{"document_in_force",
+                            std::to_string(current_.version), current_.hash});
+  for (const model::HostName& peer : peers_) {
+    out.push_back(SendTo{peer, model::DocumentOffer{current_}});
+  }
+}
+
+template <Assembler A>
+void Rollout<A>::Reject(base::Findings findings, Actions& out) {
+  rejected_ = *wanted_;
+  wanted_.reset();
+  RetainCurrent();
+  out.push_back(RecordEvent{"document_rejected",
+                            std::to_string(rejected_.version),
+                            std::to_string(findings.size()) + " findings"});
+  out.push_back(DocumentRejected{rejected_, std::move(findings)});
+}
+
+template <Assembler A>
+void Rollout<A>::RetainCurrent() {
+  std::vector<std::string> hashes;
+  if (const std::string* manifest = parts_.Find(current_.hash)) {
+    hashes = assembler_.PartHashes(*manifest).value_or(hashes);
+    hashes.push_back(current_.hash);
+  }
+  parts_.Retain(hashes);
+}
+
+template <Assembler A>
+void Rollout<A>::Serve(const model::HostName& from,
+                       const model::PartsRequest& request, Actions& out) const {
+  // An empty reply tells the peer to ask elsewhere without waiting.
+  model::PartsReply reply;
+  for (const std::string& hash : request.hashes) {
+    if (const std::string* part = parts_.Find(hash)) {
+      reply.parts.push_back(*part);
+    }
+  }
+  out.push_back(SendTo{from, std::move(reply)});
+}
+
+template <Assembler A>
+void Rollout<A>::OnReply(const model::HostName& from,
+                         const model::PartsReply& reply, Actions& out) {
+  bool useful = false;
+  for (const std::string& part : reply.parts) {
+    if (AddIfMissing(part, out)) useful = true;
+  }
+  fetcher_.OnPeerAnswer(from, useful);
+  Advance(out);
+}
+
+template <Assembler A>
+std::optional<std::string> Rollout<A>::AddIfMissing(const std::string& bytes,
+                                                    Actions& out) {
+  if (!wanted_) return std::nullopt;
+  const auto missing = MissingParts(out);
+  if (!missing) return std::nullopt;
+  std::string hash = base::ContentHash(bytes);
+  if (std::find(missing->begin(), missing->end(), hash) == missing->end()) {
+    return std::nullopt;
+  }
+  parts_.Add(bytes);
+  return hash;
+}
+
+template <Assembler A>
+std::vector<model::HostName> Rollout<A>::NextPeers() {
+  std::vector<model::HostName> peers = peers_;
+  if (peers.empty()) return peers;
+  const auto first = static_cast<std::ptrdiff_t>(next_peer_++ % peers.size());
+  std::rotate(peers.begin(), peers.begin() + first, peers.end());
+  return peers;
+}
+
 }  // namespace berylreach::rollout
