--- /dev/null
+++ b/limits/include/berylreach/limits/call_queue.h
@@ -0,0 +1,76 @@
+// The queue of a leaf gate.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/limits/queued_call.h"
+#include "berylreach/model/call_id.h"
+
+namespace berylreach::limits {
+
+/// Calls ordered by priority (lower number first), then deadline, then
+/// arrival.
+class CallQueue {
+ public:
+  bool empty() const { return calls_.empty(); }
+  std::size_t size() const { return calls_.size(); }
+  bool Contains(const model::CallId& id) const { return keys_.contains(id); }
+
+  void Push(QueuedCall call);
+
+  /// The call to start next; the queue must not be empty.
+  const QueuedCall& Front() const { return calls_.begin()->second; }
+  QueuedCall PopFront();
+
+  /// Removes the call that would start last; the queue must not be empty.
+  QueuedCall PopBack();
+
+  /// Removes the call `id`; nothing if it is not queued.
+  std::optional<QueuedCall> Remove(const model::CallId& id);
+
+  /// Removes and returns all calls for which `predicate(call)` holds, which is
+  /// asked in queue order.
+  template <typename Predicate>
+  std::vector<QueuedCall> RemoveIf(Predicate predicate) {
+    std::vector<QueuedCall> removed;
+    for (auto entry = calls_.begin(); entry != calls_.end();) {
+      const auto next = std::next(entry);
+      if (predicate(std::as_const(entry->second)))
+        removed.push_back(Take(entry));
+      entry = next;
+    }
+    return removed;
+  }
+
+  /// The earliest deadline; nothing if the queue is empty.
+  std::optional<base::TimePoint> EarliestDeadline() const;
+
+  /// Number of calls that start before a new call of `priority`.
+  std::size_t CountAhead(std::uint32_t priority) const;
+
+ private:
+  struct Key {
+    std::uint32_t priority = 0;
+    base::TimePoint deadline;
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const Key&, const Key&) = default;
+  };
+  using Map = std::map<Key, QueuedCall>;
+
+  QueuedCall Take(Map::iterator entry);
+
+  Map calls_;
+  std::unordered_map<model::CallId, Key> keys_;
+  std::uint64_t next_sequence_ = 0;
+};
+
+}  // namespace berylreach::limits
--- /dev/null
+++ b/limits/include/berylreach/limits/gate_counters.h
@@ -0,0 +1,31 @@
+// Counters of a leaf gate for the metrics page.
+#pragma once
+
+#include <cstdint>
+
+namespace berylreach::limits {
+
+/// Totals since the gate was created.
+struct GateCounters {
+  std::uint64_t received = 0;
+  std::uint64_t started = 0;
+  /// Answered by the leaf with a result.
+  std::uint64_t completed = 0;
+  /// Refused because the expected wait exceeds the remaining time, or because
+  /// the queue is full.
+  std::uint64_t refused_overload = 0;
+  /// Refused because the leaf is draining or its zone is out.
+  std::uint64_t refused_closed = 0;
+  /// Past the deadline while queued.
+  std::uint64_t expired = 0;
+  std::uint64_t cancelled_queued = 0;
+  std::uint64_t cancelled_running = 0;
+  /// Started calls whose answer was lost or timed out.
+  std::uint64_t unproven = 0;
+  /// Resets of the limit to 1.
+  std::uint64_t cold_resets = 0;
+
+  friend bool operator==(const GateCounters&, const GateCounters&) = default;
+};
+
+}  // namespace berylreach::limits
