Add the leaf gate and the admission

The owner of a leaf needs one machine that starts, queues, refuses and expires calls, and the entry host one that sheds by service priority.

--- a/limits/include/berylreach/limits/leaf_gate.h
+++ b/limits/include/berylreach/limits/leaf_gate.h
@@ -127,7 +127,6 @@
   bool open_ = false;
   bool draining_ = false;
   bool zone_out_ = false;
-  bool running_alone_ = false;
 };
 
 }  // namespace berylreach::limits
--- /dev/null
+++ b/limits/lib/admission.cc
@@ -0,0 +1,85 @@
+// Shares of an entry host's capacity by service priority.
+#include "berylreach/limits/admission.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace berylreach::limits {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration kRateWindow = std::chrono::seconds(1);
+
+/// Bounds the memory of the completion times; a higher rate only rounds the
+/// retry time down to its minimum.
+constexpr std::size_t kMaxCompletions = 4096;
+
+/// Limits of retry_after: below the first, repeats would arrive in step; above
+/// the second, capacity would idle after a pause.
+constexpr milliseconds kMinRetryAfter{50};
+constexpr milliseconds kMaxRetryAfter{5000};
+
+/// Part of `bound`, in tenths, that a priority may fill: 10 for priority 0, one
+/// less for each further priority, at least 5.
+std::size_t Share(std::size_t bound, std::uint32_t priority) {
+  const std::uint32_t tenths = 10 - std::min<std::uint32_t>(priority, 5);
+  return std::max<std::size_t>(1, bound * tenths / 10);
+}
+
+std::size_t Excess(std::size_t used, std::size_t wanted, std::size_t bound) {
+  return used + wanted > bound ? used + wanted - bound : 0;
+}
+
+}  // namespace
+
+Admission::Admission(const base::Clock& clock, AdmissionOptions options)
+    : clock_(clock), options_(options) {}
+
+AdmissionDecision Admission::Admit(std::uint32_t priority,
+                                   std::size_t leaf_calls) {
+  const std::size_t requests =
+      Excess(requests_, 1, Share(options_.max_requests, priority));
+  const std::size_t calls =
+      Excess(leaf_calls_, leaf_calls, Share(options_.max_leaf_calls, priority));
+  // A request larger than its share runs only on an otherwise idle host.
+  const bool admitted = requests == 0 && (calls == 0 || leaf_calls_ == 0);
+  if (!admitted) {
+    ++counters_.refused;
+    const std::size_t per_request = std::max<std::size_t>(
+        1, leaf_calls_ / std::max<std::size_t>(1, requests_));
+    return {false, RetryAfter(std::max(requests, calls / per_request))};
+  }
+  ++counters_.admitted;
+  ++requests_;
+  leaf_calls_ += leaf_calls;
+  return {true, milliseconds{0}};
+}
+
+void Admission::OnRequestDone(std::size_t leaf_calls) {
+  ++counters_.completed;
+  requests_ -= std::min<std::size_t>(requests_, 1);
+  leaf_calls_ -= std::min(leaf_calls_, leaf_calls);
+  if (completions_.size() >= kMaxCompletions) completions_.pop_front();
+  completions_.push_back(clock_.Now());
+}
+
+void Admission::ForgetOldCompletions() {
+  const base::TimePoint begin = clock_.Now() - kRateWindow;
+  while (!completions_.empty() && completions_.front() < begin)
+    completions_.pop_front();
+}
+
+milliseconds Admission::RetryAfter(std::size_t excess) {
+  ForgetOldCompletions();
+  if (completions_.empty()) return kMaxRetryAfter;
+  const auto window = std::max<base::Duration>(
+      clock_.Now() - completions_.front(), milliseconds(1));
+  const auto per_completion =
+      window / static_cast<std::int64_t>(completions_.size());
+  const auto wait = std::chrono::ceil<milliseconds>(
+      per_completion * static_cast<std::int64_t>(excess + 1));
+  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+}
+
+}  // namespace berylreach::limits
--- /dev/null
+++ b/limits/lib/concurrency_limit.cc
@@ -0,0 +1,63 @@
+// Rise and reset of the concurrency limit of a leaf.
+#include "berylreach/limits/concurrency_limit.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace berylreach::limits {
+namespace {
+
+/// Assumed until the first completion.
+constexpr base::Duration kDefaultServiceTime = std::chrono::milliseconds(20);
+
+/// A completion slower than this multiple of the median is slow.
+constexpr int kSlowFactor = 4;
+
+/// Fewer samples give no usable median.
+constexpr std::size_t kMinSamplesForSlow = 8;
+
+/// One slow completion can be a straggler; a cold leaf is slow repeatedly.
+constexpr std::uint32_t kSlowCompletionsForReset = 2;
+
+}  // namespace
+
+base::Duration ConcurrencyLimit::ServiceTime() const {
+  return service_times_.Quantile(0.5).value_or(kDefaultServiceTime);
+}
+
+bool ConcurrencyLimit::IsSecondSlowCompletion(base::Duration service_time) {
+  const auto median = service_times_.Quantile(0.5, kMinSamplesForSlow);
+  service_times_.Add(service_time);
+  const bool slow = median && service_time > kSlowFactor * *median;
+  consecutive_slow_ = slow ? consecutive_slow_ + 1 : 0;
+  return consecutive_slow_ >= kSlowCompletionsForReset;
+}
+
+void ConcurrencyLimit::OnCompletion(base::Duration service_time,
+                                    std::uint64_t generation) {
+  if (generation != generation_) return;
+  if (IsSecondSlowCompletion(service_time)) {
+    Reset();
+    return;
+  }
+  ++completions_;
+  if (!cold_ && completions_ < limit_) return;
+  cold_ = false;
+  completions_ = 0;
+  limit_ = std::max<std::uint32_t>(1, std::min(limit_ + 1, slots_));
+}
+
+void ConcurrencyLimit::Reset() {
+  limit_ = 1;
+  cold_ = true;
+  completions_ = 0;
+  consecutive_slow_ = 0;
+  ++generation_;
+}
+
+void ConcurrencyLimit::SetSlots(std::uint32_t slots) {
+  slots_ = slots;
+  limit_ = std::max<std::uint32_t>(1, std::min(limit_, slots_));
+}
+
+}  // namespace berylreach::limits
--- /dev/null
+++ b/limits/lib/leaf_gate_queue.cc
@@ -0,0 +1,166 @@
+// Starting, expiring and refusing the queued calls of a leaf gate.
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <utility>
+
+#include "berylreach/limits/leaf_gate.h"
+
+namespace berylreach::limits {
+namespace {
+
+using model::LeafOutcome;
+
+/// Draining leaves and zones that are out stay so for longer than a second.
+constexpr base::Duration kOutOfServiceRetry = std::chrono::seconds(1);
+
+}  // namespace
+
+void LeafGate::Update(Actions& out) {
+  ExpireRunning(out);
+  ExpireQueued(out);
+  if (!TakesCalls()) {
+    RefuseQueued(LeafOutcome::kDraining, out);
+    return;
+  }
+  StartCalls(out);
+  ShedQueued(out);
+}
+
+bool LeafGate::CanStart(const QueuedCall& next) const {
+  if (!open_ || clock_.Now() >= lease_expiry_) return false;
+  if (running_.size() >= limit_.value()) return false;
+  if (running_.empty()) return true;
+  // A call that must run alone is the only running one.
+  return !next.call.alone && !running_.begin()->second.alone;
+}
+
+void LeafGate::StartCalls(Actions& out) {
+  while (!queue_.empty() && CanStart(queue_.Front()))
+    Start(queue_.PopFront(), out);
+}
+
+void LeafGate::Start(QueuedCall next, Actions& out) {
+  RunningCall running;
+  running.fingerprint = next.call.fingerprint;
+  running.started_at = clock_.Now();
+  running.not_after = std::min(next.deadline, lease_expiry_);
+  running.generation = limit_.generation();
+  running.alone = next.call.alone;
+  running_.emplace(next.call.id, running);
+  ++counters_.started;
+  out.emplace_back(StartCall{std::move(next.call), running.not_after});
+}
+
+void LeafGate::ExpireQueued(Actions& out) {
+  const base::TimePoint now = clock_.Now();
+  const auto expired = queue_.RemoveIf(
+      [now](const QueuedCall& call) { return call.deadline <= now; });
+  for (const QueuedCall& call : expired) {
+    ++counters_.expired;
+    Answer(call.call.id, LeafOutcome::kNotSent, ExpectedWait(0), out);
+  }
+}
+
+void LeafGate::ExpireRunning(Actions& out) {
+  const base::TimePoint now = clock_.Now();
+  for (auto entry = running_.begin(); entry != running_.end();) {
+    const auto current = entry++;
+    if (now < current->second.not_after + kResultGrace) continue;
+    const model::CallId id = current->first;
+    const bool answered = current->second.unproven;
+    running_.erase(current);
+    if (answered) continue;
+    ++counters_.unproven;
+    limit_.OnFailure();
+    Answer(id, LeafOutcome::kTimedOut, {}, out);
+  }
+}
+
+std::vector<base::TimePoint> LeafGate::SlotTimes() const {
+  const base::TimePoint now = clock_.Now();
+  std::vector<base::TimePoint> times;
+  for (const auto& [id, call] : running_) {
+    times.push_back(
+        call.unproven ? call.not_after + kResultGrace
+                      : std::max(now, call.started_at + limit_.ServiceTime()));
+  }
+  std::sort(times.begin(), times.end());
+  // After a reset more calls may run than the limit; the first of them to end
+  // make no room.
+  if (times.size() > limit_.value())
+    times.erase(times.begin(), times.end() - limit_.value());
+  times.resize(limit_.value(), now);
+  return times;
+}
+
+void LeafGate::ShedQueued(Actions& out) {
+  if (!open_ || queue_.empty()) return;
+  const base::TimePoint now = clock_.Now();
+  const base::Duration service_time = limit_.ServiceTime();
+  std::vector<base::TimePoint> slots = SlotTimes();
+  std::vector<base::Duration> waits;
+  std::size_t position = 0;
+  const auto shed = queue_.RemoveIf([&](const QueuedCall& call) {
+    const auto slot = call.call.alone
+                          ? std::max_element(slots.begin(), slots.end())
+                          : std::min_element(slots.begin(), slots.end());
+    const base::TimePoint end = *slot + service_time;
+    if (end > call.deadline || position >= kMaxQueuedCalls) {
+      waits.push_back(*slot - now);
+      return true;
+    }
+    ++position;
+    if (call.call.alone) std::fill(slots.begin(), slots.end(), end);
+    *slot = end;
+    return false;
+  });
+  for (std::size_t i = 0; i < shed.size(); ++i)
+    RefuseOverloaded(shed[i], waits[i], out);
+}
+
+base::Duration LeafGate::ExpectedWait(std::uint32_t priority) const {
+  std::vector<base::TimePoint> slots = SlotTimes();
+  std::priority_queue next(std::greater<>{}, std::move(slots));
+  for (std::size_t i = queue_.CountAhead(priority); i > 0; --i) {
+    const base::TimePoint end = next.top() + limit_.ServiceTime();
+    next.pop();
+    next.push(end);
+  }
+  return next.top() - clock_.Now();
+}
+
+void LeafGate::RefuseQueued(LeafOutcome outcome, Actions& out) {
+  const auto refused = queue_.RemoveIf([](const QueuedCall&) { return true; });
+  for (const QueuedCall& call : refused) {
+    ++counters_.refused_closed;
+    Answer(call.call.id, outcome,
+           outcome == LeafOutcome::kNotOwner ? base::Duration::zero()
+                                             : kOutOfServiceRetry,
+           out);
+  }
+}
+
+void LeafGate::RefuseOverloaded(const QueuedCall& call, base::Duration wait,
+                                Actions& out) {
+  ++counters_.refused_overload;
+  Answer(call.call.id, LeafOutcome::kOverloaded, wait, out);
+}
+
+void LeafGate::RefuseOutOfService(const model::LeafCall& call, Actions& out) {
+  ++counters_.refused_closed;
+  Answer(call.id, LeafOutcome::kDraining, kOutOfServiceRetry, out);
+}
+
+void LeafGate::Answer(const model::CallId& id, LeafOutcome outcome,
+                      base::Duration retry_after, Actions& out) {
+  model::LeafReply reply;
+  reply.id = id;
+  reply.leaf = leaf_;
+  reply.outcome = outcome;
+  reply.load = static_cast<std::uint32_t>(queued() + running());
+  reply.retry_after = std::chrono::ceil<std::chrono::milliseconds>(retry_after);
+  out.emplace_back(Reply{std::move(reply)});
+}
+
+}  // namespace berylreach::limits
