Add the order coordinator and its fault simulation

Orders must run at most once although claims, answers and hosts are lost at every step. The coordinator claims by compare-and-swap in group commits, sends a confirmed claim once, and says not_run only where that is proven.

--- a/limits/include/berylreach/limits/call_queue.h
+++ b/limits/include/berylreach/limits/call_queue.h
@@ -1,11 +1,12 @@
 // The queue of a leaf gate.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -62,7 +63,10 @@
     base::TimePoint deadline;
     std::uint64_t sequence = 0;
 
-    friend auto operator<=>(const Key&, const Key&) = default;
+    friend bool operator<(const Key& a, const Key& b) {
+      return std::tie(a.priority, a.deadline, a.sequence) <
+             std::tie(b.priority, b.deadline, b.sequence);
+    }
   };
   using Map = std::map<Key, QueuedCall>;
 
--- a/orders/include/berylreach/orders/order_options.h
+++ b/orders/include/berylreach/orders/order_options.h
@@ -23,8 +23,8 @@
   base::Duration store_call_timeout = std::chrono::seconds(1);
   /// Longest time that an outcome waits for claims to share a write with.
   base::Duration outcome_delay = std::chrono::milliseconds(50);
-  /// Claims per write. 1 gives one claim per write, for comparison.
-  std::size_t max_claims_per_write = 4096;
+  /// Changed records per write. 1 gives one claim per write, for comparison.
+  std::size_t max_changes_per_write = 4096;
 };
 
 }  // namespace berylreach::orders
--- /dev/null
+++ b/orders/lib/bucket_coordinator.h
@@ -0,0 +1,133 @@
+// Orders of one bucket: claims, runs and outcomes.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "berylreach/model/leaf_reply.h"
+#include "berylreach/model/order_forward.h"
+#include "berylreach/model/store_result.h"
+#include "berylreach/orders/action.h"
+#include "coordinator_state.h"
+#include "journal_view.h"
+#include "order_run.h"
+#include "pending_changes.h"
+#include "store_access.h"
+
+namespace berylreach::orders {
+
+/// The state machine of one order journal; see OrderCoordinator.
+class BucketCoordinator {
+ public:
+  BucketCoordinator(CoordinatorState& state, std::uint32_t bucket);
+
+  void OnForward(const model::OrderForward& forward, Actions& out);
+  void OnRead(std::uint64_t id, model::StoreOutcome outcome,
+              model::OrderJournal journal, std::uint64_t revision,
+              Actions& out);
+  void OnCas(std::uint64_t id, model::StoreOutcome outcome,
+             std::uint64_t revision, Actions& out);
+  void OnOutcome(const OrderKey& key, model::LeafOutcome outcome,
+                 std::string result, std::uint64_t version,
+                 std::chrono::milliseconds retry_after, Actions& out);
+  void OnLeaseLost(Actions& out);
+  void SetExclusive(bool exclusive, Actions& out);
+  void Tick(Actions& out);
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  std::size_t open_orders() const;
+  std::size_t unwritten_outcomes() const { return changes_.outcomes(); }
+
+ private:
+  using Runs = std::map<OrderKey, OrderRun>;
+
+  /// What the known journal says about a run that is not confirmed.
+  enum class Verdict : std::uint8_t { kClaimable, kAnswered, kNeedsRead };
+
+  // Forwards.
+  bool RefuseInvalid(const model::OrderForward& forward, const OrderKey& key,
+                     Actions& out);
+  void Join(OrderRun& run, const model::OrderForward& forward, Actions& out);
+  void AddRun(const model::OrderForward& forward, OrderKey key, Actions& out);
+  OrderRun MakeRun(const model::OrderForward& forward, OrderKey key);
+  bool RefuseForCapacity(const OrderRun& run, Actions& out);
+  Verdict Judge(const OrderRun& run) const;
+  bool IsFresh(const OrderRun& run, const model::OrderRecord& record) const;
+  model::CallerReply JudgedReply(const OrderRun& run) const;
+
+  // Store calls.
+  void Advance(Actions& out);
+  bool HasWork() const;
+  bool TouchNeeded() const { return exclusive_ && !confirmed_; }
+  bool WriteDue() const;
+  void StartRead(Actions& out);
+  void StartWrite(Actions& out);
+  std::size_t AddClaims(std::size_t limit, Actions& out);
+  bool MayReplace(const model::OrderRecord& record) const;
+  model::OrderRecord ClaimRecord(const OrderRun& run) const;
+  void AcceptRead(std::uint64_t id, model::OrderJournal journal,
+                  std::uint64_t revision, Actions& out);
+  void OnCasApplied(std::uint64_t revision, Actions& out);
+  void OnStoreFailure(Actions& out);
+  void OnStoreSuccess(Actions& out);
+
+  // Runs.
+  void Reconcile(Actions& out);
+  void Review(OrderRun& run, Actions& out);
+  void Confirm(OrderRun& run, Actions& out);
+  void NoteAbandoned(const OrderKey& key);
+  void SetState(OrderRun& run, RunState state);
+  void Erase(const OrderKey& key);
+  void ExpireRuns(Actions& out);
+  void ExpireRun(OrderRun& run, Actions& out);
+  void ExpireWaiters(OrderRun& run, Actions& out);
+  void EndRun(OrderRun& run, model::OrderState state, std::string outcome,
+              std::uint64_t version, model::CallerReply reply, Actions& out);
+  void ReleaseRun(const OrderRun& run);
+  void RefuseUnsent(model::ErrorCode code, const std::string& message,
+                    std::chrono::milliseconds retry_after, Actions& out);
+  bool ProvenNotRun(const OrderKey& key) const;
+  model::Ran RanIfUnsent(const OrderKey& key) const;
+  void ReplyAll(OrderRun& run, const model::CallerReply& reply, Actions& out);
+  void SendReply(const model::CallId& id, const model::CallerReply& reply,
+                 Actions& out);
+  void NoteWakeup(const OrderRun& run);
+  std::size_t MaxBytes() const;
+
+  CoordinatorState& state_;
+  std::uint32_t bucket_;
+  StoreAccess store_;
+  JournalView view_;
+  /// The journal that the write in flight would create.
+  JournalView next_view_;
+  std::vector<OrderKey> claims_in_flight_;
+  PendingChanges changes_;
+  Runs runs_;
+  /// Runs in kClaiming in order of arrival, and keys of runs that have left it.
+  std::deque<OrderKey> claim_queue_;
+  /// Runs in kReading.
+  std::size_t reading_ = 0;
+  bool has_view_ = false;
+  /// The journal must be read before the next write.
+  bool reread_ = true;
+  std::uint64_t revision_ = 0;
+  /// Reads of a lower revision are stale.
+  std::uint64_t min_revision_ = 0;
+  std::uint64_t accepted_read_ = 0;
+  bool exclusive_ = false;
+  /// A write has proved `view_` current since the bucket became exclusive.
+  bool confirmed_ = false;
+  bool write_confirms_ = false;
+  bool outage_reported_ = false;
+  bool full_reported_ = false;
+  /// No deadline of a run is earlier.
+  base::TimePoint runs_wakeup_ = base::TimePoint::max();
+};
+
+}  // namespace berylreach::orders
--- /dev/null
+++ b/orders/lib/replies.h
@@ -0,0 +1,35 @@
+// Replies to orders.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "berylreach/model/caller_reply.h"
+#include "berylreach/model/leaf_reply.h"
+#include "berylreach/model/order_record.h"
+
+namespace berylreach::orders {
+
+/// Time after which a repeat finds the outcome of an order in progress.
+inline constexpr std::chrono::milliseconds kInProgressRetry{1000};
+
+/// Least retry time of a refused order.
+inline constexpr std::chrono::milliseconds kMinRetry{100};
+
+model::CallerReply Refuse(model::ErrorCode code, std::string message,
+                          model::Ran ran,
+                          std::chrono::milliseconds retry_after);
+
+/// The answer of an order that ran.
+model::CallerReply DoneReply(std::string result, std::uint64_t version);
+
+/// The reply to a repeat of an order recorded as kDone, kUnknown, or kClaimed
+/// by another incarnation.
+model::CallerReply ReplyFromRecord(const model::OrderRecord& record);
+
+/// The refusal of a sent order that ended with `outcome`, which is not kOk.
+model::CallerReply RefusalFor(model::LeafOutcome outcome,
+                              std::chrono::milliseconds retry_after);
+
+}  // namespace berylreach::orders
--- /dev/null
+++ b/orders/lib/store_access.h
@@ -0,0 +1,84 @@
+// The store call of one bucket and its retries.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "berylreach/base/clock.h"
+
+namespace berylreach::orders {
+
+/// Allows one store call at a time and spaces out calls after failures.
+class StoreAccess {
+ public:
+  enum class Call : std::uint8_t { kNone, kRead, kCas };
+
+  explicit StoreAccess(base::Duration timeout) : timeout_(timeout) {}
+
+  bool MayCall(base::TimePoint now) const {
+    return call_ == Call::kNone && now >= retry_at_;
+  }
+  bool InFlight(Call call, std::uint64_t id) const {
+    return call_ == call && id_ == id;
+  }
+  Call call() const { return call_; }
+  std::uint64_t id() const { return id_; }
+
+  /// Calls fail repeatedly and the next attempt is not yet due.
+  bool InOutage(base::TimePoint now) const {
+    return failures_ >= kOutageFailures && now < retry_at_;
+  }
+  bool failing() const { return failures_ >= kOutageFailures; }
+  base::TimePoint retry_at() const { return retry_at_; }
+
+  void Begin(Call call, std::uint64_t id, base::TimePoint now) {
+    call_ = call;
+    id_ = id;
+    timeout_at_ = now + timeout_;
+  }
+
+  /// The call was answered.
+  void End() {
+    call_ = Call::kNone;
+    failures_ = 0;
+  }
+
+  /// The call was not answered.
+  void Fail(base::TimePoint now) {
+    call_ = Call::kNone;
+    ++failures_;
+    // A first lost answer is resolved by reading back at once.
+    if (failures_ < kOutageFailures) return;
+    const int doublings = std::min(failures_ - kOutageFailures, 4);
+    retry_at_ = now + kFirstBackoff * (1 << doublings);
+  }
+
+  /// Makes no call before `time`.
+  void Delay(base::TimePoint time) { retry_at_ = time; }
+
+  bool TimedOut(base::TimePoint now) const {
+    return call_ != Call::kNone && now >= timeout_at_;
+  }
+
+  /// When the call in flight times out, or when the next call may be made.
+  base::TimePoint NextChange() const {
+    return call_ == Call::kNone ? retry_at_ : timeout_at_;
+  }
+
+ private:
+  static constexpr int kOutageFailures = 2;
+  /// Doubles up to 1.6 s, so that a long outage costs the store little.
+  static constexpr base::Duration kFirstBackoff =
+      std::chrono::milliseconds(100);
+
+  base::Duration timeout_;
+  Call call_ = Call::kNone;
+  std::uint64_t id_ = 0;
+  int failures_ = 0;
+  base::TimePoint timeout_at_{};
+  base::TimePoint retry_at_ = base::TimePoint::min();
+};
+
+}  // namespace berylreach::orders
--- /dev/null
+++ b/orders/unittests/order_world.h
@@ -0,0 +1,301 @@
+// Several order coordinators, their callers and a leaf, with faults at every
+// step, in virtual time.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "berylreach/orders/order_coordinator.h"
+#include "faulty_store.h"
+
+namespace berylreach::orders {
+
+/// What happened to one order of the simulation.
+struct OrderHistory {
+  int runs = 0;
+  base::TimePoint last_claim{};  ///< Claim under which it ran.
+  base::TimePoint last_not_run{};
+  bool done = false;
+  int attempts = 0;
+};
+
+/// Runs a number of orders and counts the violations.
+class OrderWorld {
+ public:
+  /// With `exclusive` one host owns all buckets at a time, as the takeover rule
+  /// ensures; without it any host takes any order at any time.
+  OrderWorld(std::uint64_t seed, int orders, bool exclusive)
+      : dice_(seed), orders_(orders), exclusive_(exclusive) {
+    for (Host& host : hosts_) Restart(host);
+  }
+
+  void Run() {
+    for (int i = 0; i < orders_; ++i)
+      schedule_.After(dice_.Millis(0, orders_ * 20),
+                      [this, i] { Attempt("key" + std::to_string(i)); });
+    Beat();
+    const base::TimePoint end =
+        clock_.Now() + std::chrono::milliseconds(orders_ * 20 + 60'000);
+    while (clock_.Now() < end && schedule_.RunNext()) {
+    }
+  }
+
+  int run_twice = 0;
+  int false_not_run = 0;
+  int unclaimed_sends = 0;
+  int wrong_answers = 0;
+  int answered_twice = 0;
+  int not_run_replies = 0;
+  int may_have_run_replies = 0;
+  int crashes = 0;
+  int freezes = 0;
+  int done() const {
+    return static_cast<int>(
+        std::count_if(history_.begin(), history_.end(),
+                      [](const auto& entry) { return entry.second.done; }));
+  }
+
+ private:
+  static constexpr int kHosts = 3;
+  static constexpr base::Duration kLease = std::chrono::milliseconds(1500);
+  static constexpr base::Duration kMargin = std::chrono::milliseconds(200);
+  static inline const model::ServiceName kService{"order-desk"};
+
+  struct Host {
+    std::unique_ptr<OrderCoordinator> coordinator;
+    std::uint64_t incarnation = 0;
+    bool frozen = false;
+    base::TimePoint lease{};
+    std::deque<std::function<void(Actions&)>> inbox;
+  };
+
+  void Restart(Host& host) {
+    host.incarnation = next_incarnation_++ * 0x1234567ULL;
+    host.coordinator = std::make_unique<OrderCoordinator>(
+        clock_, model::HostName{"host"}, host.incarnation);
+    host.inbox.clear();
+    host.frozen = false;
+    host.lease = {};
+    if (owner_ == &host) owner_ = nullptr;
+  }
+
+  /// Delivers an event to the process that it is meant for; a frozen process
+  /// handles it when woken.
+  void Deliver(Host& host, std::uint64_t incarnation,
+               std::function<void(OrderCoordinator&, Actions&)> event) {
+    if (host.incarnation != incarnation) return;
+    host.inbox.emplace_back([&host, event = std::move(event)](Actions& out) {
+      event(*host.coordinator, out);
+    });
+    if (!host.frozen) Drain(host);
+  }
+
+  void Drain(Host& host) {
+    while (!host.inbox.empty()) {
+      const auto event = std::move(host.inbox.front());
+      host.inbox.pop_front();
+      Actions out;
+      event(out);
+      for (Action& action : out)
+        std::visit([&](auto& a) { Perform(host, a); }, action);
+    }
+  }
+
+  void Perform(Host& host, const ReadJournal& read) {
+    store_.Read(read.bucket,
+                [this, &host, incarnation = host.incarnation, id = read.id](
+                    auto outcome, auto journal, auto revision) {
+                  Deliver(host, incarnation, [=](auto& c, auto& out) {
+                    c.OnJournalRead(id, outcome, journal, revision, out);
+                  });
+                });
+  }
+
+  void Perform(Host& host, const CasJournal& cas) {
+    store_.Cas(cas.bucket, cas.revision, cas.journal,
+               [this, &host, incarnation = host.incarnation, id = cas.id](
+                   auto outcome, auto revision) {
+                 Deliver(host, incarnation, [=](auto& c, auto& out) {
+                   c.OnJournalCas(id, outcome, revision, out);
+                 });
+               });
+  }
+
+  void Perform(Host& host, const SendOrder& send) {
+    const auto* record = store_.Find(kService, send.key);
+    if (record == nullptr || record->claimer_incarnation != host.incarnation ||
+        record->state != model::OrderState::kClaimed) {
+      ++unclaimed_sends;
+      return;
+    }
+    using model::LeafOutcome;
+    const base::TimePoint claimed_at = store_.ClaimedAt(record->nonce);
+    const int fate = dice_.Range(0, 19);
+    const bool runs = fate < 14;
+    auto outcome = LeafOutcome::kOk;
+    if (fate == 12) outcome = LeafOutcome::kLost;
+    if (fate == 13) outcome = LeafOutcome::kTimedOut;
+    if (fate == 14) outcome = LeafOutcome::kLeafDied;
+    if (fate == 15) outcome = LeafOutcome::kShed;
+    if (fate > 15) outcome = LeafOutcome::kNotSent;
+    schedule_.After(
+        dice_.Millis(1, 40), [=, this, &host, id = send.id, key = send.key,
+                              incarnation = host.incarnation] {
+          if (runs) RunAtLeaf(key, claimed_at);
+          if (dice_.Chance(0.02)) return;  // The owner of the leaf died.
+          Deliver(host, incarnation, [=](auto& c, auto& out) {
+            c.OnOrderOutcome(id, outcome, "\"" + key + "\"", 1, {}, out);
+          });
+        });
+  }
+
+  void Perform(Host&, const Reply& action) {
+    const auto found = waiting_.find(action.reply.id);
+    if (found == waiting_.end()) {
+      ++answered_twice;
+      return;
+    }
+    const std::string key = found->second;
+    waiting_.erase(found);
+    OrderHistory& order = history_[key];
+    if (const auto* answer = std::get_if<model::Answer>(&action.reply.reply)) {
+      order.done = true;
+      if (order.runs != 1 || answer->results[0].result != "\"" + key + "\"")
+        ++wrong_answers;
+      if (dice_.Chance(0.1)) Retry(key);  // The reply to the caller was lost.
+      return;
+    }
+    const auto ran = std::get<model::Refusal>(action.reply.reply).ran;
+    if (ran == model::Ran::kMayHaveRun) ++may_have_run_replies;
+    if (ran == model::Ran::kNotRun) {
+      ++not_run_replies;
+      order.last_not_run = clock_.Now();
+      // Said after the claim under which the order ran.
+      if (order.runs > 0 && order.last_claim <= clock_.Now()) ++false_not_run;
+    }
+    Retry(key);
+  }
+
+  void Perform(Host&, const RecordEvent&) {}
+
+  void RunAtLeaf(const std::string& key, base::TimePoint claimed_at) {
+    OrderHistory& order = history_[key];
+    if (++order.runs > 1) ++run_twice;
+    order.last_claim = claimed_at;
+    if (order.last_not_run > claimed_at) ++false_not_run;
+  }
+
+  void Retry(const std::string& key) {
+    schedule_.After(dice_.Millis(1, 2000), [this, key] { Attempt(key); });
+  }
+
+  void Attempt(const std::string& key) {
+    OrderHistory& order = history_[key];
+    if (++order.attempts > 6) return;
+    Host* host = exclusive_ ? owner_ : &hosts_[dice_.Range(0, kHosts - 1)];
+    if (host == nullptr) return Retry(key);
+    model::OrderForward forward;
+    forward.id = {77, ++next_forward_};
+    forward.service = kService;
+    forward.key = key;
+    forward.payload = "payload of " + key;
+    forward.issued_at_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            clock_.WallNow().time_since_epoch())
+            .count();
+    forward.budget = std::chrono::duration_cast<std::chrono::microseconds>(
+        dice_.Millis(50, 3000));
+    waiting_[forward.id] = key;
+    Deliver(*host, host->incarnation,
+            [=](auto& c, auto& out) { c.OnForward(forward, out); });
+    // A caller that is not answered repeats, perhaps while the first is open.
+    if (dice_.Chance(0.2)) Retry(key);
+  }
+
+  /// Every 20 ms: leases, ownership, ticks and faults of hosts.
+  void Beat() {
+    ++beats_;
+    if (dice_.Chance(0.002)) store_.outage = !store_.outage;
+    if (store_.outage && dice_.Chance(0.02)) store_.outage = false;
+    for (Host& host : hosts_) {
+      Disturb(host);
+      if (host.frozen) continue;
+      const bool lapsed = clock_.Now() >= host.lease;
+      if (owner_ == &host && lapsed) owner_ = nullptr;
+      if (lapsed && host.lease != base::TimePoint{})
+        Deliver(host, host.incarnation,
+                [](auto& c, auto& out) { c.OnLeaseLost(out); });
+      if (beats_ % 15 == 0 || lapsed) {
+        host.lease = clock_.Now() + kLease;
+        Deliver(host, host.incarnation, [lease = host.lease](auto& c, auto&) {
+          c.OnLeaseExtended(lease);
+        });
+      }
+      Deliver(host, host.incarnation, [](auto& c, auto& out) { c.Tick(out); });
+    }
+    if (exclusive_) ChooseOwner();
+    schedule_.After(std::chrono::milliseconds(20), [this] { Beat(); });
+  }
+
+  void Disturb(Host& host) {
+    if (dice_.Chance(0.001)) {
+      ++crashes;
+      if (owner_ == &host) fenced_at_ = host.lease + kMargin;
+      Restart(host);
+    } else if (!host.frozen && dice_.Chance(0.002)) {
+      ++freezes;
+      host.frozen = true;
+      schedule_.After(dice_.Millis(100, 5000),
+                      [this, &host, incarnation = host.incarnation] {
+                        if (host.incarnation != incarnation) return;
+                        host.frozen = false;
+                        Drain(host);
+                      });
+    }
+  }
+
+  void ChooseOwner() {
+    if (owner_ != nullptr && clock_.Now() < owner_->lease + kMargin) {
+      fenced_at_ = owner_->lease + kMargin;
+      return;
+    }
+    owner_ = nullptr;
+    if (clock_.Now() < fenced_at_) return;
+    Host& host = hosts_[dice_.Range(0, kHosts - 1)];
+    if (host.frozen || clock_.Now() >= host.lease) return;
+    owner_ = &host;
+    std::vector<std::uint32_t> buckets(kBucketCount);
+    std::iota(buckets.begin(), buckets.end(), 0);
+    Deliver(host, host.incarnation, [buckets](auto& c, auto& out) {
+      c.OnExclusiveBuckets({}, out);
+      c.OnExclusiveBuckets(buckets, out);
+    });
+  }
+
+  base::ManualClock clock_;
+  Schedule schedule_{clock_};
+  Dice dice_;
+  FaultyStore store_{clock_, schedule_, dice_};
+  int orders_;
+  bool exclusive_;
+  std::uint64_t next_incarnation_ = 1;
+  std::uint64_t next_forward_ = 0;
+  std::uint64_t beats_ = 0;
+  std::array<Host, kHosts> hosts_;
+  Host* owner_ = nullptr;
+  base::TimePoint fenced_at_{};
+  std::map<std::string, OrderHistory> history_;
+  std::unordered_map<model::CallId, std::string> waiting_;
+};
+
+}  // namespace berylreach::orders
