Add the public interface of the transport package

Cause: the host and core packages are written at the same time and need the interface of the I/O threads. Change: public headers for the HTTP server, the upstream, store and host list clients and the RPC node. No Asio, Beast or Cap'n Proto type appears in them. Conclusion: the interface is usable for coding against; nothing is implemented.

--- /dev/null
+++ b/transport/include/berylreach/transport/host_list_client.h
@@ -0,0 +1,42 @@
+// Client of the platform's host list.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "berylreach/model/host_list.h"
+#include "berylreach/transport/io_thread.h"
+
+namespace berylreach::transport {
+
+/// Address and time limit of a HostListClient.
+struct HostListOptions {
+  /// IP address and port.
+  std::string address;
+  std::chrono::milliseconds timeout{1000};
+};
+
+/// Reads the host list on request.
+class HostListClient {
+ public:
+  struct Impl;
+  /// The leaving entries, or nothing if the read failed.
+  using Callback = std::function<void(std::optional<model::HostList>)>;
+
+  /// `on_result` is called on `thread`, once per Read.
+  HostListClient(IoThread& thread, HostListOptions options, Callback on_result);
+  ~HostListClient();
+  HostListClient(const HostListClient&) = delete;
+  HostListClient& operator=(const HostListClient&) = delete;
+
+  /// Starts one read. Callable from any thread.
+  void Read();
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace berylreach::transport
--- /dev/null
+++ b/transport/include/berylreach/transport/http_request.h
@@ -0,0 +1,33 @@
+// A request received by the HTTP server.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace berylreach::transport {
+
+/// Names one request of one connection. Tokens are never reused in a process.
+struct HttpToken {
+  std::uint64_t connection = 0;
+  std::uint64_t request = 0;
+
+  friend auto operator<=>(const HttpToken&, const HttpToken&) = default;
+};
+
+/// A complete HTTP request.
+struct HttpRequest {
+  HttpToken token;
+  /// Upper-case method, such as "POST".
+  std::string method;
+  /// Path and query as received, such as "/v1/query".
+  std::string target;
+  std::string body;
+  /// Index of the address in HttpServerOptions::addresses that received it.
+  std::size_t listener = 0;
+
+  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+};
+
+}  // namespace berylreach::transport
