--- /dev/null
+++ b/membership/unittests/test_cluster.h
@@ -0,0 +1,238 @@
+// A simulated cluster: hosts, a lossy network and the in-test store.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "test_host.h"
+#include "test_store.h"
+
+namespace berylreach::membership {
+
+/// Advances all hosts in steps of 10 ms. After each step `conflicts` counts the
+/// leaves on which two hosts may work, or do work, at once.
+class TestCluster {
+ public:
+  explicit TestCluster(int size, std::uint64_t seed = 1)
+      : random_(seed), store(random_) {
+    for (int i = 0; i < 12; ++i) leaves.push_back({"leaf" + std::to_string(i)});
+    for (int i = 0; i < size; ++i) AddHost(i);
+  }
+
+  void Run(std::chrono::milliseconds span) {
+    for (auto left = span; left.count() > 0; left -= kStep) Step();
+  }
+
+  void Start(int number) {
+    Do(number, [](Membership& m, Actions& out) { m.Start(out); });
+  }
+
+  void StartAll() {
+    for (std::size_t i = 0; i < hosts.size(); ++i) Start(static_cast<int>(i));
+  }
+
+  /// Ends the process and starts another one with a new incarnation.
+  void Restart(int number) {
+    const double rate = hosts[number]->clock_rate;
+    hosts[number] = std::make_unique<TestHost>(number, random_());
+    hosts[number]->clock_rate = rate;
+    store.Forget(number);
+    std::erase_if(answers_,
+                  [&](const auto& answer) { return answer.host == number; });
+    Start(number);
+  }
+
+  void Leave(int number) {
+    Do(number, [](Membership& m, Actions& out) { m.Leave(out); });
+  }
+
+  template <typename Event>
+  void Do(int number, Event event) {
+    Actions out;
+    event(*hosts[number]->machine, out);
+    Carry(number, out);
+  }
+
+  Membership& machine(int number) { return *hosts[number]->machine; }
+  base::TimePoint now() const { return now_; }
+
+  int Leases() const {
+    int count = 0;
+    for (const auto& host : hosts) count += host->machine->HoldsLease() ? 1 : 0;
+    return count;
+  }
+
+  /// Leaves on which exactly one host may work.
+  int ServedLeaves() const {
+    int served = 0;
+    for (const auto& leaf : leaves) {
+      int workers = 0;
+      for (const auto& host : hosts) workers += host->MayWork(leaf) ? 1 : 0;
+      served += workers == 1 ? 1 : 0;
+    }
+    return served;
+  }
+
+  int Random(int least, int most) {
+    return std::uniform_int_distribution<>(least, most)(random_);
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kStep{10};
+
+  struct Sent {
+    int from;
+    std::uint64_t incarnation;
+    int to;
+    model::PeerMessage message;
+    base::TimePoint at;
+  };
+
+  // Declared first, as the store uses it.
+  std::mt19937_64 random_;
+
+ public:
+  std::vector<std::unique_ptr<TestHost>> hosts;
+  std::vector<model::LeafName> leaves;
+  TestStore store;
+  double message_loss = 0;
+  int max_delay_ms = 5;
+  int conflicts = 0;
+  int polls = 0;
+  std::map<std::string, int> events;
+  /// Whether hosts put an announced document in force at once.
+  bool adopt_documents = true;
+
+ private:
+  void AddHost(int number) {
+    hosts.push_back(std::make_unique<TestHost>(number, random_()));
+  }
+
+  void Step() {
+    now_ += kStep;
+    for (auto& host : hosts) {
+      host->clock.Advance(
+          std::chrono::duration_cast<base::Duration>(kStep * host->clock_rate));
+    }
+    Deliver();
+    for (auto& answer : store.Due(now_)) answers_.push_back(std::move(answer));
+    DeliverAnswers();
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+      TickHost(static_cast<int>(i));
+    CheckWork();
+  }
+
+  void Deliver() {
+    std::vector<Sent> due;
+    std::erase_if(network_, [&](Sent& sent) {
+      const TestHost& to = *hosts[sent.to];
+      if (sent.at > now_ || (to.frozen && to.alive)) return false;
+      due.push_back(std::move(sent));
+      return true;
+    });
+    for (const Sent& sent : due) {
+      const bool apart = hosts[sent.from]->group != hosts[sent.to]->group;
+      if (apart || !hosts[sent.to]->alive) continue;
+      Do(sent.to, [&](Membership& m, Actions& out) {
+        m.OnMessage(hosts[sent.from]->name, sent.incarnation, sent.message,
+                    out);
+      });
+    }
+  }
+
+  void DeliverAnswers() {
+    std::vector<TestStore::Answer> due;
+    std::erase_if(answers_, [&](TestStore::Answer& answer) {
+      const TestHost& host = *hosts[answer.host];
+      if (host.frozen && host.alive) return false;
+      due.push_back(std::move(answer));
+      return true;
+    });
+    for (const auto& answer : due) {
+      if (!hosts[answer.host]->alive) continue;
+      Do(answer.host, [&](Membership& m, Actions& out) {
+        if (answer.is_write) {
+          m.OnHeadCas(answer.id, answer.outcome, answer.revision, out);
+        } else {
+          m.OnHeadRead(answer.id, answer.outcome, answer.record,
+                       answer.revision, out);
+        }
+      });
+    }
+  }
+
+  void TickHost(int number) {
+    TestHost& host = *hosts[number];
+    if (!host.alive || host.frozen) return;
+    Do(number, [&](Membership& m, Actions& out) {
+      if (host.clock.Now() >= m.NextWakeup()) m.Tick(out);
+      host.StartWork(leaves[Random(0, 11)],
+                     std::chrono::milliseconds(Random(0, 1200)));
+      host.ReportHeld(out);
+    });
+  }
+
+  void CheckWork() {
+    for (const auto& leaf : leaves) {
+      int may = 0;
+      int working = 0;
+      for (const auto& host : hosts) {
+        may += host->MayWork(leaf) ? 1 : 0;
+        working += host->Works(leaf) ? 1 : 0;
+      }
+      if (may > 1 || working > 1) ++conflicts;
+    }
+  }
+
+  // Handling an action may append further actions.
+  void Carry(int number, Actions& out) {
+    for (std::size_t i = 0; i < out.size(); ++i) {
+      const Action action = out[i];
+      CarryOne(number, action, out);
+    }
+  }
+
+  void CarryOne(int number, const Action& action, Actions& out) {
+    TestHost& host = *hosts[number];
+    if (const auto* send = std::get_if<SendTo>(&action)) {
+      Send(number, *send);
+    } else if (const auto* read = std::get_if<ReadHead>(&action)) {
+      store.Read(number, *read, now_);
+    } else if (const auto* watch = std::get_if<WatchHead>(&action)) {
+      store.Watch(number, *watch, now_);
+    } else if (const auto* write = std::get_if<CasHead>(&action)) {
+      store.Write(number, *write, now_);
+    } else if (std::holds_alternative<PollHostList>(action)) {
+      ++polls;
+    } else if (std::holds_alternative<HeadChanged>(action)) {
+      host.OnHeadChanged(leaves, out);
+    } else if (const auto* event = std::get_if<RecordEvent>(&action)) {
+      ++events[event->type];
+    } else if (const auto* doc = std::get_if<DocumentAnnounced>(&action)) {
+      if (adopt_documents) {
+        host.machine->SetVersions(Versions{doc->document}, out);
+      }
+    }
+  }
+
+  void Send(int from, const SendTo& send) {
+    if (Random(1, 1000) <= message_loss * 1000) return;
+    const int to = std::stoi(send.host.value.substr(4));
+    const auto delay = std::chrono::milliseconds(Random(0, max_delay_ms));
+    network_.push_back(
+        Sent{from, hosts[from]->incarnation, to, send.message, now_ + delay});
+  }
+
+  base::TimePoint now_{};
+  std::vector<Sent> network_;
+  std::vector<TestStore::Answer> answers_;
+};
+
+}  // namespace berylreach::membership
--- /dev/null
+++ b/membership/unittests/test_host.h
@@ -0,0 +1,90 @@
+// One simulated host: a Membership with its clock, leaves and running work.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "berylreach/base/manual_clock.h"
+#include "berylreach/base/rendezvous.h"
+#include "berylreach/membership/membership.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::membership {
+
+/// Work on a leaf ends by the host's own clock, at the latest with its lease.
+struct TestHost {
+  TestHost(int number, std::uint64_t incarnation)
+      : name{"host" + std::to_string(number)},
+        incarnation(incarnation),
+        machine(std::make_unique<Membership>(
+            clock, model::Member{name, incarnation, {"zone"}, "rpc", "http"})) {
+  }
+
+  /// Applies a change of epoch the way a host core does.
+  void OnHeadChanged(const std::vector<model::LeafName>& leaves, Actions& out) {
+    owned.clear();
+    for (const model::LeafName& leaf : leaves) {
+      if (OwnerOf(leaf) == name) owned.push_back(leaf);
+    }
+    const std::uint64_t epoch = machine->epoch();
+    if (machine->is_member()) machine->SetOwnedLeaves(epoch, owned, out);
+    ReportHeld(out);
+  }
+
+  void ReportHeld(Actions& out) {
+    std::erase_if(
+        work, [&](const auto& entry) { return entry.second <= clock.Now(); });
+    std::vector<model::LeafName> held;
+    for (const auto& [leaf, end] : work) {
+      if (std::find(owned.begin(), owned.end(), leaf) == owned.end()) {
+        held.push_back(leaf);
+      }
+    }
+    machine->SetHeldLeaves(machine->epoch(), held, out);
+  }
+
+  bool MayWork(const model::LeafName& leaf) const {
+    return alive && machine->HoldsLease() && machine->TakeoverComplete(leaf);
+  }
+
+  bool Works(const model::LeafName& leaf) const {
+    const auto found = work.find(leaf);
+    return alive && found != work.end() && found->second > clock.Now();
+  }
+
+  void StartWork(const model::LeafName& leaf, base::Duration length) {
+    if (!MayWork(leaf)) return;
+    base::TimePoint& end = work[leaf];
+    end = std::max(end, std::min(clock.Now() + length, machine->LeaseExpiry()));
+  }
+
+  model::HostName OwnerOf(const model::LeafName& leaf) const {
+    model::HostName owner;
+    std::uint64_t best = 0;
+    for (const model::Member& member : machine->members()) {
+      const auto weight = base::RendezvousWeight(leaf.value, member.host.value);
+      if (weight < best) continue;
+      best = weight;
+      owner = member.host;
+    }
+    return owner;
+  }
+
+  base::ManualClock clock;
+  model::HostName name;
+  std::uint64_t incarnation;
+  std::unique_ptr<Membership> machine;
+  std::vector<model::LeafName> owned;
+  std::map<model::LeafName, base::TimePoint> work;
+  bool alive = true;
+  bool frozen = false;
+  /// Speed of the host's clock relative to the simulation.
+  double clock_rate = 1;
+  int group = 0;
+};
+
+}  // namespace berylreach::membership
