--- /dev/null
+++ b/quarantine/include/berylreach/quarantine/grant.h
@@ -0,0 +1,15 @@
+// The arbiter's decision on a run of a suspect.
+#pragma once
+
+#include <cstdint>
+
+namespace berylreach::quarantine {
+
+/// Whether a suspect may run now.
+enum class Grant : std::uint8_t {
+  kGranted,
+  kBusy,     ///< Another run is in progress, or the members changed recently.
+  kBlocked,  ///< The fingerprint is blocked.
+};
+
+}  // namespace berylreach::quarantine
--- /dev/null
+++ b/query/include/berylreach/query/active_call.h
@@ -0,0 +1,25 @@
+// A leaf call of a query.
+#pragma once
+
+#include <cstdint>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::query {
+
+/// A call that was sent and has no reply yet.
+struct ActiveCall {
+  model::HostName to;
+  model::LeafName leaf;
+  std::uint32_t shard = 0;
+  std::uint64_t version = 0;
+  base::TimePoint sent_at{};
+  /// Paid for by the hedge budget.
+  bool hedge = false;
+  bool alone = false;
+  /// Cancelled; its reply only tells whether it had started.
+  bool withdrawn = false;
+};
+
+}  // namespace berylreach::query
--- /dev/null
+++ b/query/include/berylreach/query/cancel_call.h
@@ -0,0 +1,17 @@
+// Action: withdraw a leaf call.
+#pragma once
+
+#include "berylreach/model/call_id.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::query {
+
+/// Withdraw the call `id` at the host that it was sent to.
+struct CancelCall {
+  model::HostName to;
+  model::CallId id;
+
+  friend bool operator==(const CancelCall&, const CancelCall&) = default;
+};
+
+}  // namespace berylreach::query
--- /dev/null
+++ b/query/include/berylreach/query/query_context.h
@@ -0,0 +1,46 @@
+// What a query runner uses of its host.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/base/quantile_window.h"
+#include "berylreach/base/token_bucket.h"
+#include "berylreach/model/call_id.h"
+#include "berylreach/model/environment.h"
+#include "berylreach/model/member.h"
+#include "berylreach/model/names.h"
+#include "berylreach/quarantine/quarantine.h"
+#include "berylreach/routing/leaf_table.h"
+#include "berylreach/routing/ownership_table.h"
+#include "berylreach/routing/replica_index.h"
+
+namespace berylreach::query {
+
+/// Shared state of the host, read anew at each use because documents, members
+/// and leaf states change while queries run. Outlives its runners.
+class QueryContext {
+ public:
+  virtual ~QueryContext() = default;
+
+  virtual const model::Environment& Environment() const = 0;
+  virtual const std::vector<model::Member>& Members() const = 0;
+  virtual const routing::OwnershipTable& Ownership() const = 0;
+  virtual const model::ZoneName& OwnZone() const = 0;
+  virtual routing::LeafTable& Leaves() = 0;
+  /// Usable leaves of `service`, up to date at the time of the call.
+  virtual const routing::ReplicaIndex& Replicas(
+      const model::ServiceName& service) = 0;
+  virtual quarantine::Quarantine& Suspects() = 0;
+  /// Recent leaf latencies of `service`, queueing at the owner included.
+  virtual base::QuantileWindow& Latency(const model::ServiceName& service) = 0;
+  virtual base::TokenBucket& HedgeBudget() = 0;
+  virtual base::TokenBucket& RetryBudget() = 0;
+  /// No leaf call may last beyond this point (design 3.2).
+  virtual base::TimePoint LeaseExpiry() const = 0;
+  virtual model::CallId NextCallId() = 0;
+  virtual std::uint64_t Random() = 0;
+};
+
+}  // namespace berylreach::query
--- /dev/null
+++ b/routing/include/berylreach/routing/owner_of.h
@@ -0,0 +1,20 @@
+// Which host owns a leaf.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "berylreach/model/environment.h"
+#include "berylreach/model/member.h"
+#include "berylreach/model/names.h"
+
+namespace berylreach::routing {
+
+/// The owner of `leaf` (design 3.1): the rendezvous winner among the members of
+/// the leaf's zone, or among all members if the zone has none. Nothing if the
+/// document does not name the leaf or there are no members.
+std::optional<model::HostName> OwnerOf(
+    const model::Environment& environment,
+    const std::vector<model::Member>& members, const model::LeafName& leaf);
+
+}  // namespace berylreach::routing
--- /dev/null
+++ b/routing/include/berylreach/routing/replica_index_cache.h
@@ -0,0 +1,39 @@
+// Keeps replica indexes up to date.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/model/environment.h"
+#include "berylreach/routing/leaf_table.h"
+#include "berylreach/routing/replica_index.h"
+
+namespace berylreach::routing {
+
+/// One index per service, rebuilt when the document version or the leaf table's
+/// revision has changed or a piece of evidence has lapsed.
+class ReplicaIndexCache {
+ public:
+  explicit ReplicaIndexCache(const base::Clock& clock) : clock_(clock) {}
+
+  /// The current index; valid until the next call of Get.
+  const ReplicaIndex& Get(const model::Environment& environment,
+                          std::uint64_t document_version,
+                          const model::ServiceName& service,
+                          const LeafTable& table);
+
+ private:
+  struct Entry {
+    std::uint64_t document_version = 0;
+    std::uint64_t revision = 0;
+    std::optional<base::TimePoint> lapses;
+    ReplicaIndex index;
+  };
+
+  const base::Clock& clock_;
+  std::unordered_map<model::ServiceName, Entry> entries_;
+};
+
+}  // namespace berylreach::routing
--- /dev/null
+++ b/routing/include/berylreach/routing/snapshot.h
@@ -0,0 +1,22 @@
+// An index version that a query can run at.
+#pragma once
+
+#include <cstdint>
+
+namespace berylreach::routing {
+
+/// One version with its partition map.
+struct Snapshot {
+  std::uint64_t version = 0;
+  std::uint32_t shard_count = 0;
+  /// Shards with at least one usable leaf.
+  std::uint32_t shards_held = 0;
+  /// Usable leaves of the shard that has fewest.
+  std::uint32_t least_replicas = 0;
+
+  bool Complete() const { return shards_held == shard_count; }
+
+  friend bool operator==(const Snapshot&, const Snapshot&) = default;
+};
+
+}  // namespace berylreach::routing
