--- a/model/include/berylreach/model/environment.h
+++ b/model/include/berylreach/model/environment.h
@@ -9,8 +9,8 @@
 
 namespace berylreach::model {
 
-/// Everything that operators state in a document. It does not name the environment, so that the
-/// same bytes serve in trial and in production.
+/// Everything that operators state in a document. It does not name the
+/// environment, so that the same bytes serve in trial and in production.
 struct Environment {
   /// Name of the deployment, such as "remmevaerk".
   std::string name;
