Add the routing, quarantine and query packages

Conclusion: complete for a sequence of killing requests; copies of one unproven request that reach several hosts at the same moment are not limited to 2.

--- a/base/include/berylreach/base/name.h
+++ b/base/include/berylreach/base/name.h
@@ -13,6 +13,8 @@
 struct Name {
   std::string value;
 
+  // The check mistakes the 0 of the rewritten comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Name&, const Name&) = default;
 };
 
--- a/model/include/berylreach/model/call_id.h
+++ b/model/include/berylreach/model/call_id.h
@@ -17,6 +17,8 @@
   std::uint64_t incarnation = 0;
   std::uint64_t counter = 0;
 
+  // The check mistakes the 0 of the rewritten comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const CallId&, const CallId&) = default;
 };
 
--- a/quarantine/include/berylreach/quarantine/quarantine.h
+++ b/quarantine/include/berylreach/quarantine/quarantine.h
@@ -39,6 +39,10 @@
   /// serving lease (1.5 s) plus the clock margin (200 ms).
   static constexpr base::Duration kArbiterHoldOff =
       std::chrono::milliseconds(1700);
+  /// An owner recognises a leaf's death by a refused connection or a new
+  /// incarnation within this time.
+  static constexpr base::Duration kUnknownOutcomeHoldOff =
+      std::chrono::seconds(2);
   /// A leaf death is pushed to all hosts within this time; the request's final
   /// reply waits for it, so that a caller that repeats the request at another
   /// host meets the suspicion there. Five times the 20 ms between regions.
@@ -82,8 +86,11 @@
   /// At the arbiter: asks to run a suspect alone until `until` at the latest.
   Grant TryStartAlone(std::uint64_t fingerprint, base::TimePoint until);
 
-  /// At the arbiter: the granted run has ended.
-  void OnAloneEnded(std::uint64_t fingerprint);
+  /// At the arbiter: the granted run has ended. Unless its outcome is `known`
+  /// (completed, proven not run, or a recognised death), no other run is
+  /// granted for kUnknownOutcomeHoldOff, in which the leaf's owner finds out
+  /// whether the leaf died.
+  void OnAloneEnded(std::uint64_t fingerprint, bool known);
 
   /// The set of members changed: runs of an earlier arbiter may still be in
   /// progress, so no run is granted for kArbiterHoldOff.
--- /dev/null
+++ b/quarantine/lib/quarantine.cc
@@ -0,0 +1,205 @@
+// Standing of fingerprints and grants of suspect runs.
+#include "berylreach/quarantine/quarantine.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+
+namespace berylreach::quarantine {
+namespace {
+
+using model::SuspectState;
+
+// The deaths that block a request, whatever the circumstances.
+constexpr std::uint32_t kFatalDeaths = 2;
+
+}  // namespace
+
+const Quarantine::Entry* Quarantine::Find(std::uint64_t fingerprint) const {
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end()) return nullptr;
+  return found->second.expires > clock_.Now() ? &found->second : nullptr;
+}
+
+Standing Quarantine::StandingOf(std::uint64_t fingerprint) const {
+  if (const Entry* entry = Find(fingerprint)) {
+    switch (entry->state) {
+      case SuspectState::kSuspect:
+        return Standing::kSuspect;
+      case SuspectState::kBlocked:
+        return Standing::kBlocked;
+      case SuspectState::kCleared:
+        return Standing::kProven;
+    }
+  }
+  return proven_.Contains(fingerprint) ? Standing::kProven
+                                       : Standing::kUnproven;
+}
+
+base::Duration Quarantine::ExpiresIn(std::uint64_t fingerprint) const {
+  const Entry* entry = Find(fingerprint);
+  return entry == nullptr ? base::Duration::zero()
+                          : entry->expires - clock_.Now();
+}
+
+void Quarantine::Put(std::uint64_t fingerprint, SuspectState state,
+                     std::uint32_t deaths, std::vector<Action>& out) {
+  const Entry entry{state, deaths, clock_.Now() + kEntryLifetime};
+  entries_[fingerprint] = entry;
+  if (state != SuspectState::kCleared) proven_.Erase(fingerprint);
+  out.push_back(PublishSuspects{{{ToModel(fingerprint, entry)}}});
+}
+
+void Quarantine::OnCompleted(std::uint64_t fingerprint) {
+  const Entry* entry = Find(fingerprint);
+  if (entry != nullptr && entry->state != SuspectState::kCleared) return;
+  proven_.Insert(fingerprint);
+}
+
+void Quarantine::OnCompletedAlone(std::uint64_t fingerprint,
+                                  std::vector<Action>& out) {
+  const Entry* entry = Find(fingerprint);
+  // A block stands: the leaf's death after it proves more than a completion
+  // before it.
+  if (entry != nullptr && entry->state == SuspectState::kBlocked) return;
+  proven_.Insert(fingerprint);
+  if (entry == nullptr || entry->state == SuspectState::kCleared) return;
+  Put(fingerprint, SuspectState::kCleared, entry->deaths, out);
+}
+
+void Quarantine::OnLeafDeath(const std::vector<RunningCall>& running,
+                             std::vector<Action>& out) {
+  for (const RunningCall& call : running) {
+    const Entry* entry = Find(call.fingerprint);
+    const std::uint32_t deaths = entry == nullptr ? 0 : entry->deaths;
+    if (entry != nullptr && entry->state == SuspectState::kBlocked) continue;
+    if (call.alone) {
+      Put(call.fingerprint, SuspectState::kBlocked,
+          std::max(deaths + 1, kFatalDeaths), out);
+      continue;
+    }
+    // The second report of the same death, or a death in company that adds no
+    // evidence to the first.
+    if (entry != nullptr && entry->state == SuspectState::kSuspect) continue;
+    Put(call.fingerprint, SuspectState::kSuspect, deaths + 1, out);
+  }
+}
+
+void Quarantine::OnSecondDeath(std::uint64_t fingerprint,
+                               std::vector<Action>& out) {
+  const Entry* entry = Find(fingerprint);
+  if (entry != nullptr && entry->state == SuspectState::kBlocked) return;
+  const std::uint32_t deaths = entry == nullptr ? 0 : entry->deaths;
+  Put(fingerprint, SuspectState::kBlocked, std::max(deaths, kFatalDeaths), out);
+}
+
+bool Quarantine::Merge(const model::SuspectUpdate& update) {
+  bool changed = false;
+  for (const model::SuspectEntry& entry : update.entries) {
+    changed = MergeEntry(entry) || changed;
+  }
+  return changed;
+}
+
+bool Quarantine::MergeEntry(const model::SuspectEntry& incoming) {
+  // The limit keeps a faulty sender from making an entry permanent.
+  const base::TimePoint expires =
+      clock_.Now() +
+      std::min<base::Duration>(incoming.expires_in, kEntryLifetime);
+  const auto found = entries_.find(incoming.fingerprint);
+  const bool known = Find(incoming.fingerprint) != nullptr;
+  if (!known && incoming.expires_in < kLeastLifetime) return false;
+  if (known) {
+    Entry& entry = found->second;
+    const auto held = std::pair(entry.deaths, entry.state);
+    const auto offered = std::pair(incoming.deaths, incoming.state);
+    if (offered < held) return false;
+    if (offered == held) {
+      entry.expires = std::max(entry.expires, expires);
+      return false;
+    }
+  }
+  entries_[incoming.fingerprint] =
+      Entry{incoming.state, incoming.deaths, expires};
+  if (incoming.state != SuspectState::kCleared) {
+    proven_.Erase(incoming.fingerprint);
+  }
+  return true;
+}
+
+model::SuspectEntry Quarantine::ToModel(std::uint64_t fingerprint,
+                                        const Entry& entry) const {
+  model::SuspectEntry result;
+  result.fingerprint = fingerprint;
+  result.state = entry.state;
+  result.deaths = entry.deaths;
+  result.expires_in = std::chrono::duration_cast<std::chrono::milliseconds>(
+      entry.expires - clock_.Now());
+  return result;
+}
+
+model::SuspectUpdate Quarantine::Entries() const {
+  model::SuspectUpdate update;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (Find(fingerprint) == nullptr) continue;
+    update.entries.push_back(ToModel(fingerprint, entry));
+  }
+  return update;
+}
+
+std::uint64_t Quarantine::Digest() const {
+  std::string text;
+  for (const auto& [fingerprint, entry] : entries_) {
+    // Entries about to expire are not taken over, so they must not make hosts
+    // differ.
+    if (entry.expires - clock_.Now() < kLeastLifetime) continue;
+    text += std::to_string(fingerprint) + ':' + std::to_string(entry.deaths) +
+            ':' + std::to_string(static_cast<int>(entry.state)) + ';';
+  }
+  return base::Hash64(text);
+}
+
+Grant Quarantine::TryStartAlone(std::uint64_t fingerprint,
+                                base::TimePoint until) {
+  if (StandingOf(fingerprint) == Standing::kBlocked) return Grant::kBlocked;
+  if (clock_.Now() < no_grants_before_) return Grant::kBusy;
+  const auto [place, added] = grants_.try_emplace(fingerprint, until);
+  if (!added && place->second > clock_.Now()) return Grant::kBusy;
+  place->second = until;
+  return Grant::kGranted;
+}
+
+void Quarantine::OnAloneEnded(std::uint64_t fingerprint, bool known) {
+  const auto found = grants_.find(fingerprint);
+  if (found == grants_.end()) return;
+  if (known) {
+    grants_.erase(found);
+    return;
+  }
+  found->second = clock_.Now() + kUnknownOutcomeHoldOff;
+}
+
+void Quarantine::OnMembersChanged() {
+  no_grants_before_ = clock_.Now() + kArbiterHoldOff;
+}
+
+void Quarantine::Tick() {
+  const base::TimePoint now = clock_.Now();
+  std::erase_if(entries_,
+                [&](const auto& item) { return item.second.expires <= now; });
+  std::erase_if(grants_, [&](const auto& item) { return item.second <= now; });
+}
+
+std::optional<base::TimePoint> Quarantine::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  const auto consider = [&](base::TimePoint at) {
+    if (!next || at < *next) next = at;
+  };
+  for (const auto& [fingerprint, entry] : entries_) consider(entry.expires);
+  for (const auto& [fingerprint, until] : grants_) consider(until);
+  return next;
+}
+
+}  // namespace berylreach::quarantine
--- a/query/include/berylreach/query/active_call.h
+++ b/query/include/berylreach/query/active_call.h
@@ -1,6 +1,7 @@
 // A leaf call of a query.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "berylreach/base/clock.h"
@@ -12,6 +13,8 @@
 struct ActiveCall {
   model::HostName to;
   model::LeafName leaf;
+  /// Position of the shard among those of the current plan.
+  std::size_t place = 0;
   std::uint32_t shard = 0;
   std::uint64_t version = 0;
   base::TimePoint sent_at{};
--- a/query/include/berylreach/query/query_runner.h
+++ b/query/include/berylreach/query/query_runner.h
@@ -17,6 +17,7 @@
 #include "berylreach/query/hedge_policy.h"
 #include "berylreach/query/query_context.h"
 #include "berylreach/query/shard_progress.h"
+#include "berylreach/routing/replica.h"
 #include "berylreach/routing/snapshot.h"
 
 namespace berylreach::query {
@@ -25,6 +26,8 @@
 /// 3.7 and 3.9). Appends exactly one Finish, unless the caller cancels first.
 class QueryRunner {
  public:
+  /// Shards on which the canary may fail before the request is given up.
+  static constexpr std::uint32_t kMaxCanaryShards = 2;
   /// Snapshots that one request is planned at, the first included.
   static constexpr std::uint32_t kMaxPlans = 3;
   /// Leaves on which an unproven request may fail before it is given up, since
@@ -33,6 +36,9 @@
   /// Given with refusals for want of a usable leaf; leaf states change within
   /// about this time.
   static constexpr std::chrono::milliseconds kRetryAfter{1000};
+  /// How soon a due hedge is tried again when the budget was empty.
+  static constexpr base::Duration kHedgeRetryInterval =
+      std::chrono::milliseconds(2);
   /// How long the replies of withdrawn hedges are awaited, for the refund.
   static constexpr base::Duration kSettleTime = std::chrono::seconds(1);
 
@@ -58,76 +64,103 @@
   const model::CallerRequest& request() const { return request_; }
 
  private:
-  // Planning.
+  // Planning (query_runner_plan.cc).
   bool RefuseInvalid(std::vector<Action>& out);
   void Plan(std::vector<Action>& out);
-  void Adopt(const routing::Snapshot& snapshot, std::vector<Action>& out);
+  void Adopt(const routing::Snapshot& snapshot);
   void Launch(std::vector<Action>& out);
-  bool TryReplan(std::vector<Action>& out);
+  void LaunchAll(std::vector<Action>& out);
   void LaunchCanary(std::vector<Action>& out);
   ShardProgress* CanaryShard(bool suspect);
+  double CanaryCost(const ShardProgress& shard) const;
+  bool TryReplan(std::vector<Action>& out);
+  bool ReachesFurther(const routing::Snapshot& snapshot) const;
 
-  // Calls.
+  // Calls and hedges (query_runner_calls.cc).
+  std::optional<routing::Replica> PickReplica(const ShardProgress& shard) const;
   bool Send(ShardProgress& shard, bool hedge, bool extra,
             std::vector<Action>& out);
+  const model::HostName* Destination(const model::LeafName& leaf,
+                                     bool alone) const;
   model::LeafCall MakeCall(const ShardProgress& shard,
-                           const model::LeafName& leaf, bool extra) const;
+                           const model::LeafName& leaf,
+                           base::Duration budget) const;
   void Withdraw(ShardProgress& shard, std::vector<Action>& out);
   void WithdrawAll(std::vector<Action>& out);
-  void Hedge(std::vector<Action>& out);
-  bool MayHedge(const ShardProgress& shard) const;
   void ScheduleHedge(ShardProgress& shard);
+  bool HedgingOpen() const;
+  void HedgeDue(std::vector<Action>& out);
+  void HedgeShard(ShardProgress& shard, std::vector<Action>& out);
 
-  // Replies.
-  void SettleWithdrawn(const ActiveCall& call, const model::LeafReply& reply);
+  // Replies (query_runner_replies.cc).
+  void SettleWithdrawn(const ActiveCall& call, const model::LeafReply& reply,
+                       std::vector<Action>& out);
+  bool Matches(const ActiveCall& call, const model::LeafReply& reply) const;
   void OnResult(const ActiveCall& call, const model::LeafReply& reply,
                 std::vector<Action>& out);
   void OnFailure(const ActiveCall& call, const model::LeafReply& reply,
                  std::vector<Action>& out);
-  void OnDeath(const ActiveCall& call, std::vector<Action>& out);
+  bool NoteDeath(const ActiveCall& call, const model::LeafReply& reply,
+                 std::vector<Action>& out);
   void Recover(ShardProgress& shard, model::MissingReason reason,
                std::vector<Action>& out);
-  bool Matches(const ActiveCall& call, const model::LeafReply& reply) const;
+  bool Retry(ShardProgress& shard, std::vector<Action>& out);
+  void AfterCanaryFailed(model::MissingReason reason, std::vector<Action>& out);
 
-  // Ending.
-  void Conclude(std::vector<Action>& out);
+  // Ending (query_runner_end.cc).
+  void MarkMissing(ShardProgress& shard, model::MissingReason reason);
   void GiveUpOpenShards(model::MissingReason reason);
+  bool CoverageOutOfReach() const;
+  void Conclude(std::vector<Action>& out);
   model::CallerReply BuildReply() const;
-  model::Refusal RefusalFor(std::uint32_t answered) const;
-  void FinishWith(model::CallerReply reply, std::vector<Action>& out);
+  model::Answer BuildAnswer() const;
+  model::Refusal BuildRefusal() const;
+  model::ErrorCode FailureCode() const;
+  model::Ran RanSoFar() const;
   void Refuse(model::ErrorCode code, std::string message,
               std::chrono::milliseconds retry_after, std::vector<Action>& out);
-  void RefuseBlocked(std::vector<Action>& out);
-  model::Ran RanSoFar() const;
+  void RefuseBlocked(std::chrono::milliseconds retry_after,
+                     std::vector<Action>& out);
+  void FinishWith(model::CallerReply reply, std::vector<Action>& out);
+  bool MustHold(const model::CallerReply& reply) const;
 
-  std::uint32_t OpenShards() const;
-  bool CoverageOutOfReach() const;
-  ShardProgress& ShardOf(const ActiveCall& call);
+  quarantine::Standing CurrentStanding() const;
+  void Record(std::string type, std::string subject, std::string detail,
+              std::vector<Action>& out) const;
+  /// The reply is decided, though it may still be held.
+  bool Decided() const { return finished_ || held_reply_.has_value(); }
 
   const base::Clock& clock_;
   QueryContext& context_;
   model::CallerRequest request_;
   HedgePolicy policy_;
   std::uint64_t fingerprint_;
-  std::uint32_t priority_ = 0;
 
   routing::Snapshot snapshot_;
   std::vector<std::uint64_t> excluded_versions_;
   std::uint32_t plans_ = 0;
   std::vector<ShardProgress> shards_;
+  std::uint32_t open_shards_ = 0;
+  std::uint32_t missing_shards_ = 0;
+  /// Live calls, and withdrawn hedges whose reply decides on a refund.
   std::unordered_map<model::CallId, ActiveCall> calls_;
-  /// Only the canary's shard is started.
-  bool canary_phase_ = false;
+  /// Not later than the first due hedge.
+  base::TimePoint next_hedge_ = base::TimePoint::max();
 
-  std::uint32_t deaths_ = 0;
+  /// Only the canary's shard has been started.
+  bool canary_phase_ = false;
+  std::uint32_t failed_canaries_ = 0;
+  std::uint32_t canary_deaths_ = 0;
   std::uint32_t risky_failures_ = 0;
   std::optional<base::TimePoint> last_death_;
+
   bool ran_ = false;
   /// Some call ended without proof that it did not run.
   bool may_have_run_ = false;
   std::chrono::milliseconds overload_retry_after_{0};
 
   std::optional<model::CallerReply> held_reply_;
+  base::TimePoint held_until_{};
   bool finished_ = false;
   base::TimePoint finished_at_{};
 };
--- a/query/include/berylreach/query/shard_progress.h
+++ b/query/include/berylreach/query/shard_progress.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "berylreach/base/clock.h"
+#include "berylreach/model/call_id.h"
 #include "berylreach/model/missing_shard.h"
 #include "berylreach/model/names.h"
 
@@ -19,11 +20,10 @@
   std::optional<model::MissingReason> missing;
   std::vector<model::LeafName> tried;
   /// Calls without a reply that were not withdrawn.
-  std::uint32_t live_calls = 0;
+  std::vector<model::CallId> live;
   std::uint32_t hedges = 0;
   bool started = false;
-  /// When the shard is due for its next hedge; counts only while a call is
-  /// live.
+  /// When the shard is due for its next hedge.
   base::TimePoint hedge_at = base::TimePoint::max();
 
   bool Open() const { return !result && !missing; }
--- /dev/null
+++ b/query/lib/query_runner.cc
@@ -0,0 +1,120 @@
+// Events of a query runner.
+#include "berylreach/query/query_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "berylreach/quarantine/fingerprint.h"
+
+namespace berylreach::query {
+
+QueryRunner::QueryRunner(const base::Clock& clock, QueryContext& context,
+                         model::CallerRequest request, HedgePolicy policy)
+    : clock_(clock),
+      context_(context),
+      request_(std::move(request)),
+      policy_(policy),
+      fingerprint_(quarantine::FingerprintOf(request_)) {}
+
+void QueryRunner::Start(std::vector<Action>& out) {
+  if (RefuseInvalid(out)) return;
+  Plan(out);
+}
+
+void QueryRunner::OnLeafReply(const model::LeafReply& reply,
+                              std::vector<Action>& out) {
+  const auto found = calls_.find(reply.id);
+  if (found == calls_.end()) return;
+  const ActiveCall call = found->second;
+  calls_.erase(found);
+  if (call.withdrawn) {
+    SettleWithdrawn(call, reply, out);
+    return;
+  }
+  std::erase(shards_[call.place].live, reply.id);
+  context_.Leaves().OnCallEnded(call.leaf);
+  if (!Matches(call, reply)) {
+    Record("mismatched_reply", call.leaf.value, "", out);
+    may_have_run_ = true;
+    Recover(shards_[call.place], model::MissingReason::kFailed, out);
+  } else if (reply.outcome == model::LeafOutcome::kOk) {
+    OnResult(call, reply, out);
+  } else {
+    OnFailure(call, reply, out);
+  }
+  Conclude(out);
+}
+
+void QueryRunner::OnMemberLost(const model::HostName& host,
+                               std::vector<Action>& out) {
+  std::vector<model::CallId> lost;
+  for (const auto& [id, call] : calls_) {
+    if (call.to == host) lost.push_back(id);
+  }
+  // The order of the map is not defined; that of the ids is.
+  std::sort(lost.begin(), lost.end());
+  for (const model::CallId& id : lost) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    const ActiveCall call = found->second;
+    calls_.erase(found);
+    if (call.withdrawn) continue;
+    std::erase(shards_[call.place].live, id);
+    context_.Leaves().OnCallEnded(call.leaf);
+    may_have_run_ = true;
+    Recover(shards_[call.place], model::MissingReason::kFailed, out);
+  }
+  Conclude(out);
+}
+
+void QueryRunner::Tick(std::vector<Action>& out) {
+  const base::TimePoint now = clock_.Now();
+  if (finished_) {
+    if (done()) calls_.clear();
+    return;
+  }
+  if (held_reply_) {
+    if (now < held_until_) return;
+    FinishWith(*std::exchange(held_reply_, std::nullopt), out);
+    return;
+  }
+  if (now >= request_.deadline) {
+    GiveUpOpenShards(model::MissingReason::kTimedOut);
+    Conclude(out);
+    return;
+  }
+  HedgeDue(out);
+}
+
+void QueryRunner::Cancel(std::vector<Action>& out) {
+  if (finished_) return;
+  WithdrawAll(out);
+  held_reply_.reset();
+  finished_ = true;
+  finished_at_ = clock_.Now();
+}
+
+std::optional<base::TimePoint> QueryRunner::NextWakeup() const {
+  if (done()) return std::nullopt;
+  if (finished_) return finished_at_ + kSettleTime;
+  if (held_reply_) return held_until_;
+  if (!HedgingOpen()) return request_.deadline;
+  return std::min(request_.deadline, next_hedge_);
+}
+
+bool QueryRunner::done() const {
+  if (!finished_) return false;
+  return calls_.empty() || clock_.Now() >= finished_at_ + kSettleTime;
+}
+
+quarantine::Standing QueryRunner::CurrentStanding() const {
+  return context_.Suspects().StandingOf(fingerprint_);
+}
+
+void QueryRunner::Record(std::string type, std::string subject,
+                         std::string detail, std::vector<Action>& out) const {
+  out.push_back(
+      RecordEvent{std::move(type), std::move(subject), std::move(detail)});
+}
+
+}  // namespace berylreach::query
--- /dev/null
+++ b/query/lib/query_runner_calls.cc
@@ -0,0 +1,164 @@
+// Sending, hedging and withdrawing of leaf calls.
+#include <algorithm>
+#include <chrono>
+
+#include "berylreach/quarantine/fingerprint.h"
+#include "berylreach/query/query_runner.h"
+#include "berylreach/routing/choose_replica.h"
+
+namespace berylreach::query {
+
+std::optional<routing::Replica> QueryRunner::PickReplica(
+    const ShardProgress& shard) const {
+  routing::ReplicaQuery query;
+  query.version = snapshot_.version;
+  query.shard_count = snapshot_.shard_count;
+  query.shard = shard.shard;
+  query.own_zone = context_.OwnZone();
+  const model::Zone* zone =
+      model::FindZone(context_.Environment(), query.own_zone);
+  if (zone != nullptr) query.own_region = zone->region;
+  query.tried = shard.tried;
+  query.suspect = CurrentStanding() == quarantine::Standing::kSuspect;
+  query.random = context_.Random();
+  return routing::ChooseReplica(context_.Replicas(request_.service),
+                                context_.Leaves(), query);
+}
+
+const model::HostName* QueryRunner::Destination(const model::LeafName& leaf,
+                                                bool alone) const {
+  const model::HostName* owner = context_.Ownership().Owner(leaf);
+  if (owner == nullptr || !alone) return owner;
+  const model::Member* arbiter =
+      quarantine::ArbiterOf(fingerprint_, context_.Members());
+  return arbiter == nullptr ? nullptr : &arbiter->host;
+}
+
+model::LeafCall QueryRunner::MakeCall(const ShardProgress& shard,
+                                      const model::LeafName& leaf,
+                                      base::Duration budget) const {
+  const model::Service* service =
+      model::FindService(context_.Environment(), request_.service);
+  model::LeafCall call;
+  call.leaf = leaf;
+  call.service = request_.service;
+  call.kind = request_.kind;
+  call.priority = service == nullptr ? 0 : service->priority;
+  call.shard = shard.shard;
+  call.shard_count = snapshot_.shard_count;
+  call.version = snapshot_.version;
+  call.payload = request_.payload;
+  call.key = request_.key;
+  call.fingerprint = fingerprint_;
+  call.budget = std::chrono::duration_cast<std::chrono::microseconds>(budget);
+  return call;
+}
+
+bool QueryRunner::Send(ShardProgress& shard, bool hedge, bool extra,
+                       std::vector<Action>& out) {
+  const base::TimePoint now = clock_.Now();
+  const base::Duration budget =
+      std::min(request_.deadline, context_.LeaseExpiry()) - now;
+  if (budget <= base::Duration::zero()) return false;
+  const auto replica = PickReplica(shard);
+  if (!replica) return false;
+  const bool alone = CurrentStanding() == quarantine::Standing::kSuspect;
+  const model::HostName* to = Destination(replica->leaf, alone);
+  if (to == nullptr) return false;
+
+  SendCall action{*to, MakeCall(shard, replica->leaf, budget)};
+  action.call.id = context_.NextCallId();
+  action.call.extra = extra;
+  action.call.alone = alone;
+  ActiveCall call;
+  call.to = *to;
+  call.leaf = replica->leaf;
+  call.place = static_cast<std::size_t>(&shard - shards_.data());
+  call.shard = shard.shard;
+  call.version = snapshot_.version;
+  call.sent_at = now;
+  call.hedge = hedge;
+  call.alone = alone;
+  calls_.emplace(action.call.id, call);
+  shard.live.push_back(action.call.id);
+  shard.tried.push_back(replica->leaf);
+  shard.started = true;
+  context_.Leaves().OnCallSent(replica->leaf);
+  if (!extra) {
+    context_.HedgeBudget().Earn();
+    context_.RetryBudget().Earn();
+  }
+  ScheduleHedge(shard);
+  out.push_back(std::move(action));
+  return true;
+}
+
+void QueryRunner::Withdraw(ShardProgress& shard, std::vector<Action>& out) {
+  for (const model::CallId& id : shard.live) {
+    const auto found = calls_.find(id);
+    ActiveCall& call = found->second;
+    out.push_back(CancelCall{call.to, id});
+    context_.Leaves().OnCallEnded(call.leaf);
+    may_have_run_ = true;
+    if (call.hedge) {
+      call.withdrawn = true;
+      continue;
+    }
+    // The elapsed time is a lower bound of the latency. Without it slow calls
+    // would vanish from the window and the hedge delay would sink.
+    if (shard.result || clock_.Now() >= request_.deadline) {
+      context_.Latency(request_.service).Add(clock_.Now() - call.sent_at);
+    }
+    calls_.erase(found);
+  }
+  shard.live.clear();
+}
+
+void QueryRunner::WithdrawAll(std::vector<Action>& out) {
+  for (ShardProgress& shard : shards_) Withdraw(shard, out);
+}
+
+void QueryRunner::ScheduleHedge(ShardProgress& shard) {
+  const auto delay = context_.Latency(request_.service)
+                         .Quantile(policy_.quantile, policy_.min_samples);
+  shard.hedge_at = delay ? clock_.Now() + *delay : base::TimePoint::max();
+  next_hedge_ = std::min(next_hedge_, shard.hedge_at);
+}
+
+bool QueryRunner::HedgingOpen() const {
+  if (canary_phase_ && !policy_.canary) return false;
+  return open_shards_ <= policy_.unanswered_shards;
+}
+
+void QueryRunner::HedgeDue(std::vector<Action>& out) {
+  if (Decided() || !HedgingOpen() || clock_.Now() < next_hedge_) return;
+  const quarantine::Standing standing = CurrentStanding();
+  next_hedge_ = base::TimePoint::max();
+  // A suspect runs once at a time, so it is never hedged.
+  if (standing == quarantine::Standing::kSuspect ||
+      standing == quarantine::Standing::kBlocked) {
+    return;
+  }
+  for (ShardProgress& shard : shards_) {
+    if (!shard.Open() || shard.live.empty()) continue;
+    if (shard.hedge_at <= clock_.Now()) HedgeShard(shard, out);
+    next_hedge_ = std::min(next_hedge_, shard.hedge_at);
+  }
+}
+
+void QueryRunner::HedgeShard(ShardProgress& shard, std::vector<Action>& out) {
+  shard.hedge_at = base::TimePoint::max();
+  if (shard.hedges >= policy_.hedges_per_shard || !PickReplica(shard)) return;
+  base::TokenBucket& budget = context_.HedgeBudget();
+  if (!budget.TrySpend()) {
+    shard.hedge_at = clock_.Now() + kHedgeRetryInterval;
+    return;
+  }
+  if (!Send(shard, /*hedge=*/true, /*extra=*/true, out)) {
+    budget.Refund();
+    return;
+  }
+  ++shard.hedges;
+}
+
+}  // namespace berylreach::query
--- /dev/null
+++ b/query/lib/query_runner_end.cc
@@ -0,0 +1,145 @@
+// Coverage and the final reply.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "berylreach/query/query_runner.h"
+
+namespace berylreach::query {
+namespace {
+
+using model::ErrorCode;
+using model::MissingReason;
+
+// Absorbs rounding of least_coverage, such as 0.95 of 20 shards.
+constexpr double kCoverageTolerance = 1e-9;
+
+}  // namespace
+
+void QueryRunner::MarkMissing(ShardProgress& shard, MissingReason reason) {
+  shard.missing = reason;
+  --open_shards_;
+  ++missing_shards_;
+}
+
+void QueryRunner::GiveUpOpenShards(MissingReason reason) {
+  for (ShardProgress& shard : shards_) {
+    if (shard.Open()) MarkMissing(shard, reason);
+  }
+}
+
+bool QueryRunner::CoverageOutOfReach() const {
+  const auto total = static_cast<double>(shards_.size());
+  const double reachable = total - missing_shards_;
+  return reachable < request_.least_coverage * total - kCoverageTolerance;
+}
+
+void QueryRunner::Conclude(std::vector<Action>& out) {
+  if (Decided() || shards_.empty()) return;
+  if (open_shards_ > 0 && !CoverageOutOfReach()) return;
+  WithdrawAll(out);
+  FinishWith(BuildReply(), out);
+}
+
+model::CallerReply QueryRunner::BuildReply() const {
+  const bool nothing = missing_shards_ + open_shards_ == shards_.size();
+  if (nothing || CoverageOutOfReach()) return BuildRefusal();
+  return BuildAnswer();
+}
+
+model::Answer QueryRunner::BuildAnswer() const {
+  model::Answer answer;
+  answer.version = snapshot_.version;
+  answer.coverage.shards_total = static_cast<std::uint32_t>(shards_.size());
+  for (const ShardProgress& shard : shards_) {
+    if (shard.result) {
+      answer.results.push_back({shard.shard, *shard.result});
+      ++answer.coverage.shards_answered;
+      continue;
+    }
+    answer.coverage.missing.push_back({shard.shard, *shard.missing});
+  }
+  return answer;
+}
+
+ErrorCode QueryRunner::FailureCode() const {
+  const auto count = [&](MissingReason reason) {
+    return std::count_if(shards_.begin(), shards_.end(),
+                         [&](const auto& s) { return s.missing == reason; });
+  };
+  if (count(MissingReason::kOverloaded) > 0) return ErrorCode::kOverloaded;
+  if (count(MissingReason::kTimedOut) > 0) return ErrorCode::kDeadlineExceeded;
+  if (count(MissingReason::kNoReplica) == missing_shards_) {
+    return ErrorCode::kUnavailable;
+  }
+  return ErrorCode::kUpstreamFailed;
+}
+
+model::Refusal QueryRunner::BuildRefusal() const {
+  const auto answered = std::count_if(
+      shards_.begin(), shards_.end(),
+      [](const ShardProgress& shard) { return shard.result.has_value(); });
+  model::Refusal refusal;
+  refusal.code =
+      answered == 0 ? FailureCode() : ErrorCode::kInsufficientCoverage;
+  refusal.message = std::to_string(answered) + " of " +
+                    std::to_string(shards_.size()) + " shards answered, " +
+                    std::to_string(missing_shards_) + " are missing";
+  refusal.ran = RanSoFar();
+  refusal.retry_after =
+      overload_retry_after_.count() > 0 ? overload_retry_after_ : kRetryAfter;
+  return refusal;
+}
+
+model::Ran QueryRunner::RanSoFar() const {
+  if (ran_) return model::Ran::kRan;
+  return may_have_run_ ? model::Ran::kMayHaveRun : model::Ran::kNotRun;
+}
+
+void QueryRunner::Refuse(ErrorCode code, std::string message,
+                         std::chrono::milliseconds retry_after,
+                         std::vector<Action>& out) {
+  if (Decided()) return;
+  // Withdrawing first, because a withdrawn call may have run.
+  WithdrawAll(out);
+  FinishWith(model::Refusal{code, std::move(message), RanSoFar(), retry_after},
+             out);
+}
+
+void QueryRunner::RefuseBlocked(std::chrono::milliseconds retry_after,
+                                std::vector<Action>& out) {
+  const auto expires_in = std::chrono::ceil<std::chrono::milliseconds>(
+      context_.Suspects().ExpiresIn(fingerprint_));
+  // Zero would say that a repeat can never succeed. It occurs when another host
+  // blocked the request and its push has not arrived yet.
+  const auto known = std::max(retry_after, expires_in);
+  Record("request_blocked", std::to_string(fingerprint_), "", out);
+  Refuse(ErrorCode::kRequestBlocked,
+         "the request is blocked because leaves died while running it",
+         known.count() > 0 ? known : kRetryAfter, out);
+}
+
+bool QueryRunner::MustHold(const model::CallerReply& reply) const {
+  if (!last_death_) return false;
+  if (clock_.Now() >= *last_death_ + quarantine::Quarantine::kPropagation) {
+    return false;
+  }
+  if (clock_.Now() >= request_.deadline) return false;
+  const auto* answer = std::get_if<model::Answer>(&reply);
+  return answer == nullptr || !answer->coverage.missing.empty();
+}
+
+void QueryRunner::FinishWith(model::CallerReply reply,
+                             std::vector<Action>& out) {
+  if (MustHold(reply)) {
+    held_until_ = std::min(*last_death_ + quarantine::Quarantine::kPropagation,
+                           request_.deadline);
+    held_reply_ = std::move(reply);
+    return;
+  }
+  finished_ = true;
+  finished_at_ = clock_.Now();
+  out.push_back(Finish{std::move(reply)});
+}
+
+}  // namespace berylreach::query
--- /dev/null
+++ b/routing/unittests/choose_test.cc
@@ -0,0 +1,110 @@
+// Guards against incomplete snapshots and badly placed calls.
+#include <gtest/gtest.h>
+
+#include "berylreach/base/manual_clock.h"
+#include "berylreach/routing/choose_replica.h"
+#include "berylreach/routing/choose_snapshot.h"
+#include "test_environment.h"
+
+namespace berylreach::routing {
+namespace {
+
+class ChooseTest : public testing::Test {
+ protected:
+  void Hold(int leaf, std::vector<model::Holding> holdings) {
+    table_.Merge(MakeState("l" + std::to_string(leaf), std::move(holdings)));
+  }
+
+  ReplicaIndex Index() const {
+    return ReplicaIndex(environment_, {"desk"}, table_);
+  }
+
+  std::string Choose(std::vector<model::LeafName> tried = {},
+                     bool suspect = false) const {
+    ReplicaQuery query;
+    query.version = 7;
+    query.shard_count = 1;
+    query.own_zone = {"z0"};
+    query.own_region = "r0";
+    query.tried = tried;
+    query.suspect = suspect;
+    const auto replica = ChooseReplica(Index(), table_, query);
+    return replica ? replica->leaf.value : "";
+  }
+
+  void Load(int leaf, int calls) {
+    for (int i = 0; i < calls; ++i) {
+      table_.OnCallSent({"l" + std::to_string(leaf)});
+    }
+  }
+
+  base::ManualClock clock_;
+  LeafTable table_{clock_};
+  model::Environment environment_ = MakeEnvironment({"z0", "z1", "z2", "z0"});
+};
+
+TEST_F(ChooseTest, IncompleteNewestVersionIsPassedOver) {
+  Hold(0, {{6, 0, 2}, {7, 0, 2}});
+  Hold(1, {{6, 1, 2}});
+  EXPECT_EQ(ChooseSnapshot(Index(), {})->version, 6U);
+}
+
+TEST_F(ChooseTest, PreviousVersionIsPreferredOnlyForItsReplicas) {
+  Hold(0, {{6, 0, 1}, {7, 0, 1}});
+  Hold(1, {{6, 0, 1}});
+  EXPECT_EQ(ChooseSnapshot(Index(), {})->version, 6U);
+  Hold(2, {{7, 0, 1}});
+  EXPECT_EQ(ChooseSnapshot(Index(), {})->version, 7U);
+  EXPECT_EQ(ChooseSnapshot(Index(), {7})->version, 6U);
+}
+
+TEST_F(ChooseTest, WithoutCompleteVersionTheFullestIsChosen) {
+  Hold(0, {{6, 0, 3}, {7, 0, 3}});
+  Hold(1, {{6, 1, 3}});
+  EXPECT_EQ(ChooseSnapshot(Index(), {})->version, 6U);
+  EXPECT_FALSE(ChooseSnapshot(Index(), {6, 7}));
+  EXPECT_FALSE(ChooseSnapshot(ReplicaIndex(), {}));
+}
+
+// A repartition gives one version number to one partition map only; a leaf that
+// reports another map must not complete it.
+TEST_F(ChooseTest, PartitionMapsOfOneVersionAreNotMerged) {
+  Hold(0, {{7, 0, 2}});
+  Hold(1, {{7, 1, 3}});
+  EXPECT_FALSE(ChooseSnapshot(Index(), {})->Complete());
+}
+
+TEST_F(ChooseTest, OwnZoneFirstUntilItsWaitExceedsTheCrossing) {
+  Hold(0, {{7, 0, 1}});
+  Hold(2, {{7, 0, 1}});
+  Load(0, 8);
+  // Seven waiting calls of 10 ms on 2 slots are less than 40 ms.
+  EXPECT_EQ(Choose(), "l0");
+  Load(0, 2);
+  EXPECT_EQ(Choose(), "l2");
+}
+
+TEST_F(ChooseTest, LessWorkPerSlotWinsInTheZone) {
+  Hold(0, {{7, 0, 1}});
+  Hold(3, {{7, 0, 1}});
+  Load(0, 1);
+  EXPECT_EQ(Choose(), "l3");
+  Load(3, 2);
+  EXPECT_EQ(Choose(), "l0");
+}
+
+TEST_F(ChooseTest, TriedLeavesAreNotChosenAgain) {
+  Hold(0, {{7, 0, 1}});
+  EXPECT_EQ(Choose({{"l0"}}), "");
+}
+
+TEST_F(ChooseTest, SuspectGoesToTheIdlestLeafOfAnyZone) {
+  Hold(0, {{7, 0, 1}});
+  Hold(2, {{7, 0, 1}});
+  Load(0, 1);
+  EXPECT_EQ(Choose(), "l0");
+  EXPECT_EQ(Choose({}, true), "l2");
+}
+
+}  // namespace
+}  // namespace berylreach::routing
