--- /dev/null
+++ b/query/include/berylreach/query/query_runner.h
@@ -0,0 +1,168 @@
+// Runs one query or lookup.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/model/caller_reply.h"
+#include "berylreach/model/caller_request.h"
+#include "berylreach/model/leaf_reply.h"
+#include "berylreach/query/action.h"
+#include "berylreach/query/active_call.h"
+#include "berylreach/query/hedge_policy.h"
+#include "berylreach/query/query_context.h"
+#include "berylreach/query/shard_progress.h"
+#include "berylreach/routing/replica.h"
+#include "berylreach/routing/snapshot.h"
+
+namespace berylreach::query {
+
+/// State machine of one caller request of kind query or lookup (design 3.5 to
+/// 3.7 and 3.9). Appends exactly one Finish, unless the caller cancels first.
+class QueryRunner {
+ public:
+  /// Shards on which the canary may fail before the request is given up.
+  static constexpr std::uint32_t kMaxCanaryShards = 2;
+  /// Snapshots that one request is planned at, the first included.
+  static constexpr std::uint32_t kMaxPlans = 3;
+  /// Leaves on which an unproven request may fail before it is given up, since
+  /// each failure may be a death that has not been recognised yet.
+  static constexpr std::uint32_t kMaxRiskyFailures = 2;
+  /// Given with refusals for want of a usable leaf; leaf states change within
+  /// about this time.
+  static constexpr std::chrono::milliseconds kRetryAfter{1000};
+  /// How soon a due hedge is tried again when the budget was empty.
+  static constexpr base::Duration kHedgeRetryInterval =
+      std::chrono::milliseconds(2);
+  /// How long the replies of withdrawn hedges are awaited, for the refund.
+  static constexpr base::Duration kSettleTime = std::chrono::seconds(1);
+
+  QueryRunner(const base::Clock& clock, QueryContext& context,
+              model::CallerRequest request, HedgePolicy policy = {});
+
+  void Start(std::vector<Action>& out);
+  /// Replies that match no call of this runner are ignored.
+  void OnLeafReply(const model::LeafReply& reply, std::vector<Action>& out);
+  /// Calls sent to `host` will get no reply.
+  void OnMemberLost(const model::HostName& host, std::vector<Action>& out);
+  void Tick(std::vector<Action>& out);
+  /// The caller has gone away; nobody is answered.
+  void Cancel(std::vector<Action>& out);
+
+  /// When Tick is next needed; nothing once done.
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  /// The reply was given or the caller is gone.
+  bool finished() const { return finished_; }
+  /// Finished, and no reply is of use any more: the runner can be destroyed.
+  bool done() const;
+  const model::CallerRequest& request() const { return request_; }
+
+ private:
+  // Planning (query_runner_plan.cc).
+  bool RefuseInvalid(std::vector<Action>& out);
+  void Plan(std::vector<Action>& out);
+  void Adopt(const routing::Snapshot& snapshot);
+  void Launch(std::vector<Action>& out);
+  void LaunchAll(std::vector<Action>& out);
+  void LaunchCanary(std::vector<Action>& out);
+  ShardProgress* CanaryShard(bool suspect);
+  double CanaryCost(const ShardProgress& shard) const;
+  bool TryReplan(std::vector<Action>& out);
+  bool ReachesFurther(const routing::Snapshot& snapshot) const;
+
+  // Calls and hedges (query_runner_calls.cc).
+  std::optional<routing::Replica> PickReplica(const ShardProgress& shard) const;
+  bool Send(ShardProgress& shard, bool hedge, bool extra,
+            std::vector<Action>& out);
+  const model::HostName* Destination(const model::LeafName& leaf,
+                                     bool alone) const;
+  model::LeafCall MakeCall(const ShardProgress& shard,
+                           const model::LeafName& leaf,
+                           base::Duration budget) const;
+  void Withdraw(ShardProgress& shard, std::vector<Action>& out);
+  void WithdrawAll(std::vector<Action>& out);
+  void ScheduleHedge(ShardProgress& shard);
+  bool HedgingOpen() const;
+  void HedgeDue(std::vector<Action>& out);
+  void HedgeShard(ShardProgress& shard, std::vector<Action>& out);
+
+  // Replies (query_runner_replies.cc).
+  void SettleWithdrawn(const ActiveCall& call, const model::LeafReply& reply,
+                       std::vector<Action>& out);
+  bool Matches(const ActiveCall& call, const model::LeafReply& reply) const;
+  void OnResult(const ActiveCall& call, const model::LeafReply& reply,
+                std::vector<Action>& out);
+  void OnFailure(const ActiveCall& call, const model::LeafReply& reply,
+                 std::vector<Action>& out);
+  bool NoteDeath(const ActiveCall& call, const model::LeafReply& reply,
+                 std::vector<Action>& out);
+  void Recover(ShardProgress& shard, model::MissingReason reason,
+               std::vector<Action>& out);
+  bool Retry(ShardProgress& shard, std::vector<Action>& out);
+  void AfterCanaryFailed(model::MissingReason reason, std::vector<Action>& out);
+
+  // Ending (query_runner_end.cc).
+  void MarkMissing(ShardProgress& shard, model::MissingReason reason);
+  void GiveUpOpenShards(model::MissingReason reason);
+  bool CoverageOutOfReach() const;
+  void Conclude(std::vector<Action>& out);
+  model::CallerReply BuildReply() const;
+  model::Answer BuildAnswer() const;
+  model::Refusal BuildRefusal() const;
+  model::ErrorCode FailureCode() const;
+  model::Ran RanSoFar() const;
+  void Refuse(model::ErrorCode code, std::string message,
+              std::chrono::milliseconds retry_after, std::vector<Action>& out);
+  void RefuseBlocked(std::chrono::milliseconds retry_after,
+                     std::vector<Action>& out);
+  void FinishWith(model::CallerReply reply, std::vector<Action>& out);
+  bool MustHold(const model::CallerReply& reply) const;
+
+  quarantine::Standing CurrentStanding() const;
+  void Record(std::string type, std::string subject, std::string detail,
+              std::vector<Action>& out) const;
+  /// The reply is decided, though it may still be held.
+  bool Decided() const { return finished_ || held_reply_.has_value(); }
+
+  const base::Clock& clock_;
+  QueryContext& context_;
+  model::CallerRequest request_;
+  HedgePolicy policy_;
+  std::uint64_t fingerprint_;
+
+  routing::Snapshot snapshot_;
+  std::vector<std::uint64_t> excluded_versions_;
+  std::uint32_t plans_ = 0;
+  std::vector<ShardProgress> shards_;
+  std::uint32_t open_shards_ = 0;
+  std::uint32_t missing_shards_ = 0;
+  /// Live calls, and withdrawn hedges whose reply decides on a refund.
+  std::unordered_map<model::CallId, ActiveCall> calls_;
+  /// Not later than the first due hedge.
+  base::TimePoint next_hedge_ = base::TimePoint::max();
+
+  /// Only the canary's shard has been started.
+  bool canary_phase_ = false;
+  std::uint32_t failed_canaries_ = 0;
+  std::uint32_t canary_deaths_ = 0;
+  std::uint32_t risky_failures_ = 0;
+  std::optional<base::TimePoint> last_death_;
+
+  bool ran_ = false;
+  /// Some call ended without proof that it did not run.
+  bool may_have_run_ = false;
+  std::chrono::milliseconds overload_retry_after_{0};
+
+  std::optional<model::CallerReply> held_reply_;
+  base::TimePoint held_until_{};
+  bool finished_ = false;
+  base::TimePoint finished_at_{};
+};
+
+}  // namespace berylreach::query
