--- /dev/null
+++ b/core/include/berylreach/core/action.h
@@ -0,0 +1,73 @@
+// What HostCore asks its surroundings to do.
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "berylreach/model/call_id.h"
+#include "berylreach/model/caller_reply.h"
+#include "berylreach/model/leaf.h"
+#include "berylreach/model/member.h"
+#include "berylreach/model/peer_message.h"
+#include "berylreach/model/store_request.h"
+#include "berylreach/model/upstream_call.h"
+
+namespace berylreach::core {
+
+/// Sends a message to another host. It may be lost, delayed or duplicated.
+struct SendToPeer {
+  model::HostName to;
+  model::PeerMessage message;
+};
+
+/// Sends a call to a leaf; its UpstreamResult must follow.
+struct CallUpstream {
+  model::UpstreamCall call;
+};
+
+/// Cancels a call to a leaf; its UpstreamResult still follows.
+struct CancelUpstream {
+  model::CallId id;
+};
+
+/// Replaces the set of leaves whose status is read.
+struct ReadLeafStatuses {
+  std::vector<model::Leaf> leaves;
+};
+
+/// Sends a store request; its StoreResult must follow.
+struct CallStore {
+  model::StoreRequest request;
+};
+
+/// Reads the host list; OnHostList must follow.
+struct PollHostList {};
+
+/// Replaces the set of hosts that can be reached.
+struct SetPeers {
+  std::vector<model::Member> members;
+};
+
+/// Answers a caller.
+struct ReplyToCaller {
+  model::CallId id;
+  model::CallerReply reply;
+};
+
+/// Records an event in the time line.
+struct RecordEvent {
+  std::string type;
+  std::string subject;
+  std::string detail;
+};
+
+/// One action.
+using Action =
+    std::variant<SendToPeer, CallUpstream, CancelUpstream, ReadLeafStatuses,
+                 CallStore, PollHostList, SetPeers, ReplyToCaller, RecordEvent>;
+
+/// Actions in the order in which they must be carried out.
+using Actions = std::vector<Action>;
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/include/berylreach/core/host_core.h
@@ -0,0 +1,123 @@
+// All decisions of one host as one state machine.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/core/action.h"
+#include "berylreach/core/core_options.h"
+#include "berylreach/core/document_assembler.h"
+#include "berylreach/core/entry.h"
+#include "berylreach/core/leaf_owner.h"
+#include "berylreach/core/order_runner.h"
+#include "berylreach/core/outbox.h"
+#include "berylreach/core/shared_state.h"
+#include "berylreach/core/store_calls.h"
+#include "berylreach/core/suspect_arbiter.h"
+#include "berylreach/membership/membership.h"
+#include "berylreach/model/caller_request.h"
+#include "berylreach/model/envelope.h"
+#include "berylreach/model/host_list.h"
+#include "berylreach/model/leaf_status.h"
+#include "berylreach/model/store_result.h"
+#include "berylreach/model/upstream_result.h"
+#include "berylreach/rollout/rollout.h"
+
+namespace berylreach::core {
+
+/// Takes events and returns actions; does no I/O. Every event method returns
+/// the actions that must be carried out in order. Not thread-safe: one thread
+/// drives it.
+class HostCore {
+ public:
+  /// `clock` must outlive this object.
+  HostCore(const base::Clock& clock, CoreOptions options);
+
+  /// Starts to join the environment.
+  Actions Start();
+  /// Advances all timers; call at `NextWakeup()` or before.
+  Actions Tick();
+
+  Actions OnCallerRequest(const model::CallerRequest& request);
+  Actions OnCallerGone(const model::CallId& id);
+  Actions OnEnvelope(const model::Envelope& envelope);
+  Actions OnUpstreamResult(const model::UpstreamResult& result);
+  Actions OnLeafStatus(const model::LeafStatus& status);
+  Actions OnStoreResult(const model::StoreResult& result);
+  /// Result of a PollHostList; nothing if the read failed.
+  Actions OnHostList(const std::optional<model::HostList>& list);
+
+  /// Begins a planned stop: new caller requests are refused, running ones
+  /// finish, then the host leaves the membership.
+  Actions Stop();
+  /// The planned stop is complete.
+  bool stopped() const;
+
+  base::TimePoint NextWakeup() const;
+
+  /// Whether the balancer may send requests here.
+  bool ready() const;
+  bool HoldsLease() const { return membership_.HoldsLease(); }
+  std::uint64_t epoch() const { return membership_.epoch(); }
+  const model::DocumentRef& document() const { return rollout_.current(); }
+  const model::Member& self() const { return state_.self(); }
+  const Entry& entry() const { return entry_; }
+  const LeafOwner& leaf_owner() const { return leaf_owner_; }
+  const OrderRunner& orders() const { return orders_; }
+  const SharedState& state() const { return state_; }
+
+  /// Id for the next caller request.
+  model::CallId NextRequestId() { return state_.NextCallId(); }
+
+ private:
+  Actions Finish();
+  bool ServesCallers() const;
+  void Deliver(const model::HostName& from, std::uint64_t incarnation,
+               const model::PeerMessage& message);
+  void OnLeafReply(const model::LeafReply& reply);
+  void OnLeafCall(const model::HostName& from, const model::LeafCall& call);
+  void OnLeafStates(const model::HostName& from,
+                    const model::LeafStates& states);
+  void OnPeerVersions(const membership::PeerVersions& versions);
+  void OnHead(const model::HeadRecord& record);
+  void NoteDeparture(const model::Member& member,
+                     const model::HeadRecord& record);
+  void OnHostGone(const model::HostName& host);
+  void DropDeparted();
+  void TakeHostList(const model::HostList& list, bool publish);
+  void Adopt();
+  void UpdateTakeovers();
+  void UpdateLease();
+  void UpdateVersions();
+  void DriveStop();
+  void Carry(const membership::Actions& actions);
+  void Carry(const rollout::Actions& actions);
+  std::vector<model::HostName> OtherMembers() const;
+
+  const base::Clock& clock_;
+  Outbox outbox_;
+  SharedState state_;
+  StoreCalls store_;
+  membership::Membership membership_;
+  rollout::Rollout<DocumentAssembler> rollout_;
+  LeafOwner leaf_owner_;
+  SuspectArbiter arbiter_;
+  OrderRunner orders_;
+  Entry entry_;
+  model::HostList host_list_;
+  std::vector<model::Member> members_;
+  /// Hosts that left or failed, and when their last leaf call has ended.
+  std::vector<std::pair<base::TimePoint, model::HostName>> departing_;
+  std::uint64_t adopted_epoch_ = 0;
+  std::optional<base::TimePoint> zone_out_since_;
+  bool takeovers_changed_ = false;
+  std::optional<base::TimePoint> stopping_since_;
+  bool leaving_ = false;
+  std::vector<model::LeafName> reported_held_;
+};
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -0,0 +1,115 @@
+// The duties of a host towards the leaves that it owns.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/core/outbox.h"
+#include "berylreach/core/owned_leaf.h"
+#include "berylreach/limits/action.h"
+#include "berylreach/model/environment.h"
+#include "berylreach/model/leaf_call.h"
+#include "berylreach/model/leaf_states.h"
+#include "berylreach/model/leaf_status.h"
+#include "berylreach/model/upstream_result.h"
+#include "berylreach/quarantine/quarantine.h"
+#include "berylreach/routing/ownership_table.h"
+
+namespace berylreach::core {
+
+/// Runs the gates of owned leaves, publishes their states, and reports leaf
+/// deaths to the quarantine. Not thread-safe.
+class LeafOwner {
+ public:
+  LeafOwner(const base::Clock& clock, quarantine::Quarantine& quarantine,
+            Outbox& outbox);
+
+  /// Adopts the leaves that `table` gives to this host. Gates of leaves that
+  /// moved away finish their running calls.
+  void Adopt(const routing::OwnershipTable& table,
+             const model::Environment& environment,
+             const std::vector<model::Member>& members);
+
+  /// A call from `from`; answered with a LeafReply to `from`.
+  void OnCall(const model::HostName& from, const model::LeafCall& call);
+  void OnCancel(const model::CallId& id);
+  void OnUpstreamResult(const model::UpstreamResult& result);
+  void OnLeafStatus(const model::LeafStatus& status);
+
+  /// Leaves that the host list shows as leaving.
+  void SetLeaving(const std::set<model::LeafName>& leaving);
+
+  /// Allows work on `leaf` once its takeover is complete.
+  void SetOpen(const model::LeafName& leaf, bool open);
+  void SetLeaseExpiry(base::TimePoint expiry);
+
+  /// Publishes the states that have changed since the last call.
+  void PublishChanges();
+
+  /// Sends all states to `host`, which has lost or never had them.
+  void PublishAllTo(const model::HostName& host);
+
+  void Tick();
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  /// Owned leaves, in the order of their names.
+  std::vector<model::LeafName> Owned() const;
+  /// Leaves that are no longer owned but still have work.
+  std::vector<model::LeafName> Held() const;
+  /// Digest of the published states.
+  std::uint64_t StatesDigest() const;
+
+  const std::unordered_map<model::LeafName, OwnedLeaf>& leaves() const {
+    return leaves_;
+  }
+
+ private:
+  /// A call that was accepted by a gate and has no reply yet.
+  struct AcceptedCall {
+    model::HostName from;
+    model::LeafCall call;
+  };
+
+  /// Whether the order call was accepted before; remembers it otherwise.
+  bool IsRepeatedOrder(const model::LeafCall& call);
+  void ForgetOldOrders();
+  OwnedLeaf* FindOwned(const model::LeafName& leaf);
+  void Update(OwnedLeaf& entry, const model::Leaf& leaf, bool zone_out);
+  void DropFinished();
+  void ApplyDraining(OwnedLeaf& entry);
+  void NoteIncarnation(OwnedLeaf& entry, std::uint64_t incarnation);
+  void ReportDeath(const model::LeafName& leaf);
+  void Carry(const OwnedLeaf& entry, const limits::Actions& actions);
+  void Start(const OwnedLeaf& entry, const limits::StartCall& start);
+  void Answer(const model::LeafReply& reply);
+  void Refuse(const model::HostName& from, const model::LeafCall& call,
+              model::LeafOutcome outcome);
+  std::uint64_t NextSequence();
+
+  const base::Clock& clock_;
+  quarantine::Quarantine& quarantine_;
+  Outbox& outbox_;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t last_sequence_ = 0;
+  std::vector<model::Member> members_;
+  std::set<model::LeafName> leaving_;
+  base::TimePoint lease_expiry_ = base::TimePoint::min();
+  std::unordered_map<model::LeafName, OwnedLeaf> leaves_;
+  std::unordered_map<model::CallId, AcceptedCall> calls_;
+  /// Order calls accepted recently, oldest first, so that a duplicated message
+  /// cannot run one again.
+  std::deque<std::pair<base::TimePoint, model::CallId>> recent_orders_;
+  std::unordered_set<model::CallId> recent_order_ids_;
+};
+
+/// Digest of leaf states that is equal for equal sets of states.
+std::uint64_t DigestOf(const std::vector<model::LeafState>& states);
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/include/berylreach/core/order_runner.h
@@ -0,0 +1,88 @@
+// Runs orders at the owner of their buckets.
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "berylreach/core/outbox.h"
+#include "berylreach/core/shared_state.h"
+#include "berylreach/core/store_calls.h"
+#include "berylreach/model/leaf_reply.h"
+#include "berylreach/model/order_forward.h"
+#include "berylreach/orders/action.h"
+#include "berylreach/orders/order_coordinator.h"
+
+namespace berylreach::core {
+
+/// Joins the order coordinator to the store, to leaves and to the hosts that
+/// forward orders.
+class OrderRunner {
+ public:
+  OrderRunner(const base::Clock& clock, SharedState& state, StoreCalls& store,
+              Outbox& outbox);
+
+  void OnForward(const model::HostName& from,
+                 const model::OrderForward& forward);
+  void OnJournalRead(std::uint64_t id, const model::StoreResult& result);
+  void OnJournalCas(std::uint64_t id, const model::StoreResult& result);
+
+  /// Takes the reply to a call of this runner; returns false for any other
+  /// reply.
+  bool OnLeafReply(const model::LeafReply& reply);
+
+  /// Calls sent to `host` get no reply any more.
+  void OnMemberLost(const model::HostName& host);
+
+  void SetLeaseExpiry(base::TimePoint expiry);
+
+  /// Buckets that no other host works on.
+  void SetExclusiveBuckets(const std::vector<std::uint32_t>& buckets);
+
+  void Tick();
+  std::optional<base::TimePoint> NextWakeup() const {
+    return coordinator_.NextWakeup();
+  }
+
+  /// Orders without final reply, and outcomes that are not in the store yet.
+  std::size_t open_work() const {
+    return coordinator_.open_orders() + coordinator_.unwritten_outcomes();
+  }
+
+  const orders::OrderCounters& counters() const {
+    return coordinator_.counters();
+  }
+
+ private:
+  /// One order that was given to a leaf's owner.
+  struct SentOrder {
+    orders::SendOrder order;
+    model::HostName owner;
+    std::vector<model::LeafName> tried;
+    base::TimePoint deadline;
+  };
+
+  void Carry(const orders::Actions& actions);
+  void SendToLeaf(SentOrder order);
+  void Report(const orders::SendOrder& order, const model::LeafReply& reply);
+
+  const base::Clock& clock_;
+  SharedState& state_;
+  StoreCalls& store_;
+  Outbox& outbox_;
+  orders::OrderCoordinator coordinator_;
+  bool had_lease_ = false;
+  std::vector<std::uint32_t> exclusive_;
+  std::unordered_map<model::CallId, model::HostName> origins_;
+  std::unordered_map<model::CallId, SentOrder> sent_;
+};
+
+/// The name under which ownership of an order bucket is agreed, in the form of
+/// a leaf name. It contains '/', which names in documents cannot.
+model::LeafName BucketName(std::uint32_t bucket);
+
+/// The member that runs the orders of `bucket`; null if there are no members.
+const model::Member* BucketOwner(std::uint32_t bucket,
+                                 const std::vector<model::Member>& members);
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/entry.cc
@@ -0,0 +1,254 @@
+// Requests of callers.
+#include "berylreach/core/entry.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "berylreach/core/order_runner.h"
+#include "berylreach/orders/bucket.h"
+#include "berylreach/quarantine/fingerprint.h"
+
+namespace berylreach::core {
+namespace {
+
+using model::ErrorCode;
+using model::Ran;
+using model::Refusal;
+using std::chrono::milliseconds;
+
+// A lease is usually regained, or the balancer has moved on, within about this
+// time.
+constexpr milliseconds kNotServingRetryAfter{500};
+// A lost bucket owner is replaced within about this time (detection plus
+// takeover).
+constexpr milliseconds kOrderLostRetryAfter{3000};
+// Time for the bucket owner's own final reply to arrive before the order is
+// given up here.
+constexpr milliseconds kForwardGrace{100};
+
+bool Accepts(const model::Service& service, model::RequestKind kind) {
+  return std::find(service.accepts.begin(), service.accepts.end(), kind) !=
+         service.accepts.end();
+}
+
+}  // namespace
+
+Entry::Entry(const base::Clock& clock, SharedState& state,
+             limits::AdmissionOptions options, Outbox& outbox)
+    : clock_(clock),
+      state_(state),
+      outbox_(outbox),
+      admission_(clock, options) {}
+
+void Entry::OnRequest(const model::CallerRequest& request, bool serving) {
+  if (auto refusal = Check(request, serving))
+    return Reply(request.id, std::move(*refusal));
+  const model::Service& service =
+      *model::FindService(state_.Environment(), request.service);
+  const bool fans_out = request.kind == model::RequestKind::kQuery;
+  const std::size_t leaf_calls = fans_out ? service.shards : 1;
+  const auto decision = admission_.Admit(service.priority, leaf_calls);
+  if (!decision.admitted) {
+    return Reply(request.id, Refusal{ErrorCode::kOverloaded,
+                                     "the host is at its request limit",
+                                     Ran::kNotRun, decision.retry_after});
+  }
+  if (request.kind == model::RequestKind::kOrder) return ForwardOrder(request);
+  StartQuery(request, leaf_calls);
+}
+
+std::optional<Refusal> Entry::Check(const model::CallerRequest& request,
+                                    bool serving) const {
+  if (!serving || !state_.HoldsLease()) {
+    return Refusal{ErrorCode::kNotServing,
+                   "the host does not take requests now", Ran::kNotRun,
+                   kNotServingRetryAfter};
+  }
+  const model::Service* service =
+      model::FindService(state_.Environment(), request.service);
+  if (service == nullptr) {
+    return Refusal{ErrorCode::kUnknownService,
+                   "service \"" + request.service.value + "\" does not exist",
+                   Ran::kNotRun, milliseconds(0)};
+  }
+  if (!Accepts(*service, request.kind)) {
+    return Refusal{ErrorCode::kBadRequest,
+                   "service \"" + request.service.value +
+                       "\" does not accept this request kind",
+                   Ran::kNotRun, milliseconds(0)};
+  }
+  return std::nullopt;
+}
+
+void Entry::StartQuery(const model::CallerRequest& request,
+                       std::size_t leaf_calls) {
+  const auto [found, added] = queries_.try_emplace(
+      request.id,
+      Query{query::QueryRunner(clock_, state_, request), leaf_calls, true, {}});
+  if (!added) return;
+  ++open_queries_;
+  std::vector<query::Action> actions;
+  found->second.runner.Start(actions);
+  Carry(request.id, actions);
+  Settle(request.id);
+}
+
+void Entry::ForwardOrder(const model::CallerRequest& request) {
+  const std::uint64_t fingerprint = quarantine::FingerprintOf(request);
+  if (state_.Suspects().StandingOf(fingerprint) ==
+      quarantine::Standing::kBlocked) {
+    admission_.OnRequestDone(1);
+    const auto expires = std::chrono::duration_cast<milliseconds>(
+        state_.Suspects().ExpiresIn(fingerprint));
+    return Reply(
+        request.id,
+        Refusal{
+            ErrorCode::kRequestBlocked,
+            "the request is blocked because upstreams died while running it",
+            Ran::kNotRun, expires});
+  }
+  const auto bucket = orders::BucketOf(request.service, request.key);
+  const model::Member* owner = BucketOwner(bucket, state_.Members());
+  model::OrderForward forward;
+  forward.id = request.id;
+  forward.service = request.service;
+  forward.key = request.key;
+  forward.payload = request.payload;
+  forward.issued_at_ms = std::chrono::duration_cast<milliseconds>(
+                             request.issued_at.time_since_epoch())
+                             .count();
+  forward.budget = std::chrono::duration_cast<std::chrono::microseconds>(
+      request.deadline - clock_.Now());
+  const auto deadline = request.deadline + kForwardGrace;
+  orders_.emplace(request.id, Order{owner->host, deadline, false});
+  wakeups_.Set(request.id, deadline);
+  outbox_.Send(owner->host, std::move(forward));
+}
+
+void Entry::OnCallerGone(const model::CallId& id) {
+  if (const auto order = orders_.find(id); order != orders_.end()) {
+    order->second.caller_gone = true;
+    return;
+  }
+  const auto found = queries_.find(id);
+  if (found == queries_.end()) return;
+  std::vector<query::Action> actions;
+  found->second.runner.Cancel(actions);
+  Carry(id, actions);
+  Close(found->second);
+  Settle(id);
+}
+
+bool Entry::OnLeafReply(const model::LeafReply& reply) {
+  const auto node = call_requests_.extract(reply.id);
+  if (node.empty()) return false;
+  const model::CallId id = node.mapped();
+  const auto found = queries_.find(id);
+  if (found == queries_.end()) return true;
+  std::vector<query::Action> actions;
+  found->second.runner.OnLeafReply(reply, actions);
+  Carry(id, actions);
+  Settle(id);
+  return true;
+}
+
+void Entry::OnOrderReply(const model::OrderReply& reply) {
+  FinishOrder(reply.id, reply.reply);
+}
+
+void Entry::OnMemberLost(const model::HostName& host) {
+  std::vector<model::CallId> lost;
+  for (const auto& [id, order] : orders_) {
+    if (order.bucket_owner == host) lost.push_back(id);
+  }
+  for (const model::CallId& id : lost) {
+    FinishOrder(id, Refusal{ErrorCode::kUnavailable,
+                            "the host that ran the order was lost",
+                            Ran::kMayHaveRun, kOrderLostRetryAfter});
+  }
+  std::vector<model::CallId> running;
+  for (const auto& [id, query] : queries_) running.push_back(id);
+  for (const model::CallId& id : running) {
+    std::vector<query::Action> actions;
+    queries_.at(id).runner.OnMemberLost(host, actions);
+    Carry(id, actions);
+    Settle(id);
+  }
+}
+
+void Entry::Tick() {
+  while (const auto id = wakeups_.PopDue(clock_.Now())) {
+    if (orders_.contains(*id)) {
+      FinishOrder(*id, Refusal{ErrorCode::kDeadlineExceeded,
+                               "no outcome before the deadline",
+                               Ran::kMayHaveRun, kNotServingRetryAfter});
+    } else {
+      WakeQuery(*id);
+    }
+  }
+}
+
+void Entry::WakeQuery(const model::CallId& id) {
+  const auto found = queries_.find(id);
+  if (found == queries_.end()) return;
+  std::vector<query::Action> actions;
+  found->second.runner.Tick(actions);
+  Carry(id, actions);
+  Settle(id);
+}
+
+void Entry::Carry(const model::CallId& request,
+                  const std::vector<query::Action>& actions) {
+  for (const query::Action& action : actions) {
+    if (const auto* send = std::get_if<query::SendCall>(&action)) {
+      call_requests_.emplace(send->call.id, request);
+      queries_.at(request).calls.push_back(send->call.id);
+      outbox_.Send(send->to, send->call);
+    } else if (const auto* cancel = std::get_if<query::CancelCall>(&action)) {
+      outbox_.Send(cancel->to, model::LeafCancel{cancel->id});
+    } else if (const auto* finish = std::get_if<query::Finish>(&action)) {
+      Close(queries_.at(request));
+      Reply(request, finish->reply);
+    } else if (const auto* event = std::get_if<query::RecordEvent>(&action)) {
+      outbox_.Record(event->type, event->subject, event->detail);
+    } else if (const auto* publish =
+                   std::get_if<quarantine::PublishSuspects>(&action)) {
+      outbox_.SendToAll(state_.Members(), publish->update);
+    }
+  }
+}
+
+void Entry::Close(Query& query) {
+  if (!query.open) return;
+  query.open = false;
+  --open_queries_;
+  admission_.OnRequestDone(query.leaf_calls);
+}
+
+void Entry::FinishOrder(const model::CallId& id, model::CallerReply reply) {
+  const auto node = orders_.extract(id);
+  if (node.empty()) return;
+  wakeups_.Set(id, std::nullopt);
+  admission_.OnRequestDone(1);
+  if (!node.mapped().caller_gone) Reply(id, std::move(reply));
+}
+
+void Entry::Settle(const model::CallId& id) {
+  const auto found = queries_.find(id);
+  if (found == queries_.end()) return;
+  if (!found->second.runner.done()) {
+    return wakeups_.Set(id, found->second.runner.NextWakeup());
+  }
+  for (const model::CallId& call : found->second.calls)
+    call_requests_.erase(call);
+  wakeups_.Set(id, std::nullopt);
+  queries_.erase(found);
+}
+
+void Entry::Reply(const model::CallId& id, model::CallerReply reply) {
+  outbox_.Emit(ReplyToCaller{id, std::move(reply)});
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/host_core.cc
@@ -0,0 +1,223 @@
+// Distribution of events to the components of a host.
+#include "berylreach/core/host_core.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "berylreach/config/head_record_codec.h"
+
+namespace berylreach::core {
+namespace {
+
+// Time for the balancer to see that a host in a zone that was taken out is not
+// ready.
+constexpr std::chrono::milliseconds kZoneOutGrace{1000};
+
+// The same during a planned stop.
+constexpr std::chrono::milliseconds kStopGrace{1500};
+
+}  // namespace
+
+HostCore::HostCore(const base::Clock& clock, CoreOptions options)
+    : clock_(clock),
+      outbox_(options.self.host),
+      state_(clock, options.self),
+      store_(options.environment, outbox_),
+      membership_(clock, options.self),
+      rollout_(clock, DocumentAssembler{}),
+      leaf_owner_(clock, state_.Suspects(), outbox_),
+      arbiter_(clock, state_, outbox_),
+      orders_(clock, state_, store_, outbox_),
+      entry_(clock, state_, options.admission, outbox_) {}
+
+Actions HostCore::Start() {
+  membership::Actions actions;
+  membership_.Start(actions);
+  Carry(actions);
+  return Finish();
+}
+
+Actions HostCore::Tick() {
+  membership::Actions membership_actions;
+  membership_.Tick(membership_actions);
+  Carry(membership_actions);
+  rollout::Actions rollout_actions;
+  rollout_.Tick(rollout_actions);
+  Carry(rollout_actions);
+  UpdateLease();
+  state_.Suspects().Tick();
+  DropDeparted();
+  arbiter_.Tick();
+  leaf_owner_.Tick();
+  orders_.Tick();
+  entry_.Tick();
+  return Finish();
+}
+
+Actions HostCore::OnCallerRequest(const model::CallerRequest& request) {
+  UpdateLease();
+  entry_.OnRequest(request, ServesCallers());
+  return Finish();
+}
+
+Actions HostCore::OnCallerGone(const model::CallId& id) {
+  entry_.OnCallerGone(id);
+  return Finish();
+}
+
+Actions HostCore::OnEnvelope(const model::Envelope& envelope) {
+  Deliver(envelope.from, envelope.incarnation, envelope.message);
+  return Finish();
+}
+
+Actions HostCore::OnUpstreamResult(const model::UpstreamResult& result) {
+  leaf_owner_.OnUpstreamResult(result);
+  return Finish();
+}
+
+Actions HostCore::OnLeafStatus(const model::LeafStatus& status) {
+  leaf_owner_.OnLeafStatus(status);
+  return Finish();
+}
+
+Actions HostCore::OnStoreResult(const model::StoreResult& result) {
+  const auto call = store_.Finish(result.id);
+  if (!call) return {};
+  membership::Actions membership_actions;
+  rollout::Actions rollout_actions;
+  switch (call->user) {
+    case StoreUser::kHeadRead: {
+      model::StoreOutcome outcome = result.outcome;
+      std::optional<model::HeadRecord> record;
+      if (outcome == model::StoreOutcome::kOk) {
+        auto decoded = config::DecodeHeadRecord(result.value);
+        if (!decoded.value)
+          outbox_.Record("head_unreadable", "",
+                         decoded.findings.front().message);
+        // An unreadable head must not be taken for an absent one, which would
+        // be overwritten.
+        if (!decoded.value) outcome = model::StoreOutcome::kUnknown;
+        record = std::move(decoded.value);
+      }
+      membership_.OnHeadRead(call->id, outcome, record, result.revision,
+                             membership_actions);
+      break;
+    }
+    case StoreUser::kHeadCas:
+      membership_.OnHeadCas(call->id, result.outcome, result.revision,
+                            membership_actions);
+      break;
+    case StoreUser::kPart:
+      rollout_.OnPartRead(call->hash, result.outcome, result.value,
+                          rollout_actions);
+      break;
+    case StoreUser::kJournalRead:
+      orders_.OnJournalRead(call->id, result);
+      break;
+    case StoreUser::kJournalCas:
+      orders_.OnJournalCas(call->id, result);
+      break;
+  }
+  Carry(membership_actions);
+  Carry(rollout_actions);
+  return Finish();
+}
+
+Actions HostCore::OnHostList(const std::optional<model::HostList>& list) {
+  if (list) TakeHostList(*list, /*publish=*/true);
+  return Finish();
+}
+
+Actions HostCore::Stop() {
+  if (!stopping_since_) {
+    outbox_.Record("stop_started", outbox_.self().value, "");
+    stopping_since_ = clock_.Now();
+  }
+  return Finish();
+}
+
+bool HostCore::stopped() const { return leaving_ && membership_.has_left(); }
+
+base::TimePoint HostCore::NextWakeup() const {
+  base::TimePoint next =
+      std::min(membership_.NextWakeup(), rollout_.NextWakeup());
+  const auto consider = [&](const std::optional<base::TimePoint>& time) {
+    if (time) next = std::min(next, *time);
+  };
+  consider(leaf_owner_.NextWakeup());
+  consider(orders_.NextWakeup());
+  consider(entry_.NextWakeup());
+  consider(state_.NextQuarantineWakeup());
+  if (stopping_since_ && clock_.Now() < *stopping_since_ + kStopGrace) {
+    consider(*stopping_since_ + kStopGrace);
+  }
+  if (!departing_.empty()) consider(departing_.front().first);
+  if (membership_.HoldsLease()) consider(membership_.LeaseExpiry());
+  return next;
+}
+
+bool HostCore::ready() const {
+  return !stopping_since_ && !zone_out_since_ && HoldsLease() &&
+         rollout_.current().version > 0;
+}
+
+bool HostCore::ServesCallers() const {
+  if (rollout_.current().version == 0) return false;
+  if (stopping_since_ && clock_.Now() >= *stopping_since_ + kStopGrace)
+    return false;
+  return !zone_out_since_ || clock_.Now() < *zone_out_since_ + kZoneOutGrace;
+}
+
+Actions HostCore::Finish() {
+  while (auto message = outbox_.NextLocal()) {
+    Deliver(outbox_.self(), state_.self().incarnation, *message);
+  }
+  UpdateLease();
+  if (std::exchange(takeovers_changed_, false)) UpdateTakeovers();
+  leaf_owner_.PublishChanges();
+  UpdateVersions();
+  DriveStop();
+  // The steps above may have sent further messages to this host.
+  while (auto message = outbox_.NextLocal()) {
+    Deliver(outbox_.self(), state_.self().incarnation, *message);
+  }
+  return outbox_.Take();
+}
+
+void HostCore::DriveStop() {
+  if (!stopping_since_ || leaving_) return;
+  if (clock_.Now() < *stopping_since_ + kStopGrace) return;
+  if (entry_.open_requests() > 0 || orders_.open_work() > 0) return;
+  leaving_ = true;
+  membership::Actions actions;
+  membership_.Leave(actions);
+  Carry(actions);
+}
+
+void HostCore::UpdateLease() {
+  const base::TimePoint expiry = membership_.LeaseExpiry();
+  state_.SetLeaseExpiry(expiry);
+  leaf_owner_.SetLeaseExpiry(expiry);
+  orders_.SetLeaseExpiry(expiry);
+}
+
+void HostCore::UpdateVersions() {
+  membership::Versions versions;
+  versions.document = rollout_.current();
+  versions.host_list_index = host_list_.index;
+  versions.quarantine_digest = state_.Suspects().Digest();
+  versions.leaf_states_digest = leaf_owner_.StatesDigest();
+  membership::Actions actions;
+  membership_.SetVersions(versions, actions);
+  auto held = leaf_owner_.Held();
+  if (held != reported_held_) {
+    reported_held_ = held;
+    membership_.SetHeldLeaves(membership_.epoch(), held, actions);
+  }
+  Carry(actions);
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/host_core_messages.cc
@@ -0,0 +1,253 @@
+// Messages of other hosts, and changes of members and documents.
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "berylreach/core/host_core.h"
+#include "berylreach/orders/bucket.h"
+
+namespace berylreach::core {
+namespace {
+
+// Serving lease (1.5 s) plus clock margin (200 ms): a departed host's leaf
+// calls have ended by then.
+constexpr std::chrono::milliseconds kDepartedWorkTime{1700};
+
+}  // namespace
+
+void HostCore::Deliver(const model::HostName& from, std::uint64_t incarnation,
+                       const model::PeerMessage& message) {
+  if (const auto* reply = std::get_if<model::LeafReply>(&message)) {
+    OnLeafReply(*reply);
+  } else if (const auto* call = std::get_if<model::LeafCall>(&message)) {
+    OnLeafCall(from, *call);
+  } else if (const auto* cancel = std::get_if<model::LeafCancel>(&message)) {
+    arbiter_.OnCancel(cancel->id);
+    leaf_owner_.OnCancel(cancel->id);
+  } else if (const auto* forward = std::get_if<model::OrderForward>(&message)) {
+    orders_.OnForward(from, *forward);
+  } else if (const auto* order = std::get_if<model::OrderReply>(&message)) {
+    entry_.OnOrderReply(*order);
+  } else if (const auto* states = std::get_if<model::LeafStates>(&message)) {
+    OnLeafStates(from, *states);
+  } else if (const auto* list = std::get_if<model::HostListUpdate>(&message)) {
+    TakeHostList(list->list, /*publish=*/false);
+  } else if (const auto* suspects =
+                 std::get_if<model::SuspectUpdate>(&message)) {
+    state_.Suspects().Merge(*suspects);
+  } else {
+    membership::Actions membership_actions;
+    membership_.OnMessage(from, incarnation, message, membership_actions);
+    Carry(membership_actions);
+    rollout::Actions rollout_actions;
+    rollout_.OnMessage(from, message, rollout_actions);
+    Carry(rollout_actions);
+  }
+}
+
+void HostCore::OnLeafReply(const model::LeafReply& reply) {
+  if (arbiter_.OnReply(reply) || orders_.OnLeafReply(reply)) return;
+  entry_.OnLeafReply(reply);
+}
+
+void HostCore::OnLeafCall(const model::HostName& from,
+                          const model::LeafCall& call) {
+  if (arbiter_.Arbitrates(from, call)) {
+    arbiter_.OnCall(from, call);
+  } else {
+    leaf_owner_.OnCall(from, call);
+  }
+}
+
+void HostCore::OnLeafStates(const model::HostName& from,
+                            const model::LeafStates& states) {
+  // An empty message asks for all states of this host.
+  if (states.states.empty()) return leaf_owner_.PublishAllTo(from);
+  for (const model::LeafState& state : states.states)
+    state_.Leaves().Merge(state);
+}
+
+void HostCore::OnPeerVersions(const membership::PeerVersions& versions) {
+  rollout::Actions actions;
+  rollout_.OnPeerDocument(versions.host, versions.document, actions);
+  Carry(actions);
+  if (versions.host_list_index < host_list_.index) {
+    outbox_.Send(versions.host, model::HostListUpdate{host_list_});
+  }
+  if (versions.quarantine_digest != state_.Suspects().Digest()) {
+    outbox_.Send(versions.host, state_.Suspects().Entries());
+  }
+  if (!versions.leaf_states_digest) return;
+  std::vector<model::LeafState> held;
+  for (model::LeafState& state : state_.Leaves().States()) {
+    if (state.owner == versions.host) held.push_back(std::move(state));
+  }
+  if (DigestOf(held) != *versions.leaf_states_digest) {
+    outbox_.Send(versions.host, model::LeafStates{});
+  }
+}
+
+void HostCore::TakeHostList(const model::HostList& list, bool publish) {
+  if (list.index <= host_list_.index && host_list_.index != 0) return;
+  host_list_ = list;
+  state_.Leaves().ApplyHostList(list);
+  std::set<model::LeafName> leaving;
+  for (const model::HostListEntry& entry : list.entries) {
+    if (entry.leaving) leaving.insert({entry.node});
+  }
+  leaf_owner_.SetLeaving(leaving);
+  if (!publish) return;
+  for (const model::HostName& host : OtherMembers()) {
+    outbox_.Send(host, model::HostListUpdate{host_list_});
+  }
+}
+
+void HostCore::OnHead(const model::HeadRecord& record) {
+  const auto previous = std::exchange(members_, record.members);
+  std::vector<model::HostName> joined;
+  for (const model::Member& member : members_) {
+    const bool known =
+        std::find(previous.begin(), previous.end(), member) != previous.end();
+    if (!known && member.host != outbox_.self()) joined.push_back(member.host);
+  }
+  // Departed hosts stay reachable, since they may still answer calls.
+  std::vector<model::Member> peers = members_;
+  for (const model::Departed& departed : record.departed)
+    peers.push_back(departed.member);
+  outbox_.Emit(SetPeers{std::move(peers)});
+  rollout_.SetPeers(OtherMembers());
+  Adopt();
+  for (const model::Member& member : previous) NoteDeparture(member, record);
+  for (const model::HostName& host : joined) leaf_owner_.PublishAllTo(host);
+}
+
+void HostCore::NoteDeparture(const model::Member& member,
+                             const model::HeadRecord& record) {
+  if (member.host == outbox_.self()) return;
+  const auto same_host = [&](const model::Member& other) {
+    return other.host == member.host;
+  };
+  const auto successor =
+      std::find_if(record.members.begin(), record.members.end(), same_host);
+  if (successor == record.members.end()) {
+    // A host on a planned stop still answers its running calls.
+    departing_.emplace_back(clock_.Now() + kDepartedWorkTime, member.host);
+  } else if (successor->incarnation != member.incarnation) {
+    OnHostGone(member.host);
+  }
+}
+
+void HostCore::OnHostGone(const model::HostName& host) {
+  std::erase_if(departing_,
+                [&](const auto& item) { return item.second == host; });
+  entry_.OnMemberLost(host);
+  orders_.OnMemberLost(host);
+}
+
+void HostCore::DropDeparted() {
+  while (!departing_.empty() && departing_.front().first <= clock_.Now()) {
+    const model::HostName host = departing_.front().second;
+    OnHostGone(host);
+  }
+}
+
+void HostCore::Adopt() {
+  // A host that was removed owns nothing, whatever the members are.
+  const auto members =
+      membership_.is_member() ? members_ : std::vector<model::Member>();
+  adopted_epoch_ = membership_.epoch();
+  state_.Adopt(rollout_.current().version, rollout_.environment(),
+               adopted_epoch_, members);
+  leaf_owner_.Adopt(state_.Ownership(), state_.Environment(), members);
+  membership::Actions actions;
+  auto owned = leaf_owner_.Owned();
+  for (std::uint32_t bucket = 0; bucket < orders::kBucketCount; ++bucket) {
+    const model::Member* owner = BucketOwner(bucket, members);
+    if (owner != nullptr && owner->host == outbox_.self())
+      owned.push_back(BucketName(bucket));
+  }
+  membership_.SetOwnedLeaves(adopted_epoch_, owned, actions);
+  reported_held_ = leaf_owner_.Held();
+  membership_.SetHeldLeaves(adopted_epoch_, reported_held_, actions);
+  Carry(actions);
+  const model::Zone* zone =
+      model::FindZone(state_.Environment(), state_.OwnZone());
+  const bool out = zone != nullptr && zone->state == model::ZoneState::kOut;
+  if (!out) zone_out_since_.reset();
+  if (out && !zone_out_since_) zone_out_since_ = clock_.Now();
+  takeovers_changed_ = true;
+}
+
+void HostCore::UpdateTakeovers() {
+  for (const model::LeafName& leaf : leaf_owner_.Owned()) {
+    leaf_owner_.SetOpen(leaf, membership_.TakeoverComplete(leaf));
+  }
+  std::vector<std::uint32_t> exclusive;
+  for (std::uint32_t bucket = 0; bucket < orders::kBucketCount; ++bucket) {
+    if (membership_.TakeoverComplete(BucketName(bucket)))
+      exclusive.push_back(bucket);
+  }
+  orders_.SetExclusiveBuckets(exclusive);
+}
+
+void HostCore::Carry(const membership::Actions& actions) {
+  for (const membership::Action& action : actions) {
+    if (const auto* send = std::get_if<membership::SendTo>(&action)) {
+      outbox_.Send(send->host, send->message);
+    } else if (const auto* read = std::get_if<membership::ReadHead>(&action)) {
+      store_.ReadHead(read->id);
+    } else if (const auto* watch =
+                   std::get_if<membership::WatchHead>(&action)) {
+      store_.WatchHead(watch->id, watch->revision, watch->wait);
+    } else if (const auto* cas = std::get_if<membership::CasHead>(&action)) {
+      store_.CasHead(cas->id, cas->revision, cas->record);
+    } else if (std::holds_alternative<membership::PollHostList>(action)) {
+      outbox_.Emit(PollHostList{});
+    } else if (const auto* head =
+                   std::get_if<membership::HeadChanged>(&action)) {
+      OnHead(head->record);
+    } else if (const auto* document =
+                   std::get_if<membership::DocumentAnnounced>(&action)) {
+      rollout::Actions rollout_actions;
+      rollout_.OnAnnounced(document->document, rollout_actions);
+      Carry(rollout_actions);
+    } else if (std::holds_alternative<membership::LeafTakenOver>(action)) {
+      takeovers_changed_ = true;
+    } else if (const auto* versions =
+                   std::get_if<membership::PeerVersions>(&action)) {
+      OnPeerVersions(*versions);
+    } else if (const auto* event =
+                   std::get_if<membership::RecordEvent>(&action)) {
+      outbox_.Record(event->type, event->subject, event->detail);
+    }
+  }
+}
+
+void HostCore::Carry(const rollout::Actions& actions) {
+  for (const rollout::Action& action : actions) {
+    if (const auto* send = std::get_if<rollout::SendTo>(&action)) {
+      outbox_.Send(send->host, send->message);
+    } else if (const auto* read = std::get_if<rollout::ReadPart>(&action)) {
+      store_.ReadPart(read->hash);
+    } else if (std::holds_alternative<rollout::DocumentInForce>(action)) {
+      outbox_.Record("document_in_force",
+                     std::to_string(rollout_.current().version),
+                     rollout_.current().hash);
+      Adopt();
+    } else if (const auto* event = std::get_if<rollout::RecordEvent>(&action)) {
+      outbox_.Record(event->type, event->subject, event->detail);
+    }
+  }
+}
+
+std::vector<model::HostName> HostCore::OtherMembers() const {
+  std::vector<model::HostName> others;
+  for (const model::Member& member : members_) {
+    if (member.host != outbox_.self()) others.push_back(member.host);
+  }
+  return others;
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/leaf_owner.cc
@@ -0,0 +1,255 @@
+// Calls and evidence of owned leaves.
+#include "berylreach/core/leaf_owner.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+#include "berylreach/model/call_id.h"
+#include "berylreach/quarantine/fingerprint.h"
+
+namespace berylreach::core {
+
+using model::LeafOutcome;
+
+namespace {
+
+// Longer than the longest deadline of a caller (60 s), after which a duplicate
+// is of no use.
+constexpr std::chrono::seconds kOrderMemory{120};
+
+}  // namespace
+
+LeafOwner::LeafOwner(const base::Clock& clock,
+                     quarantine::Quarantine& quarantine, Outbox& outbox)
+    : clock_(clock), quarantine_(quarantine), outbox_(outbox) {}
+
+void LeafOwner::OnCall(const model::HostName& from,
+                       const model::LeafCall& call) {
+  OwnedLeaf* entry = FindOwned(call.leaf);
+  if (entry == nullptr) return Refuse(from, call, LeafOutcome::kNotOwner);
+  const auto standing = quarantine_.StandingOf(call.fingerprint);
+  if (standing == quarantine::Standing::kBlocked)
+    return Refuse(from, call, LeafOutcome::kBlocked);
+  const model::Member* arbiter =
+      quarantine::ArbiterOf(call.fingerprint, members_);
+  const bool from_arbiter = arbiter != nullptr && arbiter->host == from;
+  if (call.alone && !from_arbiter)
+    return Refuse(from, call, LeafOutcome::kNotOwner);
+  // An order that became suspect on its way is not run in company.
+  const bool suspect = standing == quarantine::Standing::kSuspect;
+  if (suspect && !call.alone) return Refuse(from, call, LeafOutcome::kBlocked);
+  if (calls_.contains(call.id) || IsRepeatedOrder(call)) return;
+  calls_.emplace(call.id, AcceptedCall{from, call});
+  limits::Actions actions;
+  entry->gate.OnCall(call, actions);
+  Carry(*entry, actions);
+}
+
+void LeafOwner::OnCancel(const model::CallId& id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const auto entry = leaves_.find(found->second.call.leaf);
+  if (entry == leaves_.end()) return;
+  limits::Actions actions;
+  entry->second.gate.OnCancel(id, actions);
+  Carry(entry->second, actions);
+}
+
+void LeafOwner::OnUpstreamResult(const model::UpstreamResult& result) {
+  const auto found = leaves_.find(result.leaf);
+  if (found == leaves_.end()) return;
+  OwnedLeaf& entry = found->second;
+  if (result.outcome == LeafOutcome::kLeafDied) ReportDeath(result.leaf);
+  if (result.connect_failed) {
+    entry.reachable = false;
+    entry.known = true;
+  }
+  NoteIncarnation(entry, result.incarnation);
+  const bool reports_holdings = result.outcome == LeafOutcome::kOk ||
+                                result.outcome == LeafOutcome::kVersionGone;
+  if (reports_holdings && !result.holdings.empty()) {
+    entry.holdings = result.holdings;
+    entry.known = true;
+    entry.reachable = true;
+  }
+  limits::Actions actions;
+  entry.gate.OnResult(result, actions);
+  Carry(entry, actions);
+  DropFinished();
+}
+
+void LeafOwner::OnLeafStatus(const model::LeafStatus& status) {
+  OwnedLeaf* entry = FindOwned(status.leaf);
+  if (entry == nullptr) return;
+  entry->known = true;
+  if (entry->reachable && !status.reachable && status.refused) {
+    limits::Actions actions;
+    entry->gate.OnColdEvidence(actions);
+    Carry(*entry, actions);
+  }
+  entry->reachable = status.reachable;
+  if (!status.reachable) return;
+  entry->holdings = status.holdings;
+  entry->status_draining = status.draining;
+  ApplyDraining(*entry);
+  NoteIncarnation(*entry, status.incarnation);
+}
+
+void LeafOwner::SetLeaving(const std::set<model::LeafName>& leaving) {
+  leaving_ = leaving;
+  for (auto& [name, entry] : leaves_) {
+    entry.listed_leaving = leaving_.contains(name);
+    ApplyDraining(entry);
+  }
+}
+
+void LeafOwner::SetOpen(const model::LeafName& leaf, bool open) {
+  OwnedLeaf* entry = FindOwned(leaf);
+  if (entry == nullptr) return;
+  limits::Actions actions;
+  entry->gate.SetOpen(open, actions);
+  Carry(*entry, actions);
+}
+
+void LeafOwner::SetLeaseExpiry(base::TimePoint expiry) {
+  if (expiry == lease_expiry_) return;
+  lease_expiry_ = expiry;
+  for (auto& [name, entry] : leaves_) {
+    limits::Actions actions;
+    entry.gate.SetLeaseExpiry(expiry, actions);
+    Carry(entry, actions);
+  }
+}
+
+void LeafOwner::Tick() {
+  for (auto& [name, entry] : leaves_) {
+    limits::Actions actions;
+    entry.gate.Tick(actions);
+    Carry(entry, actions);
+  }
+  ForgetOldOrders();
+  DropFinished();
+}
+
+std::optional<base::TimePoint> LeafOwner::NextWakeup() const {
+  std::optional<base::TimePoint> earliest;
+  for (const auto& [name, entry] : leaves_) {
+    const auto wakeup = entry.gate.NextWakeup();
+    if (wakeup && (!earliest || *wakeup < *earliest)) earliest = wakeup;
+  }
+  return earliest;
+}
+
+bool LeafOwner::IsRepeatedOrder(const model::LeafCall& call) {
+  if (call.kind != model::RequestKind::kOrder) return false;
+  if (!recent_order_ids_.insert(call.id).second) return true;
+  recent_orders_.emplace_back(clock_.Now(), call.id);
+  return false;
+}
+
+void LeafOwner::ForgetOldOrders() {
+  while (!recent_orders_.empty() &&
+         recent_orders_.front().first + kOrderMemory < clock_.Now()) {
+    recent_order_ids_.erase(recent_orders_.front().second);
+    recent_orders_.pop_front();
+  }
+}
+
+OwnedLeaf* LeafOwner::FindOwned(const model::LeafName& leaf) {
+  const auto found = leaves_.find(leaf);
+  if (found == leaves_.end() || !found->second.owned) return nullptr;
+  return &found->second;
+}
+
+void LeafOwner::ApplyDraining(OwnedLeaf& entry) {
+  limits::Actions actions;
+  entry.gate.SetDraining(entry.status_draining || entry.listed_leaving,
+                         actions);
+  Carry(entry, actions);
+}
+
+void LeafOwner::NoteIncarnation(OwnedLeaf& entry, std::uint64_t incarnation) {
+  if (incarnation == 0 || incarnation == entry.incarnation) return;
+  const bool restarted = entry.incarnation != 0;
+  entry.incarnation = incarnation;
+  if (!restarted) return;
+  outbox_.Record("leaf_restarted", entry.leaf.name.value, "");
+  limits::Actions actions;
+  entry.gate.OnColdEvidence(actions);
+  Carry(entry, actions);
+}
+
+void LeafOwner::ReportDeath(const model::LeafName& leaf) {
+  std::vector<quarantine::RunningCall> running;
+  const OwnedLeaf& entry = leaves_.at(leaf);
+  const auto fingerprints = entry.gate.RunningFingerprints();
+  for (const auto& [id, accepted] : calls_) {
+    if (accepted.call.leaf != leaf) continue;
+    // Calls that still wait in the queue have not reached the leaf.
+    const auto& fingerprint = accepted.call.fingerprint;
+    if (std::find(fingerprints.begin(), fingerprints.end(), fingerprint) ==
+        fingerprints.end()) {
+      continue;
+    }
+    running.push_back({fingerprint, accepted.call.alone});
+  }
+  std::vector<quarantine::Action> actions;
+  quarantine_.OnLeafDeath(running, actions);
+  for (const auto& action : actions) {
+    outbox_.SendToAll(members_,
+                      std::get<quarantine::PublishSuspects>(action).update);
+  }
+  outbox_.Record("leaf_died", leaf.value,
+                 std::to_string(running.size()) + " calls running");
+}
+
+void LeafOwner::Carry(const OwnedLeaf& entry, const limits::Actions& actions) {
+  for (const limits::Action& action : actions) {
+    if (const auto* start = std::get_if<limits::StartCall>(&action)) {
+      Start(entry, *start);
+    } else if (const auto* cancel =
+                   std::get_if<limits::CancelRunning>(&action)) {
+      outbox_.Emit(CancelUpstream{cancel->id});
+    } else if (const auto* reply = std::get_if<limits::Reply>(&action)) {
+      Answer(reply->reply);
+    }
+  }
+}
+
+void LeafOwner::Start(const OwnedLeaf& entry, const limits::StartCall& start) {
+  model::UpstreamCall call;
+  call.id = start.call.id;
+  call.leaf = entry.leaf.name;
+  call.address = entry.leaf.address;
+  call.connections = entry.leaf.connections;
+  call.service = start.call.service;
+  call.kind = start.call.kind;
+  call.shard = start.call.shard;
+  call.version = start.call.version;
+  call.payload = start.call.payload;
+  call.key = start.call.key;
+  call.not_after = start.not_after;
+  call.deadline =
+      clock_.WallNow() + std::chrono::duration_cast<std::chrono::microseconds>(
+                             start.not_after - clock_.Now());
+  outbox_.Emit(CallUpstream{std::move(call)});
+}
+
+void LeafOwner::Answer(const model::LeafReply& reply) {
+  const auto node = calls_.extract(reply.id);
+  if (node.empty()) return;
+  outbox_.Send(node.mapped().from, reply);
+}
+
+void LeafOwner::Refuse(const model::HostName& from, const model::LeafCall& call,
+                       LeafOutcome outcome) {
+  model::LeafReply reply;
+  reply.id = call.id;
+  reply.leaf = call.leaf;
+  reply.outcome = outcome;
+  outbox_.Send(from, std::move(reply));
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/leaf_owner_states.cc
@@ -0,0 +1,136 @@
+// Ownership changes and publication of leaf states.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+#include "berylreach/core/leaf_owner.h"
+
+namespace berylreach::core {
+
+void LeafOwner::Adopt(const routing::OwnershipTable& table,
+                      const model::Environment& environment,
+                      const std::vector<model::Member>& members) {
+  epoch_ = table.epoch();
+  members_ = members;
+  const auto owned = table.OwnedBy(outbox_.self());
+  const std::set<model::LeafName> owned_names(owned.begin(), owned.end());
+  for (auto& [name, entry] : leaves_) {
+    if (!entry.owned || owned_names.contains(name)) continue;
+    entry.owned = false;
+    limits::Actions actions;
+    entry.gate.OnOwnershipLost(actions);
+    Carry(entry, actions);
+  }
+  std::vector<model::Leaf> read;
+  for (const model::LeafName& name : owned) {
+    const model::Leaf* leaf = model::FindLeaf(environment, name).leaf;
+    auto [found, added] = leaves_.try_emplace(name, clock_, *leaf);
+    // A leaf that returns while old work still runs keeps its gate, which knows
+    // that work.
+    found->second.owned = true;
+    Update(found->second, *leaf,
+           !model::ZoneTakesWork(environment, leaf->zone));
+    read.push_back(*leaf);
+  }
+  outbox_.Emit(ReadLeafStatuses{std::move(read)});
+  DropFinished();
+}
+
+void LeafOwner::Update(OwnedLeaf& entry, const model::Leaf& leaf,
+                       bool zone_out) {
+  if (entry.leaf.address != leaf.address) {
+    entry.known = false;
+    entry.reachable = false;
+    entry.incarnation = 0;
+  }
+  entry.leaf = leaf;
+  entry.listed_leaving = leaving_.contains(leaf.name);
+  limits::Actions actions;
+  entry.gate.SetSlots(leaf.slots, actions);
+  entry.gate.SetZoneOut(zone_out, actions);
+  entry.gate.SetLeaseExpiry(lease_expiry_, actions);
+  Carry(entry, actions);
+  ApplyDraining(entry);
+}
+
+void LeafOwner::DropFinished() {
+  std::erase_if(leaves_, [](const auto& item) {
+    return !item.second.owned && !item.second.HasWork();
+  });
+}
+
+void LeafOwner::PublishChanges() {
+  model::LeafStates changed;
+  for (auto& [name, entry] : leaves_) {
+    if (!entry.owned || !entry.known) continue;
+    model::LeafState state{name,           outbox_.self(),
+                           epoch_,         entry.published.sequence,
+                           entry.Health(), entry.holdings};
+    if (entry.published.sequence != 0 && state == entry.published) continue;
+    state.sequence = NextSequence();
+    entry.published = state;
+    changed.states.push_back(std::move(state));
+  }
+  if (!changed.states.empty()) outbox_.SendToAll(members_, std::move(changed));
+}
+
+void LeafOwner::PublishAllTo(const model::HostName& host) {
+  model::LeafStates all;
+  for (const auto& [name, entry] : leaves_) {
+    if (entry.owned && entry.published.sequence != 0)
+      all.states.push_back(entry.published);
+  }
+  if (!all.states.empty()) outbox_.Send(host, std::move(all));
+}
+
+std::vector<model::LeafName> LeafOwner::Owned() const {
+  std::vector<model::LeafName> names;
+  for (const auto& [name, entry] : leaves_) {
+    if (entry.owned) names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<model::LeafName> LeafOwner::Held() const {
+  std::vector<model::LeafName> names;
+  for (const auto& [name, entry] : leaves_) {
+    if (!entry.owned && entry.HasWork()) names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::uint64_t LeafOwner::StatesDigest() const {
+  std::vector<model::LeafState> states;
+  for (const auto& [name, entry] : leaves_) {
+    if (entry.owned && entry.published.sequence != 0)
+      states.push_back(entry.published);
+  }
+  return DigestOf(states);
+}
+
+std::uint64_t LeafOwner::NextSequence() {
+  // Wall time keeps sequences rising when a leaf moves between owners within
+  // one epoch.
+  const auto wall = std::chrono::duration_cast<std::chrono::microseconds>(
+      clock_.WallNow().time_since_epoch());
+  last_sequence_ =
+      std::max(last_sequence_ + 1, static_cast<std::uint64_t>(wall.count()));
+  return last_sequence_;
+}
+
+std::uint64_t DigestOf(const std::vector<model::LeafState>& states) {
+  std::uint64_t digest = 0;
+  for (const model::LeafState& state : states) {
+    const std::string text = state.leaf.value + '\0' +
+                             std::to_string(state.epoch) + '\0' +
+                             std::to_string(state.sequence);
+    // Addition makes the digest independent of the order of states.
+    digest += base::Hash64(text);
+  }
+  return digest;
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/order_runner.cc
@@ -0,0 +1,246 @@
+// Orders between callers' hosts, the journal and leaves.
+#include "berylreach/core/order_runner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "berylreach/base/rendezvous.h"
+#include "berylreach/config/order_journal_codec.h"
+#include "berylreach/quarantine/fingerprint.h"
+#include "berylreach/routing/choose_replica.h"
+#include "berylreach/routing/choose_snapshot.h"
+
+namespace berylreach::core {
+namespace {
+
+using model::LeafOutcome;
+
+// Leaves to which one order is offered; each but the last has proven that it
+// did not run it.
+constexpr std::size_t kMaxLeaves = 3;
+constexpr std::chrono::milliseconds kNoLeafRetryAfter{1000};
+
+std::uint64_t OrderFingerprint(const orders::SendOrder& order) {
+  model::CallerRequest request;
+  request.kind = model::RequestKind::kOrder;
+  request.service = order.service;
+  request.payload = order.payload;
+  return quarantine::FingerprintOf(request);
+}
+
+std::string RegionOf(const model::Environment& environment,
+                     const model::ZoneName& zone) {
+  const model::Zone* found = model::FindZone(environment, zone);
+  return found == nullptr ? std::string() : found->region;
+}
+
+}  // namespace
+
+model::LeafName BucketName(std::uint32_t bucket) {
+  return {"orders/" + std::to_string(bucket)};
+}
+
+const model::Member* BucketOwner(std::uint32_t bucket,
+                                 const std::vector<model::Member>& members) {
+  const std::string name = BucketName(bucket).value;
+  const auto winner =
+      std::max_element(members.begin(), members.end(),
+                       [&](const model::Member& a, const model::Member& b) {
+                         return base::RendezvousWeight(name, a.host.value) <
+                                base::RendezvousWeight(name, b.host.value);
+                       });
+  return winner == members.end() ? nullptr : &*winner;
+}
+
+OrderRunner::OrderRunner(const base::Clock& clock, SharedState& state,
+                         StoreCalls& store, Outbox& outbox)
+    : clock_(clock),
+      state_(state),
+      store_(store),
+      outbox_(outbox),
+      coordinator_(clock, state.self().host, state.self().incarnation) {}
+
+void OrderRunner::OnForward(const model::HostName& from,
+                            const model::OrderForward& forward) {
+  origins_.emplace(forward.id, from);
+  orders::Actions actions;
+  coordinator_.OnForward(forward, actions);
+  Carry(actions);
+}
+
+void OrderRunner::OnJournalRead(std::uint64_t id,
+                                const model::StoreResult& result) {
+  model::StoreOutcome outcome = result.outcome;
+  model::OrderJournal journal;
+  if (outcome == model::StoreOutcome::kOk) {
+    auto decoded = config::DecodeOrderJournal(result.value);
+    if (decoded.value) {
+      journal = std::move(*decoded.value);
+    } else {
+      outbox_.Record("journal_unreadable", std::to_string(id),
+                     decoded.findings.front().message);
+      // An unreadable journal must not be taken for an empty one: orders would
+      // run again.
+      outcome = model::StoreOutcome::kUnknown;
+    }
+  }
+  orders::Actions actions;
+  coordinator_.OnJournalRead(id, outcome, std::move(journal), result.revision,
+                             actions);
+  Carry(actions);
+}
+
+void OrderRunner::OnJournalCas(std::uint64_t id,
+                               const model::StoreResult& result) {
+  orders::Actions actions;
+  coordinator_.OnJournalCas(id, result.outcome, result.revision, actions);
+  Carry(actions);
+}
+
+bool OrderRunner::OnLeafReply(const model::LeafReply& reply) {
+  auto node = sent_.extract(reply.id);
+  if (node.empty()) return false;
+  SentOrder& order = node.mapped();
+  state_.Leaves().OnCallEnded(reply.leaf);
+  const bool may_offer_again = model::ProvesNotRun(reply.outcome) &&
+                               reply.outcome != LeafOutcome::kBlocked &&
+                               order.tried.size() < kMaxLeaves &&
+                               clock_.Now() < order.deadline;
+  if (may_offer_again) {
+    SendToLeaf(std::move(order));
+  } else {
+    Report(order.order, reply);
+  }
+  return true;
+}
+
+void OrderRunner::OnMemberLost(const model::HostName& host) {
+  std::vector<model::LeafReply> replies;
+  for (const auto& [id, order] : sent_) {
+    if (order.owner != host) continue;
+    model::LeafReply reply;
+    reply.id = id;
+    reply.leaf = order.tried.back();
+    reply.outcome = LeafOutcome::kLost;
+    replies.push_back(std::move(reply));
+  }
+  for (const model::LeafReply& reply : replies) OnLeafReply(reply);
+}
+
+void OrderRunner::SetLeaseExpiry(base::TimePoint expiry) {
+  const bool holds = clock_.Now() < expiry;
+  if (holds) {
+    coordinator_.OnLeaseExtended(expiry);
+  } else if (had_lease_) {
+    orders::Actions actions;
+    coordinator_.OnLeaseLost(actions);
+    Carry(actions);
+  }
+  had_lease_ = holds;
+}
+
+void OrderRunner::SetExclusiveBuckets(
+    const std::vector<std::uint32_t>& buckets) {
+  if (buckets == exclusive_) return;
+  exclusive_ = buckets;
+  orders::Actions actions;
+  coordinator_.OnExclusiveBuckets(buckets, actions);
+  Carry(actions);
+}
+
+void OrderRunner::Tick() {
+  orders::Actions actions;
+  coordinator_.Tick(actions);
+  Carry(actions);
+  // A call whose reply was lost ends at its deadline, without proof that it did
+  // not run.
+  std::vector<model::LeafReply> overdue;
+  for (const auto& [id, order] : sent_) {
+    if (clock_.Now() < order.deadline) continue;
+    model::LeafReply reply;
+    reply.id = id;
+    reply.leaf = order.tried.back();
+    reply.outcome = LeafOutcome::kTimedOut;
+    overdue.push_back(std::move(reply));
+  }
+  for (const model::LeafReply& reply : overdue) OnLeafReply(reply);
+}
+
+void OrderRunner::Carry(const orders::Actions& actions) {
+  for (const orders::Action& action : actions) {
+    if (const auto* read = std::get_if<orders::ReadJournal>(&action)) {
+      store_.ReadJournal(read->id, read->bucket);
+    } else if (const auto* cas = std::get_if<orders::CasJournal>(&action)) {
+      store_.CasJournal(cas->id, cas->bucket, cas->revision, cas->journal);
+    } else if (const auto* send = std::get_if<orders::SendOrder>(&action)) {
+      SendToLeaf({*send, {}, {}, clock_.Now() + send->budget});
+    } else if (const auto* reply = std::get_if<orders::Reply>(&action)) {
+      auto origin = origins_.extract(reply->reply.id);
+      if (!origin.empty()) outbox_.Send(origin.mapped(), reply->reply);
+    } else if (const auto* event = std::get_if<orders::RecordEvent>(&action)) {
+      outbox_.Record(event->type, event->subject, event->detail);
+    }
+  }
+}
+
+void OrderRunner::SendToLeaf(SentOrder order) {
+  const std::uint64_t fingerprint = OrderFingerprint(order.order);
+  const bool suspect = state_.Suspects().StandingOf(fingerprint) ==
+                       quarantine::Standing::kSuspect;
+  const auto& index = state_.Replicas(order.order.service);
+  const auto snapshot = routing::ChooseSnapshot(index, {});
+  std::optional<routing::Replica> replica;
+  if (snapshot) {
+    routing::ReplicaQuery query;
+    query.version = snapshot->version;
+    query.shard_count = snapshot->shard_count;
+    query.own_zone = state_.OwnZone();
+    query.own_region = RegionOf(state_.Environment(), state_.OwnZone());
+    query.tried = order.tried;
+    query.suspect = suspect;
+    query.random = state_.Random();
+    replica = routing::ChooseReplica(index, state_.Leaves(), query);
+  }
+  const model::HostName* owner =
+      replica ? state_.Ownership().Owner(replica->leaf) : nullptr;
+  const model::Member* arbiter =
+      quarantine::ArbiterOf(fingerprint, state_.Members());
+  if (owner == nullptr || arbiter == nullptr) {
+    orders::Actions actions;
+    coordinator_.OnOrderUnsent(order.order.id, kNoLeafRetryAfter, actions);
+    return Carry(actions);
+  }
+  model::LeafCall call;
+  call.id = state_.NextCallId();
+  call.leaf = replica->leaf;
+  call.service = order.order.service;
+  call.kind = model::RequestKind::kOrder;
+  const model::Service* service =
+      model::FindService(state_.Environment(), call.service);
+  call.priority = service == nullptr ? 0 : service->priority;
+  call.shard_count = snapshot->shard_count;
+  call.payload = order.order.payload;
+  call.key = order.order.key;
+  call.fingerprint = fingerprint;
+  call.budget = std::chrono::duration_cast<std::chrono::microseconds>(
+      order.deadline - clock_.Now());
+  call.alone = suspect;
+  order.tried.push_back(call.leaf);
+  order.owner = suspect ? arbiter->host : *owner;
+  state_.Leaves().OnCallSent(call.leaf);
+  const model::HostName to = order.owner;
+  sent_.emplace(call.id, std::move(order));
+  outbox_.Send(to, std::move(call));
+}
+
+void OrderRunner::Report(const orders::SendOrder& order,
+                         const model::LeafReply& reply) {
+  orders::Actions actions;
+  coordinator_.OnOrderOutcome(order.id, reply.outcome, reply.result,
+                              reply.version, reply.retry_after, actions);
+  Carry(actions);
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/shared_state.cc
@@ -0,0 +1,62 @@
+// The view that running requests have of their host.
+#include "berylreach/core/shared_state.h"
+
+#include <cstddef>
+#include <utility>
+
+namespace berylreach::core {
+namespace {
+
+// Target of the design: at most 5% extra leaf calls by hedging.
+constexpr double kHedgeRatio = 0.05;
+constexpr double kRetryRatio = 0.1;
+// Allows one 20-shard query to hedge or retry every shard once after an idle
+// spell.
+constexpr double kBudgetBurst = 20;
+constexpr std::size_t kLatencySamples = 1000;
+
+}  // namespace
+
+SharedState::SharedState(const base::Clock& clock, model::Member self)
+    : clock_(clock),
+      self_(std::move(self)),
+      leaves_(clock),
+      replicas_(clock),
+      quarantine_(clock),
+      hedge_budget_(kHedgeRatio, kBudgetBurst),
+      retry_budget_(kRetryRatio, kBudgetBurst),
+      random_state_(self_.incarnation) {}
+
+const routing::ReplicaIndex& SharedState::Replicas(
+    const model::ServiceName& service) {
+  return replicas_.Get(environment_, document_version_, service, leaves_);
+}
+
+base::QuantileWindow& SharedState::Latency(const model::ServiceName& service) {
+  return latencies_.try_emplace(service, kLatencySamples).first->second;
+}
+
+std::uint64_t SharedState::Random() {
+  // SplitMix64: seeded by the incarnation, so that a test replays the same
+  // choices.
+  random_state_ += 0x9E3779B97F4A7C15ULL;
+  std::uint64_t mixed = random_state_;
+  mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
+  return mixed ^ (mixed >> 31);
+}
+
+void SharedState::Adopt(std::uint64_t document_version,
+                        const model::Environment& environment,
+                        std::uint64_t epoch,
+                        const std::vector<model::Member>& members) {
+  if (members != members_) quarantine_.OnMembersChanged();
+  document_version_ = document_version;
+  environment_ = environment;
+  members_ = members;
+  ownership_ =
+      routing::OwnershipTable(epoch, document_version, environment_, members_);
+  leaves_.Retain(environment_);
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/core/lib/suspect_arbiter.cc
@@ -0,0 +1,106 @@
+// Arbitration of suspect calls.
+#include "berylreach/core/suspect_arbiter.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "berylreach/quarantine/fingerprint.h"
+
+namespace berylreach::core {
+namespace {
+
+using model::LeafOutcome;
+using quarantine::Grant;
+
+// Another run of the same suspect lasts about one leaf call.
+constexpr std::chrono::milliseconds kBusyRetryAfter{100};
+
+}  // namespace
+
+SuspectArbiter::SuspectArbiter(const base::Clock& clock, SharedState& state,
+                               Outbox& outbox)
+    : clock_(clock), state_(state), outbox_(outbox) {}
+
+bool SuspectArbiter::Arbitrates(const model::HostName& from,
+                                const model::LeafCall& call) const {
+  if (!call.alone) return false;
+  const model::Member* arbiter =
+      quarantine::ArbiterOf(call.fingerprint, state_.Members());
+  if (arbiter == nullptr || arbiter->host != outbox_.self()) return false;
+  // A call that this host has passed on to itself as owner comes back from
+  // itself.
+  return from != outbox_.self() || !runs_.contains(call.id);
+}
+
+void SuspectArbiter::OnCall(const model::HostName& from,
+                            const model::LeafCall& call) {
+  const model::HostName* owner = state_.Ownership().Owner(call.leaf);
+  if (owner == nullptr || !state_.HoldsLease()) {
+    return Refuse(from, call, LeafOutcome::kNotOwner);
+  }
+  const auto until = std::min(clock_.Now() + call.budget, state_.LeaseExpiry());
+  switch (state_.Suspects().TryStartAlone(call.fingerprint, until)) {
+    case Grant::kBlocked:
+      return Refuse(from, call, LeafOutcome::kBlocked);
+    case Grant::kBusy:
+      return Refuse(from, call, LeafOutcome::kOverloaded);
+    case Grant::kGranted:
+      break;
+  }
+  model::LeafCall forwarded = call;
+  forwarded.budget = std::chrono::duration_cast<std::chrono::microseconds>(
+      until - clock_.Now());
+  runs_.emplace(call.id, Forwarded{from, *owner, forwarded, until});
+  outbox_.Send(*owner, std::move(forwarded));
+}
+
+bool SuspectArbiter::OnReply(const model::LeafReply& reply) {
+  auto node = runs_.extract(reply.id);
+  if (node.empty()) return false;
+  Conclude(node.mapped(), reply.outcome);
+  outbox_.Send(node.mapped().from, reply);
+  return true;
+}
+
+void SuspectArbiter::OnCancel(const model::CallId& id) {
+  const auto found = runs_.find(id);
+  if (found != runs_.end())
+    outbox_.Send(found->second.owner, model::LeafCancel{id});
+}
+
+void SuspectArbiter::Tick() {
+  std::erase_if(runs_, [&](const auto& item) {
+    return item.second.until <= clock_.Now();
+  });
+}
+
+void SuspectArbiter::Conclude(const Forwarded& run, LeafOutcome outcome) {
+  auto& suspects = state_.Suspects();
+  std::vector<quarantine::Action> actions;
+  if (outcome == LeafOutcome::kOk) {
+    suspects.OnCompletedAlone(run.call.fingerprint, actions);
+  } else if (outcome == LeafOutcome::kLeafDied) {
+    suspects.OnLeafDeath({{run.call.fingerprint, true}}, actions);
+  }
+  const bool known = outcome == LeafOutcome::kOk ||
+                     outcome == LeafOutcome::kLeafDied ||
+                     model::ProvesNotRun(outcome);
+  suspects.OnAloneEnded(run.call.fingerprint, known);
+  for (const auto& action : actions) {
+    outbox_.SendToAll(state_.Members(),
+                      std::get<quarantine::PublishSuspects>(action).update);
+  }
+}
+
+void SuspectArbiter::Refuse(const model::HostName& to,
+                            const model::LeafCall& call, LeafOutcome outcome) {
+  model::LeafReply reply;
+  reply.id = call.id;
+  reply.leaf = call.leaf;
+  reply.outcome = outcome;
+  reply.retry_after = kBusyRetryAfter;
+  outbox_.Send(to, std::move(reply));
+}
+
+}  // namespace berylreach::core
--- /dev/null
+++ b/host/include/berylreach/host/timeline.h
@@ -0,0 +1,36 @@
+// The bounded event time line of one host.
+#pragma once
+
+#include <boost/circular_buffer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/model/timeline_event.h"
+
+namespace berylreach::host {
+
+/// Keeps the latest events in memory for operators. Thread-safe.
+class Timeline {
+ public:
+  /// Keeps at most `capacity` events; older ones are dropped.
+  Timeline(std::size_t capacity, const base::Clock& clock);
+
+  /// Appends an event that happens now, and returns it.
+  model::TimelineEvent Record(std::string type, std::string subject,
+                              std::string detail);
+
+  /// Events with a sequence above `sequence`, oldest first.
+  std::vector<model::TimelineEvent> After(std::uint64_t sequence) const;
+
+ private:
+  const base::Clock& clock_;
+  mutable std::mutex mutex_;
+  std::uint64_t last_sequence_ = 0;
+  boost::circular_buffer<model::TimelineEvent> events_;
+};
+
+}  // namespace berylreach::host
--- /dev/null
+++ b/host/lib/core_thread.cc
@@ -0,0 +1,110 @@
+// Event loop of the core thread.
+#include "berylreach/host/core_thread.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <utility>
+
+namespace berylreach::host {
+namespace {
+
+constexpr std::size_t kChannelCapacity = 65536;
+// Bounds the delay of timers that an event did not announce.
+constexpr std::chrono::milliseconds kLongestSleep{100};
+
+template <typename... Ts>
+struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <typename... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+CoreThread::CoreThread(const base::Clock& clock, ActionSink& sink)
+    : clock_(clock),
+      sink_(sink),
+      channel_(kChannelCapacity, [this] { Wake(); }) {}
+
+CoreThread::~CoreThread() { Quit(); }
+
+void CoreThread::Quit() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    quit_ = true;
+  }
+  woken_.notify_one();
+  if (thread_.joinable()) thread_.join();
+}
+
+void CoreThread::Run(core::CoreOptions options) {
+  core_.emplace(clock_, std::move(options));
+  thread_ = std::thread([this] { Loop(); });
+}
+
+bool CoreThread::Post(CoreEvent event) {
+  if (channel_.TryPush(std::move(event))) return true;
+  ++refused_events_;
+  return false;
+}
+
+void CoreThread::Wake() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    wake_ = true;
+  }
+  woken_.notify_one();
+}
+
+void CoreThread::Loop() {
+  Carry(core_->Start());
+  while (true) {
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      const auto until =
+          std::min(core_->NextWakeup(), clock_.Now() + kLongestSleep);
+      woken_.wait_until(lock, until, [this] { return wake_ || quit_; });
+      if (quit_) return;
+      wake_ = false;
+    }
+    for (CoreEvent& event : channel_.Drain()) Handle(event);
+    if (core_->NextWakeup() <= clock_.Now()) Carry(core_->Tick());
+    if (core_->stopped() && !std::exchange(stop_reported_, true))
+      sink_.OnStopped();
+  }
+}
+
+void CoreThread::Handle(CoreEvent& event) {
+  std::visit(
+      Overloaded{
+          [&](const model::CallerRequest& request) {
+            Carry(core_->OnCallerRequest(request));
+          },
+          [&](const CallerGone& gone) { Carry(core_->OnCallerGone(gone.id)); },
+          [&](const model::Envelope& envelope) {
+            Carry(core_->OnEnvelope(envelope));
+          },
+          [&](const model::UpstreamResult& result) {
+            Carry(core_->OnUpstreamResult(result));
+          },
+          [&](const model::LeafStatus& status) {
+            Carry(core_->OnLeafStatus(status));
+          },
+          [&](const model::StoreResult& result) {
+            Carry(core_->OnStoreResult(result));
+          },
+          [&](const HostListRead& read) {
+            Carry(core_->OnHostList(read.list));
+          },
+          [&](const StopRequested&) { Carry(core_->Stop()); },
+          [&](const Inspect& inspect) { inspect.read(*core_); },
+      },
+      event);
+}
+
+void CoreThread::Carry(core::Actions actions) {
+  for (core::Action& action : actions) sink_.OnAction(std::move(action));
+}
+
+}  // namespace berylreach::host
--- /dev/null
+++ b/host/lib/host_process.cc
@@ -0,0 +1,194 @@
+// Assembly of a host's threads.
+#include "berylreach/host/host_process.h"
+
+#include <chrono>
+#include <map>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "berylreach/base/system_clock.h"
+#include "berylreach/host/core_thread.h"
+#include "berylreach/host/http_frontend.h"
+#include "berylreach/host/log.h"
+#include "berylreach/host/metrics.h"
+#include "berylreach/host/timeline.h"
+#include "berylreach/transport/host_list_client.h"
+#include "berylreach/transport/http_server.h"
+#include "berylreach/transport/io_thread.h"
+#include "berylreach/transport/rpc_node.h"
+#include "berylreach/transport/store_client.h"
+#include "berylreach/transport/upstream_client.h"
+
+namespace berylreach::host {
+namespace {
+
+constexpr std::chrono::milliseconds kFlushTime{1000};
+constexpr std::chrono::milliseconds kFlushPoll{5};
+
+std::uint64_t RandomIncarnation() {
+  std::random_device device;
+  // 0 means that there is no incarnation.
+  return ((std::uint64_t{device()} << 32) | device()) | 1;
+}
+
+model::LeafStatus ToModel(transport::LeafStatus status) {
+  return {std::move(status.leaf), status.reachable, status.refused,
+          status.incarnation,     status.draining,  std::move(status.holdings)};
+}
+
+core::CoreOptions CoreOptionsOf(const config::HostSettings& settings) {
+  core::CoreOptions options;
+  options.self.host = settings.host;
+  options.self.zone = settings.zone;
+  options.environment = settings.environment;
+  options.admission.max_requests = settings.limits.running_requests;
+  return options;
+}
+
+}  // namespace
+
+struct HostProcess::Impl final : ActionSink, transport::UpstreamHandler {
+  Impl(const config::HostSettings& settings, std::function<void()> stopped)
+      : timeline(settings.limits.timeline_events, clock),
+        on_stopped(std::move(stopped)),
+        core(clock, *this),
+        frontend(clock, core, timeline, metrics),
+        upstream(upstream_thread, clock, transport::UpstreamOptions{}, *this),
+        store(store_thread,
+              transport::StoreOptions{.address = settings.store_address},
+              [this](model::StoreResult result) {
+                core.Post(std::move(result));
+              }),
+        host_list(
+            store_thread,
+            transport::HostListOptions{.address = settings.host_list_address},
+            [this](std::optional<model::HostList> list) {
+              core.Post(HostListRead{std::move(list)});
+            }) {}
+
+  void OnAction(core::Action action) override {
+    std::visit([this](auto& item) { Carry(item); }, action);
+  }
+  void OnStopped() override { on_stopped(); }
+  void OnResult(model::UpstreamResult result) override {
+    core.Post(std::move(result));
+  }
+  void OnStatus(transport::LeafStatus status) override {
+    core.Post(ToModel(std::move(status)));
+  }
+
+  void Carry(core::SendToPeer& action) {
+    rpc->Send(action.to, std::move(action.message));
+  }
+  void Carry(core::CallUpstream& action) {
+    model::UpstreamResult refused;
+    refused.id = action.call.id;
+    refused.leaf = action.call.leaf;
+    // A full channel means that nothing was sent.
+    if (!upstream.Send(std::move(action.call))) core.Post(std::move(refused));
+  }
+  void Carry(core::CancelUpstream& action) { upstream.Cancel(action.id); }
+  void Carry(core::ReadLeafStatuses& action) {
+    std::vector<transport::OwnedLeaf> owned;
+    for (model::Leaf& leaf : action.leaves) {
+      owned.push_back(
+          {std::move(leaf.name), std::move(leaf.address), leaf.connections});
+    }
+    upstream.SetOwnedLeaves(std::move(owned));
+  }
+  void Carry(core::CallStore& action) {
+    model::StoreResult unknown;
+    unknown.id = action.request.id;
+    if (!store.Send(std::move(action.request))) core.Post(std::move(unknown));
+  }
+  void Carry(core::PollHostList& /*action*/) { host_list.Read(); }
+  void Carry(core::SetPeers& action) {
+    std::map<model::HostName, std::string> peers;
+    for (model::Member& member : action.members) {
+      peers.emplace(std::move(member.host), std::move(member.rpc_address));
+    }
+    rpc->SetPeers(std::move(peers));
+  }
+  void Carry(core::ReplyToCaller& action) {
+    frontend.Reply(action.id, action.reply);
+  }
+  void Carry(core::RecordEvent& action) {
+    LogStateChange(action.type, action.subject, action.detail);
+    timeline.Record(std::move(action.type), std::move(action.subject),
+                    std::move(action.detail));
+  }
+
+  base::SystemClock clock;
+  Timeline timeline;
+  Metrics metrics;
+  std::function<void()> on_stopped;
+  // Callbacks of the components below use the core, and the event loops run the
+  // components.
+  CoreThread core;
+  HttpFrontend frontend;
+  transport::IoThread http_thread;
+  transport::IoThread upstream_thread;
+  transport::IoThread store_thread;
+  transport::UpstreamClient upstream;
+  transport::StoreClient store;
+  transport::HostListClient host_list;
+  std::unique_ptr<transport::RpcNode> rpc;
+  std::unique_ptr<transport::HttpServer> server;
+};
+
+transport::BindResult<std::unique_ptr<HostProcess>> HostProcess::Start(
+    const config::HostSettings& settings, std::function<void()> on_stopped) {
+  auto impl = std::make_unique<Impl>(settings, std::move(on_stopped));
+  core::CoreOptions options = CoreOptionsOf(settings);
+  options.self.incarnation = RandomIncarnation();
+  auto rpc =
+      transport::RpcNode::Open({.self = settings.host,
+                                .incarnation = options.self.incarnation,
+                                .address = settings.rpc_listen},
+                               [core = &impl->core](model::Envelope envelope) {
+                                 core->Post(std::move(envelope));
+                               });
+  if (!rpc) return std::move(rpc).error();
+  impl->rpc = std::move(rpc).value();
+  transport::HttpServerOptions http;
+  http.addresses = {settings.http_listen};
+  http.body_limit = settings.limits.request_bytes;
+  http.max_connections = settings.limits.caller_connections;
+  auto server = transport::HttpServer::Open(impl->http_thread, std::move(http),
+                                            impl->frontend);
+  if (!server) return std::move(server).error();
+  impl->server = std::move(server).value();
+  impl->frontend.Attach(*impl->server);
+  options.self.rpc_address = impl->rpc->address();
+  options.self.http_address = impl->server->addresses().front();
+  impl->core.Run(std::move(options));
+  return std::unique_ptr<HostProcess>(new HostProcess(std::move(impl)));
+}
+
+HostProcess::HostProcess(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+HostProcess::~HostProcess() {
+  impl_->server->StopAccepting();
+  impl_->server->CloseIdle();
+  // Responses that were given but not yet written are flushed, within a bounded
+  // time.
+  const auto until = impl_->clock.Now() + kFlushTime;
+  while (impl_->server->open_requests() > 0 && impl_->clock.Now() < until) {
+    std::this_thread::sleep_for(kFlushPoll);
+  }
+  impl_->core.Quit();
+}
+
+void HostProcess::Stop() { impl_->core.Post(StopRequested{}); }
+
+const std::string& HostProcess::http_address() const {
+  return impl_->server->addresses().front();
+}
+
+const std::string& HostProcess::rpc_address() const {
+  return impl_->rpc->address();
+}
+
+}  // namespace berylreach::host
--- /dev/null
+++ b/host/lib/http_frontend.cc
@@ -0,0 +1,210 @@
+// HTTP routes of a host.
+#include "berylreach/host/http_frontend.h"
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <utility>
+
+#include "berylreach/config/caller_reply_codec.h"
+#include "berylreach/config/caller_request_codec.h"
+#include "berylreach/config/host_status.h"
+#include "berylreach/config/host_timeline.h"
+#include "berylreach/host/core_metrics.h"
+
+namespace berylreach::host {
+namespace {
+
+using model::ErrorCode;
+using model::Ran;
+using model::Refusal;
+using model::RequestKind;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kTimelineTarget = "/v1/timeline";
+constexpr std::string_view kTextExposition = "text/plain; version=0.0.4";
+constexpr milliseconds kBusyRetryAfter{200};
+
+std::optional<RequestKind> KindOf(std::string_view target) {
+  if (target == "/v1/query") return RequestKind::kQuery;
+  if (target == "/v1/lookup") return RequestKind::kLookup;
+  if (target == "/v1/order") return RequestKind::kOrder;
+  return std::nullopt;
+}
+
+std::uint64_t RandomIncarnation() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+std::uint64_t AfterOf(std::string_view target) {
+  constexpr std::string_view kParameter = "?after=";
+  const auto place = target.find(kParameter);
+  if (place == std::string_view::npos) return 0;
+  const auto digits = target.substr(place + kParameter.size());
+  std::uint64_t after = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), after);
+  return after;
+}
+
+transport::HttpResponse StatusOf(const core::HostCore& core) {
+  config::HostStatus status;
+  status.host = core.self().host;
+  status.incarnation = core.self().incarnation;
+  status.zone = core.self().zone;
+  status.epoch = core.epoch();
+  status.document = core.document();
+  status.lease = core.HoldsLease();
+  status.ready = core.ready();
+  transport::HttpResponse response;
+  response.body = config::EncodeHostStatus(status);
+  return response;
+}
+
+transport::HttpResponse ReadinessOf(const core::HostCore& core) {
+  transport::HttpResponse response;
+  response.status = core.ready() ? 200 : 503;
+  response.body = core.ready() ? R"({"ready":true})" : R"({"ready":false})";
+  return response;
+}
+
+}  // namespace
+
+HttpFrontend::HttpFrontend(const base::Clock& clock, CoreThread& core,
+                           const Timeline& timeline, Metrics& metrics)
+    : clock_(clock),
+      core_(core),
+      timeline_(timeline),
+      metrics_(metrics),
+      last_id_{RandomIncarnation(), 0} {}
+
+void HttpFrontend::OnRequest(transport::HttpRequest request) {
+  const auto kind = KindOf(request.target);
+  if (!kind) return OnRead(request);
+  if (request.method != "POST") {
+    return Answer(
+        request.token, 405,
+        R"({"error":{"code":"bad_request","message":"use POST"},"ran":"not_run"})");
+  }
+  OnCallerRequest(request, *kind);
+}
+
+void HttpFrontend::OnCallerRequest(const transport::HttpRequest& request,
+                                   RequestKind kind) {
+  const base::TimePoint now = clock_.Now();
+  model::CallId id;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++last_id_.counter;
+    id = last_id_;
+  }
+  auto parsed = config::ParseCallerRequest(kind, request.body, id, now);
+  if (const auto* refusal = std::get_if<Refusal>(&parsed)) {
+    metrics_.OnReply(kind, *refusal, std::chrono::microseconds(0));
+    return AnswerReply(request.token, *refusal);
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    waiting_.emplace(id, Waiting{request.token, kind, now});
+    ids_.emplace(request.token, id);
+  }
+  if (core_.Post(std::move(std::get<model::CallerRequest>(parsed)))) return;
+  Reply(id, Refusal{ErrorCode::kOverloaded, "the host is at its request limit",
+                    Ran::kNotRun, kBusyRetryAfter});
+}
+
+void HttpFrontend::OnRead(const transport::HttpRequest& request) {
+  const std::string_view target = request.target;
+  if (target == "/healthz")
+    return Answer(request.token, 200, R"({"healthy":true})");
+  if (target == "/readyz") return AnswerFromCore(request.token, ReadinessOf);
+  if (target == "/v1/status") return AnswerFromCore(request.token, StatusOf);
+  if (target.substr(0, target.find('?')) == kTimelineTarget) {
+    return AnswerTimeline(request.token, request.target);
+  }
+  if (target == "/metrics") {
+    return AnswerFromCore(request.token, [this](const core::HostCore& core) {
+      transport::HttpResponse response;
+      response.content_type = kTextExposition;
+      AppendCoreMetrics(core, response.body);
+      metrics_.AppendTo(response.body);
+      return response;
+    });
+  }
+  Answer(
+      request.token, 404,
+      R"({"error":{"code":"bad_request","message":"no such path"},"ran":"not_run"})");
+}
+
+void HttpFrontend::OnClientGone(transport::HttpToken token) {
+  model::CallId id;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = ids_.find(token);
+    if (found == ids_.end()) return;
+    id = found->second;
+    ids_.erase(found);
+    waiting_.erase(id);
+  }
+  core_.Post(CallerGone{id});
+}
+
+void HttpFrontend::Reply(const model::CallId& id,
+                         const model::CallerReply& reply) {
+  Waiting waiting;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto node = waiting_.extract(id);
+    if (node.empty()) return;
+    waiting = node.mapped();
+    ids_.erase(waiting.token);
+  }
+  metrics_.OnReply(waiting.kind, reply,
+                   std::chrono::duration_cast<std::chrono::microseconds>(
+                       clock_.Now() - waiting.received));
+  AnswerReply(waiting.token, reply);
+}
+
+void HttpFrontend::AnswerReply(transport::HttpToken token,
+                               const model::CallerReply& reply) {
+  transport::HttpResponse response;
+  response.status = static_cast<int>(config::HttpStatus(reply));
+  response.body = config::EncodeCallerReply(reply);
+  server_->Respond(token, std::move(response));
+}
+
+void HttpFrontend::Answer(transport::HttpToken token, int status,
+                          std::string body, std::string content_type) {
+  transport::HttpResponse response;
+  response.status = status;
+  response.content_type = std::move(content_type);
+  response.body = std::move(body);
+  server_->Respond(token, std::move(response));
+}
+
+void HttpFrontend::AnswerFromCore(
+    transport::HttpToken token,
+    std::function<transport::HttpResponse(const core::HostCore&)> read) {
+  const bool posted = core_.Post(Inspect{
+      [this, token, read = std::move(read)](const core::HostCore& core) {
+        server_->Respond(token, read(core));
+      }});
+  if (!posted) Answer(token, 503, R"({"ready":false})");
+}
+
+void HttpFrontend::AnswerTimeline(transport::HttpToken token,
+                                  const std::string& target) {
+  // The host's name is read from the core so that the frontend needs no
+  // settings.
+  AnswerFromCore(token, [this,
+                         after = AfterOf(target)](const core::HostCore& core) {
+    transport::HttpResponse response;
+    response.body =
+        config::EncodeHostTimeline({core.self().host, timeline_.After(after)});
+    return response;
+  });
+}
+
+}  // namespace berylreach::host
--- /dev/null
+++ b/testing/lib/fault.cc
@@ -0,0 +1,231 @@
+// The faults of the fault matrix.
+#include "berylreach/testing/fault.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace berylreach::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+void Nothing(FaultTarget& /*target*/) {}
+
+std::string ZoneOf(const std::string& host) { return host.substr(0, 1); }
+
+void Restart(FaultTarget& target) {
+  const auto running = target.world.RunningHosts();
+  if (std::find(running.begin(), running.end(), target.host) == running.end()) {
+    target.world.StartHost(target.host, ZoneOf(target.host));
+  }
+}
+
+void SetZone(FaultTarget& target, model::ZoneState state) {
+  model::Environment environment = target.world.environment();
+  for (model::Zone& zone : environment.zones) {
+    if (zone.name.value == target.zone) zone.state = state;
+  }
+  World& world = target.world;
+  Invariants& invariants = target.invariants;
+  // Submitting runs virtual time, which a fault that strikes inside an event
+  // cannot do.
+  world.SubmitLater(environment, [&invariants, zone = target.zone,
+                                  state](std::uint64_t version) {
+    invariants.OnAccepted(version);
+    if (state == model::ZoneState::kOut) {
+      invariants.OnZoneOut(zone);
+    } else {
+      invariants.OnZoneIn(zone);
+    }
+  });
+}
+
+void SubmitTwice(FaultTarget& target) {
+  for (const char* region : {"region-x", "region-y"}) {
+    model::Environment environment = target.world.environment();
+    environment.zones.front().region = region;
+    Invariants& invariants = target.invariants;
+    target.world.SubmitLater(environment, [&invariants](std::uint64_t version) {
+      invariants.OnAccepted(version);
+    });
+  }
+}
+
+void SendKillingRequest(FaultTarget& target) {
+  model::CallerRequest request;
+  request.kind = model::RequestKind::kQuery;
+  request.service = {"order-desk"};
+  request.payload = FakeLeaf::kKillingPayload;
+  target.world.Ask(target.host, request, milliseconds(500));
+}
+
+void RestartLeaves(FaultTarget& target) {
+  for (const auto& [name, leaf] : target.world.leaves()) {
+    if (!leaf->alive()) leaf->Restart();
+  }
+}
+
+template <typename Set>
+Fault LeafFault(std::string name, Set set) {
+  return {
+      std::move(name),
+      [set](FaultTarget& target) { set(target.world.leaf(target.leaf), true); },
+      [set](FaultTarget& target) {
+        set(target.world.leaf(target.leaf), false);
+      }};
+}
+
+template <typename Set>
+Fault StoreFault(std::string name, Set set) {
+  return {std::move(name),
+          [set](FaultTarget& target) { set(target.world.store(), true); },
+          [set](FaultTarget& target) { set(target.world.store(), false); }};
+}
+
+std::vector<Fault> HostFaults() {
+  return {
+      {"kill_host",
+       [](FaultTarget& target) { target.world.KillHost(target.host); },
+       Restart},
+      {"kill_other_host",
+       [](FaultTarget& target) { target.world.KillHost(target.other_host); },
+       [](FaultTarget& target) {
+         FaultTarget other = target;
+         other.host = target.other_host;
+         Restart(other);
+       }},
+      {"stop_host",
+       [](FaultTarget& target) { target.world.StopHost(target.host); },
+       [](FaultTarget& target) {
+         if (target.world.Stopped(target.host))
+           target.world.KillHost(target.host);
+         Restart(target);
+       }},
+      {"freeze_host",
+       [](FaultTarget& target) { target.world.FreezeHost(target.host); },
+       [](FaultTarget& target) { target.world.WakeHost(target.host); }},
+      {"isolate_host",
+       [](FaultTarget& target) { target.world.SetIsolated(target.host, true); },
+       [](FaultTarget& target) {
+         target.world.SetIsolated(target.host, false);
+       }},
+      {"cut_link",
+       [](FaultTarget& target) {
+         target.world.SetLink(target.host, target.other_host, false);
+       },
+       [](FaultTarget& target) {
+         target.world.SetLink(target.host, target.other_host, true);
+       }},
+      {"cut_from_store",
+       [](FaultTarget& target) {
+         target.world.SetStoreReachable(target.host, false);
+       },
+       [](FaultTarget& target) {
+         target.world.SetStoreReachable(target.host, true);
+       }},
+      {"lossy_network",
+       [](FaultTarget& target) { target.world.SetMessageFaults(0.2, 0.1); },
+       [](FaultTarget& target) { target.world.SetMessageFaults(0, 0); }},
+  };
+}
+
+std::vector<Fault> StoreFaults() {
+  return {
+      StoreFault("store_down",
+                 [](FakeStore& store, bool on) { store.SetDown(on); }),
+      StoreFault("store_slow",
+                 [](FakeStore& store, bool on) {
+                   store.SetDelay(milliseconds(on ? 700 : 2));
+                 }),
+      StoreFault("store_loses_answers",
+                 [](FakeStore& store, bool on) {
+                   store.SetLoseAnswers(on ? 0.5 : 0);
+                 }),
+      StoreFault(
+          "store_late_writes",
+          [](FakeStore& store, bool on) { store.SetLateWrites(on ? 0.5 : 0); }),
+      StoreFault("store_stale_reads",
+                 [](FakeStore& store, bool on) { store.SetStaleReads(on); }),
+  };
+}
+
+std::vector<Fault> LeafFaults() {
+  return {
+      {"kill_leaf",
+       [](FaultTarget& target) { target.world.leaf(target.leaf).Kill(); },
+       RestartLeaves},
+      {"leaf_cold",
+       [](FaultTarget& target) {
+         target.world.leaf(target.leaf).Kill();
+         target.world.leaf(target.leaf).Restart();
+       },
+       Nothing},
+      LeafFault("leaf_silent",
+                [](FakeLeaf& leaf, bool on) { leaf.SetSilent(on); }),
+      LeafFault("leaf_sheds",
+                [](FakeLeaf& leaf, bool on) { leaf.SetShedding(on); }),
+      LeafFault("leaf_drains",
+                [](FakeLeaf& leaf, bool on) { leaf.SetDraining(on); }),
+      LeafFault("leaf_crosses_answers",
+                [](FakeLeaf& leaf, bool on) { leaf.SetCrossed(on); }),
+      LeafFault("leaf_slow",
+                [](FakeLeaf& leaf, bool on) {
+                  leaf.SetServiceTime(milliseconds(on ? 200 : 10));
+                }),
+      {"leaf_leaves",
+       [](FaultTarget& target) {
+         target.world.SetLeaving({target.leaf});
+         target.invariants.OnLeaving(target.leaf);
+       },
+       [](FaultTarget& target) {
+         target.world.SetLeaving({});
+         target.invariants.OnReturned(target.leaf);
+       }},
+      {"version_change",
+       [](FaultTarget& target) {
+         target.world.PublishVersion("order-desk", 2, 4, false);
+       },
+       Nothing},
+      {"repartition",
+       [](FaultTarget& target) {
+         target.world.PublishVersion("order-desk", 3, 2, true);
+       },
+       [](FaultTarget& target) {
+         target.world.PublishVersion("order-desk", 3, 2, false);
+       }},
+      {"killing_request", SendKillingRequest, RestartLeaves},
+  };
+}
+
+std::vector<Fault> OperatorFaults() {
+  return {
+      {"zone_out",
+       [](FaultTarget& target) { SetZone(target, model::ZoneState::kOut); },
+       [](FaultTarget& target) { SetZone(target, model::ZoneState::kIn); }},
+      {"two_operators", SubmitTwice, Nothing},
+  };
+}
+
+}  // namespace
+
+const std::vector<Fault>& AllFaults() {
+  static const std::vector<Fault>* faults = [] {
+    auto* all = new std::vector<Fault>;
+    for (const auto& group :
+         {HostFaults(), StoreFaults(), LeafFaults(), OperatorFaults()}) {
+      all->insert(all->end(), group.begin(), group.end());
+    }
+    return all;
+  }();
+  return *faults;
+}
+
+const Fault* FindFault(const std::string& name) {
+  const auto& faults = AllFaults();
+  const auto found =
+      std::find_if(faults.begin(), faults.end(),
+                   [&](const Fault& fault) { return fault.name == name; });
+  return found == faults.end() ? nullptr : &*found;
+}
+
+}  // namespace berylreach::testing
--- /dev/null
+++ b/testing/lib/invariants.cc
@@ -0,0 +1,201 @@
+// Checks of the invariants.
+#include "berylreach/testing/invariants.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "berylreach/testing/fake_leaf.h"
+
+namespace berylreach::testing {
+namespace {
+
+using model::Answer;
+using model::Refusal;
+using model::RequestKind;
+
+// Targets of section 1.3 of docs/design.md.
+constexpr std::chrono::seconds kZoneOutLimit{2};
+constexpr std::chrono::seconds kLeavingLimit{2};
+// A host that serves must not be behind an accepted document for longer.
+constexpr std::chrono::seconds kDocumentLimit{2};
+// A final reply may come this long after its deadline, for the hops between
+// hosts.
+constexpr std::chrono::milliseconds kReplyGrace{200};
+
+std::string Describe(const CallerRecord& record) {
+  return "request " + std::to_string(record.request.id.counter) + " (" +
+         record.request.service.value + ", key \"" + record.request.key +
+         "\") at " + record.host.value;
+}
+
+}  // namespace
+
+Invariants::Invariants(World& world) : world_(world) {}
+
+void Invariants::Report(int number, const std::string& what) {
+  violations_.push_back("invariant " + std::to_string(number) + ": " + what);
+}
+
+void Invariants::OnZoneOut(const std::string& zone) {
+  zone_out_at_[zone] = world_.Now();
+}
+
+void Invariants::OnAccepted(std::uint64_t version) {
+  accepted_at_[version] = world_.Now();
+}
+
+void Invariants::Observe() {
+  ObserveDocuments();
+  ObserveNewRuns();
+}
+
+void Invariants::ObserveDocuments() {
+  std::uint64_t due = 0;
+  for (const auto& [version, at] : accepted_at_) {
+    if (world_.Now() - at > kDocumentLimit) due = std::max(due, version);
+  }
+  for (const std::string& host : world_.RunningHosts()) {
+    const core::HostCore& core = *world_.Core(host);
+    const std::uint64_t version = core.document().version;
+    std::uint64_t& highest = version_of_[{host, core.self().incarnation}];
+    if (version < highest) {
+      Report(10, host + " went back from document " + std::to_string(highest) +
+                     " to " + std::to_string(version));
+    }
+    highest = std::max(highest, version);
+    if (core.HoldsLease() && version != 0 && version < due) {
+      Report(10, host + " serves document " + std::to_string(version) +
+                     " although " + std::to_string(due) + " was accepted");
+    }
+  }
+}
+
+void Invariants::ObserveNewRuns() {
+  for (; runs_seen_ < world_.runs().size(); ++runs_seen_) {
+    const LeafRun& run = world_.runs()[runs_seen_];
+    const std::string zone = world_.leaf(run.leaf.value).leaf().zone.value;
+    const auto out = zone_out_at_.find(zone);
+    if (out != zone_out_at_.end() && run.at - out->second > kZoneOutLimit) {
+      Report(4, run.leaf.value + " got new work after its zone was taken out");
+    }
+    const auto leaving = leaving_at_.find(run.leaf.value);
+    if (leaving != leaving_at_.end() &&
+        run.at - leaving->second > kLeavingLimit) {
+      Report(8, run.leaf.value + " got new work although it is leaving");
+    }
+  }
+}
+
+std::vector<std::string> Invariants::Violations() {
+  Observe();
+  for (const CallerRecord& record : world_.records()) CheckRecord(record);
+  CheckOrders();
+  CheckLeaves();
+  return std::exchange(violations_, {});
+}
+
+void Invariants::CheckRecord(const CallerRecord& record) {
+  if (record.replies > 1) Report(5, Describe(record) + " got several replies");
+  if (record.replies == 0) {
+    const bool overdue = world_.Now() > record.request.deadline + kReplyGrace;
+    if (!record.host_lost && overdue)
+      Report(9, Describe(record) + " got no reply");
+    return;
+  }
+  if (const auto* answer = std::get_if<Answer>(&*record.reply))
+    CheckAnswer(record, *answer);
+}
+
+void Invariants::CheckAnswer(const CallerRecord& record, const Answer& answer) {
+  const model::Coverage& coverage = answer.coverage;
+  if (coverage.shards_answered != answer.results.size() ||
+      coverage.shards_answered + coverage.missing.size() !=
+          coverage.shards_total) {
+    Report(2, Describe(record) + " got a coverage that does not add up");
+  }
+  std::set<std::uint32_t> shards;
+  for (const model::MissingShard& missing : coverage.missing)
+    shards.insert(missing.shard);
+  for (const model::ShardResult& result : answer.results) {
+    if (!shards.insert(result.shard).second) {
+      Report(2, Describe(record) + " counts shard " +
+                    std::to_string(result.shard) + " twice");
+    }
+    const bool lookup = record.request.kind == RequestKind::kLookup;
+    const bool whole = record.request.kind == RequestKind::kQuery;
+    model::UpstreamCall call;
+    call.service = record.request.service;
+    call.payload = record.request.payload;
+    call.key = record.request.key;
+    const std::string expected =
+        ResultText(call, answer.version, result.shard, coverage.shards_total);
+    // A lookup's coverage counts its one shard, so only its beginning and
+    // version are compared.
+    const bool matches = whole ? result.result == expected
+                               : result.result.starts_with(expected.substr(
+                                     0, expected.rfind('"') + 1));
+    const bool same_version =
+        result.result.ends_with("," + std::to_string(answer.version) + "]");
+    if (!matches)
+      Report(5, Describe(record) +
+                    " got the result of another request or partition");
+    if ((whole || lookup) && !same_version)
+      Report(1, Describe(record) + " mixes versions");
+  }
+}
+
+void Invariants::CheckOrders() {
+  using Key = std::pair<std::string, std::string>;
+  std::map<Key, std::vector<base::TimePoint>> runs;
+  for (const LeafRun& run : world_.runs()) {
+    if (run.kind == RequestKind::kOrder)
+      runs[{run.service.value, run.key}].push_back(run.at);
+  }
+  std::map<Key, std::vector<const CallerRecord*>> requests;
+  for (const CallerRecord& record : world_.records()) {
+    if (record.request.kind != RequestKind::kOrder) continue;
+    requests[{record.request.service.value, record.request.key}].push_back(
+        &record);
+  }
+  for (const auto& [key, times] : runs) {
+    if (times.size() > 1) {
+      Report(7, "order \"" + key.second + "\" ran " +
+                    std::to_string(times.size()) + " times");
+    }
+    for (const CallerRecord* record : requests[key]) {
+      const auto* refusal =
+          record->reply ? std::get_if<Refusal>(&*record->reply) : nullptr;
+      if (refusal == nullptr || refusal->ran != model::Ran::kNotRun) continue;
+      const base::TimePoint ran_at = times.front();
+      // A later run is fine if another request for the same order could have
+      // caused it.
+      const bool other_cause =
+          std::any_of(requests[key].begin(), requests[key].end(),
+                      [&](const CallerRecord* other) {
+                        return other != record && other->asked_at <= ran_at &&
+                               (!other->reply || other->replied_at >= ran_at);
+                      });
+      if (ran_at <= record->replied_at || !other_cause) {
+        Report(6, Describe(*record) + " was told \"not run\" but ran");
+      }
+    }
+  }
+}
+
+void Invariants::CheckLeaves() {
+  for (const auto& [name, leaf] : world_.leaves()) {
+    if (leaf->most_running() > leaf->leaf().slots) {
+      Report(3, name + " ran " + std::to_string(leaf->most_running()) +
+                    " calls at once");
+    }
+    if (leaf->most_running_cold() > 1) {
+      Report(3, name + " ran " + std::to_string(leaf->most_running_cold()) +
+                    " calls at once while cold");
+    }
+  }
+}
+
+}  // namespace berylreach::testing
--- /dev/null
+++ b/testing/lib/traffic.cc
@@ -0,0 +1,95 @@
+// Background traffic of a test.
+#include "berylreach/testing/traffic.h"
+
+#include <utility>
+#include <variant>
+
+namespace berylreach::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDeadline{800};
+constexpr int kMaxAttempts = 6;
+// Few distinct payloads, so that most are proven and some are not.
+constexpr std::uint64_t kPayloads = 20;
+
+}  // namespace
+
+void Traffic::Start(milliseconds interval) {
+  interval_ = interval;
+  running_ = true;
+  Send();
+}
+
+void Traffic::Send() {
+  if (!running_) return;
+  SendOne(AnyHost());
+  RepeatOrders();
+  world_.After(interval_, [this] { Send(); });
+}
+
+void Traffic::SendOne(const std::string& host) {
+  if (host.empty()) return;
+  const std::string number = std::to_string(++sent_);
+  model::CallerRequest query;
+  query.kind = model::RequestKind::kQuery;
+  query.service = {"order-desk"};
+  query.payload =
+      "\"batch " + std::to_string(world_.random().Below(kPayloads)) + "\"";
+  world_.Ask(host, query, kDeadline);
+  model::CallerRequest lookup;
+  lookup.kind = model::RequestKind::kLookup;
+  lookup.service = {"buckle-screen"};
+  lookup.key = "buckle " + std::to_string(world_.random().Below(kPayloads));
+  lookup.payload = "\"" + lookup.key + "\"";
+  world_.Ask(host, lookup, kDeadline);
+  model::CallerRequest order;
+  order.kind = model::RequestKind::kOrder;
+  order.service = {"hide-ledger"};
+  order.key = "order " + number;
+  order.payload = "\"cut " + number + "\"";
+  order.issued_at = world_.WallNow();
+  SendOrder(host, order);
+}
+
+void Traffic::SendOrder(const std::string& host,
+                        const model::CallerRequest& request) {
+  open_orders_.push_back({world_.Ask(host, request, kDeadline), 1});
+}
+
+void Traffic::RepeatOrders() {
+  std::vector<OpenOrder> still_open;
+  for (const OpenOrder& order : std::exchange(open_orders_, {})) {
+    const CallerRecord& record = world_.records()[order.record];
+    const bool answered =
+        record.reply && std::holds_alternative<model::Answer>(*record.reply);
+    if (answered || order.attempts >= kMaxAttempts) continue;
+    // A caller also repeats while its first request still runs, such as after
+    // its own time-out.
+    const bool impatient = world_.random().Chance(0.1);
+    const std::string host = AnyHost();
+    const bool repeat = record.reply || record.host_lost || impatient;
+    if (!repeat || host.empty()) {
+      still_open.push_back(order);
+      continue;
+    }
+    still_open.push_back(
+        {world_.Ask(host, record.request, kDeadline), order.attempts + 1});
+  }
+  open_orders_.insert(open_orders_.end(), still_open.begin(), still_open.end());
+}
+
+std::string Traffic::AnyHost() {
+  // Like the balancer, prefers hosts that are ready.
+  std::vector<std::string> ready;
+  const auto running = world_.RunningHosts();
+  for (const std::string& host : running) {
+    if (world_.Ready(host)) ready.push_back(host);
+  }
+  const auto& hosts = ready.empty() ? running : ready;
+  return hosts.empty() ? std::string()
+                       : hosts[world_.random().Below(hosts.size())];
+}
+
+}  // namespace berylreach::testing
--- /dev/null
+++ b/testing/lib/world.cc
@@ -0,0 +1,208 @@
+// Hosts, callers and operators of a test.
+#include "berylreach/testing/world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "berylreach/testing/operator_session.h"
+#include "berylreach/testing/world_host.h"
+
+namespace berylreach::testing {
+namespace {
+
+constexpr std::chrono::milliseconds kStep{1};
+
+}  // namespace
+
+World::World(model::Environment environment, std::uint64_t seed)
+    : random_(seed),
+      queue_(clock_),
+      store_(queue_, random_),
+      environment_(std::move(environment)) {
+  // Time 0 has a meaning of its own in some state machines.
+  clock_.Advance(std::chrono::hours(1));
+  for (const model::Service& service : environment_.services) {
+    for (const model::Leaf& leaf : service.leaves) {
+      leaves_.emplace(leaf.name.value,
+                      std::make_unique<FakeLeaf>(queue_, random_, leaf,
+                                                 [this](const LeafRun& run) {
+                                                   runs_.push_back(run);
+                                                 }));
+    }
+    PublishVersion(service.name.value, 1, service.shards, false);
+  }
+}
+
+World::~World() = default;
+
+World::Host* World::Find(const std::string& host) {
+  const auto found = hosts_.find(host);
+  return found == hosts_.end() ? nullptr : found->second.get();
+}
+
+const World::Host* World::Find(const std::string& host) const {
+  const auto found = hosts_.find(host);
+  return found == hosts_.end() ? nullptr : found->second.get();
+}
+
+void World::StartHost(const std::string& host, const std::string& zone) {
+  core::CoreOptions options;
+  options.self = {
+      {host}, ++last_incarnation_, {zone}, host + ":1", host + ":2"};
+  options.environment = "production";
+  auto started = std::make_unique<Host>();
+  started->name = host;
+  started->incarnation = last_incarnation_;
+  started->core = std::make_unique<core::HostCore>(clock_, options);
+  Host& running = *started;
+  hosts_[host] = std::move(started);
+  Carry(running, running.core->Start());
+}
+
+void World::KillHost(const std::string& host) {
+  for (CallerRecord& record : records_) {
+    if (record.host.value == host && record.replies == 0)
+      record.host_lost = true;
+  }
+  hosts_.erase(host);
+}
+
+void World::FreezeHost(const std::string& host) {
+  if (Host* found = Find(host)) found->frozen = true;
+}
+
+void World::WakeHost(const std::string& host) {
+  Host* found = Find(host);
+  if (found == nullptr || !found->frozen) return;
+  found->frozen = false;
+  const std::uint64_t incarnation = found->incarnation;
+  auto events = std::exchange(found->delayed, {});
+  for (auto& event : events) event();
+  Dispatch(host, incarnation, [](core::HostCore& core) { return core.Tick(); });
+}
+
+void World::StopHost(const std::string& host) {
+  if (const Host* found = Find(host)) {
+    Dispatch(host, found->incarnation,
+             [](core::HostCore& core) { return core.Stop(); });
+  }
+}
+
+bool World::Stopped(const std::string& host) const {
+  const Host* found = Find(host);
+  return found != nullptr && found->core->stopped();
+}
+
+bool World::Ready(const std::string& host) const {
+  const Host* found = Find(host);
+  return found != nullptr && !found->frozen && found->core->ready();
+}
+
+const core::HostCore* World::Core(const std::string& host) const {
+  const Host* found = Find(host);
+  return found == nullptr ? nullptr : found->core.get();
+}
+
+std::vector<std::string> World::RunningHosts() const {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : hosts_) names.push_back(name);
+  return names;
+}
+
+void World::Dispatch(const std::string& host, std::uint64_t incarnation,
+                     std::function<core::Actions(core::HostCore&)> event) {
+  Host* found = Find(host);
+  if (found == nullptr || found->incarnation != incarnation) return;
+  if (found->frozen) {
+    found->delayed.push_back([this, host, incarnation, event] {
+      Dispatch(host, incarnation, event);
+    });
+    return;
+  }
+  Carry(*found, event(*found->core));
+}
+
+std::size_t World::Ask(const std::string& host, model::CallerRequest request,
+                       std::chrono::milliseconds deadline) {
+  request.id = {~std::uint64_t{0}, ++last_request_};
+  request.deadline = clock_.Now() + deadline;
+  CallerRecord record;
+  record.host = {host};
+  record.request = request;
+  record.asked_at = clock_.Now();
+  const Host* found = Find(host);
+  record.host_lost = found == nullptr;
+  record.incarnation = found == nullptr ? 0 : found->incarnation;
+  record_of_.emplace(request.id, records_.size());
+  records_.push_back(record);
+  Dispatch(host, record.incarnation, [request](core::HostCore& core) {
+    return core.OnCallerRequest(request);
+  });
+  return records_.size() - 1;
+}
+
+void World::OnReply(const core::ReplyToCaller& reply) {
+  CallerRecord& record = records_.at(record_of_.at(reply.id));
+  ++record.replies;
+  record.reply = reply.reply;
+  record.replied_at = clock_.Now();
+}
+
+std::optional<std::uint64_t> World::Submit(
+    const model::Environment& environment) {
+  // Shared, because a submission may outlast the wait for it.
+  const auto accepted = std::make_shared<std::optional<std::uint64_t>>();
+  SubmitLater(environment,
+              [accepted](std::uint64_t version) { *accepted = version; });
+  RunUntil([&] { return accepted->has_value(); }, std::chrono::seconds(10));
+  return *accepted;
+}
+
+void World::SubmitLater(const model::Environment& environment,
+                        std::function<void(std::uint64_t)> accepted) {
+  const auto session = std::make_shared<OperatorSession>(
+      queue_, store_, random_.Bits(), environment,
+      [this, environment,
+       accepted = std::move(accepted)](std::uint64_t version) {
+        if (version == 0) return;
+        environment_ = environment;
+        accepted(version);
+      });
+  queue_.After(base::Duration(0), [session] { session->Start(); });
+}
+
+void World::SetLeaving(const std::set<std::string>& leaves) {
+  ++host_list_.index;
+  host_list_.entries.clear();
+  for (const std::string& leaf : leaves)
+    host_list_.entries.push_back({leaf, true});
+}
+
+void World::PublishVersion(const std::string& service, std::uint64_t version,
+                           std::uint32_t shard_count, bool keep_previous) {
+  const model::Service* found = model::FindService(environment_, {service});
+  std::size_t place = 0;
+  for (const model::Leaf& leaf : found->leaves) {
+    FakeLeaf& fake = *leaves_.at(leaf.name.value);
+    std::vector<model::Holding> holdings;
+    if (keep_previous) holdings = fake.Status().holdings;
+    // Leaves are ordered by name, so that the replicas of a shard follow each
+    // other.
+    const auto shard = static_cast<std::uint32_t>(
+        place++ * std::size_t{shard_count} / found->leaves.size());
+    holdings.push_back({version, shard, shard_count});
+    fake.SetHoldings(std::move(holdings));
+  }
+}
+
+bool World::RunUntil(const std::function<bool()>& condition,
+                     base::Duration limit) {
+  const base::TimePoint end = queue_.Now() + limit;
+  while (!condition()) {
+    if (queue_.Now() >= end) return false;
+    RunFor(kStep);
+  }
+  return true;
+}
+
+}  // namespace berylreach::testing
--- /dev/null
+++ b/testing/lib/world_io.cc
@@ -0,0 +1,209 @@
+// The interfaces of the hosts of a test: network, leaves, store and host list.
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "berylreach/testing/world.h"
+#include "berylreach/testing/world_host.h"
+
+namespace berylreach::testing {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr microseconds kSameZone{250};
+constexpr milliseconds kOtherRegion{20};
+// The hand-over from the core thread to an I/O thread; the process may stand
+// still in between.
+constexpr microseconds kThreadHop{50};
+constexpr milliseconds kStatusInterval{1000};
+constexpr milliseconds kStatusRead{1};
+constexpr milliseconds kHostListRead{2};
+
+}  // namespace
+
+void World::Carry(Host& host, core::Actions actions) {
+  for (core::Action& action : actions) CarryOne(host, action);
+  ScheduleTick(host);
+}
+
+void World::CarryOne(Host& host, core::Action& action) {
+  if (const auto* send = std::get_if<core::SendToPeer>(&action)) {
+    SendPeer(host, *send);
+  } else if (const auto* call = std::get_if<core::CallUpstream>(&action)) {
+    CallUpstream(host, call->call);
+  } else if (const auto* cancel = std::get_if<core::CancelUpstream>(&action)) {
+    for (auto& [name, leaf] : leaves_) leaf->Cancel(cancel->id);
+  } else if (const auto* store = std::get_if<core::CallStore>(&action)) {
+    CallStore(host, store->request);
+  } else if (std::holds_alternative<core::PollHostList>(action)) {
+    PollHostList(host);
+  } else if (const auto* reply = std::get_if<core::ReplyToCaller>(&action)) {
+    OnReply(*reply);
+  } else if (const auto* event = std::get_if<core::RecordEvent>(&action)) {
+    Record(host, event->type, event->subject, event->detail);
+  } else if (auto* statuses = std::get_if<core::ReadLeafStatuses>(&action)) {
+    host.status_leaves = std::move(statuses->leaves);
+    ReadStatuses(host.name, host.incarnation, ++host.status_generation);
+  } else if (const auto* peers = std::get_if<core::SetPeers>(&action)) {
+    host.peers.clear();
+    for (const model::Member& member : peers->members)
+      host.peers.insert(member.host.value);
+  }
+}
+
+void World::SendPeer(Host& from, const core::SendToPeer& send) {
+  const std::string to = send.to.value;
+  if (!from.peers.contains(to) || !LinkUp(from.name, to)) return;
+  if (random_.Chance(message_loss_)) return;
+  const model::Envelope envelope{{from.name}, from.incarnation, send.message};
+  const int copies = random_.Chance(message_duplication_) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    const auto delay = Latency(from, to) + copy * kOtherRegion;
+    queue_.After(delay, [this, to, sender = from.name, envelope] {
+      const Host* receiver = Find(to);
+      if (receiver == nullptr || !LinkUp(sender, to)) return;
+      Dispatch(to, receiver->incarnation, [envelope](core::HostCore& core) {
+        return core.OnEnvelope(envelope);
+      });
+    });
+  }
+}
+
+void World::CallUpstream(Host& host, const model::UpstreamCall& call) {
+  const std::string name = host.name;
+  const std::uint64_t incarnation = host.incarnation;
+  const auto reply = [this, name,
+                      incarnation](const model::UpstreamResult& result) {
+    Dispatch(name, incarnation, [result](core::HostCore& core) {
+      return core.OnUpstreamResult(result);
+    });
+  };
+  const auto write = [this, call, reply]() -> core::Actions {
+    // The I/O thread checks the clock immediately before it writes.
+    if (clock_.Now() > call.not_after) {
+      model::UpstreamResult unsent;
+      unsent.id = call.id;
+      unsent.leaf = call.leaf;
+      reply(unsent);
+    } else {
+      leaves_.at(call.leaf.value)->Call(call, reply);
+    }
+    return {};
+  };
+  queue_.After(kThreadHop, [this, name, incarnation, write] {
+    Dispatch(name, incarnation, [write](core::HostCore&) { return write(); });
+  });
+}
+
+void World::CallStore(Host& host, const model::StoreRequest& request) {
+  const std::string name = host.name;
+  const std::uint64_t incarnation = host.incarnation;
+  const auto reply = [this, name,
+                      incarnation](const model::StoreResult& result) {
+    Dispatch(name, incarnation, [result](core::HostCore& core) {
+      return core.OnStoreResult(result);
+    });
+  };
+  if (!cut_from_store_.contains(name)) return store_.Call(request, reply);
+  model::StoreResult unknown;
+  unknown.id = request.id;
+  queue_.After(std::chrono::seconds(1), [reply, unknown] { reply(unknown); });
+}
+
+void World::PollHostList(Host& host) {
+  ++host_list_calls_;
+  const bool reachable = !cut_from_store_.contains(host.name);
+  const std::string name = host.name;
+  const std::uint64_t incarnation = host.incarnation;
+  queue_.After(kHostListRead, [this, name, incarnation, reachable] {
+    std::optional<model::HostList> list;
+    if (reachable) list = host_list_;
+    Dispatch(name, incarnation,
+             [list](core::HostCore& core) { return core.OnHostList(list); });
+  });
+}
+
+void World::ReadStatuses(const std::string& host, std::uint64_t incarnation,
+                         std::uint64_t generation) {
+  const Host* found = Find(host);
+  if (found == nullptr || found->incarnation != incarnation) return;
+  if (found->status_generation != generation) return;
+  queue_.After(kStatusRead, [this, host, incarnation, generation] {
+    const Host* reader = Find(host);
+    if (reader == nullptr || reader->status_generation != generation) return;
+    for (const model::Leaf& leaf :
+         std::vector<model::Leaf>(reader->status_leaves)) {
+      const auto status = leaves_.at(leaf.name.value)->Status();
+      Dispatch(host, incarnation, [status](core::HostCore& core) {
+        return core.OnLeafStatus(status);
+      });
+    }
+  });
+  queue_.After(kStatusInterval, [this, host, incarnation, generation] {
+    ReadStatuses(host, incarnation, generation);
+  });
+}
+
+void World::ScheduleTick(Host& host) {
+  const base::TimePoint next = host.core->NextWakeup();
+  if (next >= host.tick_at || next == base::TimePoint::max()) return;
+  host.tick_at = next;
+  const std::string name = host.name;
+  const std::uint64_t incarnation = host.incarnation;
+  queue_.At(next, [this, name, incarnation, next] {
+    Host* found = Find(name);
+    if (found == nullptr || found->incarnation != incarnation) return;
+    if (found->tick_at == next) found->tick_at = base::TimePoint::max();
+    Dispatch(name, incarnation,
+             [](core::HostCore& core) { return core.Tick(); });
+  });
+}
+
+void World::Record(const Host& host, const std::string& type,
+                   const std::string& subject, const std::string& detail) {
+  events_.push_back({clock_.Now(), host.name, type, subject, detail});
+}
+
+void World::SetLink(const std::string& a, const std::string& b, bool up) {
+  if (up) {
+    cut_links_.erase(std::minmax(a, b));
+  } else {
+    cut_links_.insert(std::minmax(a, b));
+  }
+}
+
+void World::SetIsolated(const std::string& host, bool isolated) {
+  for (const auto& [other, state] : hosts_) {
+    if (other != host) SetLink(host, other, !isolated);
+  }
+}
+
+void World::SetStoreReachable(const std::string& host, bool reachable) {
+  if (reachable) {
+    cut_from_store_.erase(host);
+  } else {
+    cut_from_store_.insert(host);
+  }
+}
+
+void World::SetMessageFaults(double loss, double duplication) {
+  message_loss_ = loss;
+  message_duplication_ = duplication;
+}
+
+bool World::LinkUp(const std::string& a, const std::string& b) const {
+  return !cut_links_.contains(std::minmax(a, b));
+}
+
+base::Duration World::Latency(const Host& a, const std::string& to) const {
+  const Host* other = Find(to);
+  if (other == nullptr) return kOtherRegion;
+  return a.core->self().zone == other->core->self().zone
+             ? base::Duration(kSameZone)
+             : base::Duration(kOtherRegion);
+}
+
+}  // namespace berylreach::testing
--- /dev/null
+++ b/tools/berylreachd/main.cc
@@ -0,0 +1,139 @@
+// The entry host's server process.
+#include <gflags/gflags.h>
+#include <pthread.h>
+#include <signal.h>  // NOLINT(modernize-deprecated-headers): sigwait is POSIX only.
+
+#include <atomic>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "berylreach/config/host_settings.h"
+#include "berylreach/host/host_process.h"
+#include "berylreach/host/log.h"
+
+DEFINE_string(settings, "", "path of the settings file (JSON)");
+DEFINE_string(http_listen, "", "overrides http_listen of the settings");
+DEFINE_string(rpc_listen, "", "overrides rpc_listen of the settings");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace {
+
+constexpr int kUsageError = 2;
+constexpr int kSettingsError = 3;
+constexpr int kBindError = 4;
+constexpr int kStopTimedOut = 5;
+constexpr unsigned kStopLimitSeconds = 30;
+
+using berylreach::config::HostSettings;
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+std::optional<HostSettings> LoadSettings() {
+  const auto bytes = ReadFile(FLAGS_settings);
+  if (!bytes) {
+    std::cerr << "cannot read settings file \"" << FLAGS_settings << "\"\n";
+    return std::nullopt;
+  }
+  auto parsed = berylreach::config::ParseHostSettings(*bytes);
+  for (const auto& finding : parsed.findings) {
+    std::cerr << FLAGS_settings << ":" << finding.place << ": "
+              << finding.message << "\n";
+  }
+  if (!parsed.value) return std::nullopt;
+  if (!FLAGS_http_listen.empty()) parsed.value->http_listen = FLAGS_http_listen;
+  if (!FLAGS_rpc_listen.empty()) parsed.value->rpc_listen = FLAGS_rpc_listen;
+  return std::move(parsed.value);
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+int WaitForSignal() {
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return signal;
+}
+
+// A second signal, or the limit, ends a planned stop that does not finish.
+void EndOnSecondSignal() {
+  std::thread([] {
+    WaitForSignal();
+    std::_Exit(kStopTimedOut);
+  }).detach();
+  std::thread([] {
+    std::this_thread::sleep_for(std::chrono::seconds(kStopLimitSeconds));
+    std::_Exit(kStopTimedOut);
+  }).detach();
+}
+
+int Run(const HostSettings& settings) {
+  // Blocked in all threads, so that only sigwait receives them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A peer that closes its connection must not end the process.
+  signal(SIGPIPE, SIG_IGN);
+  berylreach::host::StartLog(settings.host.value);
+  std::atomic<bool> stopped = false;
+  auto process = berylreach::host::HostProcess::Start(settings, [&stopped] {
+    stopped = true;
+    stopped.notify_all();
+  });
+  if (!process) {
+    std::cerr << "cannot listen on " << process.error().address << ": "
+              << process.error().message << "\n";
+    return kBindError;
+  }
+  std::cout << R"({"http":")" << process.value()->http_address()
+            << R"(","rpc":")" << process.value()->rpc_address() << "\"}"
+            << std::endl;
+  WaitForSignal();
+  EndOnSecondSignal();
+  process.value()->Stop();
+  stopped.wait(false);
+  process.value().reset();
+  berylreach::host::StopLog();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetVersionString(BERYLREACH_VERSION);
+  gflags::SetUsageMessage(
+      "runs one berylreach entry host\n\n"
+      "  berylreachd --settings=FILE [--http_listen=IP:PORT] "
+      "[--rpc_listen=IP:PORT] [--check]\n\n"
+      "Prints the bound addresses as one JSON line when ready to accept "
+      "connections.\n"
+      "SIGTERM begins a planned stop; a second signal ends it at once.\n"
+      "Exit status: 0 stopped, 2 wrong usage, 3 wrong settings, 4 cannot "
+      "listen,\n"
+      "5 planned stop cut short.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc > 1 || FLAGS_settings.empty()) {
+    std::cerr << "usage: berylreachd --settings=FILE (see --help)\n";
+    return kUsageError;
+  }
+  const auto settings = LoadSettings();
+  if (!settings) return kSettingsError;
+  if (FLAGS_check) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  return Run(*settings);
+}
