Test leases, fences and quorums of membership on their own

Cause: some safety mechanisms back each other up, so that disabling one of them failed no test. Change: unit tests of ServingLease, DepartedFences, TakeoverWaits and QuorumHistory, and of the epochs that a witness grants. Measured: all pass.

--- /dev/null
+++ b/membership/unittests/departed_fences_test.cc
@@ -0,0 +1,106 @@
+// Guards against work on a leaf while a removed host may still work on it.
+#include "berylreach/membership/departed_fences.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "berylreach/membership/constants.h"
+#include "berylreach/membership/quorum_history.h"
+#include "berylreach/membership/takeover_waits.h"
+
+namespace berylreach::membership {
+namespace {
+
+model::Member Host(const char* name) { return {{name}, 1, {"zone"}, "", ""}; }
+
+class DepartedFencesTest : public testing::Test {
+ protected:
+  DepartedFencesTest() {
+    record_.epoch = 8;
+    record_.members = {Host("self"), Host("peer")};
+    record_.departed = {{Host("gone"), 8, 2}};
+  }
+
+  void Release(const char* host, std::uint64_t epoch,
+               std::vector<model::LeafName> held = {}) {
+    releases_.Record({host}, 1, model::Release{epoch, std::move(held)});
+  }
+
+  bool FencedAfter(std::chrono::milliseconds span) {
+    fences_.Update(record_, {"self"}, now_);
+    now_ += span;
+    fences_.Update(record_, {"self"}, now_);
+    return fences_.Fenced(record_.departed[0], record_, now_);
+  }
+
+  static constexpr auto kWait = kLeaseDuration + kClockMargin;
+
+  model::HeadRecord record_;
+  ReleaseTable releases_;
+  DepartedFences fences_{releases_};
+  base::TimePoint now_ = base::TimePoint(std::chrono::seconds(9));
+};
+
+TEST_F(DepartedFencesTest, WaitsForTheLeaseAfterTheLastRelease) {
+  EXPECT_FALSE(FencedAfter(kWait * 3));
+  Release("peer", 7);
+  EXPECT_FALSE(FencedAfter(kWait * 3));
+  Release("peer", 8);
+  EXPECT_FALSE(FencedAfter(kWait - std::chrono::milliseconds(1)));
+  EXPECT_TRUE(FencedAfter(std::chrono::milliseconds(1)));
+}
+
+TEST_F(DepartedFencesTest, DepartedHostsMayWitnessEachOther) {
+  record_.departed.push_back({Host("gone1"), 8, 2});
+  record_.departed.push_back({Host("gone2"), 8, 2});
+  Release("peer", 8);
+  EXPECT_FALSE(FencedAfter(kWait * 3));
+  Release("gone2", 8);
+  EXPECT_TRUE(FencedAfter(kWait));
+}
+
+TEST_F(DepartedFencesTest, OwnReleaseFencesAllButTheHeldLeaves) {
+  Release("gone", 8, {{"held"}});
+  EXPECT_FALSE(FencedAfter(kWait));
+  const model::Departed& entry = record_.departed[0];
+  EXPECT_TRUE(fences_.FencedFor({"other"}, entry, record_, now_));
+  EXPECT_FALSE(fences_.FencedFor({"held"}, entry, record_, now_));
+  Release("gone", 8);
+  EXPECT_TRUE(FencedAfter(kWait));
+}
+
+// A member at a later epoch may own the leaf again and work on it.
+TEST_F(DepartedFencesTest, ReleaseOfALaterEpochEndsNoTakeover) {
+  record_.departed.clear();
+  TakeoverWaits waits({"self"}, releases_, fences_);
+  waits.SetOwned(8, {{"leaf"}});
+  Release("peer", 9);
+  EXPECT_TRUE(waits.Advance(record_, now_).empty());
+  record_.epoch = 9;
+  waits.SetOwned(9, {{"leaf"}});
+  EXPECT_EQ(waits.Advance(record_, now_).size(), 1U);
+  EXPECT_TRUE(waits.Complete(9, {"leaf"}));
+}
+
+// A host that lags at an epoch of two members leases with one acknowledgement.
+TEST_F(DepartedFencesTest, QuorumIsTheLeastOfAllPossibleEpochs) {
+  QuorumHistory quorums;
+  quorums.StartEpoch(record_);
+  quorums.Confirm({"peer"}, 1, 8);
+  for (const char* name : {"a", "b", "c", "d"}) {
+    record_.members.push_back(Host(name));
+  }
+  record_.epoch = 9;
+  quorums.StartEpoch(record_);
+  EXPECT_EQ(quorums.LeastQuorum(Host("peer")), 1U);
+  EXPECT_EQ(quorums.LeastQuorum(Host("never seen")), 1U);
+  quorums.Confirm({"peer"}, 1, 9);
+  EXPECT_EQ(quorums.LeastQuorum(Host("peer")), 3U);
+}
+
+}  // namespace
+}  // namespace berylreach::membership
--- a/membership/unittests/membership_test.cc
+++ b/membership/unittests/membership_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <variant>
+#include <vector>
 
 #include "berylreach/membership/constants.h"
 #include "test_cluster.h"
@@ -137,6 +139,7 @@
   cluster.Run(milliseconds(1500));
   EXPECT_TRUE(cluster.machine(4).has_left());
   EXPECT_FALSE(cluster.machine(4).HoldsLease());
+  EXPECT_EQ(cluster.machine(4).LeaseExpiry(), base::TimePoint::min());
   EXPECT_EQ(cluster.store.record().members.size(), 5U);
   EXPECT_EQ(cluster.ServedLeaves(), 12);
   EXPECT_EQ(cluster.conflicts, 0);
@@ -211,5 +214,28 @@
   EXPECT_EQ(cluster.Leases(), 3);
 }
 
+// Guards against a witness that acknowledges an epoch which it has left.
+TEST(MembershipTest, WitnessGrantsOnlyItsOwnEpoch) {
+  TestCluster cluster(2);
+  cluster.StartAll();
+  cluster.Run(seconds(5));
+  const TestHost& sender = *cluster.hosts[1];
+  const auto epoch = cluster.machine(0).epoch();
+  std::vector<bool> grants;
+  for (const auto asked : {epoch - 1, epoch}) {
+    Actions out;
+    cluster.machine(0).OnMessage(
+        sender.name, sender.incarnation,
+        model::Heartbeat{1, sender.incarnation, asked, {}, 0, 0, 0}, out);
+    for (const Action& action : out) {
+      const auto* send = std::get_if<SendTo>(&action);
+      if (send == nullptr) continue;
+      const auto* ack = std::get_if<model::HeartbeatAck>(&send->message);
+      if (ack != nullptr) grants.push_back(ack->granted);
+    }
+  }
+  EXPECT_EQ(grants, (std::vector<bool>{false, true}));
+}
+
 }  // namespace
 }  // namespace berylreach::membership
