--- a/rollout/unittests/rollout_test.cc
+++ b/rollout/unittests/rollout_test.cc
@@ -164,6 +164,7 @@
   rollout_.OnAnnounced(document.ref, out_);
   EXPECT_EQ(Sent<model::PartsRequest>()[0].first, "peer");
   Wait(kPeerTimeout);
+  ASSERT_EQ(Sent<model::PartsRequest>().size(), 1U);
   EXPECT_EQ(Sent<model::PartsRequest>()[0].first, "other");
   Wait(kPeerTimeout);
   EXPECT_EQ(Reads(), std::vector<std::string>{document.ref.hash});
