Add berylctl, the operators' command line

Cause: operators check, submit and promote documents and read the state of their environments from a shell. Change: a library with the subcommands, a store client of the Consul KV form and a Beast HTTP client; main only reads flags. A submit resolves lost answers by nonce and history entry, repeats after changes of members, and stops with the difference if another document came first. Conclusion: all subcommands work against the fake; no run against real hosts yet.

--- /dev/null
+++ b/tools/berylctl/lib/document_writer.cc
@@ -0,0 +1,114 @@
+// Puts a document into the head record of an environment.
+#include "berylreach/berylctl/document_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "berylreach/config/document_diff.h"
+
+namespace berylreach::berylctl {
+namespace {
+
+constexpr std::chrono::milliseconds kRetryPause{200};
+
+/// Whether a write of `entry` with `nonce` is part of `record`. A host may have
+/// changed the members since, which replaces the nonce but keeps the history.
+bool Contains(const model::HeadRecord& record, std::uint64_t nonce,
+              const model::DocumentEntry& entry) {
+  if (record.nonce == nonce) return true;
+  return std::find(record.history.begin(), record.history.end(), entry) !=
+         record.history.end();
+}
+
+Failure Undecided(bool may_be_accepted) {
+  return {ExitCode::kStoreUnreachable,
+          may_be_accepted
+              ? "the store does not answer; the document may or may not have "
+                "been accepted, see the history"
+              : "the store does not take the head record; the document was "
+                "not accepted"};
+}
+
+}  // namespace
+
+DocumentWriter::DocumentWriter(EnvironmentStore& store, Runtime& runtime,
+                               base::Duration limit)
+    : store_(store), runtime_(runtime), limit_(limit) {}
+
+Result<model::DocumentRef> DocumentWriter::Write(const Proposal& proposal) {
+  BOOST_OUTCOME_TRY(auto head, store_.ReadHead());
+  const model::DocumentRef& current = head.record.document;
+  if (current.hash == proposal.parts.manifest.hash) return current;
+  const std::uint64_t base = proposal.base_version.value_or(current.version);
+  if (current.version != base) return Conflict(base, head.record);
+  BOOST_OUTCOME_TRY(store_.WriteParts(proposal.parts));
+  return SwapUntilDecided(proposal, std::move(head), base);
+}
+
+Result<model::DocumentRef> DocumentWriter::SwapUntilDecided(
+    const Proposal& proposal, Head head, std::uint64_t base) {
+  const base::TimePoint deadline = runtime_.clock.Now() + limit_;
+  const model::DocumentEntry entry{
+      {base + 1, proposal.parts.manifest.hash},
+      proposal.author,
+      std::chrono::floor<std::chrono::milliseconds>(runtime_.clock.WallNow()),
+      proposal.note};
+  bool may_be_accepted = false;
+  while (runtime_.clock.Now() < deadline) {
+    const model::HeadRecord next = Next(head, entry);
+    const SwapOutcome outcome = store_.SwapHead(next, head.revision);
+    if (outcome == SwapOutcome::kApplied) return entry.document;
+    if (outcome == SwapOutcome::kUnknown) may_be_accepted = true;
+    const auto read = store_.ReadHead();
+    if (read && Contains(read.assume_value().record, next.nonce, entry))
+      return entry.document;
+    if (read && read.assume_value().record.document.version > base)
+      return Conflict(base, read.assume_value().record);
+    // An older revision is a stale read, and CAS would fail on it.
+    if (read && read.assume_value().revision > head.revision)
+      head = read.assume_value();
+    else
+      runtime_.pause(kRetryPause);
+  }
+  return Undecided(may_be_accepted);
+}
+
+model::HeadRecord DocumentWriter::Next(const Head& head,
+                                       const model::DocumentEntry& entry) {
+  model::HeadRecord next = head.record;
+  next.nonce = runtime_.random();
+  next.writer = entry.author;
+  next.document = entry.document;
+  next.history.push_back(entry);
+  if (next.history.size() > model::kMaxHistoryEntries)
+    next.history.erase(next.history.begin(),
+                       next.history.end() - model::kMaxHistoryEntries);
+  return next;
+}
+
+Failure DocumentWriter::Conflict(std::uint64_t base,
+                                 const model::HeadRecord& now) {
+  Failure failure{ExitCode::kConflict,
+                  "version " + std::to_string(now.document.version) +
+                      " is in "
+                      "force, but the document is based on version " +
+                      std::to_string(base)};
+  std::string base_hash;
+  for (const model::DocumentEntry& entry : now.history) {
+    if (entry.document.version == base) base_hash = entry.document.hash;
+  }
+  if (base != 0 && base_hash.empty()) {
+    failure.message += ", which is not in the history";
+    return failure;
+  }
+  const auto before = store_.ReadDocument(base_hash);
+  const auto after = store_.ReadDocument(now.document.hash);
+  if (before && after)
+    failure.changes =
+        config::DiffDocuments(before.assume_value(), after.assume_value());
+  else
+    failure.message += "; the difference cannot be read";
+  return failure;
+}
+
+}  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/lib/status_command.cc
@@ -0,0 +1,78 @@
+// The subcommand `status`.
+#include <utility>
+
+#include "arguments.h"
+#include "berylreach/berylctl/commands.h"
+#include "berylreach/berylctl/fleet.h"
+#include "report.h"
+
+namespace berylreach::berylctl {
+namespace {
+
+json::object ViewToJson(const HostView& view) {
+  json::object result{{"host", view.member.host.value},
+                      {"zone", view.member.zone.value},
+                      {"http_address", view.member.http_address},
+                      {"answers", view.status.has_value()}};
+  if (!view.status) return result;
+  result["epoch"] = view.status->epoch;
+  result["document"] = ToJson(view.status->document);
+  result["lease"] = view.status->lease;
+  result["ready"] = view.status->ready;
+  return result;
+}
+
+void Print(const HostView& view, std::ostream& out) {
+  out << Printable(view.member.host.value) << "  "
+      << Printable(view.member.zone.value) << "  "
+      << Printable(view.member.http_address) << "  ";
+  if (!view.status) {
+    out << "does not answer\n";
+    return;
+  }
+  out << "epoch " << view.status->epoch << "  version "
+      << view.status->document.version << "  "
+      << (view.status->lease ? "lease" : "no lease") << "  "
+      << (view.status->ready ? "ready" : "not ready") << '\n';
+}
+
+Failure MakeLag(const model::DocumentRef& document) {
+  return {ExitCode::kHostsLag, "version " + std::to_string(document.version) +
+                                   " is not in force on all hosts"};
+}
+
+}  // namespace
+
+Result<void> Status(const Options& options, Runtime& runtime) {
+  BOOST_OUTCOME_TRY(RequireArguments(options, 0, 0));
+  BOOST_OUTCOME_TRY(RequireEnvironment(options.environment, "--environment"));
+  StoreClient client(runtime.http, options.store);
+  EnvironmentStore store(client, options.environment);
+  BOOST_OUTCOME_TRY(auto head, store.ReadHead());
+  const model::HeadRecord& record = head.record;
+  if (!options.json)
+    runtime.out << options.environment << ": epoch " << record.epoch
+                << ", version " << record.document.version << " ("
+                << record.document.hash << ")\n";
+  Failure lag = MakeLag(record.document);
+  json::array hosts;
+  for (const model::Member& member : record.members) {
+    const HostView view = AskStatus(runtime.http, member);
+    if (!options.json) Print(view, runtime.out);
+    hosts.push_back(ViewToJson(view));
+    if (!HasInForce(view, record.document))
+      lag.hosts.push_back(DescribeLag(view));
+  }
+  const bool in_force = lag.hosts.empty();
+  if (options.json)
+    PrintJson({{"environment", options.environment},
+               {"epoch", record.epoch},
+               {"document", ToJson(record.document)},
+               {"hosts", std::move(hosts)},
+               {"in_force", in_force}},
+              runtime.out);
+  if (!in_force) return lag;
+  return Success();
+}
+
+}  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/lib/submit_command.cc
@@ -0,0 +1,32 @@
+// The subcommand `submit`.
+#include <utility>
+
+#include "arguments.h"
+#include "berylreach/berylctl/commands.h"
+#include "berylreach/berylctl/document_writer.h"
+#include "berylreach/berylctl/fleet.h"
+#include "document_file.h"
+#include "write_report.h"
+
+namespace berylreach::berylctl {
+
+Result<void> Submit(const Options& options, Runtime& runtime) {
+  BOOST_OUTCOME_TRY(RequireArguments(options, 1, 1));
+  BOOST_OUTCOME_TRY(RequireEnvironment(options.environment, "--environment"));
+  BOOST_OUTCOME_TRY(RequireAuthor(options));
+  const std::string& path = options.arguments[0];
+  BOOST_OUTCOME_TRY(auto bytes, ReadDocumentFile(path));
+  auto split = config::SplitDocument(bytes);
+  if (!split.value)
+    return Failure{
+        ExitCode::kFindings,
+        path + " has " + std::to_string(split.findings.size()) + " findings",
+        std::move(split.findings)};
+  StoreClient client(runtime.http, options.store);
+  EnvironmentStore store(client, options.environment);
+  const Proposal proposal{std::move(*split.value), options.base_version,
+                          options.author, options.note};
+  return WriteAndAwait(options, runtime, store, proposal);
+}
+
+}  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/lib/timeline_command.cc
@@ -0,0 +1,70 @@
+// The subcommand `timeline`.
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "arguments.h"
+#include "berylreach/berylctl/commands.h"
+#include "berylreach/berylctl/fleet.h"
+#include "report.h"
+
+namespace berylreach::berylctl {
+namespace {
+
+/// One event with the host that recorded it.
+struct HostEvent {
+  std::string host;
+  model::TimelineEvent event;
+};
+
+bool IsBefore(const HostEvent& left, const HostEvent& right) {
+  return std::tie(left.event.at, left.host, left.event.sequence) <
+         std::tie(right.event.at, right.host, right.event.sequence);
+}
+
+json::object EventToJson(const HostEvent& item) {
+  return {{"at", FormatTime(item.event.at)}, {"host", item.host},
+          {"sequence", item.event.sequence}, {"type", item.event.type},
+          {"subject", item.event.subject},   {"detail", item.event.detail}};
+}
+
+void Print(const HostEvent& item, std::ostream& out) {
+  out << FormatTime(item.event.at) << "  " << Printable(item.host) << " #"
+      << item.event.sequence << "  " << Printable(item.event.type) << "  "
+      << Printable(item.event.subject) << "  " << Printable(item.event.detail)
+      << '\n';
+}
+
+}  // namespace
+
+Result<void> Timeline(const Options& options, Runtime& runtime) {
+  BOOST_OUTCOME_TRY(RequireArguments(options, 0, 0));
+  BOOST_OUTCOME_TRY(RequireEnvironment(options.environment, "--environment"));
+  StoreClient client(runtime.http, options.store);
+  EnvironmentStore store(client, options.environment);
+  BOOST_OUTCOME_TRY(auto head, store.ReadHead());
+  Failure silent{ExitCode::kHostsLag, "not all hosts answered"};
+  std::vector<HostEvent> events;
+  for (const model::Member& member : head.record.members) {
+    auto timeline = AskTimeline(runtime.http, member);
+    if (!timeline) {
+      silent.hosts.push_back(DescribeLag({member, std::nullopt}));
+      continue;
+    }
+    for (model::TimelineEvent& event : timeline->events)
+      events.push_back({member.host.value, std::move(event)});
+  }
+  std::sort(events.begin(), events.end(), IsBefore);
+  json::array list;
+  for (const HostEvent& event : events) {
+    if (options.json)
+      list.push_back(EventToJson(event));
+    else
+      Print(event, runtime.out);
+  }
+  if (options.json) PrintJson({{"events", std::move(list)}}, runtime.out);
+  if (!silent.hosts.empty()) return silent;
+  return Success();
+}
+
+}  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/unittests/beast_http_client_test.cc
@@ -0,0 +1,106 @@
+// Guards against requests on the wire that servers do not understand, and
+// against calls that outlast their limit.
+#include "berylreach/berylctl/beast_http_client.h"
+
+#include <arpa/inet.h>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
+namespace berylreach::berylctl {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::HasSubstr;
+using testing::StartsWith;
+
+/// Accepts one connection, reads until `until` has arrived and sends a fixed
+/// answer. An empty answer leaves the connection silent until it is closed.
+class OneShotServer {
+ public:
+  OneShotServer(std::string until, std::string answer)
+      : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    EXPECT_EQ(bind(listener_, generic, size), 0);
+    EXPECT_EQ(listen(listener_, 1), 0);
+    EXPECT_EQ(getsockname(listener_, generic, &size), 0);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    thread_ = std::thread(
+        [this, until, answer] { received_ = Serve(until, answer); });
+  }
+  ~OneShotServer() {
+    if (thread_.joinable()) thread_.join();
+    close(listener_);
+  }
+
+  const std::string& address() const { return address_; }
+
+  /// What arrived; waits for the end of the connection.
+  std::string Received() {
+    thread_.join();
+    return received_;
+  }
+
+ private:
+  std::string Serve(const std::string& until, const std::string& answer) const {
+    const int connection = accept(listener_, nullptr, nullptr);
+    std::string text;
+    bool answered = answer.empty();
+    std::array<char, 4096> buffer{};
+    while (true) {
+      const ssize_t count = recv(connection, buffer.data(), buffer.size(), 0);
+      if (count <= 0) break;
+      text.append(buffer.data(), static_cast<std::size_t>(count));
+      if (answered || text.find(until) == std::string::npos) continue;
+      answered = true;
+      send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+    }
+    close(connection);
+    return text;
+  }
+
+  int listener_;
+  std::string address_;
+  std::string received_;
+  std::thread thread_;
+};
+
+TEST(BeastHttpClientTest, SendsAPutAndReadsTheAnswer) {
+  OneShotServer server("\r\n\r\nvalue",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue");
+  BeastHttpClient client{milliseconds(10'000)};
+  const auto answer = client.Send(
+      {server.address(), "PUT", "/v1/kv/trial/head?cas=3", "value"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200U);
+  EXPECT_EQ(answer->body, "true");
+  const std::string received = server.Received();
+  EXPECT_THAT(received, StartsWith("PUT /v1/kv/trial/head?cas=3 HTTP/1.1\r\n"));
+  EXPECT_THAT(received, HasSubstr("Content-Length: 5\r\n"));
+}
+
+// A cut answer must not pass as a whole one.
+TEST(BeastHttpClientTest, ReportsSilentAndAbsentServers) {
+  BeastHttpClient client{milliseconds(50)};
+  {
+    OneShotServer silent("\r\n\r\n", "");
+    EXPECT_FALSE(client.Send({silent.address(), "GET", "/", ""}));
+  }
+  {
+    OneShotServer cut("\r\n\r\n",
+                      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ntrue");
+    EXPECT_FALSE(client.Send({cut.address(), "GET", "/", ""}));
+  }
+  EXPECT_FALSE(client.Send({"localhost:80", "GET", "/", ""}));
+}
+
+}  // namespace
+}  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/unittests/fake_platform.h
@@ -0,0 +1,103 @@
+// A store and hosts behind the HTTP interface, with faults.
+#pragma once
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "berylreach/berylctl/http_client.h"
+
+namespace berylreach::berylctl {
+
+/// Keeps keys in memory and answers for hosts.
+class FakePlatform final : public HttpClient {
+ public:
+  static constexpr const char* kStore = "127.0.0.1:8500";
+
+  /// A key's content.
+  struct Entry {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+
+  std::optional<HttpAnswer> Send(const HttpRequest& request) override {
+    if (request.address != kStore) return AskHost(request);
+    if (down) return std::nullopt;
+    const std::string path = request.target.substr(7);
+    if (request.method == "GET") return Read(path);
+    return Swap(path.substr(0, path.find('?')), request.body,
+                std::stoull(path.substr(path.find('=') + 1)));
+  }
+
+  void Put(const std::string& key, std::string value) {
+    entries[key] = {std::move(value), ++last_revision};
+  }
+
+  std::map<std::string, Entry> entries;
+  std::uint64_t last_revision = 0;
+  bool down = false;
+  /// Runs once, before the next write of a key that ends in "/head".
+  std::function<void()> before_head_write;
+  /// Runs once, after the next write of such a key.
+  std::function<void()> after_head_write;
+  /// Number of head writes that take effect without an answer.
+  int lost_answers = 0;
+  /// Number of head writes that are lost with their answer.
+  int lost_writes = 0;
+  int head_writes = 0;
+  /// Bodies by address and target; hosts without one do not answer.
+  std::map<std::pair<std::string, std::string>, std::string> hosts;
+  /// Runs before each call to a host.
+  std::function<void()> before_host_call;
+
+ private:
+  std::optional<HttpAnswer> AskHost(const HttpRequest& request) {
+    if (before_host_call) before_host_call();
+    const auto found = hosts.find({request.address, request.target});
+    if (found == hosts.end()) return std::nullopt;
+    return HttpAnswer{200, found->second};
+  }
+
+  HttpAnswer Read(const std::string& key) const {
+    const auto found = entries.find(key);
+    if (found == entries.end()) return {404, ""};
+    return {200, "[{\"Key\":\"" + key + "\",\"Value\":\"" +
+                     Encode(found->second.value) + "\",\"ModifyIndex\":" +
+                     std::to_string(found->second.revision) + "}]"};
+  }
+
+  std::optional<HttpAnswer> Swap(const std::string& key,
+                                 const std::string& value,
+                                 std::uint64_t revision) {
+    const bool is_head = key.substr(key.find('/')) == "/head";
+    if (is_head) {
+      ++head_writes;
+      if (before_head_write) std::exchange(before_head_write, nullptr)();
+      if (lost_writes > 0 && lost_writes-- > 0) return std::nullopt;
+    }
+    const auto found = entries.find(key);
+    const bool matches =
+        (found == entries.end() ? 0 : found->second.revision) == revision;
+    if (matches) Put(key, value);
+    if (!is_head) return HttpAnswer{200, matches ? "true" : "false"};
+    if (after_head_write) std::exchange(after_head_write, nullptr)();
+    if (lost_answers > 0 && lost_answers-- > 0) return std::nullopt;
+    return HttpAnswer{200, matches ? "true" : "false"};
+  }
+
+  static std::string Encode(const std::string& bytes) {
+    using boost::archive::iterators::base64_from_binary;
+    using boost::archive::iterators::transform_width;
+    using Encoder =
+        base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
+    text.append((3 - bytes.size() % 3) % 3, '=');
+    return text;
+  }
+};
+
+}  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/unittests/submit_test.cc
@@ -0,0 +1,167 @@
+// Guards against submits that are lost, applied twice, overwrite another
+// operator's document, or claim to be in force when they are not.
+#include <gmock/gmock.h>
+
+#include "command_fixture.h"
+
+namespace berylreach::berylctl {
+namespace {
+
+using testing::HasSubstr;
+
+using SubmitTest = CommandFixture;
+
+TEST_F(SubmitTest, KeepsMembersAndAppendsToTheHistory) {
+  AddHosts("trial");
+  FollowHead("trial");
+  const auto before = Head("trial");
+  options.note = "first";
+  ASSERT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  const auto after = Head("trial");
+  EXPECT_EQ(after.epoch, before.epoch);
+  EXPECT_EQ(after.members, before.members);
+  EXPECT_EQ(after.departed, before.departed);
+  EXPECT_NE(after.nonce, before.nonce);
+  EXPECT_EQ(after.document, (model::DocumentRef{1, Split(2).manifest.hash}));
+  ASSERT_EQ(after.history.size(), 1U);
+  EXPECT_EQ(after.history[0].author, "inge");
+  EXPECT_EQ(after.history[0].note, "first");
+  EXPECT_EQ(platform.entries.count("trial/parts/" + after.document.hash), 1U);
+  EXPECT_THAT(out.str(), HasSubstr("in force in trial on 2 hosts"));
+}
+
+TEST_F(SubmitTest, CreatesTheHeadOfANewEnvironment) {
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_EQ(Head("trial").document.version, 1U);
+}
+
+// Fifty entries are the most that hosts accept in a head record.
+TEST_F(SubmitTest, DropsTheOldestHistory) {
+  for (std::uint32_t i = 0; i < 50; ++i) Accept("trial", 1 + i % 2);
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(9)}), ExitCode::kSuccess);
+  const auto head = Head("trial");
+  EXPECT_EQ(head.history.size(), 50U);
+  EXPECT_EQ(head.history.front().document.version, 2U);
+  EXPECT_EQ(head.history.back().document.version, 51U);
+}
+
+// A second write after a lost answer would raise the version twice.
+TEST_F(SubmitTest, ResolvesALostAnswerByTheNonce) {
+  platform.lost_answers = 1;
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_EQ(platform.head_writes, 1);
+  EXPECT_EQ(Head("trial").document.version, 1U);
+}
+
+// A host that joins after a lost answer replaces the nonce.
+TEST_F(SubmitTest, ResolvesALostAnswerByTheHistory) {
+  platform.lost_answers = 1;
+  platform.after_head_write = [this] { AddHosts("trial"); };
+  FollowHead("trial");
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_EQ(platform.head_writes, 1);
+  EXPECT_EQ(Head("trial").history.size(), 1U);
+}
+
+TEST_F(SubmitTest, RepeatsALostWrite) {
+  platform.lost_writes = 2;
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_EQ(platform.head_writes, 3);
+  EXPECT_EQ(Head("trial").history.size(), 1U);
+}
+
+// Hosts that join meanwhile must not be dropped, nor the submit refused.
+TEST_F(SubmitTest, RepeatsAfterAChangeOfMembers) {
+  platform.before_head_write = [this] { AddHosts("trial"); };
+  FollowHead("trial");
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_EQ(Head("trial").members.size(), 2U);
+  EXPECT_EQ(Head("trial").document.version, 1U);
+}
+
+TEST_F(SubmitTest, ShowsTheDifferenceOfARacingOperator) {
+  Accept("trial", 2);
+  platform.before_head_write = [this] { Accept("trial", 5); };
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(3)}), ExitCode::kConflict);
+  EXPECT_EQ(Head("trial").document.hash, Split(5).manifest.hash);
+  EXPECT_THAT(err.str(), HasSubstr("based on version 1"));
+  EXPECT_THAT(err.str(),
+              HasSubstr("~ services/desk/leaves/desk-0/slots: 2 -> 5"));
+}
+
+TEST_F(SubmitTest, RefusesAnOldBaseVersion) {
+  Accept("trial", 2);
+  Accept("trial", 5);
+  options.base_version = 1;
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(3)}), ExitCode::kConflict);
+  EXPECT_EQ(platform.head_writes, 0);
+  EXPECT_THAT(err.str(), HasSubstr("2 -> 5"));
+}
+
+TEST_F(SubmitTest, DoesNotRepeatADocumentInForce) {
+  Accept("trial", 2);
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_EQ(platform.head_writes, 0);
+}
+
+TEST_F(SubmitTest, NamesLaggingHosts) {
+  AddHosts("trial");
+  Report(Host("h1", 1001), {1, Split(2).manifest.hash});
+  Report(Host("h2", 1002), {0, ""});
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kHostsLag);
+  EXPECT_GE(clock.Now().time_since_epoch(), options.timeout);
+  EXPECT_THAT(err.str(), HasSubstr("h2 (a): has version 0"));
+  EXPECT_THAT(err.str(), testing::Not(HasSubstr("h1 (a)")));
+}
+
+// A host without a lease takes no work under the old document.
+TEST_F(SubmitTest, CountsLapsedLeases) {
+  AddHosts("trial");
+  Report(Host("h1", 1001), {1, Split(2).manifest.hash});
+  Report(Host("h2", 1002), {0, ""}, false);
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+}
+
+// A killed host never answers, but its peers remove it.
+TEST_F(SubmitTest, StopsWaitingForRemovedHosts) {
+  AddHosts("trial");
+  Report(Host("h1", 1001), {1, Split(2).manifest.hash});
+  int calls = 0;
+  platform.before_host_call = [&] {
+    if (++calls != 4) return;
+    auto head = Head("trial");
+    head.members.pop_back();
+    PutHead("trial", head);
+  };
+  EXPECT_EQ(RunCommand("submit", {DocumentFile(2)}), ExitCode::kSuccess);
+  EXPECT_LT(clock.Now().time_since_epoch(), options.timeout);
+}
+
+TEST_F(SubmitTest, ReportsFindingsWithoutWriting) {
+  EXPECT_EQ(RunCommand("submit", {WriteFile("{}")}), ExitCode::kFindings);
+  EXPECT_THAT(err.str(), HasSubstr("/zones: is missing"));
+  EXPECT_TRUE(platform.entries.empty());
+}
+
+TEST_F(SubmitTest, ReportsAnUnreachableStore) {
+  const std::string file = DocumentFile(2);
+  platform.down = true;
+  EXPECT_EQ(RunCommand("submit", {file}), ExitCode::kStoreUnreachable);
+  platform.down = false;
+  platform.before_head_write = [this] { platform.down = true; };
+  platform.lost_writes = 1;
+  EXPECT_EQ(RunCommand("submit", {file}), ExitCode::kStoreUnreachable);
+  EXPECT_THAT(err.str(), HasSubstr("may or may not have been accepted"));
+}
+
+TEST_F(SubmitTest, RequiresAnAuthorAndAnEnvironment) {
+  const std::string file = DocumentFile(2);
+  options.author.clear();
+  EXPECT_EQ(RunCommand("submit", {file}), ExitCode::kUsage);
+  options.author = "inge";
+  options.environment = "a/b";
+  EXPECT_EQ(RunCommand("submit", {file}), ExitCode::kUsage);
+}
+
+}  // namespace
+}  // namespace berylreach::berylctl
