--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Builds the libFuzzer targets of config/fuzz in build-fuzz/ and runs each for a bounded number of
+# inputs and seconds with a fixed seed. The normal build is not touched.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+readonly seed=20260101 max_seconds=10
+# Runs end by number on an idle machine, so that the seed decides what is tried; the time limit
+# bounds them on a busy one.
+readonly max_runs=100000
+out=build-fuzz
+mkdir -p "$out"
+
+flags=(-std=c++20 -O1 -g1 -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined
+  -Iconfig/include -Imodel/include -Ibase/include)
+compiler=(clang++)
+if command -v ccache >/dev/null; then compiler=(ccache clang++); fi
+
+for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc; do
+  object="$out/$(echo "$source" | tr / -).o"
+  echo "$source $object"
+done >"$out/sources.txt"
+xargs -P 4 -L 1 bash -c 'exec "${@:1:$#-2}" -c "${@: -2:1}" -o "${@: -1}"' _ "${compiler[@]}" "${flags[@]}" <"$out/sources.txt"
+mapfile -t objects < <(cut -d ' ' -f 2 "$out/sources.txt")
+
+run() {
+  local name=$1 seeds=$2
+  clang++ "${flags[@]}" -fsanitize=fuzzer "config/fuzz/${name}_fuzzer.cc" "${objects[@]}" \
+    -lboost_json -lxxhash -o "$out/${name}_fuzzer"
+  rm -rf "$out/$name-corpus"
+  mkdir "$out/$name-corpus"
+  echo "fuzzing $name from seed $seed"
+  if ! "$out/${name}_fuzzer" -seed="$seed" -runs="$max_runs" -max_total_time="$max_seconds" \
+    -max_len=4096 -rss_limit_mb=1024 -timeout=5 -verbosity=0 -print_final_stats=1 \
+    -artifact_prefix="$out/$name-" "$out/$name-corpus" "$seeds" >"$out/$name.log" 2>&1; then
+    tail -n 60 "$out/$name.log"
+    exit 1
+  fi
+  grep '^stat::' "$out/$name.log"
+}
+
+seeds() {
+  mkdir -p "$out/seeds/caller_request" "$out/seeds/document"
+  printf '0{"service":"order-desk","payload":{"batch":[1,"H7"]},"deadline_ms":250,"least_coverage":0.5}' \
+    >"$out/seeds/caller_request/query"
+  printf '1{"service":"buckle-screen","key":"order-7","deadline_ms":250}' >"$out/seeds/caller_request/lookup"
+  printf '2{"service":"hide-ledger","key":"k1","issued_at_ms":1767225600000,"payload":null}' \
+    >"$out/seeds/caller_request/order"
+  printf '{"name":"d","zones":[{"name":"a","region":"r","state":"in"}],"services":[{"name":"s","priority":0,"shards":1,"accepts":["query","order"],"leaves":[{"name":"l","address":"127.0.0.1:1","zone":"a","slots":2,"connections":25}]}]}' \
+    >"$out/seeds/document/document"
+  printf '{"epoch":1,"nonce":"0000000000000001","writer":"w","members":[{"host":"h","incarnation":"0000000000000002","zone":"a","rpc_address":"127.0.0.1:1","http_address":"127.0.0.1:2"}],"departed":[],"document":{"version":1,"hash":"ab"},"history":[{"document":{"version":1,"hash":"ab"},"author":"a","at":1,"note":"n"}]}' \
+    >"$out/seeds/document/head"
+  printf '{"records":[{"service":"s","key":"k","payload_hash":"0000000000000001","issued_at":1,"claimer":"h","claimer_incarnation":"0000000000000002","nonce":"0000000000000003","state":"done","outcome":"{}","version":4}]}' \
+    >"$out/seeds/document/journal"
+}
+
+seeds
+run caller_request "$out/seeds/caller_request"
+run document "$out/seeds/document"
+echo "fuzz: passed"
