--- /dev/null
+++ b/transport/lib/base64.cc
@@ -0,0 +1,49 @@
+// Base64 by the iterators of Boost.Serialization.
+#include "base64.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+
+namespace berylreach::transport {
+namespace {
+
+namespace iterators = boost::archive::iterators;
+
+constexpr std::size_t kGroup = 4;
+
+}  // namespace
+
+std::string EncodeBase64(std::string_view bytes) {
+  using Encoder = iterators::base64_from_binary<
+      iterators::transform_width<const char*, 6, 8>>;
+  std::string text(Encoder(bytes.data()), Encoder(bytes.data() + bytes.size()));
+  text.append((kGroup - text.size() % kGroup) % kGroup, '=');
+  return text;
+}
+
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  using Decoder =
+      iterators::transform_width<iterators::binary_from_base64<const char*>, 8,
+                                 6>;
+  if (text.size() % kGroup != 0) return std::nullopt;
+  std::size_t padding = 0;
+  while (padding < 2 && padding < text.size() &&
+         text[text.size() - padding - 1] == '=')
+    ++padding;
+  text.remove_suffix(padding);
+  // The decoder would read past the end of an incomplete last group, so the
+  // padding is replaced by zero digits and their bytes are cut off.
+  std::string padded(text);
+  padded.append(padding, 'A');
+  try {
+    std::string bytes(Decoder(padded.data()),
+                      Decoder(padded.data() + padded.size()));
+    bytes.resize(bytes.size() - padding);
+    return bytes;
+  } catch (const iterators::dataflow_exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace berylreach::transport
--- /dev/null
+++ b/transport/lib/leaf_aux.cc
@@ -0,0 +1,181 @@
+// Probes, status reads and cancellations of one leaf.
+#include <utility>
+
+#include "endpoint.h"
+#include "leaf_codec.h"
+#include "leaf_pool.h"
+
+namespace berylreach::transport {
+namespace {
+
+/// A dying process may still complete a connection that it never serves, so a
+/// probe that is cut off is repeated.
+constexpr int kProbeAttempts = 3;
+
+}  // namespace
+
+struct LeafPool::Aux {
+  Aux(asio::io_context& context, std::string bytes, AuxDone callback)
+      : request(std::move(bytes)), done(std::move(callback)), timer(context) {}
+
+  std::string request;
+  AuxDone done;
+  asio::steady_timer timer;
+  ConnectionPtr connection;
+  bool reused = false;
+};
+
+bool LeafPool::SendAux(std::string request, bool fresh, AuxDone done) {
+  if (closed_) return false;
+  auto aux =
+      std::make_shared<Aux>(context_.io, std::move(request), std::move(done));
+  if (!fresh) aux->connection = TakeIdle();
+  aux->reused = aux->connection != nullptr;
+  if (!aux->reused) {
+    if (open_.size() >= limit_) Drop(TakeIdle());
+    const auto endpoint = ParseEndpoint(address_);
+    if (open_.size() >= limit_ || !endpoint) return false;
+    aux->connection = std::make_shared<ClientConnection>(context_.io);
+    open_.insert(aux->connection);
+    aux->connection->Connect(
+        *endpoint, [self = shared_from_this(), aux](const ErrorCode& error) {
+          if (!error) {
+            self->WriteAux(aux);
+          } else {
+            AuxResult result;
+            result.refused = error == asio::error::connection_refused;
+            self->FinishAux(aux, std::move(result));
+          }
+        });
+  }
+  aux_.insert(aux);
+  aux->timer.expires_after(context_.options.probe_timeout);
+  aux->timer.async_wait(
+      [self = shared_from_this(), aux](const ErrorCode& error) {
+        if (error) return;
+        AuxResult result;
+        result.timed_out = true;
+        self->FinishAux(aux, std::move(result));
+      });
+  if (aux->reused) WriteAux(aux);
+  return true;
+}
+
+void LeafPool::WriteAux(const std::shared_ptr<Aux>& aux) {
+  aux->connection->Send(aux->request,
+                        [self = shared_from_this(), aux](Exchange exchange) {
+                          AuxResult result;
+                          result.exchange = std::move(exchange);
+                          self->FinishAux(aux, std::move(result));
+                        });
+}
+
+void LeafPool::FinishAux(const std::shared_ptr<Aux>& aux, AuxResult result) {
+  if (closed_ || aux_.erase(aux) == 0) return;
+  aux->timer.cancel();
+  result.reused = aux->reused;
+  Return(std::exchange(aux->connection, nullptr));
+  aux->done(std::move(result));
+  Pump();
+}
+
+void LeafPool::SendCancel(const model::CallId& id) {
+  SendAux(FormatRequest("POST", "/v1/cancel", address_, FormatCancel(id)),
+          false, [](const AuxResult&) {});
+}
+
+std::string LeafPool::StatusRequest() const {
+  return FormatRequest("GET", "/v1/status", address_, {});
+}
+
+model::LeafOutcome LeafPool::LossOutcome(const FlightPtr& flight,
+                                         const AuxResult& result) {
+  if (result.refused) return model::LeafOutcome::kLeafDied;
+  const auto& response = result.exchange.response;
+  const LeafStatus status = ParseStatus(
+      leaf_, static_cast<int>(response.result_int()), response.body());
+  if (result.exchange.end != ExchangeEnd::kAnswered || !status.reachable)
+    return model::LeafOutcome::kLost;
+  incarnation_ = status.incarnation;
+  const bool restarted =
+      flight->incarnation != 0 && status.incarnation != flight->incarnation;
+  return restarted ? model::LeafOutcome::kLeafDied : model::LeafOutcome::kLost;
+}
+
+void LeafPool::Investigate(const FlightPtr& flight, int attempts) {
+  const bool sent = SendAux(
+      StatusRequest(), true,
+      [self = shared_from_this(), flight, attempts](const AuxResult& result) {
+        const bool cut_off = !result.refused && !result.timed_out &&
+                             result.exchange.end != ExchangeEnd::kAnswered;
+        if (cut_off && attempts + 1 < kProbeAttempts) {
+          self->Investigate(flight, attempts + 1);
+          return;
+        }
+        self->Report(flight, self->LossOutcome(flight, result));
+        self->Forget(flight);
+      });
+  if (sent) return;
+  Report(flight, model::LeafOutcome::kLost);
+  Forget(flight);
+}
+
+void LeafPool::ProbeSilent(const FlightPtr& flight) {
+  flight->probing =
+      SendAux(StatusRequest(), true,
+              [self = shared_from_this(), flight](const AuxResult& result) {
+                if (flight->reported) return;
+                self->Drop(std::exchange(flight->connection, nullptr));
+                // Idle connections took the same path and may be silent too.
+                self->DropIdle();
+                self->Report(flight, self->LossOutcome(flight, result));
+                self->SendCancel(flight->call.id);
+                self->Forget(flight);
+              });
+}
+
+void LeafPool::Own() {
+  released_ = false;
+  if (std::exchange(reads_status_, true)) return;
+  ReadStatus(false);
+}
+
+void LeafPool::Release() {
+  reads_status_ = false;
+  released_ = true;
+  if (flights_.empty()) DropIdle();
+  status_timer_.cancel();
+}
+
+void LeafPool::ReadStatus(bool fresh) {
+  status_timer_.expires_after(context_.options.status_interval);
+  status_timer_.async_wait([self = shared_from_this()](const ErrorCode& error) {
+    if (!error && !self->closed_ && self->reads_status_)
+      self->ReadStatus(false);
+  });
+  SendAux(StatusRequest(), fresh,
+          [self = shared_from_this()](const AuxResult& result) {
+            self->OnStatusRead(result);
+          });
+}
+
+void LeafPool::OnStatusRead(const AuxResult& result) {
+  if (!reads_status_) return;
+  const bool answered = result.exchange.end == ExchangeEnd::kAnswered;
+  if (!answered && result.reused) {
+    // The pooled connection may be silent while the leaf is well.
+    ReadStatus(true);
+    return;
+  }
+  LeafStatus status;
+  status.leaf = leaf_;
+  const auto& response = result.exchange.response;
+  if (answered)
+    status = ParseStatus(leaf_, static_cast<int>(response.result_int()),
+                         response.body());
+  status.refused = result.refused;
+  if (status.reachable) incarnation_ = status.incarnation;
+  context_.on_status(std::move(status));
+}
+
+}  // namespace berylreach::transport
--- /dev/null
+++ b/transport/lib/store_codec.cc
@@ -0,0 +1,108 @@
+// Consul KV form of store calls.
+#include "store_codec.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+#include <utility>
+
+#include "base64.h"
+#include "client_connection.h"
+
+namespace berylreach::transport {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+/// Key characters that need no escape in a path.
+bool IsPlain(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '/' || c == '-' || c == '_' || c == '.';
+}
+
+constexpr char kDigits[] = "0123456789ABCDEF";
+
+std::string EscapeKey(const std::string& key) {
+  std::string escaped;
+  for (const char c : key) {
+    if (IsPlain(c)) {
+      escaped.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    escaped += {'%', kDigits[byte >> 4], kDigits[byte & 15]};
+  }
+  return escaped;
+}
+
+/// Value and revision of the single entry of a read's answer.
+bool ReadEntry(const std::string& body, model::StoreResult& result) {
+  boost::system::error_code error;
+  const json::value document = json::parse(body, error);
+  if (error || !document.is_array() || document.get_array().size() != 1)
+    return false;
+  const json::object* entry = document.get_array()[0].if_object();
+  if (entry == nullptr) return false;
+  const json::value* value = entry->if_contains("Value");
+  const json::value* revision = entry->if_contains("ModifyIndex");
+  if (value == nullptr || revision == nullptr) return false;
+  result.revision = revision->to_number<std::uint64_t>(error);
+  if (error) return false;
+  // The store shows an empty value as null.
+  if (value->is_null()) return true;
+  if (!value->is_string()) return false;
+  auto bytes = DecodeBase64(value->get_string());
+  if (!bytes) return false;
+  result.value = std::move(*bytes);
+  return true;
+}
+
+std::uint64_t ParseIndex(const std::string& text) {
+  std::uint64_t index = 0;
+  std::from_chars(text.data(), text.data() + text.size(), index);
+  return index;
+}
+
+}  // namespace
+
+std::string FormatStoreRequest(const model::StoreRequest& request,
+                               const std::string& host) {
+  std::string target = "/v1/kv/" + EscapeKey(request.key);
+  switch (request.operation) {
+    case model::StoreOperation::kCompareAndSwap:
+      target += "?cas=" + std::to_string(request.revision);
+      return FormatRequest("PUT", target, host, request.value);
+    case model::StoreOperation::kWatch:
+      target += "?index=" + std::to_string(request.revision) +
+                "&wait=" + std::to_string(request.wait.count()) + "ms";
+      break;
+    case model::StoreOperation::kRead:
+      break;
+  }
+  return FormatRequest("GET", target, host, {});
+}
+
+model::StoreResult ParseStoreAnswer(const model::StoreRequest& request,
+                                    int status, const std::string& index,
+                                    const std::string& body) {
+  model::StoreResult result;
+  result.id = request.id;
+  if (request.operation == model::StoreOperation::kCompareAndSwap) {
+    if (status != kOk) return result;
+    if (body.starts_with("true")) result.outcome = model::StoreOutcome::kOk;
+    if (body.starts_with("false"))
+      result.outcome = model::StoreOutcome::kConflict;
+    return result;
+  }
+  if (status == kNotFound) {
+    result.outcome = model::StoreOutcome::kAbsent;
+    result.revision = ParseIndex(index);
+  } else if (status == kOk && ReadEntry(body, result)) {
+    result.outcome = model::StoreOutcome::kOk;
+  }
+  return result;
+}
+
+}  // namespace berylreach::transport
--- a/transport/unittests/http_server_test.cc
+++ b/transport/unittests/http_server_test.cc
@@ -106,6 +106,7 @@
   TestSocket client = Connect();
   client.Write("GET / HT");
   EXPECT_EQ(client.ReadAll(), "");
+  EXPECT_TRUE(client.peer_closed());
 }
 
 TEST_F(HttpServerTest, TellsWhenTheClientWentAway) {
@@ -129,6 +130,7 @@
   server_->StopAccepting();
   server_->CloseIdle();
   EXPECT_EQ(idle.ReadAll(), "");
+  EXPECT_TRUE(idle.peer_closed());
   EXPECT_EQ(server_->open_requests(), 1U);
   EXPECT_FALSE(Connect().is_open());
   Answer(requests[0], "done");
--- /dev/null
+++ b/transport/unittests/store_client_test.cc
@@ -0,0 +1,136 @@
+// Guards against a write whose answer was lost being taken for a failure or a
+// success, and against values that change on their way.
+#include "berylreach/transport/store_client.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "berylreach/transport/host_list_client.h"
+#include "collector.h"
+#include "test_socket.h"
+
+namespace berylreach::transport {
+namespace {
+
+using model::StoreOperation;
+using model::StoreOutcome;
+
+std::string Answer(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\nX-Consul-Index: 42\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class StoreClientTest : public testing::Test {
+ protected:
+  StoreClientTest() { Open(std::chrono::milliseconds(1000)); }
+
+  void Open(std::chrono::milliseconds timeout) {
+    StoreOptions options;
+    options.address = store_.address();
+    options.call_timeout = timeout;
+    options.watch_margin = timeout;
+    client_ = std::make_unique<StoreClient>(
+        thread_, options,
+        [this](model::StoreResult result) { results_.Add(std::move(result)); });
+  }
+
+  /// Sends a write, lets the store read it and closes without an answer.
+  void LoseAnswer() {
+    ASSERT_TRUE(
+        client_->Send({1, StoreOperation::kCompareAndSwap, "k", "v", 3, {}}));
+    TestSocket socket = store_.Accept();
+    EXPECT_TRUE(socket.ReadHttp().starts_with("PUT /v1/kv/k?cas=3 "));
+  }
+
+  TestListener store_;
+  IoThread thread_;
+  Collector<model::StoreResult> results_;
+  std::unique_ptr<StoreClient> client_;
+};
+
+TEST_F(StoreClientTest, LostAnswerIsUnknownAndNotRepeated) {
+  LoseAnswer();
+  const auto results = results_.Wait(1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].outcome, StoreOutcome::kUnknown);
+  // The next connection carries the next request and not the lost one again.
+  ASSERT_TRUE(client_->Send({2, StoreOperation::kRead, "next", {}, 0, {}}));
+  EXPECT_TRUE(store_.Accept().ReadHttp().starts_with("GET /v1/kv/next "));
+}
+
+TEST_F(StoreClientTest, SilentStoreEndsAsUnknownAndDropsTheConnection) {
+  Open(std::chrono::milliseconds(50));
+  ASSERT_TRUE(client_->Send({1, StoreOperation::kRead, "k", {}, 0, {}}));
+  TestSocket socket = store_.Accept();
+  const auto results = results_.Wait(1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].outcome, StoreOutcome::kUnknown);
+  EXPECT_TRUE(socket.ReadAll().starts_with("GET "));
+}
+
+TEST_F(StoreClientTest, ReadsRawBytesAndReusesTheConnection) {
+  ASSERT_TRUE(client_->Send({1, StoreOperation::kRead, "k", {}, 0, {}}));
+  TestSocket socket = store_.Accept();
+  socket.ReadHttp();
+  socket.Write(
+      Answer("200 OK", R"([{"Key":"k","Value":"AP/+DQo=","ModifyIndex":9}])"));
+  auto results = results_.Wait(1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].outcome, StoreOutcome::kOk);
+  EXPECT_EQ(results[0].value, std::string("\0\xff\xfe\r\n", 5));
+  EXPECT_EQ(results[0].revision, 9U);
+  ASSERT_TRUE(client_->Send({2, StoreOperation::kRead, "k", {}, 0, {}}));
+  socket.ReadHttp();
+  socket.Write(Answer("404 Not Found", ""));
+  results = results_.Wait(2);
+  ASSERT_EQ(results.size(), 2U);
+  EXPECT_EQ(results[1].outcome, StoreOutcome::kAbsent);
+}
+
+TEST_F(StoreClientTest, WaitingWatchDoesNotHoldUpWrites) {
+  ASSERT_TRUE(client_->Send({1,
+                             StoreOperation::kWatch,
+                             "k",
+                             {},
+                             5,
+                             std::chrono::milliseconds(10'000)}));
+  TestSocket watch = store_.Accept();
+  EXPECT_TRUE(
+      watch.ReadHttp().starts_with("GET /v1/kv/k?index=5&wait=10000ms "));
+  ASSERT_TRUE(
+      client_->Send({2, StoreOperation::kCompareAndSwap, "k", "v", 5, {}}));
+  TestSocket write = store_.Accept();
+  write.ReadHttp();
+  write.Write(Answer("200 OK", "false"));
+  const auto results = results_.Wait(1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].id, 2U);
+  EXPECT_EQ(results[0].outcome, StoreOutcome::kConflict);
+}
+
+TEST(HostListClientTest, KeepsLeavingEntriesAndReportsFailure) {
+  TestListener platform;
+  IoThread thread;
+  Collector<std::optional<model::HostList>> lists;
+  HostListClient client(thread, {platform.address(), kConditionLimit},
+                        [&](auto list) { lists.Add(std::move(list)); });
+  client.Read();
+  TestSocket socket = platform.Accept();
+  socket.ReadHttp();
+  socket.Write(
+      Answer("200 OK",
+             R"([{"Node":"a","Meta":{"kind":"host","state":"live"}},)"
+             R"({"Node":"b","Meta":{"kind":"upstream","state":"leaving"}}])"));
+  ASSERT_EQ(lists.Wait(1).size(), 1U);
+  client.Read();
+  socket.ReadHttp();
+  socket.Close();
+  const auto all = lists.Wait(2);
+  ASSERT_EQ(all.size(), 2U);
+  EXPECT_EQ(all[0], (model::HostList{42, {{"b", true}}}));
+  EXPECT_EQ(all[1], std::nullopt);
+}
+
+}  // namespace
+}  // namespace berylreach::transport
--- a/transport/unittests/test_socket.cc
+++ b/transport/unittests/test_socket.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
@@ -40,6 +41,7 @@
 
 TestSocket& TestSocket::operator=(TestSocket&& other) noexcept {
   std::swap(fd_, other.fd_);
+  std::swap(peer_closed_, other.peer_closed_);
   std::swap(pending_, other.pending_);
   return *this;
 }
@@ -70,7 +72,9 @@
 bool TestSocket::ReadMore() {
   std::array<char, 4096> chunk{};
   const ssize_t count = recv(fd_, chunk.data(), chunk.size(), 0);
-  if (count <= 0) return false;
+  if (count < 0 && errno == EAGAIN) return false;
+  peer_closed_ = count <= 0;
+  if (peer_closed_) return false;
   pending_.append(chunk.data(), static_cast<std::size_t>(count));
   return true;
 }
--- a/transport/unittests/test_socket.h
+++ b/transport/unittests/test_socket.h
@@ -27,11 +27,14 @@
   /// Closes; with `reset` the peer sees a reset.
   void Close(bool reset = false);
   bool is_open() const { return fd_ >= 0; }
+  /// A read found that the peer has closed, as opposed to a read that gave up.
+  bool peer_closed() const { return peer_closed_; }
 
  private:
   bool ReadMore();
 
   int fd_ = -1;
+  bool peer_closed_ = false;
   std::string pending_;
 };
 
