--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -232,9 +232,6 @@
     } else if (const auto* read = std::get_if<rollout::ReadPart>(&action)) {
       store_.ReadPart(read->hash);
     } else if (std::holds_alternative<rollout::DocumentInForce>(action)) {
-      outbox_.Record("document_in_force",
-                     std::to_string(rollout_.current().version),
-                     rollout_.current().hash);
       Adopt();
     } else if (const auto* event = std::get_if<rollout::RecordEvent>(&action)) {
       outbox_.Record(event->type, event->subject, event->detail);
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,91 @@
+# Functions that start a local deployment: stand-ins for the platform and the leaves, and six hosts.
+# Sourced by the demo and by the process tests; all processes listen on loopback addresses.
+#
+# Callers set WORK (an empty folder) and DOCUMENT (the deployment's document).
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+bin=$root/build
+declare -A PID=()   # process ids by name
+declare -A HTTP=()  # HTTP addresses of hosts by name
+
+# Waits until a command succeeds, for at most 20 s.
+wait_for() {
+  local limit=$((SECONDS + 20))
+  until "$@" >/dev/null 2>&1; do
+    if ((SECONDS >= limit)); then
+      echo "timed out waiting for: $*" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# start NAME COMMAND...: runs a process and waits for its ready line.
+start() {
+  local name=$1
+  shift
+  "$@" >"$WORK/$name.out" 2>>"$WORK/$name.log" &
+  PID[$name]=$!
+  wait_for test -s "$WORK/$name.out"
+}
+
+# Leaf descriptions for the leaf stand-in. Leaves are ordered by name within a service, and the
+# replicas of a shard follow each other.
+leaf_list() {
+  jq '[.services[] | . as $s | ($s.leaves | sort_by(.name)) as $l | range($l | length) as $i
+    | $l[$i] + {service: $s.name, shard: (($i * $s.shards / ($l | length)) | floor),
+                shard_count: $s.shards} | del(.zone)]' "$DOCUMENT"
+}
+
+start_platform() {
+  start store "$bin/standins/berylreach-standin-store"
+  start hostlist "$bin/standins/berylreach-standin-hostlist"
+  STORE=$(jq -r .address "$WORK/store.out")
+  HOST_LIST=$(jq -r .address "$WORK/hostlist.out")
+}
+
+start_leaves() {
+  leaf_list >"$WORK/leaves.json"
+  start leaves "$bin/standins/berylreach-standin-leaf" --leaves="$WORK/leaves.json"
+  LEAF_CONTROL=$(jq -r .address "$WORK/leaves.out")
+}
+
+# start_host NAME ZONE [HTTP_ADDRESS]
+start_host() {
+  jq -n --arg host "$1" --arg zone "$2" --arg http "${3:-127.0.0.1:0}" --arg store "$STORE" \
+    --arg list "$HOST_LIST" '{host: $host, environment: "production", zone: $zone,
+      http_listen: $http, rpc_listen: "127.0.0.1:0", store_address: $store,
+      host_list_address: $list}' >"$WORK/$1.json"
+  rm -f "$WORK/$1.out"
+  start "$1" "$bin/tools/berylreachd/berylreachd" --settings="$WORK/$1.json"
+  HTTP[$1]=$(jq -r .http "$WORK/$1.out")
+}
+
+# Two hosts in each zone of the document: ZONE-1 and ZONE-2.
+start_hosts() {
+  local zone number
+  HOSTS=()
+  for zone in $(jq -r '.zones[].name' "$DOCUMENT"); do
+    for number in 1 2; do
+      start_host "$zone-$number" "$zone" "$([[ ${#HOSTS[@]} -eq 0 ]] && echo "${FIRST_HTTP:-}")"
+      HOSTS+=("$zone-$number")
+    done
+  done
+}
+
+is_ready() { curl -sf "http://${HTTP[$1]}/readyz"; }
+
+# Stops all processes and waits for their end.
+stop_cluster() {
+  local name
+  for name in "${!PID[@]}"; do kill -CONT "${PID[$name]}" 2>/dev/null; kill "${PID[$name]}" 2>/dev/null; done
+  wait 2>/dev/null
+  return 0
+}
+
+berylctl() { "$bin/tools/berylctl/berylctl" --store="$STORE" --environment=production "$@"; }
+
+# post HOST PATH BODY: sends a request to a host.
+post() {
+  curl -s -X POST -H 'content-type: application/json' --data "$3" "http://${HTTP[$1]}$2"
+}
