Fence the older incarnation of a restarted host

Cause: a host that joined with a new incarnation dropped the entry of its older one. Leaf calls written by the dead process may run until its old lease would have lapsed, so the next owner of the leaf started work beside them. Kill and restart with two slow calls on a leaf of 2 slots: the leaf saw 3 calls at once (new work 44 ms after the restart).

Change: the older incarnation becomes a departed entry, fenced 1.7 s after the record that replaced it was seen, without a quorum. The first delegate drops fenced entries within an epoch, so that restarts do not fill the record. An entry counts as a possible witness of other entries until 1.7 s after its end, since it may have acknowledged just before.

Price: the leaves of a host that is restarted without a stop wait for 1.7 s; a planned restart does not.

--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "berylreach/core/host_core.h"
+#include "berylreach/membership/witness_set.h"
 #include "berylreach/orders/bucket.h"
 
 namespace berylreach::core {
@@ -112,10 +113,13 @@
         std::find(previous.begin(), previous.end(), member) != previous.end();
     if (!known && member.host != outbox_.self()) joined.push_back(member.host);
   }
-  // Departed hosts stay reachable, since they may still answer calls.
+  // Departed hosts stay reachable, since they may still answer calls. A host
+  // that has been replaced is reached at its new incarnation's address only.
   std::vector<model::Member> peers = members_;
-  for (const model::Departed& departed : record.departed)
-    peers.push_back(departed.member);
+  for (const model::Departed& departed : record.departed) {
+    if (membership::FindMember(members_, departed.member.host) == nullptr)
+      peers.push_back(departed.member);
+  }
   outbox_.Emit(SetPeers{std::move(peers)});
   rollout_.SetPeers(OtherMembers());
   Adopt();
--- a/membership/include/berylreach/membership/departed_fences.h
+++ b/membership/include/berylreach/membership/departed_fences.h
@@ -14,19 +14,21 @@
 namespace berylreach::membership {
 
 /// Decides when a departed host can no longer work on leaves: by its own
-/// Release, or once no witness majority of it can exist and its last lease has
-/// lapsed.
+/// Release, or once its last lease has lapsed. The lease can no longer be
+/// extended once the host has released, has been replaced by a new incarnation,
+/// or can have no witness majority.
 class DepartedFences {
  public:
   /// `releases` must outlive this object.
   explicit DepartedFences(const ReleaseTable& releases) : releases_(releases) {}
 
-  /// Notes from when on all other members of `record` were at the epoch of each
-  /// departed entry or later.
+  /// Notes from when on each departed entry had ended, and all other members of
+  /// `record` were at its epoch or later.
   void Update(const model::HeadRecord& record, const model::HostName& self,
               base::TimePoint now);
 
-  /// Whether `entry` of `record` can no longer work on any leaf.
+  /// Whether `entry` can be dropped from `record`: it can no longer work on any
+  /// leaf, and no other entry can still lease by its acknowledgements.
   bool Fenced(const model::Departed& entry, const model::HeadRecord& record,
               base::TimePoint now) const;
 
@@ -38,11 +40,15 @@
   using Key = std::pair<model::HostName, std::uint64_t>;
 
   bool SentRelease(const model::Departed& entry) const;
+  bool SentEmptyRelease(const model::Departed& entry) const;
+  /// The entry has ended, and all leases that it held or acknowledged lapsed.
+  bool EndedAndLapsed(const model::Departed& entry, base::TimePoint now) const;
   bool LeaseLapsed(const model::Departed& entry,
                    const model::HeadRecord& record, base::TimePoint now) const;
 
   const ReleaseTable& releases_;
   std::map<Key, base::TimePoint> all_at_epoch_since_;
+  std::map<Key, base::TimePoint> ended_since_;
 };
 
 }  // namespace berylreach::membership
--- a/membership/include/berylreach/membership/head_edits.h
+++ b/membership/include/berylreach/membership/head_edits.h
@@ -16,7 +16,7 @@
 using FencedPredicate = std::function<bool(const model::Departed&)>;
 
 /// `head` of the next epoch with `self` as a member in place of its earlier
-/// incarnation, and without the departed entries of that host.
+/// incarnation, which becomes a departed entry.
 model::HeadRecord WithJoined(const model::HeadRecord& head,
                              const model::Member& self);
 
@@ -27,4 +27,8 @@
                               const QuorumHistory& quorums,
                               const FencedPredicate& fenced);
 
+/// `head` of the same epoch without the departed entries that are fenced.
+model::HeadRecord WithoutFenced(const model::HeadRecord& head,
+                                const FencedPredicate& fenced);
+
 }  // namespace berylreach::membership
--- a/membership/include/berylreach/membership/membership.h
+++ b/membership/include/berylreach/membership/membership.h
@@ -11,6 +11,7 @@
 #include "berylreach/membership/departed_fences.h"
 #include "berylreach/membership/failure_detector.h"
 #include "berylreach/membership/head_client.h"
+#include "berylreach/membership/head_edits.h"
 #include "berylreach/membership/head_watch.h"
 #include "berylreach/membership/quorum_history.h"
 #include "berylreach/membership/release_sender.h"
@@ -142,6 +143,9 @@
   bool DriveLeave(Actions& out);
   bool DriveJoin(Actions& out);
   bool DriveRemovals(Actions& out);
+  /// Drops fenced departed entries from the record; done by the first delegate.
+  bool DriveCleanup(Actions& out);
+  FencedPredicate IsFenced() const;
   void DriveTouch(Actions& out);
   void DriveDelegate(Actions& out);
   void DriveTakeovers(Actions& out);
--- a/membership/lib/departed_fences.cc
+++ b/membership/lib/departed_fences.cc
@@ -2,38 +2,81 @@
 #include "berylreach/membership/departed_fences.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "berylreach/membership/constants.h"
 
 namespace berylreach::membership {
 
-void DepartedFences::Update(const model::HeadRecord& record,
-                            const model::HostName& self, base::TimePoint now) {
-  std::map<Key, base::TimePoint> kept;
+namespace {
+
+using Key = std::pair<model::HostName, std::uint64_t>;
+using Times = std::map<Key, base::TimePoint>;
+
+Key KeyOf(const model::Departed& entry) {
+  return {entry.member.host, entry.epoch};
+}
+
+bool IsLaterIncarnation(const model::Member& other,
+                        const model::Departed& entry) {
+  return other.host == entry.member.host &&
+         other.incarnation != entry.member.incarnation;
+}
+
+// A new incarnation joins only after the process of the old one has ended.
+bool Replaced(const model::Departed& entry, const model::HeadRecord& record) {
+  const auto by_departed = [&](const model::Departed& other) {
+    return other.epoch > entry.epoch && IsLaterIncarnation(other.member, entry);
+  };
+  return std::any_of(record.members.begin(), record.members.end(),
+                     [&](const model::Member& member) {
+                       return IsLaterIncarnation(member, entry);
+                     }) ||
+         std::any_of(record.departed.begin(), record.departed.end(),
+                     by_departed);
+}
+
+// Since when `holds` has been seen true of the entries of `record`.
+Times UpdatedTimes(const Times& known, const model::HeadRecord& record,
+                   base::TimePoint now,
+                   const std::function<bool(const model::Departed&)>& holds) {
+  Times kept;
   for (const model::Departed& entry : record.departed) {
-    const Key key{entry.member.host, entry.epoch};
-    const auto known = all_at_epoch_since_.find(key);
-    if (known != all_at_epoch_since_.end()) {
-      kept.insert(*known);
-      continue;
+    const auto found = known.find(KeyOf(entry));
+    if (found != known.end()) {
+      kept.insert(*found);
+    } else if (holds(entry)) {
+      kept.emplace(KeyOf(entry), now);
     }
-    const bool all_reached =
-        std::all_of(record.members.begin(), record.members.end(),
-                    [&](const model::Member& member) {
-                      return member.host == self ||
-                             releases_.ReachedEpoch(member, entry.epoch);
-                    });
-    if (all_reached) kept.emplace(key, now);
   }
-  all_at_epoch_since_ = std::move(kept);
+  return kept;
+}
+
+}  // namespace
+
+void DepartedFences::Update(const model::HeadRecord& record,
+                            const model::HostName& self, base::TimePoint now) {
+  const auto all_reached = [&](const model::Departed& entry) {
+    return std::all_of(record.members.begin(), record.members.end(),
+                       [&](const model::Member& member) {
+                         return member.host == self ||
+                                releases_.ReachedEpoch(member, entry.epoch);
+                       });
+  };
+  const auto ended = [&](const model::Departed& entry) {
+    return SentRelease(entry) || Replaced(entry, record);
+  };
+  all_at_epoch_since_ =
+      UpdatedTimes(all_at_epoch_since_, record, now, all_reached);
+  ended_since_ = UpdatedTimes(ended_since_, record, now, ended);
 }
 
 bool DepartedFences::Fenced(const model::Departed& entry,
                             const model::HeadRecord& record,
                             base::TimePoint now) const {
-  if (SentRelease(entry) && releases_.Find(entry.member)->held.empty()) {
-    return true;
-  }
+  // Another entry may hold a lease by an acknowledgement that this one gave
+  // just before its Release.
+  if (record.departed.size() == 1 && SentEmptyRelease(entry)) return true;
   return LeaseLapsed(entry, record, now);
 }
 
@@ -52,18 +95,31 @@
   return releases_.ReachedEpoch(entry.member, entry.epoch);
 }
 
+bool DepartedFences::SentEmptyRelease(const model::Departed& entry) const {
+  return SentRelease(entry) && releases_.Find(entry.member)->held.empty();
+}
+
+bool DepartedFences::EndedAndLapsed(const model::Departed& entry,
+                                    base::TimePoint now) const {
+  const auto since = ended_since_.find(KeyOf(entry));
+  return since != ended_since_.end() &&
+         now >= since->second + kLeaseDuration + kClockMargin;
+}
+
 bool DepartedFences::LeaseLapsed(const model::Departed& entry,
                                  const model::HeadRecord& record,
                                  base::TimePoint now) const {
-  const auto since = all_at_epoch_since_.find({entry.member.host, entry.epoch});
+  const bool ended = SentEmptyRelease(entry) || Replaced(entry, record);
+  if (ended && EndedAndLapsed(entry, now)) return true;
+  const auto since = all_at_epoch_since_.find(KeyOf(entry));
   if (since == all_at_epoch_since_.end()) return false;
   if (now < since->second + kLeaseDuration + kClockMargin) return false;
-  // Departed hosts that have not released may still be at an old epoch and
+  // Departed hosts that have not ended may still be at an old epoch and
   // acknowledge each other's heartbeats.
   const auto possible_witnesses = std::count_if(
       record.departed.begin(), record.departed.end(),
       [&](const model::Departed& other) {
-        return other.member != entry.member && !SentRelease(other);
+        return other.member != entry.member && !EndedAndLapsed(other, now);
       });
   return possible_witnesses < static_cast<std::ptrdiff_t>(entry.quorum);
 }
--- a/membership/lib/head_edits.cc
+++ b/membership/lib/head_edits.cc
@@ -12,11 +12,15 @@
   model::HeadRecord next = head;
   ++next.epoch;
   next.writer = self.host.value;
-  std::erase_if(next.members,
-                [&](const model::Member& m) { return m.host == self.host; });
   std::erase_if(next.departed, [&](const model::Departed& entry) {
-    return entry.member.host == self.host;
+    return entry.member == self;
   });
+  // The process of the earlier incarnation has ended, but its calls may still
+  // run at their leaves. It is fenced by time alone, so the quorum is not used.
+  if (const model::Member* earlier = FindMember(head.members, self.host)) {
+    next.departed.push_back(model::Departed{*earlier, next.epoch, 1});
+    std::erase(next.members, *earlier);
+  }
   next.members.push_back(self);
   std::sort(next.members.begin(), next.members.end());
   return next;
@@ -39,4 +43,11 @@
   return next;
 }
 
+model::HeadRecord WithoutFenced(const model::HeadRecord& head,
+                                const FencedPredicate& fenced) {
+  model::HeadRecord next = head;
+  std::erase_if(next.departed, fenced);
+  return next;
+}
+
 }  // namespace berylreach::membership
--- a/membership/lib/membership_drive.cc
+++ b/membership/lib/membership_drive.cc
@@ -38,7 +38,10 @@
     head_.StartRead(now_, out);
     return;
   }
-  if (DriveLeave(out) || DriveJoin(out) || DriveRemovals(out)) return;
+  if (DriveLeave(out) || DriveJoin(out) || DriveRemovals(out) ||
+      DriveCleanup(out)) {
+    return;
+  }
   DriveTouch(out);
 }
 
@@ -48,10 +51,8 @@
     has_left_ = true;
     return true;
   }
-  model::HeadRecord next = WithRemoved(
-      record(), {self_.host}, quorums_, [this](const model::Departed& entry) {
-        return fences_.Fenced(entry, record(), now_);
-      });
+  model::HeadRecord next =
+      WithRemoved(record(), {self_.host}, quorums_, IsFenced());
   next.writer = self_.host.value;
   head_.StartWrite(std::move(next), now_, out);
   return true;
@@ -71,15 +72,29 @@
   for (const model::HostName& host : due) {
     Record("removal_proposed", host.value, "no heartbeat", out);
   }
-  model::HeadRecord next = WithRemoved(
-      record(), due, quorums_, [this](const model::Departed& entry) {
-        return fences_.Fenced(entry, record(), now_);
-      });
+  model::HeadRecord next = WithRemoved(record(), due, quorums_, IsFenced());
   next.writer = self_.host.value;
   head_.StartWrite(std::move(next), now_, out);
   return true;
 }
 
+bool Membership::DriveCleanup(Actions& out) {
+  // Without it, hosts that restart again and again before they are missed would
+  // fill the record.
+  if (delegate_rank_ != 0U || !HoldsLease()) return false;
+  model::HeadRecord next = WithoutFenced(record(), IsFenced());
+  if (next.departed == record().departed) return false;
+  next.writer = self_.host.value;
+  head_.StartWrite(std::move(next), now_, out);
+  return true;
+}
+
+FencedPredicate Membership::IsFenced() const {
+  return [this](const model::Departed& entry) {
+    return fences_.Fenced(entry, record(), now_);
+  };
+}
+
 void Membership::DriveTouch(Actions& out) {
   const bool low = lease_.expiry() < now_ + kTouchThreshold;
   if (!low || now_ < next_touch_) return;
--- a/membership/lib/membership_messages.cc
+++ b/membership/lib/membership_messages.cc
@@ -94,6 +94,8 @@
     if (member.host != self_.host) SendHead(member.host, out);
   }
   for (const model::Departed& entry : record().departed) {
+    // A replaced host has its message as a member.
+    if (FindMember(members(), entry.member.host) != nullptr) continue;
     if (entry.member.host != self_.host) SendHead(entry.member.host, out);
   }
 }
--- a/membership/unittests/departed_fences_test.cc
+++ b/membership/unittests/departed_fences_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "berylreach/membership/constants.h"
+#include "berylreach/membership/head_edits.h"
 #include "berylreach/membership/quorum_history.h"
 #include "berylreach/membership/takeover_waits.h"
 
@@ -63,6 +64,44 @@
   EXPECT_TRUE(FencedAfter(kWait));
 }
 
+// A departed host may have acknowledged another one just before its Release.
+TEST_F(DepartedFencesTest, ReleasedWitnessCountsUntilItsLastAckLapsed) {
+  record_.departed.push_back({Host("gone1"), 8, 1});
+  record_.departed[0].quorum = 1;
+  Release("peer", 8);
+  EXPECT_FALSE(FencedAfter(kWait * 3));
+  Release("gone1", 8);
+  EXPECT_FALSE(FencedAfter(kWait - std::chrono::milliseconds(1)));
+  EXPECT_TRUE(FencedAfter(std::chrono::milliseconds(1)));
+}
+
+// The calls of a restarted host may run until its old lease would have lapsed;
+// no Release of it or of the members is to be expected.
+TEST_F(DepartedFencesTest, ReplacedHostIsFencedByTimeAlone) {
+  model::Member successor = Host("gone");
+  successor.incarnation = 2;
+  record_.members.push_back(successor);
+  EXPECT_FALSE(FencedAfter(kWait - std::chrono::milliseconds(1)));
+  EXPECT_TRUE(FencedAfter(std::chrono::milliseconds(1)));
+}
+
+TEST_F(DepartedFencesTest, RestartKeepsTheEntriesOfEarlierIncarnations) {
+  model::HeadRecord record = record_;
+  record.members = {Host("self"), Host("gone")};
+  record.departed.clear();
+  for (const std::uint64_t incarnation : {2, 3}) {
+    model::Member successor = Host("gone");
+    successor.incarnation = incarnation;
+    record = WithJoined(record, successor);
+  }
+  EXPECT_EQ(record.members.size(), 2U);
+  ASSERT_EQ(record.departed.size(), 2U);
+  record_ = record;
+  std::erase_if(record_.members,
+                [](const auto& member) { return member.host.value == "gone"; });
+  EXPECT_TRUE(FencedAfter(kWait));
+}
+
 TEST_F(DepartedFencesTest, OwnReleaseFencesAllButTheHeldLeaves) {
   Release("gone", 8, {{"held"}});
   EXPECT_FALSE(FencedAfter(kWait));
--- /dev/null
+++ b/testing/unittests/restart_test.cc
@@ -0,0 +1,62 @@
+// Guards the concurrency of a leaf while its owner is restarted.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "berylreach/testing/deployment.h"
+#include "berylreach/testing/invariants.h"
+#include "berylreach/testing/world.h"
+
+namespace berylreach::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const char* const kLeaf = "order-desk-0-0";
+
+std::string OwnerOf(const World& world) {
+  for (const std::string& host : world.RunningHosts()) {
+    const auto& leaves = world.Core(host)->leaf_owner().leaves();
+    const auto found = leaves.find({kLeaf});
+    if (found != leaves.end() && found->second.owned) return host;
+  }
+  return "";
+}
+
+// Payloads repeat, so that most queries are proven and need no canary.
+void AskOften(World& world, milliseconds span) {
+  static int batch = 0;
+  for (milliseconds at{0}; at < span; at += milliseconds(20)) {
+    world.After(at, [&world] {
+      const std::string text = "\"batch " + std::to_string(batch++ % 20) + "\"";
+      for (const char* host : {"a1", "a2"})
+        world.Ask(host, Query(text), milliseconds(1400));
+    });
+  }
+}
+
+// Guards against a new incarnation that works on its leaf while calls of the
+// dead one still run there.
+TEST(RestartTest, RestartedOwnerKeepsWithinTheSlots) {
+  World world(SmallEnvironment(), 4);
+  Invariants invariants(world);
+  ASSERT_TRUE(StartSixHosts(world));
+  AskOften(world, seconds(3));
+  world.RunFor(seconds(3));
+  world.leaf(kLeaf).SetServiceTime(milliseconds(900));
+  AskOften(world, seconds(6));
+  world.RunFor(milliseconds(100));
+  const std::string owner = OwnerOf(world);
+  ASSERT_FALSE(owner.empty());
+  world.KillHost(owner);
+  world.StartHost(owner, owner.substr(0, 1));
+  world.RunFor(seconds(6));
+  EXPECT_EQ(OwnerOf(world), owner);
+  EXPECT_EQ(world.leaf(kLeaf).most_running(), 2U);
+  EXPECT_EQ(invariants.Violations(), std::vector<std::string>());
+}
+
+}  // namespace
+}  // namespace berylreach::testing
