Move calls of a lost owner at once and avoid doubtful owners

Cause: entry hosts learnt of a killed owner after 1 s of missed heartbeats. Until then its calls hung on hedges and the retry budget. From the change of epoch until the end of the takeover (1.7 s) they also sent calls to the new owner, where they waited.

Ruled out: charging the replacements to the retry budget, which is empty exactly then; treating silence as loss, since a frozen owner may answer.

Change: RpcNode reports a peer whose connection ended and is refused when it is opened again, without waiting for the next message; a time-out proves nothing. HostCore moves that owner's calls of queries and lookups, uncharged, except those that must run alone. Leaves of an owner that is lost or silent for 700 ms are chosen last, as are leaves whose new owner has published nothing; a new owner publishes once its takeover is complete. Orders are not affected.

A freeze still costs some in its first 700 ms, when only hedges help. In a large cell most owners are not witnessed by an entry host, so silence shows few of them.

--- /dev/null
+++ b/core/include/berylreach/core/doubtful_hosts.h
@@ -0,0 +1,42 @@
+// Evidence that other hosts may be gone.
+#pragma once
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "berylreach/model/names.h"
+
+namespace berylreach::core {
+
+/// Hosts that are members but may be gone: their connection was refused or
+/// reset, or they have been silent. Not thread-safe.
+class DoubtfulHosts {
+ public:
+  /// The connection to `host` ended and could not be opened again.
+  void OnLost(const model::HostName& host) { lost_.insert(host); }
+
+  /// A message of `host` has arrived, or a new incarnation replaced it.
+  void OnAlive(const model::HostName& host) {
+    if (!lost_.empty()) lost_.erase(host);
+  }
+
+  /// Replaces the hosts that have been silent for too long.
+  void SetSilent(std::vector<model::HostName> silent) {
+    silent_ = std::move(silent);
+  }
+
+  bool empty() const { return lost_.empty() && silent_.empty(); }
+
+  bool Contains(const model::HostName& host) const {
+    return lost_.contains(host) ||
+           std::find(silent_.begin(), silent_.end(), host) != silent_.end();
+  }
+
+ private:
+  std::set<model::HostName> lost_;
+  std::vector<model::HostName> silent_;
+};
+
+}  // namespace berylreach::core
--- a/core/include/berylreach/core/entry.h
+++ b/core/include/berylreach/core/entry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -42,6 +43,10 @@
   /// Calls and orders sent to `host` get no reply any more.
   void OnMemberLost(const model::HostName& host);
 
+  /// The connection to `host` is lost: its calls of queries and lookups are
+  /// replaced. Orders wait for their outcome or the loss of the member.
+  void OnPeerLost(const model::HostName& host);
+
   void Tick();
   std::optional<base::TimePoint> NextWakeup() const {
     return wakeups_.Earliest();
@@ -70,6 +75,10 @@
     bool caller_gone = false;
   };
 
+  /// Gives each running query an event.
+  void ForEachQuery(
+      const std::function<void(query::QueryRunner&,
+                               std::vector<query::Action>&)>& event);
   std::optional<model::Refusal> Check(const model::CallerRequest& request,
                                       bool serving) const;
   void StartQuery(const model::CallerRequest& request, std::size_t leaf_calls);
--- a/core/include/berylreach/core/host_core.h
+++ b/core/include/berylreach/core/host_core.h
@@ -45,6 +45,8 @@
   Actions OnCallerRequest(const model::CallerRequest& request);
   Actions OnCallerGone(const model::CallId& id);
   Actions OnEnvelope(const model::Envelope& envelope);
+  /// The connection to `host` ended and could not be opened again at once.
+  Actions OnPeerLost(const model::HostName& host);
   Actions OnUpstreamResult(const model::UpstreamResult& result);
   Actions OnLeafStatus(const model::LeafStatus& status);
   Actions OnStoreResult(const model::StoreResult& result);
--- a/core/include/berylreach/core/owned_leaf.h
+++ b/core/include/berylreach/core/owned_leaf.h
@@ -21,6 +21,8 @@
   limits::LeafGate gate;
   /// False once ownership has moved; the entry stays until its work has ended.
   bool owned = true;
+  /// The takeover is complete, so that calls start.
+  bool open = false;
   /// A status or an answer has been received since the leaf became owned.
   bool known = false;
   bool reachable = false;
--- a/core/include/berylreach/core/shared_state.h
+++ b/core/include/berylreach/core/shared_state.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "berylreach/base/clock.h"
 #include "berylreach/base/quantile_window.h"
 #include "berylreach/base/token_bucket.h"
+#include "berylreach/core/doubtful_hosts.h"
 #include "berylreach/model/environment.h"
 #include "berylreach/model/member.h"
 #include "berylreach/quarantine/quarantine.h"
@@ -42,12 +44,18 @@
   base::QuantileWindow& Latency(const model::ServiceName& service) override;
   base::TokenBucket& HedgeBudget() override { return hedge_budget_; }
   base::TokenBucket& RetryBudget() override { return retry_budget_; }
+  bool AnyOwnerDoubtful() const override {
+    return !doubtful_.empty() || !awaited_.empty();
+  }
+  bool OwnerDoubtful(const model::LeafName& leaf) const override;
   base::TimePoint LeaseExpiry() const override { return lease_expiry_; }
   model::CallId NextCallId() override {
     return {self_.incarnation, ++last_call_};
   }
   std::uint64_t Random() override;
 
+  DoubtfulHosts& Doubtful() { return doubtful_; }
+
   std::optional<base::TimePoint> NextQuarantineWakeup() const {
     return quarantine_.NextWakeup();
   }
@@ -56,6 +64,9 @@
   std::uint64_t document_version() const { return document_version_; }
   bool HoldsLease() const { return clock_.Now() < lease_expiry_; }
 
+  /// Takes over the state of a leaf from its owner.
+  void OnLeafState(const model::LeafState& state);
+
   /// Puts a document or a set of members in force and recomputes ownership.
   void Adopt(std::uint64_t document_version,
              const model::Environment& environment, std::uint64_t epoch,
@@ -63,12 +74,18 @@
   void SetLeaseExpiry(base::TimePoint expiry) { lease_expiry_ = expiry; }
 
  private:
+  /// Notes the leaves whose new owner has published nothing yet.
+  void AwaitNewOwners();
+
   const base::Clock& clock_;
   model::Member self_;
   model::Environment environment_;
   std::uint64_t document_version_ = 0;
   std::vector<model::Member> members_;
   routing::OwnershipTable ownership_;
+  DoubtfulHosts doubtful_;
+  /// Leaves whose takeover is not complete as far as is known here.
+  std::unordered_set<model::LeafName> awaited_;
   routing::LeafTable leaves_;
   routing::ReplicaIndexCache replicas_;
   quarantine::Quarantine quarantine_;
--- a/core/lib/entry.cc
+++ b/core/lib/entry.cc
@@ -168,11 +168,27 @@
                             "the host that ran the order was lost",
                             Ran::kMayHaveRun, kOrderLostRetryAfter});
   }
+  ForEachQuery([&](query::QueryRunner& runner, auto& actions) {
+    runner.OnMemberLost(host, actions);
+  });
+}
+
+void Entry::OnPeerLost(const model::HostName& host) {
+  ForEachQuery([&](query::QueryRunner& runner, auto& actions) {
+    runner.OnPeerLost(host, actions);
+  });
+}
+
+void Entry::ForEachQuery(
+    const std::function<void(query::QueryRunner&, std::vector<query::Action>&)>&
+        event) {
   std::vector<model::CallId> running;
   for (const auto& [id, query] : queries_) running.push_back(id);
+  // The order of the map is not defined; that of the ids is.
+  std::sort(running.begin(), running.end());
   for (const model::CallId& id : running) {
     std::vector<query::Action> actions;
-    queries_.at(id).runner.OnMemberLost(host, actions);
+    event(queries_.at(id).runner, actions);
     Carry(id, actions);
     Settle(id);
   }
--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -44,6 +44,7 @@
   membership::Actions membership_actions;
   membership_.Tick(membership_actions);
   Carry(membership_actions);
+  state_.Doubtful().SetSilent(membership_.SilentMembers());
   rollout::Actions rollout_actions;
   rollout_.Tick(rollout_actions);
   Carry(rollout_actions);
@@ -68,7 +69,14 @@
   return Finish();
 }
 
+Actions HostCore::OnPeerLost(const model::HostName& host) {
+  state_.Doubtful().OnLost(host);
+  entry_.OnPeerLost(host);
+  return Finish();
+}
+
 Actions HostCore::OnEnvelope(const model::Envelope& envelope) {
+  state_.Doubtful().OnAlive(envelope.from);
   Deliver(envelope.from, envelope.incarnation, envelope.message);
   return Finish();
 }
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -66,8 +66,7 @@
                             const model::LeafStates& states) {
   // An empty message asks for all states of this host.
   if (states.states.empty()) return leaf_owner_.PublishAllTo(from);
-  for (const model::LeafState& state : states.states)
-    state_.Leaves().Merge(state);
+  for (const model::LeafState& state : states.states) state_.OnLeafState(state);
 }
 
 void HostCore::OnPeerVersions(const membership::PeerVersions& versions) {
@@ -146,6 +145,7 @@
 void HostCore::OnHostGone(const model::HostName& host) {
   std::erase_if(departing_,
                 [&](const auto& item) { return item.second == host; });
+  state_.Doubtful().OnAlive(host);
   entry_.OnMemberLost(host);
   orders_.OnMemberLost(host);
 }
--- a/core/lib/leaf_owner.cc
+++ b/core/lib/leaf_owner.cc
@@ -108,6 +108,7 @@
 void LeafOwner::SetOpen(const model::LeafName& leaf, bool open) {
   OwnedLeaf* entry = FindOwned(leaf);
   if (entry == nullptr) return;
+  entry->open = open;
   limits::Actions actions;
   entry->gate.SetOpen(open, actions);
   Carry(*entry, actions);
--- a/core/lib/leaf_owner_states.cc
+++ b/core/lib/leaf_owner_states.cc
@@ -18,6 +18,7 @@
   for (auto& [name, entry] : leaves_) {
     if (!entry.owned || owned_names.contains(name)) continue;
     entry.owned = false;
+    entry.open = false;
     limits::Actions actions;
     entry.gate.OnOwnershipLost(actions);
     Carry(entry, actions);
@@ -63,7 +64,8 @@
 void LeafOwner::PublishChanges() {
   model::LeafStates changed;
   for (auto& [name, entry] : leaves_) {
-    if (!entry.owned || !entry.known) continue;
+    // A state would attract calls that have to wait for the takeover.
+    if (!entry.owned || !entry.open || !entry.known) continue;
     model::LeafState state{name,           outbox_.self(),
                            epoch_,         entry.published.sequence,
                            entry.Health(), entry.holdings};
--- a/core/lib/shared_state.cc
+++ b/core/lib/shared_state.cc
@@ -32,6 +32,26 @@
   return replicas_.Get(environment_, document_version_, service, leaves_);
 }
 
+void SharedState::OnLeafState(const model::LeafState& state) {
+  leaves_.Merge(state);
+  const model::HostName* owner = ownership_.Owner(state.leaf);
+  if (owner != nullptr && *owner == state.owner) awaited_.erase(state.leaf);
+}
+
+void SharedState::AwaitNewOwners() {
+  awaited_.clear();
+  for (const model::LeafState& state : leaves_.States()) {
+    const model::HostName* owner = ownership_.Owner(state.leaf);
+    if (owner != nullptr && *owner != state.owner) awaited_.insert(state.leaf);
+  }
+}
+
+bool SharedState::OwnerDoubtful(const model::LeafName& leaf) const {
+  if (awaited_.contains(leaf)) return true;
+  const model::HostName* owner = ownership_.Owner(leaf);
+  return owner != nullptr && doubtful_.Contains(*owner);
+}
+
 base::QuantileWindow& SharedState::Latency(const model::ServiceName& service) {
   return latencies_.try_emplace(service, kLatencySamples).first->second;
 }
@@ -57,6 +77,7 @@
   ownership_ =
       routing::OwnershipTable(epoch, document_version, environment_, members_);
   leaves_.Retain(environment_);
+  AwaitNewOwners();
 }
 
 }  // namespace berylreach::core
--- a/host/include/berylreach/host/core_event.h
+++ b/host/include/berylreach/host/core_event.h
@@ -26,6 +26,11 @@
   std::optional<model::HostList> list;
 };
 
+/// The connection to a host ended and could not be opened again at once.
+struct PeerLost {
+  model::HostName host;
+};
+
 /// Begins the planned stop.
 struct StopRequested {};
 
@@ -38,6 +43,6 @@
 using CoreEvent =
     std::variant<model::CallerRequest, CallerGone, model::Envelope,
                  model::UpstreamResult, model::LeafStatus, model::StoreResult,
-                 HostListRead, StopRequested, Inspect>;
+                 HostListRead, PeerLost, StopRequested, Inspect>;
 
 }  // namespace berylreach::host
--- a/host/lib/core_thread.cc
+++ b/host/lib/core_thread.cc
@@ -97,6 +97,7 @@
           [&](const HostListRead& read) {
             Carry(core_->OnHostList(read.list));
           },
+          [&](const PeerLost& lost) { Carry(core_->OnPeerLost(lost.host)); },
           [&](const StopRequested&) { Carry(core_->Stop()); },
           [&](const Inspect& inspect) { inspect.read(*core_); },
       },
--- a/host/lib/host_process.cc
+++ b/host/lib/host_process.cc
@@ -143,13 +143,16 @@
   auto impl = std::make_unique<Impl>(settings, std::move(on_stopped));
   core::CoreOptions options = CoreOptionsOf(settings);
   options.self.incarnation = RandomIncarnation();
-  auto rpc =
-      transport::RpcNode::Open({.self = settings.host,
-                                .incarnation = options.self.incarnation,
-                                .address = settings.rpc_listen},
-                               [core = &impl->core](model::Envelope envelope) {
-                                 core->Post(std::move(envelope));
-                               });
+  auto rpc = transport::RpcNode::Open(
+      {.self = settings.host,
+       .incarnation = options.self.incarnation,
+       .address = settings.rpc_listen},
+      [core = &impl->core](model::Envelope envelope) {
+        core->Post(std::move(envelope));
+      },
+      [core = &impl->core](model::HostName host) {
+        core->Post(PeerLost{std::move(host)});
+      });
   if (!rpc) return std::move(rpc).error();
   impl->rpc = std::move(rpc).value();
   transport::HttpServerOptions http;
--- a/membership/include/berylreach/membership/constants.h
+++ b/membership/include/berylreach/membership/constants.h
@@ -14,6 +14,9 @@
 inline constexpr std::chrono::milliseconds kHeartbeatInterval{300};
 /// Silence after which a member is suspected.
 inline constexpr std::chrono::milliseconds kFailureTimeout{1000};
+/// Silence after which calls avoid a member while there is another choice: two
+/// heartbeats have been missed.
+inline constexpr std::chrono::milliseconds kSilenceThreshold{700};
 /// Delay between the proposals of two witnesses of consecutive rank.
 inline constexpr std::chrono::milliseconds kProposalStagger{300};
 /// A gap between events that shows that this host was frozen.
--- a/membership/include/berylreach/membership/failure_detector.h
+++ b/membership/include/berylreach/membership/failure_detector.h
@@ -32,6 +32,10 @@
   /// Members without a heartbeat for `kFailureTimeout`.
   std::vector<model::HostName> Suspects(base::TimePoint now) const;
 
+  /// Members without a heartbeat for `span`.
+  std::vector<model::HostName> SilentFor(base::Duration span,
+                                         base::TimePoint now) const;
+
   /// Suspects whose removal this host proposes now by its rank.
   std::vector<model::HostName> RemovalsDue(base::TimePoint now) const;
 
--- a/membership/include/berylreach/membership/membership.h
+++ b/membership/include/berylreach/membership/membership.h
@@ -8,6 +8,7 @@
 
 #include "berylreach/base/clock.h"
 #include "berylreach/membership/action.h"
+#include "berylreach/membership/constants.h"
 #include "berylreach/membership/departed_fences.h"
 #include "berylreach/membership/failure_detector.h"
 #include "berylreach/membership/head_client.h"
@@ -107,6 +108,12 @@
   /// Whether work on the owned `leaf` may start; also requires `HoldsLease()`.
   bool TakeoverComplete(const model::LeafName& leaf) const;
 
+  /// Members that this host witnesses and has not heard for
+  /// `kSilenceThreshold`.
+  std::vector<model::HostName> SilentMembers() const {
+    return detector_.SilentFor(kSilenceThreshold, now_);
+  }
+
   /// 0 for the first delegate, 1 for the second, nothing for other hosts.
   std::optional<std::size_t> delegate_rank() const { return delegate_rank_; }
 
--- a/membership/lib/failure_detector.cc
+++ b/membership/lib/failure_detector.cc
@@ -41,11 +41,16 @@
 
 std::vector<model::HostName> FailureDetector::Suspects(
     base::TimePoint now) const {
-  std::vector<model::HostName> suspects;
+  return SilentFor(kFailureTimeout, now);
+}
+
+std::vector<model::HostName> FailureDetector::SilentFor(
+    base::Duration span, base::TimePoint now) const {
+  std::vector<model::HostName> silent;
   for (const auto& [host, tracked] : tracked_) {
-    if (now - tracked.last_heard >= kFailureTimeout) suspects.push_back(host);
+    if (now - tracked.last_heard >= span) silent.push_back(host);
   }
-  return suspects;
+  return silent;
 }
 
 std::vector<model::HostName> FailureDetector::RemovalsDue(
--- a/query/include/berylreach/query/query_context.h
+++ b/query/include/berylreach/query/query_context.h
@@ -37,6 +37,12 @@
   virtual base::QuantileWindow& Latency(const model::ServiceName& service) = 0;
   virtual base::TokenBucket& HedgeBudget() = 0;
   virtual base::TokenBucket& RetryBudget() = 0;
+  /// Whether `OwnerDoubtful` holds for some leaf.
+  virtual bool AnyOwnerDoubtful() const { return false; }
+  /// Whether the owner of `leaf` may be gone or has not taken it over yet.
+  virtual bool OwnerDoubtful(const model::LeafName& /*leaf*/) const {
+    return false;
+  }
   /// No leaf call may last beyond this point (design 3.2).
   virtual base::TimePoint LeaseExpiry() const = 0;
   virtual model::CallId NextCallId() = 0;
--- a/query/include/berylreach/query/query_runner.h
+++ b/query/include/berylreach/query/query_runner.h
@@ -48,8 +48,11 @@
   void Start(std::vector<Action>& out);
   /// Replies that match no call of this runner are ignored.
   void OnLeafReply(const model::LeafReply& reply, std::vector<Action>& out);
-  /// Calls sent to `host` will get no reply.
+  /// Calls sent to `host` will get no reply, and their work has ended.
   void OnMemberLost(const model::HostName& host, std::vector<Action>& out);
+  /// Calls sent to `host` will get no reply, but may still run at their leaves.
+  /// A call that must run alone is therefore not repeated yet.
+  void OnPeerLost(const model::HostName& host, std::vector<Action>& out);
   void Tick(std::vector<Action>& out);
   /// The caller has gone away; nobody is answered.
   void Cancel(std::vector<Action>& out);
@@ -64,6 +67,9 @@
   const model::CallerRequest& request() const { return request_; }
 
  private:
+  /// Whether a retry is charged to the retry budget.
+  enum class RetryCost : std::uint8_t { kBudgeted, kFree };
+
   // Planning (query_runner_plan.cc).
   bool RefuseInvalid(std::vector<Action>& out);
   void Plan(std::vector<Action>& out);
@@ -103,8 +109,12 @@
   bool NoteDeath(const ActiveCall& call, const model::LeafReply& reply,
                  std::vector<Action>& out);
   void Recover(ShardProgress& shard, model::MissingReason reason,
-               std::vector<Action>& out);
-  bool Retry(ShardProgress& shard, std::vector<Action>& out);
+               RetryCost cost, std::vector<Action>& out);
+  bool Retry(ShardProgress& shard, RetryCost cost, std::vector<Action>& out);
+  std::vector<model::CallId> CallsTo(const model::HostName& host,
+                                     bool alone_too) const;
+  void ReplaceCalls(const std::vector<model::CallId>& lost,
+                    std::vector<Action>& out);
   void AfterCanaryFailed(model::MissingReason reason, std::vector<Action>& out);
 
   // Ending (query_runner_end.cc).
--- a/query/lib/query_runner.cc
+++ b/query/lib/query_runner.cc
@@ -36,7 +36,8 @@
   if (!Matches(call, reply)) {
     Record("mismatched_reply", call.leaf.value, "", out);
     may_have_run_ = true;
-    Recover(shards_[call.place], model::MissingReason::kFailed, out);
+    Recover(shards_[call.place], model::MissingReason::kFailed,
+            RetryCost::kBudgeted, out);
   } else if (reply.outcome == model::LeafOutcome::kOk) {
     OnResult(call, reply, out);
   } else {
@@ -47,12 +48,30 @@
 
 void QueryRunner::OnMemberLost(const model::HostName& host,
                                std::vector<Action>& out) {
-  std::vector<model::CallId> lost;
+  ReplaceCalls(CallsTo(host, /*alone_too=*/true), out);
+}
+
+void QueryRunner::OnPeerLost(const model::HostName& host,
+                             std::vector<Action>& out) {
+  const auto lost = CallsTo(host, /*alone_too=*/false);
+  // The owner can no longer tell whether the leaf died of an unproven request.
+  if (canary_phase_ && !lost.empty()) ++risky_failures_;
+  ReplaceCalls(lost, out);
+}
+
+std::vector<model::CallId> QueryRunner::CallsTo(const model::HostName& host,
+                                                bool alone_too) const {
+  std::vector<model::CallId> ids;
   for (const auto& [id, call] : calls_) {
-    if (call.to == host) lost.push_back(id);
+    if (call.to == host && (alone_too || !call.alone)) ids.push_back(id);
   }
   // The order of the map is not defined; that of the ids is.
-  std::sort(lost.begin(), lost.end());
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+void QueryRunner::ReplaceCalls(const std::vector<model::CallId>& lost,
+                               std::vector<Action>& out) {
   for (const model::CallId& id : lost) {
     const auto found = calls_.find(id);
     if (found == calls_.end()) continue;
@@ -62,7 +81,8 @@
     std::erase(shards_[call.place].live, id);
     context_.Leaves().OnCallEnded(call.leaf);
     may_have_run_ = true;
-    Recover(shards_[call.place], model::MissingReason::kFailed, out);
+    Recover(shards_[call.place], model::MissingReason::kFailed,
+            RetryCost::kFree, out);
   }
   Conclude(out);
 }
--- a/query/lib/query_runner_calls.cc
+++ b/query/lib/query_runner_calls.cc
@@ -20,6 +20,11 @@
   if (zone != nullptr) query.own_region = zone->region;
   query.tried = shard.tried;
   query.suspect = CurrentStanding() == quarantine::Standing::kSuspect;
+  if (context_.AnyOwnerDoubtful()) {
+    query.is_last_resort = [this](const model::LeafName& leaf) {
+      return context_.OwnerDoubtful(leaf);
+    };
+  }
   query.random = context_.Random();
   return routing::ChooseReplica(context_.Replicas(request_.service),
                                 context_.Leaves(), query);
--- a/query/lib/query_runner_replies.cc
+++ b/query/lib/query_runner_replies.cc
@@ -107,7 +107,7 @@
       std::erase(shard.tried, call.leaf);
     }
   }
-  Recover(shard, reason, out);
+  Recover(shard, reason, RetryCost::kBudgeted, out);
 }
 
 // Returns whether the request is refused.
@@ -142,20 +142,22 @@
 }
 
 void QueryRunner::Recover(ShardProgress& shard, MissingReason reason,
-                          std::vector<Action>& out) {
+                          RetryCost cost, std::vector<Action>& out) {
   if (Decided() || !shard.Open() || !shard.live.empty()) return;
   const bool risky = canary_phase_ && risky_failures_ >= kMaxRiskyFailures;
-  if (!risky && Retry(shard, out)) return;
+  if (!risky && Retry(shard, cost, out)) return;
   if (reason == MissingReason::kVersionGone && TryReplan(out)) return;
   MarkMissing(shard, reason);
   if (canary_phase_) AfterCanaryFailed(reason, out);
 }
 
-bool QueryRunner::Retry(ShardProgress& shard, std::vector<Action>& out) {
+bool QueryRunner::Retry(ShardProgress& shard, RetryCost cost,
+                        std::vector<Action>& out) {
   if (!PickReplica(shard)) return false;
   // The retry of a suspect is not budgeted: running alone on the shard where
   // the leaf died is what clears or blocks the request, and deaths are rare.
-  const bool free = CurrentStanding() == quarantine::Standing::kSuspect;
+  const bool free = cost == RetryCost::kFree ||
+                    CurrentStanding() == quarantine::Standing::kSuspect;
   base::TokenBucket& budget = context_.RetryBudget();
   if (!free && !budget.TrySpend()) return false;
   if (Send(shard, /*hedge=*/false, /*extra=*/true, out)) return true;
--- a/query/unittests/query_runner_test.cc
+++ b/query/unittests/query_runner_test.cc
@@ -222,6 +222,34 @@
   EXPECT_EQ(moved, 3);
 }
 
+// Guards against queries that wait for their hedges and the retry budget after
+// the loss of an owner.
+TEST_F(QueryRunnerTest, LostConnectionMovesCallsWithoutRetryBudget) {
+  while (context_.retry_budget.TrySpend()) {
+  }
+  Start();
+  std::vector<Action> out;
+  runner_->OnPeerLost({"h0"}, out);
+  const auto moved =
+      std::count_if(out.begin(), out.end(), [](const Action& action) {
+        const auto* send = std::get_if<SendCall>(&action);
+        return send != nullptr && send->to.value == "h1";
+      });
+  EXPECT_EQ(moved, 3);
+}
+
+// A suspect runs at most once at a time, and its run may still go on.
+TEST_F(QueryRunnerTest, LostConnectionRepeatsNoCallThatRunsAlone) {
+  std::vector<quarantine::Action> published;
+  const auto fingerprint = quarantine::FingerprintOf(request_);
+  context_.suspects.OnLeafDeath({{fingerprint, false}}, published);
+  Start(/*proven=*/false);
+  ASSERT_EQ(sent_.size(), 1U);
+  std::vector<Action> out;
+  runner_->OnPeerLost(sent_[0].to, out);
+  EXPECT_TRUE(out.empty());
+}
+
 TEST_F(QueryRunnerTest, CancelledRequestWithdrawsItsCallsAndAnswersNobody) {
   Start();
   std::vector<Action> out;
--- a/routing/include/berylreach/routing/choose_replica.h
+++ b/routing/include/berylreach/routing/choose_replica.h
@@ -21,7 +21,8 @@
 /// Chooses among the usable leaves of the shard (design 3.7): own zone first,
 /// unless its expected wait exceeds that of the best other leaf by more than
 /// the crossing costs; within a zone the better of two random leaves by work
-/// per slot, then by recent latency. Nothing if every usable leaf was tried.
+/// per slot, then by recent latency. Leaves of last resort are chosen only if
+/// there is no other. Nothing if every usable leaf was tried.
 std::optional<Replica> ChooseReplica(const ReplicaIndex& index,
                                      const LeafTable& table,
                                      const ReplicaQuery& query);
--- a/routing/include/berylreach/routing/replica_query.h
+++ b/routing/include/berylreach/routing/replica_query.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <string>
 
@@ -21,6 +22,8 @@
   /// The request is suspect: prefer the leaf with least work in any zone, since
   /// the call must wait until the leaf is empty.
   bool suspect = false;
+  /// Whether a leaf is chosen only if there is no other; none if empty.
+  std::function<bool(const model::LeafName&)> is_last_resort;
   /// Random bits for the power of two choices.
   std::uint64_t random = 0;
 };
--- a/routing/lib/choose_replica.cc
+++ b/routing/lib/choose_replica.cc
@@ -92,6 +92,16 @@
   return std::count(query.tried.begin(), query.tried.end(), leaf) > 0;
 }
 
+void DropLastResorts(const ReplicaQuery& query, Candidates& candidates) {
+  if (!query.is_last_resort) return;
+  const auto preferred = std::stable_partition(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return !query.is_last_resort(candidate.replica->leaf);
+      });
+  if (preferred != candidates.begin())
+    candidates.erase(preferred, candidates.end());
+}
+
 }  // namespace
 
 std::optional<Replica> ChooseReplica(const ReplicaIndex& index,
@@ -104,6 +114,7 @@
     candidates.push_back(Assess(replica, table, query));
   }
   if (candidates.empty()) return std::nullopt;
+  DropLastResorts(query, candidates);
   if (query.suspect) {
     return *std::min_element(candidates.begin(), candidates.end(), LessLoaded)
                 ->replica;
--- a/testing/include/berylreach/testing/world.h
+++ b/testing/include/berylreach/testing/world.h
@@ -39,6 +39,7 @@
 
   // Hosts.
   void StartHost(const std::string& host, const std::string& zone);
+  /// Ends the process; its connections are reset and new ones refused.
   void KillHost(const std::string& host);
   /// The process stands still: it handles no event, and its peers see silence.
   void FreezeHost(const std::string& host);
@@ -126,6 +127,12 @@
   void Carry(Host& host, core::Actions actions);
   void CarryOne(Host& host, core::Action& action);
   void SendPeer(Host& from, const core::SendToPeer& send);
+  /// Tells hosts connected to `gone` that their connection was reset, and later
+  /// that a new one is refused.
+  void ResetConnections(const std::string& gone);
+  void RefuseConnection(Host& from, const std::string& to);
+  void ReportPeerLost(const Host& host, const std::string& peer,
+                      base::Duration delay);
   void CallUpstream(Host& host, const model::UpstreamCall& call);
   void CallStore(Host& host, const model::StoreRequest& request);
   void PollHostList(Host& host);
--- a/testing/include/berylreach/testing/world_host.h
+++ b/testing/include/berylreach/testing/world_host.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,8 @@
   /// previous set.
   std::uint64_t status_generation = 0;
   std::set<std::string> peers;
+  /// When a refused connection was last reported, by peer.
+  std::map<std::string, base::TimePoint> refused_at;
 };
 
 }  // namespace berylreach::testing
--- a/testing/lib/world.cc
+++ b/testing/lib/world.cc
@@ -64,6 +64,7 @@
     if (record.host.value == host && record.replies == 0)
       record.host_lost = true;
   }
+  ResetConnections(host);
   hosts_.erase(host);
 }
 
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -18,6 +18,8 @@
 // The hand-over from the core thread to an I/O thread; the process may stand
 // still in between.
 constexpr microseconds kThreadHop{50};
+// Least time between two attempts to connect to a host.
+constexpr milliseconds kReconnectPause{50};
 constexpr milliseconds kStatusInterval{1000};
 constexpr milliseconds kStatusRead{1};
 constexpr milliseconds kHostListRead{2};
@@ -64,7 +66,11 @@
     const auto delay = Latency(from, to) + copy * kOtherRegion;
     queue_.After(delay, [this, to, sender = from.name, envelope] {
       const Host* receiver = Find(to);
-      if (receiver == nullptr || !LinkUp(sender, to)) return;
+      if (!LinkUp(sender, to)) return;
+      if (receiver == nullptr) {
+        if (Host* found = Find(sender)) RefuseConnection(*found, to);
+        return;
+      }
       Dispatch(to, receiver->incarnation, [envelope](core::HostCore& core) {
         return core.OnEnvelope(envelope);
       });
@@ -72,6 +78,35 @@
   }
 }
 
+void World::ResetConnections(const std::string& gone) {
+  const Host* found = Find(gone);
+  if (found == nullptr) return;
+  for (const auto& [name, host] : hosts_) {
+    if (name != gone && host->peers.contains(gone) && LinkUp(name, gone))
+      ReportPeerLost(*host, gone, Latency(*found, name));
+  }
+}
+
+void World::RefuseConnection(Host& from, const std::string& to) {
+  base::TimePoint& reported = from.refused_at[to];
+  if (clock_.Now() < reported + kReconnectPause) return;
+  reported = clock_.Now();
+  ReportPeerLost(from, to, kOtherRegion);
+}
+
+void World::ReportPeerLost(const Host& host, const std::string& peer,
+                           base::Duration delay) {
+  queue_.After(delay,
+               [this, name = host.name, peer, incarnation = host.incarnation] {
+                 // A process that has been started meanwhile accepts the
+                 // connection.
+                 if (Find(peer) != nullptr || !LinkUp(name, peer)) return;
+                 Dispatch(name, incarnation, [peer](core::HostCore& core) {
+                   return core.OnPeerLost({peer});
+                 });
+               });
+}
+
 void World::CallUpstream(Host& host, const model::UpstreamCall& call) {
   const std::string name = host.name;
   const std::uint64_t incarnation = host.incarnation;
--- a/testing/unittests/restart_test.cc
+++ b/testing/unittests/restart_test.cc
@@ -58,5 +58,26 @@
   EXPECT_EQ(invariants.Violations(), std::vector<std::string>());
 }
 
+// Guards against a wait for the old incarnation after a planned stop, which has
+// released its leaves.
+TEST(RestartTest, PlannedRestartWaitsForNothing) {
+  World world(SmallEnvironment(), 5);
+  ASSERT_TRUE(StartSixHosts(world));
+  const std::string owner = OwnerOf(world);
+  world.StopHost(owner);
+  ASSERT_TRUE(
+      world.RunUntil([&] { return world.Stopped(owner); }, seconds(10)));
+  world.RunFor(milliseconds(100));
+  world.KillHost(owner);
+  world.RunFor(milliseconds(200));
+  world.StartHost(owner, owner.substr(0, 1));
+  const auto open = [&] {
+    const auto& leaves = world.Core(owner)->leaf_owner().leaves();
+    const auto found = leaves.find({kLeaf});
+    return found != leaves.end() && found->second.open;
+  };
+  EXPECT_TRUE(world.RunUntil(open, milliseconds(500)));
+}
+
 }  // namespace
 }  // namespace berylreach::testing
--- a/transport/include/berylreach/transport/rpc_node.h
+++ b/transport/include/berylreach/transport/rpc_node.h
@@ -45,10 +45,15 @@
   struct Impl;
   /// Called on the RPC thread; must not block.
   using Callback = std::function<void(model::Envelope)>;
+  /// Called on the RPC thread when a connection to a peer ended and could not
+  /// be opened again at once, and at each further refusal; must not block. A
+  /// peer that is only silent is not reported.
+  using PeerLostCallback = std::function<void(model::HostName)>;
 
-  /// Binds and starts the thread.
-  static BindResult<std::unique_ptr<RpcNode>> Open(RpcOptions options,
-                                                   Callback on_message);
+  /// Binds and starts the thread. `on_peer_lost` may be empty.
+  static BindResult<std::unique_ptr<RpcNode>> Open(
+      RpcOptions options, Callback on_message,
+      PeerLostCallback on_peer_lost = {});
   /// Closes all connections and joins the thread.
   ~RpcNode();
   RpcNode(const RpcNode&) = delete;
--- a/transport/lib/rpc_node.cc
+++ b/transport/lib/rpc_node.cc
@@ -38,9 +38,11 @@
 
 }  // namespace
 
-RpcNode::Impl::Impl(RpcOptions node_options, Callback on_message)
+RpcNode::Impl::Impl(RpcOptions node_options, Callback on_message,
+                    PeerLostCallback on_peer_lost)
     : options_(std::move(node_options)),
       on_message_(std::move(on_message)),
+      on_peer_lost_(std::move(on_peer_lost)),
       outgoing_(kOutgoingCapacity, [this] { Wake(); }),
       wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
 
@@ -83,8 +85,9 @@
       const auto found = peers_.find(name);
       const bool kept =
           found != peers_.end() && found->second->address() == peer_address;
-      next[name] = kept ? found->second
-                        : std::make_shared<RpcPeer>(*context_, peer_address);
+      next[name] =
+          kept ? found->second
+               : std::make_shared<RpcPeer>(*context_, name, peer_address);
     }
     for (const auto& [name, peer] : peers_) {
       const auto found = next.find(name);
@@ -128,7 +131,8 @@
       io.unixEventPort, wake_fd_, kj::UnixEventPort::FdObserver::OBSERVE_READ);
   capnp::TwoPartyServer server(kj::heap<RpcService>(on_message_, dropped));
   kj::TaskSet tasks(*this);
-  context_.emplace(RpcPeer::Context{options_, io, tasks, dropped});
+  context_.emplace(
+      RpcPeer::Context{options_, io, tasks, dropped, on_peer_lost_});
   auto stopped = kj::newPromiseAndFulfiller<void>();
   stopped_ = kj::mv(stopped.fulfiller);
   tasks.add(AcceptLoop(*receiver, server));
@@ -195,9 +199,10 @@
   // nevertheless, peers would time out and the host would lose its lease.
 }
 
-BindResult<std::unique_ptr<RpcNode>> RpcNode::Open(RpcOptions options,
-                                                   Callback on_message) {
-  auto impl = std::make_unique<Impl>(std::move(options), std::move(on_message));
+BindResult<std::unique_ptr<RpcNode>> RpcNode::Open(
+    RpcOptions options, Callback on_message, PeerLostCallback on_peer_lost) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(on_message),
+                                     std::move(on_peer_lost));
   if (auto error = impl->Start()) return *error;
   return std::unique_ptr<RpcNode>(new RpcNode(std::move(impl)));
 }
--- a/transport/lib/rpc_node_impl.h
+++ b/transport/lib/rpc_node_impl.h
@@ -22,7 +22,8 @@
 namespace berylreach::transport {
 
 struct RpcNode::Impl : private kj::TaskSet::ErrorHandler {
-  Impl(RpcOptions node_options, Callback on_message);
+  Impl(RpcOptions node_options, Callback on_message,
+       PeerLostCallback on_peer_lost);
   ~Impl();
 
   /// Starts the thread; returns the error if it cannot listen.
@@ -53,6 +54,7 @@
 
   const RpcOptions options_;
   const Callback on_message_;
+  const PeerLostCallback on_peer_lost_;
   base::Channel<Outgoing> outgoing_;
   const int wake_fd_;
   std::atomic<bool> stop_{false};
--- a/transport/lib/rpc_peer.cc
+++ b/transport/lib/rpc_peer.cc
@@ -38,8 +38,9 @@
       client(*stream),
       peer(client.bootstrap().castAs<rpc::Peer>()) {}
 
-RpcPeer::RpcPeer(Context context, std::string address)
+RpcPeer::RpcPeer(Context context, model::HostName name, std::string address)
     : context_(context),
+      name_(std::move(name)),
       address_(std::move(address)),
       pause_(context.options.reconnect_least) {}
 
@@ -97,7 +98,7 @@
               [self](kj::Own<kj::AsyncIoStream> stream) {
                 self->OnConnected(kj::mv(stream));
               },
-              [self](kj::Exception&& /*error*/) { self->RetryLater(); }));
+              [self](kj::Exception&& error) { self->OnConnectFailed(error); }));
 }
 
 void RpcPeer::OnConnected(kj::Own<kj::AsyncIoStream> stream) {
@@ -106,9 +107,29 @@
   ++generation_;
   in_flight_ = 0;
   connection_ = kj::heap<Connection>(kj::mv(stream));
+  WatchConnection();
   Flush();
 }
 
+void RpcPeer::WatchConnection() {
+  // Calls that were answered by their receiver only with a return wait for a
+  // reply on another connection, so that no open call would show the loss.
+  auto self = shared_from_this();
+  context_.tasks.add(connection_->client.onDisconnect().then(
+      [self, generation = generation_] {
+        self->OnFailure(generation, 0,
+                        KJ_EXCEPTION(DISCONNECTED, "connection closed"));
+      },
+      [](kj::Exception&& /*error*/) {}));
+}
+
+void RpcPeer::OnConnectFailed(const kj::Exception& error) {
+  // A connect that times out proves nothing: the peer may stand still.
+  const bool refused = error.getType() == kj::Exception::Type::DISCONNECTED;
+  if (refused && !stopped_ && context_.on_lost) context_.on_lost(name_);
+  RetryLater();
+}
+
 void RpcPeer::DropExpired() {
   const auto oldest = base::TimePoint::clock::now() - kQueueTime;
   while (!queue_.empty() && queue_.front().since < oldest) {
@@ -153,8 +174,8 @@
           .then(
               [self, generation = generation_] { self->OnReturn(generation); },
               [self, generation = generation_,
-               lost = batch.size()](kj::Exception&& /*error*/) {
-                self->OnFailure(generation, lost);
+               lost = batch.size()](kj::Exception&& error) {
+                self->OnFailure(generation, lost, error);
               }));
 }
 
@@ -165,13 +186,24 @@
   Flush();
 }
 
-void RpcPeer::OnFailure(std::uint64_t generation, std::size_t lost) {
+void RpcPeer::OnFailure(std::uint64_t generation, std::size_t lost,
+                        const kj::Exception& error) {
   context_.dropped += lost;
   if (generation != generation_) return;
   ++generation_;
   // The connection must not be destroyed inside a continuation of its own call.
   context_.tasks.add(kj::evalLater(
       [dead = kj::mv(connection_)]() mutable { dead = nullptr; }));
+  const bool reset = error.getType() == kj::Exception::Type::DISCONNECTED;
+  // The pause is the least one only if calls have returned since the last
+  // failure, so that a peer that accepts and closes is not tried in a loop.
+  const bool worked = pause_ == context_.options.reconnect_least;
+  if (reset && worked && !stopped_) {
+    pause_ = std::min(2 * pause_, context_.options.reconnect_most);
+    connecting_ = false;
+    Connect();
+    return;
+  }
   connecting_ = true;
   RetryLater();
 }
--- a/transport/lib/rpc_peer.h
+++ b/transport/lib/rpc_peer.h
@@ -28,9 +28,10 @@
     kj::AsyncIoContext& io;
     kj::TaskSet& tasks;
     std::atomic<std::uint64_t>& dropped;
+    const RpcNode::PeerLostCallback& on_lost;
   };
 
-  RpcPeer(Context context, std::string address);
+  RpcPeer(Context context, model::HostName name, std::string address);
 
   const std::string& address() const { return address_; }
 
@@ -72,11 +73,16 @@
   std::vector<Queued> TakeBatch();
   void DropExpired();
   void OnReturn(std::uint64_t generation);
-  /// Drops the connection of `generation` and reconnects after a pause.
-  void OnFailure(std::uint64_t generation, std::size_t lost);
+  void WatchConnection();
+  void OnConnectFailed(const kj::Exception& error);
+  /// Drops the connection of `generation` and reconnects: at once if it was
+  /// reset and had worked, otherwise after a pause.
+  void OnFailure(std::uint64_t generation, std::size_t lost,
+                 const kj::Exception& error);
   void RetryLater();
 
   Context context_;
+  model::HostName name_;
   std::string address_;
   /// Reserved and not yet sent or dropped.
   std::atomic<std::size_t> reserved_{0};
--- a/transport/unittests/rpc_node_test.cc
+++ b/transport/unittests/rpc_node_test.cc
@@ -32,9 +32,12 @@
     options.incarnation = 7;
     options.address = address;
     options.call_timeout = std::chrono::milliseconds(200);
-    auto node = RpcNode::Open(options, [this](model::Envelope envelope) {
-      received_.Add(std::move(envelope));
-    });
+    auto node = RpcNode::Open(
+        options,
+        [this](model::Envelope envelope) {
+          received_.Add(std::move(envelope));
+        },
+        [this](model::HostName host) { lost_.Add(std::move(host)); });
     return node.has_error() ? nullptr : std::move(node.value());
   }
 
@@ -51,6 +54,7 @@
   }
 
   Collector<model::Envelope> received_;
+  Collector<model::HostName> lost_;
 };
 
 TEST_F(RpcNodeTest, DeliversInOrderWithTheSender) {
@@ -91,6 +95,31 @@
   EXPECT_TRUE(SendUntilReceived(*a, 10000));
 }
 
+// Guards against a loss that is noticed only when the next message is sent.
+TEST_F(RpcNodeTest, ReportsAPeerThatEndedThoughNothingIsSent) {
+  const auto a = Open("a");
+  auto b = Open("b");
+  a->SetPeers({{{"b"}, b->address()}});
+  ASSERT_TRUE(SendUntilReceived(*a, 0));
+  EXPECT_EQ(lost_.size(), 0U);
+  b.reset();
+  EXPECT_TRUE(
+      lost_.WaitAny([](const auto& host) { return host.value == "b"; }));
+}
+
+// Guards against calls that are repeated though a peer only stands still.
+TEST_F(RpcNodeTest, ReportsNoPeerThatIsOnlySilent) {
+  const auto a = Open("a");
+  TestListener silent;
+  a->SetPeers({{{"b"}, silent.address()}});
+  ASSERT_TRUE(a->Send({"b"}, CallWithCounter(0)));
+  TestSocket first = silent.Accept();
+  EXPECT_NE(first.ReadAll(), "");
+  ASSERT_TRUE(a->Send({"b"}, CallWithCounter(1)));
+  EXPECT_TRUE(silent.Accept().is_open());
+  EXPECT_EQ(lost_.size(), 0U);
+}
+
 TEST_F(RpcNodeTest, ReopensAConnectionThatGoesSilent) {
   const auto a = Open("a");
   TestListener silent;
