Keep order buckets with running orders from being taken as exclusive

The trace shows the old bucket owner still running the order while the new owner, released by all members, took the bucket as exclusive. Change: buckets with open orders count as held in Release; a host that does not own a bucket passes a forwarded order on to its owner. In the fakes a call is bound to the leaf process that its connection leads to, and an operator submits again after a conflict. Conclusion: 'not run' of a bucket owner rests on all members' releases.

--- a/core/include/berylreach/core/host_core.h
+++ b/core/include/berylreach/core/host_core.h
@@ -96,6 +96,8 @@
   void DriveStop();
   void Carry(const membership::Actions& actions);
   void Carry(const rollout::Actions& actions);
+  /// Leaves and order buckets with running work that other hosts own.
+  std::vector<model::LeafName> Held() const;
   std::vector<model::HostName> OtherMembers() const;
 
   const base::Clock& clock_;
--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "berylreach/core/outbox.h"
@@ -22,8 +23,12 @@
   OrderRunner(const base::Clock& clock, SharedState& state, StoreCalls& store,
               Outbox& outbox);
 
+  /// Runs the order if this host owns its bucket, else passes it on to the
+  /// owner: the sender may have used an older set of members.
   void OnForward(const model::HostName& from,
                  const model::OrderForward& forward);
+  /// Takes the reply to an order that was passed on; returns false for others.
+  bool OnOrderReply(const model::OrderReply& reply);
   void OnJournalRead(std::uint64_t id, const model::StoreResult& result);
   void OnJournalCas(std::uint64_t id, const model::StoreResult& result);
 
@@ -44,6 +49,10 @@
     return coordinator_.NextWakeup();
   }
 
+  /// Buckets that this host does not own and still runs orders of, under the
+  /// names of BucketName.
+  std::vector<model::LeafName> HeldBuckets() const;
+
   /// Orders without final reply, and outcomes that are not in the store yet.
   std::size_t open_work() const {
     return coordinator_.open_orders() + coordinator_.unwritten_outcomes();
@@ -62,6 +71,9 @@
     base::TimePoint deadline;
   };
 
+  bool Owns(std::uint32_t bucket) const;
+  void PassOn(const model::HostName& from, const model::OrderForward& forward,
+              const model::HostName& owner);
   void Carry(const orders::Actions& actions);
   void SendToLeaf(SentOrder order);
   void Report(const orders::SendOrder& order, const model::LeafReply& reply);
@@ -74,6 +86,9 @@
   bool had_lease_ = false;
   std::vector<std::uint32_t> exclusive_;
   std::unordered_map<model::CallId, model::HostName> origins_;
+  /// Orders that were passed on: their sender, and when to forget them.
+  std::unordered_map<model::CallId, std::pair<model::HostName, base::TimePoint>>
+      passed_on_;
   std::unordered_map<model::CallId, SentOrder> sent_;
 };
 
--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -212,7 +212,7 @@
   versions.leaf_states_digest = leaf_owner_.StatesDigest();
   membership::Actions actions;
   membership_.SetVersions(versions, actions);
-  auto held = leaf_owner_.Held();
+  auto held = Held();
   if (held != reported_held_) {
     reported_held_ = held;
     membership_.SetHeldLeaves(membership_.epoch(), held, actions);
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -29,7 +29,7 @@
   } else if (const auto* forward = std::get_if<model::OrderForward>(&message)) {
     orders_.OnForward(from, *forward);
   } else if (const auto* order = std::get_if<model::OrderReply>(&message)) {
-    entry_.OnOrderReply(*order);
+    if (!orders_.OnOrderReply(*order)) entry_.OnOrderReply(*order);
   } else if (const auto* states = std::get_if<model::LeafStates>(&message)) {
     OnLeafStates(from, *states);
   } else if (const auto* list = std::get_if<model::HostListUpdate>(&message)) {
@@ -169,7 +169,7 @@
       owned.push_back(BucketName(bucket));
   }
   membership_.SetOwnedLeaves(adopted_epoch_, owned, actions);
-  reported_held_ = leaf_owner_.Held();
+  reported_held_ = Held();
   membership_.SetHeldLeaves(adopted_epoch_, reported_held_, actions);
   Carry(actions);
   const model::Zone* zone =
@@ -239,6 +239,13 @@
   }
 }
 
+std::vector<model::LeafName> HostCore::Held() const {
+  auto held = leaf_owner_.Held();
+  const auto buckets = orders_.HeldBuckets();
+  held.insert(held.end(), buckets.begin(), buckets.end());
+  return held;
+}
+
 std::vector<model::HostName> HostCore::OtherMembers() const {
   std::vector<model::HostName> others;
   for (const model::Member& member : members_) {
--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -21,6 +21,8 @@
 // did not run it.
 constexpr std::size_t kMaxLeaves = 3;
 constexpr std::chrono::milliseconds kNoLeafRetryAfter{1000};
+// Replies may come this long after the deadline of an order.
+constexpr std::chrono::seconds kPassedOnMemory{1};
 
 std::uint64_t OrderFingerprint(const orders::SendOrder& order) {
   model::CallerRequest request;
@@ -64,12 +66,55 @@
 
 void OrderRunner::OnForward(const model::HostName& from,
                             const model::OrderForward& forward) {
+  const auto bucket = orders::BucketOf(forward.service, forward.key);
+  const model::Member* owner = BucketOwner(bucket, state_.Members());
+  // Claiming in a bucket of another host would break that host's knowledge of
+  // all claims, on which its "not run" rests.
+  if (owner != nullptr && owner->host != outbox_.self()) {
+    return PassOn(from, forward, owner->host);
+  }
   origins_.emplace(forward.id, from);
   orders::Actions actions;
   coordinator_.OnForward(forward, actions);
   Carry(actions);
 }
 
+void OrderRunner::PassOn(const model::HostName& from,
+                         const model::OrderForward& forward,
+                         const model::HostName& owner) {
+  const auto deadline = clock_.Now() + forward.budget;
+  if (passed_on_.emplace(forward.id, std::pair(from, deadline)).second) {
+    return outbox_.Send(owner, forward);
+  }
+  // Two hosts with different members would pass the order back and forth.
+  outbox_.Send(from,
+               model::OrderReply{
+                   forward.id,
+                   model::Refusal{model::ErrorCode::kUnavailable,
+                                  "the order's host is changing",
+                                  model::Ran::kMayHaveRun, kNoLeafRetryAfter}});
+}
+
+bool OrderRunner::OnOrderReply(const model::OrderReply& reply) {
+  const auto node = passed_on_.extract(reply.id);
+  if (node.empty()) return false;
+  outbox_.Send(node.mapped().first, reply);
+  return true;
+}
+
+bool OrderRunner::Owns(std::uint32_t bucket) const {
+  const model::Member* owner = BucketOwner(bucket, state_.Members());
+  return owner != nullptr && owner->host == outbox_.self();
+}
+
+std::vector<model::LeafName> OrderRunner::HeldBuckets() const {
+  std::vector<model::LeafName> held;
+  for (const std::uint32_t bucket : coordinator_.BusyBuckets()) {
+    if (!Owns(bucket)) held.push_back(BucketName(bucket));
+  }
+  return held;
+}
+
 void OrderRunner::OnJournalRead(std::uint64_t id,
                                 const model::StoreResult& result) {
   model::StoreOutcome outcome = result.outcome;
@@ -154,6 +199,9 @@
   orders::Actions actions;
   coordinator_.Tick(actions);
   Carry(actions);
+  std::erase_if(passed_on_, [&](const auto& item) {
+    return item.second.second + kPassedOnMemory < clock_.Now();
+  });
   // A call whose reply was lost ends at its deadline, without proof that it did
   // not run.
   std::vector<model::LeafReply> overdue;
--- a/orders/include/berylreach/orders/order_coordinator.h
+++ b/orders/include/berylreach/orders/order_coordinator.h
@@ -94,6 +94,9 @@
   /// Orders that are claimed, waiting or sent and have no final reply. A
   /// planned stop waits until this is 0.
   std::size_t open_orders() const;
+  /// Buckets with such orders. Until they are empty, no other host may treat
+  /// them as exclusive.
+  std::vector<std::uint32_t> BusyBuckets() const;
 
   /// Outcomes that are not yet in the store. A planned stop waits for them too.
   std::size_t unwritten_outcomes() const;
--- a/orders/lib/order_coordinator.cc
+++ b/orders/lib/order_coordinator.cc
@@ -102,6 +102,14 @@
   return open;
 }
 
+std::vector<std::uint32_t> OrderCoordinator::BusyBuckets() const {
+  std::vector<std::uint32_t> busy;
+  for (std::uint32_t bucket = 0; bucket < kBucketCount; ++bucket) {
+    if (buckets_[bucket]->open_orders() > 0) busy.push_back(bucket);
+  }
+  return busy;
+}
+
 std::size_t OrderCoordinator::unwritten_outcomes() const {
   std::size_t unwritten = 0;
   for (const auto& bucket : buckets_) unwritten += bucket->unwritten_outcomes();
--- a/testing/include/berylreach/testing/world.h
+++ b/testing/include/berylreach/testing/world.h
@@ -113,10 +113,17 @@
 
  private:
   struct Host;
+  /// A document that the one operator wants in force.
+  struct Submission {
+    model::Environment environment;
+    std::function<void(std::uint64_t)> accepted;
+    int attempts = 5;
+  };
 
   std::shared_ptr<OperatorSession> MakeSession(
       const model::Environment& environment,
       std::function<void(std::uint64_t)> done);
+  void StartSubmission();
   Host* Find(const std::string& host);
   const Host* Find(const std::string& host) const;
   /// Runs `event` on the host's core now, or when it wakes; drops it if the
@@ -127,6 +134,8 @@
   void CarryOne(Host& host, core::Action& action);
   void SendPeer(Host& from, const core::SendToPeer& send);
   void CallUpstream(Host& host, const model::UpstreamCall& call);
+  void WriteCall(const std::string& host, const model::UpstreamCall& call,
+                 FakeLeaf::Reply reply);
   void CallStore(Host& host, const model::StoreRequest& request);
   void PollHostList(Host& host);
   void ReadStatuses(const std::string& host, std::uint64_t incarnation,
@@ -144,11 +153,13 @@
   FakeStore store_;
   model::Environment environment_;
   /// Submissions of the one operator; the first is running.
-  std::deque<std::shared_ptr<OperatorSession>> submissions_;
+  std::deque<Submission> submissions_;
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::map<std::string, std::unique_ptr<FakeLeaf>> leaves_;
   std::set<std::pair<std::string, std::string>> cut_links_;
   std::set<std::string> cut_from_store_;
+  /// Incarnation of the leaf that each host's connections lead to.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> connected_to_;
   double message_loss_ = 0;
   double message_duplication_ = 0;
   model::HostList host_list_;
--- a/testing/lib/fake_leaf.cc
+++ b/testing/lib/fake_leaf.cc
@@ -64,7 +64,12 @@
     queue_.At(call.not_after, [reply, result] { reply(result); });
     return;
   }
-  queue_.After(kHop, [this, call, reply] { Start(call, reply); });
+  const std::uint64_t incarnation = incarnation_;
+  queue_.After(kHop, [this, call, reply, incarnation] {
+    if (alive_ && incarnation_ == incarnation) return Start(call, reply);
+    const auto result = ResultFor(call, LeafOutcome::kLeafDied);
+    queue_.After(kHop, [reply, result] { reply(result); });
+  });
 }
 
 void FakeLeaf::Start(const model::UpstreamCall& call, const Reply& reply) {
@@ -72,7 +77,6 @@
     const auto result = ResultFor(call, outcome);
     queue_.After(kHop, [reply, result] { reply(result); });
   };
-  if (!alive_) return refuse(LeafOutcome::kLeafDied);
   if (queue_.Now() >= call.not_after) return refuse(LeafOutcome::kTimedOut);
   if (draining_) return refuse(LeafOutcome::kDraining);
   if (shedding_) return refuse(LeafOutcome::kShed);
--- a/testing/lib/invariants.cc
+++ b/testing/lib/invariants.cc
@@ -190,14 +190,15 @@
       // A later run is fine if it was caused by a request that was still open
       // when this one was refused, or came after it, and was not itself told
       // that the order did not run.
-      const bool other_cause = std::any_of(
-          requests[key].begin(), requests[key].end(),
-          [&](const CallerRecord* other) {
-            if (other == record || other->asked_at > ran_at) return false;
-            if (!other->reply) return true;
-            return !SaysNotRun(*other) &&
-                   other->replied_at >= record->replied_at;
-          });
+      const bool other_cause =
+          std::any_of(requests[key].begin(), requests[key].end(),
+                      [&](const CallerRecord* other) {
+                        if (other == record || other->asked_at > ran_at)
+                          return false;
+                        if (!other->reply) return true;
+                        return !SaysNotRun(*other) &&
+                               other->replied_at >= record->replied_at;
+                      });
       if (ran_at <= record->replied_at || !other_cause) {
         Report(6, Describe(*record) + " was told \"not run\" but ran");
       }
--- a/testing/lib/world.cc
+++ b/testing/lib/world.cc
@@ -171,18 +171,22 @@
 
 void World::SubmitLater(const model::Environment& environment,
                         std::function<void(std::uint64_t)> accepted) {
-  submissions_.push_back(MakeSession(
-      environment,
-      [this, accepted = std::move(accepted)](std::uint64_t version) {
-        if (version != 0) accepted(version);
-        submissions_.pop_front();
-        if (submissions_.empty()) return;
-        queue_.After(base::Duration(0),
-                     [next = submissions_.front()] { next->Start(); });
-      }));
-  if (submissions_.size() > 1) return;
-  queue_.After(base::Duration(0),
-               [first = submissions_.front()] { first->Start(); });
+  submissions_.push_back({environment, std::move(accepted)});
+  if (submissions_.size() == 1) StartSubmission();
+}
+
+void World::StartSubmission() {
+  const auto session = MakeSession(
+      submissions_.front().environment, [this](std::uint64_t version) {
+        Submission& submission = submissions_.front();
+        if (version != 0) submission.accepted(version);
+        // After a conflict the operator looks at the difference and submits
+        // again.
+        if (version != 0 || --submission.attempts == 0)
+          submissions_.pop_front();
+        if (!submissions_.empty()) StartSubmission();
+      });
+  queue_.After(base::Duration(0), [session] { session->Start(); });
 }
 
 void World::SubmitRacing(const model::Environment& environment,
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -81,7 +81,7 @@
       return core.OnUpstreamResult(result);
     });
   };
-  const auto write = [this, call, reply]() -> core::Actions {
+  const auto write = [this, name, call, reply]() -> core::Actions {
     // The I/O thread checks the clock immediately before it writes.
     if (clock_.Now() > call.not_after) {
       model::UpstreamResult unsent;
@@ -89,7 +89,7 @@
       unsent.leaf = call.leaf;
       reply(unsent);
     } else {
-      leaves_.at(call.leaf.value)->Call(call, reply);
+      WriteCall(name, call, reply);
     }
     return {};
   };
@@ -98,6 +98,23 @@
   });
 }
 
+void World::WriteCall(const std::string& host, const model::UpstreamCall& call,
+                      FakeLeaf::Reply reply) {
+  FakeLeaf& leaf = *leaves_.at(call.leaf.value);
+  const auto [connected, first] =
+      connected_to_.try_emplace({host, call.leaf.value}, leaf.incarnation());
+  const bool stale = connected->second != leaf.incarnation();
+  connected->second = leaf.incarnation();
+  if (!stale || !leaf.alive()) return leaf.Call(call, std::move(reply));
+  // The connections lead to a process that has ended: the bytes are lost and
+  // the next call opens a new connection.
+  model::UpstreamResult lost;
+  lost.id = call.id;
+  lost.leaf = call.leaf;
+  lost.outcome = model::LeafOutcome::kLeafDied;
+  queue_.After(kSameZone, [reply, lost] { reply(lost); });
+}
+
 void World::CallStore(Host& host, const model::StoreRequest& request) {
   const std::string name = host.name;
   const std::uint64_t incarnation = host.incarnation;
