Remove a silent host only if no other witness hears it

Cause: cells with isolate_host+kill_other_host left hosts not ready. The traces show a host that was cut off but reached the store removing all others, and one broken link between two hosts removing one of them again and again. Ruled out: fencing (no two owners), rejoin delays. Change: a witness asks the other witnesses before it proposes a removal; one that hears the host objects and passes on its Release, so that a takeover goes on over a broken link; a host that hears less than half of its peers waits 5 s and is not ready. The fake network restores all links of a host. Conclusion: removal needs the agreement of those who can tell.

--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -161,7 +161,7 @@
 
 bool HostCore::ready() const {
   return !stopping_since_ && !zone_out_since_ && HoldsLease() &&
-         rollout_.current().version > 0;
+         membership_.HearsMajority() && rollout_.current().version > 0;
 }
 
 bool HostCore::ServesCallers() const {
--- a/membership/include/berylreach/membership/constants.h
+++ b/membership/include/berylreach/membership/constants.h
@@ -33,6 +33,16 @@
 inline constexpr std::chrono::milliseconds kWatchWait{10000};
 /// Time after `kWatchWait` at which an unanswered watch is abandoned.
 inline constexpr std::chrono::milliseconds kWatchGrace{2000};
+/// Interval at which the other witnesses of a silent host are asked.
+inline constexpr std::chrono::milliseconds kSilenceNoticeInterval{100};
+/// Time for the other witnesses to object: three round trips between regions.
+inline constexpr std::chrono::milliseconds kObjectionTime{120};
+/// How long one objection protects a host; longer than the failure timeout of
+/// the objecting witness.
+inline constexpr std::chrono::milliseconds kObjectionLifetime{1200};
+/// Time for which a host that hears less than half of its peers leaves their
+/// removal to others, who remove this host in the meantime if it is cut off.
+inline constexpr std::chrono::milliseconds kMinorityRemovalDelay{5000};
 /// Host list polling interval of the first delegate.
 inline constexpr std::chrono::milliseconds kFirstDelegatePoll{750};
 /// Host list polling interval of the second delegate.
--- a/membership/include/berylreach/membership/failure_detector.h
+++ b/membership/include/berylreach/membership/failure_detector.h
@@ -32,6 +32,15 @@
   /// Members without a heartbeat for `kFailureTimeout`.
   std::vector<model::HostName> Suspects(base::TimePoint now) const;
 
+  /// Whether `host` with that incarnation is witnessed by this host and was
+  /// heard within `kFailureTimeout`.
+  bool Hears(const model::HostName& host, std::uint64_t incarnation,
+             base::TimePoint now) const;
+
+  /// Whether at least half of the witnessed members were heard within
+  /// `kFailureTimeout`.
+  bool HearsMajority(base::TimePoint now) const;
+
   /// Suspects whose removal this host proposes now by its rank.
   std::vector<model::HostName> RemovalsDue(base::TimePoint now) const;
 
--- a/membership/include/berylreach/membership/membership.h
+++ b/membership/include/berylreach/membership/membership.h
@@ -15,6 +15,7 @@
 #include "berylreach/membership/quorum_history.h"
 #include "berylreach/membership/release_sender.h"
 #include "berylreach/membership/release_table.h"
+#include "berylreach/membership/removal_votes.h"
 #include "berylreach/membership/serving_lease.h"
 #include "berylreach/membership/takeover_waits.h"
 #include "berylreach/membership/versions.h"
@@ -100,6 +101,9 @@
   /// Newest head record known.
   const model::HeadRecord& record() const { return head_.record(); }
 
+  /// Whether this host hears at least half of the hosts that it witnesses; if
+  /// not, it is cut off and can reach few leaves.
+  bool HearsMajority() const { return detector_.HearsMajority(clock_.Now()); }
   /// Whether this incarnation is a member at `epoch()`.
   bool is_member() const { return is_member_; }
 
@@ -136,6 +140,8 @@
   void OnRelease(const model::HostName& from, std::uint64_t incarnation,
                  const model::Release& release, Actions& out);
 
+  void OnSilenceNotice(const model::HostName& from,
+                       const model::SilenceNotice& notice, Actions& out);
   void DriveHeartbeats(Actions& out);
   void SendHeartbeat(const model::HostName& host, Actions& out);
   void DriveStore(Actions& out);
@@ -143,6 +149,7 @@
   bool DriveJoin(Actions& out);
   bool DriveRemovals(Actions& out);
   void DriveTouch(Actions& out);
+  void AskWitnesses(Actions& out);
   void DriveDelegate(Actions& out);
   void DriveTakeovers(Actions& out);
   void NoteLease(Actions& out);
@@ -159,6 +166,7 @@
   HeadWatch watch_;
   ServingLease lease_;
   FailureDetector detector_;
+  RemovalVotes removal_votes_;
   QuorumHistory quorums_;
   ReleaseTable releases_;
   DepartedFences fences_;
--- a/membership/include/berylreach/membership/release_table.h
+++ b/membership/include/berylreach/membership/release_table.h
@@ -21,6 +21,11 @@
   bool Record(const model::HostName& host, std::uint64_t incarnation,
               const model::Release& release);
 
+  /// Records a Release that another host passed on. It may be older than one
+  /// of the same epoch that came directly, which it then does not replace.
+  void RecordRelayed(const model::HostName& host, std::uint64_t incarnation,
+                     const model::Release& release);
+
   /// The newest Release of `member`; null if none has arrived.
   const model::Release* Find(const model::Member& member) const;
 
--- a/membership/lib/failure_detector.cc
+++ b/membership/lib/failure_detector.cc
@@ -48,6 +48,18 @@
   return suspects;
 }
 
+bool FailureDetector::Hears(const model::HostName& host,
+                            std::uint64_t incarnation,
+                            base::TimePoint now) const {
+  const auto found = tracked_.find(host);
+  return found != tracked_.end() && found->second.incarnation == incarnation &&
+         now - found->second.last_heard < kFailureTimeout;
+}
+
+bool FailureDetector::HearsMajority(base::TimePoint now) const {
+  return 2 * Suspects(now).size() <= tracked_.size();
+}
+
 std::vector<model::HostName> FailureDetector::RemovalsDue(
     base::TimePoint now) const {
   std::vector<model::HostName> due;
--- a/membership/lib/membership.cc
+++ b/membership/lib/membership.cc
@@ -119,6 +119,7 @@
   NoteLease(out);
   DriveHeartbeats(out);
   DriveTakeovers(out);
+  AskWitnesses(out);
   DriveStore(out);
   DriveDelegate(out);
 }
--- a/membership/lib/membership_drive.cc
+++ b/membership/lib/membership_drive.cc
@@ -64,9 +64,26 @@
   return true;
 }
 
+void Membership::AskWitnesses(Actions& out) {
+  removal_votes_.SetDue(
+      is_member_ ? detector_.RemovalsDue(now_) : std::vector<model::HostName>(),
+      now_);
+  for (const model::HostName& host : removal_votes_.ToAsk(now_)) {
+    const model::Member* silent = FindMember(members(), host);
+    if (silent == nullptr) continue;
+    for (const model::Member& witness : WitnessesOf(members(), host)) {
+      if (witness.host == self_.host) continue;
+      out.push_back(
+          SendTo{witness.host,
+                 model::SilenceNotice{host, silent->incarnation, false, {}}});
+    }
+  }
+}
+
 bool Membership::DriveRemovals(Actions& out) {
   if (!HoldsLease()) return false;
-  const std::vector<model::HostName> due = detector_.RemovalsDue(now_);
+  const std::vector<model::HostName> due =
+      removal_votes_.Removable(detector_.HearsMajority(now_), now_);
   if (due.empty()) return false;
   for (const model::HostName& host : due) {
     Record("removal_proposed", host.value, "no heartbeat", out);
--- a/membership/lib/membership_messages.cc
+++ b/membership/lib/membership_messages.cc
@@ -21,6 +21,8 @@
     OnHeadUpdate(*update, out);
   } else if (const auto* release = std::get_if<model::Release>(&message)) {
     OnRelease(from, incarnation, *release, out);
+  } else if (const auto* notice = std::get_if<model::SilenceNotice>(&message)) {
+    OnSilenceNotice(from, *notice, out);
   }
   Finish(out);
 }
@@ -79,6 +81,26 @@
   }
 }
 
+void Membership::OnSilenceNotice(const model::HostName& from,
+                                 const model::SilenceNotice& notice,
+                                 Actions& out) {
+  if (notice.heard) {
+    if (FindMember(members(), notice.host, notice.incarnation) != nullptr) {
+      removal_votes_.OnObjection(notice.host, now_);
+      releases_.RecordRelayed(notice.host, notice.incarnation, notice.release);
+    }
+    return;
+  }
+  if (!detector_.Hears(notice.host, notice.incarnation, now_)) return;
+  model::SilenceNotice answer{notice.host, notice.incarnation, true, {}};
+  const model::Member* silent =
+      FindMember(members(), notice.host, notice.incarnation);
+  const model::Release* release =
+      silent == nullptr ? nullptr : releases_.Find(*silent);
+  if (release != nullptr) answer.release = *release;
+  out.push_back(SendTo{from, std::move(answer)});
+}
+
 void Membership::NoteEpoch(const model::HostName& from, std::uint64_t epoch,
                            Actions& out) {
   if (epoch < epoch_) SendHead(from, out);
--- a/membership/lib/release_table.cc
+++ b/membership/lib/release_table.cc
@@ -29,6 +29,19 @@
   return true;
 }
 
+void ReleaseTable::RecordRelayed(const model::HostName& host,
+                                 std::uint64_t incarnation,
+                                 const model::Release& release) {
+  if (release.epoch == 0) return;
+  const auto found = releases_.find({host, incarnation});
+  const bool known =
+      found != releases_.end() && found->second.epoch >= release.epoch;
+  // A newer copy shows less held work, and only that may shorten a wait.
+  const bool shorter = known && found->second.epoch == release.epoch &&
+                       release.held.size() < found->second.held.size();
+  if (!known || shorter) releases_[{host, incarnation}] = release;
+}
+
 const model::Release* ReleaseTable::Find(const model::Member& member) const {
   const auto found = releases_.find({member.host, member.incarnation});
   return found == releases_.end() ? nullptr : &found->second;
--- /dev/null
+++ b/membership/unittests/removal_votes_test.cc
@@ -0,0 +1,52 @@
+// Guards against removing a live host because one link to it is broken, and
+// against a host that is cut off removing all others.
+#include "berylreach/membership/removal_votes.h"
+
+#include <gtest/gtest.h>
+
+#include "berylreach/membership/constants.h"
+
+namespace berylreach::membership {
+namespace {
+
+const model::HostName kHost{"b1"};
+
+base::TimePoint At(base::Duration time) { return base::TimePoint(time); }
+
+TEST(RemovalVotesTest, AllowsARemovalWithoutObjection) {
+  RemovalVotes votes;
+  votes.SetDue({kHost}, At(kFailureTimeout));
+  EXPECT_TRUE(votes.Removable(true, At(kFailureTimeout)).empty());
+  const auto later = At(kFailureTimeout + kObjectionTime);
+  EXPECT_EQ(votes.Removable(true, later), std::vector{kHost});
+}
+
+TEST(RemovalVotesTest, AnObjectionProtectsAsLongAsItIsRepeated) {
+  RemovalVotes votes;
+  votes.SetDue({kHost}, At(kFailureTimeout));
+  const auto objected = At(kFailureTimeout + kObjectionTime);
+  votes.OnObjection(kHost, objected);
+  EXPECT_TRUE(votes.Removable(true, objected).empty());
+  EXPECT_FALSE(votes.Removable(true, objected + kObjectionLifetime).empty());
+}
+
+TEST(RemovalVotesTest, AHostThatHearsFewWaitsForOthers) {
+  RemovalVotes votes;
+  votes.SetDue({kHost}, At(kFailureTimeout));
+  const auto soon = At(kFailureTimeout + kObjectionTime);
+  EXPECT_TRUE(votes.Removable(false, soon).empty());
+  const auto late = At(kFailureTimeout + kMinorityRemovalDelay);
+  EXPECT_FALSE(votes.Removable(false, late).empty());
+}
+
+TEST(RemovalVotesTest, AsksAgainAtItsInterval) {
+  RemovalVotes votes;
+  const auto now = At(kFailureTimeout);
+  votes.SetDue({kHost}, now);
+  EXPECT_EQ(votes.ToAsk(now).size(), 1U);
+  EXPECT_TRUE(votes.ToAsk(now).empty());
+  EXPECT_EQ(votes.ToAsk(now + kSilenceNoticeInterval).size(), 1U);
+}
+
+}  // namespace
+}  // namespace berylreach::membership
--- a/model/include/berylreach/model/peer_message.h
+++ b/model/include/berylreach/model/peer_message.h
@@ -17,6 +17,7 @@
 #include "berylreach/model/parts_reply.h"
 #include "berylreach/model/parts_request.h"
 #include "berylreach/model/release.h"
+#include "berylreach/model/silence_notice.h"
 #include "berylreach/model/suspect_update.h"
 
 namespace berylreach::model {
@@ -26,6 +27,6 @@
     std::variant<Heartbeat, HeartbeatAck, LeafCall, LeafReply, LeafCancel,
                  OrderForward, OrderReply, LeafStates, HostListUpdate,
                  SuspectUpdate, DocumentOffer, PartsRequest, PartsReply,
-                 HeadUpdate, Release>;
+                 HeadUpdate, Release, SilenceNotice>;
 
 }  // namespace berylreach::model
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -193,8 +193,13 @@
 }
 
 void World::SetIsolated(const std::string& host, bool isolated) {
+  // A host that is down now must find its link restored when it returns.
+  std::erase_if(cut_links_, [&](const auto& link) {
+    return link.first == host || link.second == host;
+  });
+  if (!isolated) return;
   for (const auto& [other, state] : hosts_) {
-    if (other != host) SetLink(host, other, !isolated);
+    if (other != host) SetLink(host, other, false);
   }
 }
 
--- a/transport/lib/control_codec.cc
+++ b/transport/lib/control_codec.cc
@@ -120,4 +120,19 @@
   return release;
 }
 
+void Encode(const model::SilenceNotice& notice,
+            rpc::SilenceNotice::Builder builder) {
+  builder.setHost(notice.host.value);
+  builder.setIncarnation(notice.incarnation);
+  builder.setHeard(notice.heard);
+  Encode(notice.release, builder.initRelease());
+}
+
+model::SilenceNotice Decode(rpc::SilenceNotice::Reader reader) {
+  return {{FromText(reader.getHost())},
+          reader.getIncarnation(),
+          reader.getHeard(),
+          Decode(reader.getRelease())};
+}
+
 }  // namespace berylreach::transport
--- a/transport/lib/control_codec.h
+++ b/transport/lib/control_codec.h
@@ -7,6 +7,7 @@
 #include "berylreach/model/host_list.h"
 #include "berylreach/model/leaf_state.h"
 #include "berylreach/model/release.h"
+#include "berylreach/model/silence_notice.h"
 #include "berylreach/model/suspect_update.h"
 #include "generated/peer.capnp.h"
 
@@ -31,6 +32,10 @@
 void Encode(const model::Release& release, rpc::Release::Builder builder);
 model::Release Decode(rpc::Release::Reader reader);
 
+void Encode(const model::SilenceNotice& notice,
+            rpc::SilenceNotice::Builder builder);
+model::SilenceNotice Decode(rpc::SilenceNotice::Reader reader);
+
 void Encode(const model::HeadUpdate& update, rpc::HeadUpdate::Builder builder);
 model::HeadUpdate Decode(rpc::HeadUpdate::Reader reader);
 
--- a/transport/lib/peer_codec.cc
+++ b/transport/lib/peer_codec.cc
@@ -69,6 +69,9 @@
   void operator()(const model::Release& message) {
     Encode(message, builder.initRelease());
   }
+  void operator()(const model::SilenceNotice& message) {
+    Encode(message, builder.initSilenceNotice());
+  }
 };
 
 std::optional<model::PeerMessage> DecodeMessage(rpc::Envelope::Reader reader) {
@@ -119,6 +122,8 @@
       return Decode(reader.getHeadUpdate());
     case rpc::Envelope::RELEASE:
       return Decode(reader.getRelease());
+    case rpc::Envelope::SILENCE_NOTICE:
+      return Decode(reader.getSilenceNotice());
   }
   return std::nullopt;
 }
--- a/transport/schema/peer.capnp
+++ b/transport/schema/peer.capnp
@@ -28,6 +28,7 @@
     partsReply @14 :List(Data);
     headUpdate @15 :HeadUpdate;
     release @16 :Release;
+    silenceNotice @17 :SilenceNotice;
   }
 }
 
@@ -202,6 +203,13 @@
   revision @1 :UInt64;
 }
 
+struct SilenceNotice {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  heard @2 :Bool;
+  release @3 :Release;
+}
+
 struct Release {
   epoch @0 :UInt64;
   held @1 :List(Text);
--- a/transport/unittests/peer_codec_test.cc
+++ b/transport/unittests/peer_codec_test.cc
@@ -142,6 +142,10 @@
       model::PartsReply{Several(Bytes)},
       AnyHead(),
       model::Release{U64(), Several([] { return model::LeafName{Bytes()}; })},
+      model::SilenceNotice{{Bytes()}, U64(), Flag(), {U64(), Several([] {
+                                                        return model::LeafName{
+                                                            Bytes()};
+                                                      })}},
   };
 }
 
