Verify the leaf process before new connections replace lost ones

Cause: when a leaf restarts unseen, its idle connections are closed and the pool replaced them silently: calls started under the limit of the warm process reached the cold one together. Ruled out: the gate; it learns of the restart only from the first answer. Change: when all connections of a leaf were closed by it, the queued calls wait for one status read; a new incarnation ends them as not sent, which the gate takes as evidence of a cold start. Three tests now see that status read before the call on the new connection and expect the same outcomes. Measured: the new test fails without the check (both calls reach the new process) and passes with it; 15 upstream tests pass.

--- a/transport/lib/leaf_aux.cc
+++ b/transport/lib/leaf_aux.cc
@@ -30,6 +30,8 @@
   auto aux =
       std::make_shared<Aux>(context_.io, std::move(request), std::move(done));
   if (!fresh) aux->connection = TakeIdle();
+  // The answer on a fresh connection tells what the lost ones mean.
+  lost_all_ = false;
   aux->reused = aux->connection != nullptr;
   if (!aux->reused) {
     if (open_.size() >= limit_) Drop(TakeIdle());
@@ -159,6 +161,34 @@
           });
 }
 
+LeafStatus LeafPool::StatusOf(const AuxResult& result) {
+  LeafStatus status;
+  status.leaf = leaf_;
+  const auto& response = result.exchange.response;
+  if (result.exchange.end == ExchangeEnd::kAnswered) {
+    status = ParseStatus(leaf_, static_cast<int>(response.result_int()),
+                         response.body());
+  }
+  status.refused = result.refused;
+  if (status.reachable) incarnation_ = status.incarnation;
+  return status;
+}
+
+void LeafPool::VerifyIncarnation() {
+  verifying_ = true;
+  const auto verify = [self = shared_from_this(),
+                       known = incarnation_](const AuxResult& result) {
+    self->verifying_ = false;
+    LeafStatus status = self->StatusOf(result);
+    const bool same =
+        status.reachable && (known == 0 || status.incarnation == known);
+    if (self->reads_status_) self->context_.on_status(std::move(status));
+    if (!same) self->FailQueued();
+    self->Pump();
+  };
+  if (!SendAux(StatusRequest(), true, verify)) verifying_ = false;
+}
+
 void LeafPool::OnStatusRead(const AuxResult& result) {
   if (!reads_status_) return;
   const bool answered = result.exchange.end == ExchangeEnd::kAnswered;
@@ -167,15 +197,7 @@
     ReadStatus(true);
     return;
   }
-  LeafStatus status;
-  status.leaf = leaf_;
-  const auto& response = result.exchange.response;
-  if (answered)
-    status = ParseStatus(leaf_, static_cast<int>(response.result_int()),
-                         response.body());
-  status.refused = result.refused;
-  if (status.reachable) incarnation_ = status.incarnation;
-  context_.on_status(std::move(status));
+  context_.on_status(StatusOf(result));
 }
 
 }  // namespace berylreach::transport
--- a/transport/lib/leaf_connections.cc
+++ b/transport/lib/leaf_connections.cc
@@ -39,15 +39,25 @@
 }
 
 LeafPool::ConnectionPtr LeafPool::TakeIdle() {
+  bool stale = false;
   while (!idle_.empty()) {
     ConnectionPtr connection = std::move(idle_.back());
     idle_.pop_back();
     if (!connection->IsStale()) return connection;
+    stale = true;
     Drop(connection);
   }
+  lost_all_ = stale && open_.empty();
   return nullptr;
 }
 
+void LeafPool::FailQueued() {
+  for (const FlightPtr& flight : std::exchange(queue_, {})) {
+    Report(flight, model::LeafOutcome::kNotSent, true);
+    Forget(flight);
+  }
+}
+
 void LeafPool::Return(const ConnectionPtr& connection) {
   if (connection->reusable() && open_.size() <= limit_) {
     idle_.push_back(connection);
--- a/transport/lib/leaf_pool.cc
+++ b/transport/lib/leaf_pool.cc
@@ -28,14 +28,17 @@
 }
 
 void LeafPool::Pump() {
-  while (!closed_ && !queue_.empty()) {
+  while (!closed_ && !verifying_ && !queue_.empty()) {
     const ConnectionPtr connection = TakeIdle();
+    if (std::exchange(lost_all_, false)) VerifyIncarnation();
     if (!connection) break;
     const FlightPtr flight = queue_.front();
     queue_.pop_front();
     Write(flight, connection, true);
   }
-  while (!closed_ && opening_ < queue_.size() && open_.size() < limit_) Open();
+  while (!closed_ && !verifying_ && opening_ < queue_.size() &&
+         open_.size() < limit_)
+    Open();
 }
 
 void LeafPool::OnOpened(const ConnectionPtr& connection,
@@ -43,11 +46,7 @@
   --opening_;
   if (error) {
     Drop(connection);
-    const auto failed = std::exchange(queue_, {});
-    for (const FlightPtr& flight : failed) {
-      Report(flight, model::LeafOutcome::kNotSent, true);
-      Forget(flight);
-    }
+    FailQueued();
     return;
   }
   if (queue_.empty()) {
--- a/transport/lib/leaf_pool.h
+++ b/transport/lib/leaf_pool.h
@@ -81,6 +81,8 @@
 
   // Connections: leaf_connections.cc.
   ConnectionPtr TakeIdle();
+  /// Ends all queued calls as not sent because the leaf cannot be reached.
+  void FailQueued();
   void Return(const ConnectionPtr& connection);
   void Drop(const ConnectionPtr& connection);
   void DropIdle();
@@ -100,6 +102,11 @@
   model::LeafOutcome LossOutcome(const FlightPtr& flight,
                                  const AuxResult& result);
   void ReadStatus(bool fresh);
+  /// Asks whether the process behind the lost connections still runs, before
+  /// the queued calls are sent on new ones: a new process is cold, and they
+  /// were started under the limit of a warm one.
+  void VerifyIncarnation();
+  LeafStatus StatusOf(const AuxResult& result);
   void OnStatusRead(const AuxResult& result);
   std::string StatusRequest() const;
 
@@ -116,6 +123,11 @@
   std::uint64_t incarnation_ = 0;
   asio::steady_timer status_timer_;
   bool reads_status_ = false;
+  /// The leaf has closed all connections: its process may have ended, and a
+  /// new one at the same address starts cold.
+  bool lost_all_ = false;
+  /// Queued calls wait until VerifyIncarnation has its answer.
+  bool verifying_ = false;
   /// The leaf is no longer owned: connections are closed with the last call.
   bool released_ = false;
   bool closed_ = false;
--- a/transport/unittests/upstream_client_test.cc
+++ b/transport/unittests/upstream_client_test.cc
@@ -147,7 +147,7 @@
 TEST_F(UpstreamClientTest, ResetAfterBytesWithALivingLeafIsLost) {
   WarmUp().Close();
   client_->Send(Call(2, model::RequestKind::kOrder));
-  TestSocket socket = leaf_.Accept();
+  TestSocket socket = AnswerProbe(kOldIncarnation);
   socket.ReadHttp();
   socket.Close(true);
   const TestSocket probe = AnswerProbe(kOldIncarnation);
@@ -157,7 +157,7 @@
 TEST_F(UpstreamClientTest, ResetAfterBytesWithANewIncarnationIsADeath) {
   WarmUp().Close();
   client_->Send(Call(2));
-  TestSocket socket = leaf_.Accept();
+  TestSocket socket = AnswerProbe(kOldIncarnation);
   socket.ReadHttp();
   socket.Close(true);
   const TestSocket probe = AnswerProbe(kNewIncarnation);
@@ -193,12 +193,25 @@
 TEST_F(UpstreamClientTest, OrderOnAStaleConnectionIsWrittenOnce) {
   WarmUp().Close();
   client_->Send(Call(2, model::RequestKind::kOrder));
-  TestSocket socket = leaf_.Accept();
+  TestSocket socket = AnswerProbe(kOldIncarnation);
   EXPECT_NE(socket.ReadHttp().find(R"("kind":"order")"), std::string::npos);
   socket.Write(CallAnswer(2));
   EXPECT_EQ(Result(1).outcome, LeafOutcome::kOk);
 }
 
+// A process that restarts unseen is cold: calls that were started under the
+// limit of its predecessor must not reach it.
+TEST_F(UpstreamClientTest, CallsDoNotReachANewProcessBehindLostConnections) {
+  WarmUp().Close();
+  client_->Send(Call(2));
+  client_->Send(Call(3));
+  const TestSocket probe = AnswerProbe(kNewIncarnation);
+  for (const std::size_t index : {1, 2}) {
+    EXPECT_EQ(Result(index).outcome, LeafOutcome::kNotSent);
+    EXPECT_TRUE(Result(index).connect_failed);
+  }
+}
+
 TEST_F(UpstreamClientTest, OrderCutOffInFlightIsNotRepeated) {
   TestSocket socket = WarmUp();
   client_->Send(Call(2, model::RequestKind::kOrder));
