--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -44,10 +44,31 @@
   HOST_LIST=$(jq -r .address "$WORK/hostlist.out")
 }
 
+# Starts the leaves on free ports and replaces DOCUMENT by a copy in WORK with the bound addresses.
 start_leaves() {
-  leaf_list >"$WORK/leaves.json"
+  leaf_list | jq 'map(.address = "127.0.0.1:0")' >"$WORK/leaves.json"
   start leaves "$bin/standins/berylreach-standin-leaf" --leaves="$WORK/leaves.json"
-  LEAF_CONTROL=$(jq -r .address "$WORK/leaves.out")
+  jq --slurpfile ready "$WORK/leaves.out" \
+    '($ready[0].leaves | map({(.name): .address}) | add) as $bound
+      | .services[].leaves[] |= (.address = $bound[.name])' "$DOCUMENT" >"$WORK/document.json"
+  DOCUMENT=$WORK/document.json
+}
+
+# leaf_addresses FILTER: addresses of the leaves for which the jq expression holds; .service is set.
+leaf_addresses() {
+  jq -r ".services[] | .name as \$service | .leaves[] | .service = \$service | select($1) | .address" \
+    "$DOCUMENT"
+}
+
+# control ADDRESS [FIELDS]: sets fields of a stand-in, or prints its counters.
+control() {
+  curl -sf --max-time 10 ${2:+--data "$2"} "http://$1/control"
+}
+
+# control_leaves FILTER FIELDS
+control_leaves() {
+  local address
+  for address in $(leaf_addresses "$1"); do control "$address" "$2" >/dev/null || return 1; done
 }
 
 # start_host NAME ZONE [HTTP_ADDRESS]
@@ -75,10 +96,44 @@
 
 is_ready() { curl -sf "http://${HTTP[$1]}/readyz"; }
 
-# Stops all processes and waits for their end.
+all_ready() {
+  local name
+  for name in "${HOSTS[@]}"; do is_ready "$name" || return 1; done
+}
+
+# Starts everything, puts DOCUMENT in force and waits until all hosts take requests.
+start_cluster() {
+  start_platform && start_leaves && start_hosts || return 1
+  berylctl submit "$DOCUMENT" --author cluster --note start >"$WORK/submit.out" || return 1
+  wait_for all_ready
+}
+
+# kill_process SIGNAL NAME
+kill_process() { kill "-$1" "${PID[$2]}"; }
+
+# Waits for the end of a process and returns its exit status.
+wait_process() {
+  local status=0
+  wait "${PID[$1]}" || status=$?
+  unset "PID[$1]"
+  return "$status"
+}
+
+# Stops the hosts as planned, then the stand-ins. Fails if a host does not end with status 0.
 stop_cluster() {
+  local name failed=0
+  for name in "${HOSTS[@]}"; do kill_process TERM "$name" || failed=1; done
+  for name in "${HOSTS[@]}"; do
+    wait_process "$name" || { echo "$name: exit status $?" >&2; failed=1; }
+  done
+  kill_cluster
+  return "$failed"
+}
+
+# Ends all processes at once.
+kill_cluster() {
   local name
-  for name in "${!PID[@]}"; do kill -CONT "${PID[$name]}" 2>/dev/null; kill "${PID[$name]}" 2>/dev/null; done
+  for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null; done
   wait 2>/dev/null
   return 0
 }
