Free the slot of a call that the leaf answered as cancelled

Cause: a leaf that answers a running call with 'cancelled' or 'deadline_exceeded' was treated like a lost connection: the concurrency limit of the leaf fell to 1 and the slot stayed taken until the deadline of the call, up to 1 s. Every withdrawn hedge did this, so that other queries waited behind it. Change: the upstream result says when the leaf itself answered the call; such a call frees its slot and is no evidence of a cold start. The outcome stays kLost.

--- a/limits/lib/leaf_gate.cc
+++ b/limits/lib/leaf_gate.cc
@@ -68,8 +68,15 @@
       if (limit_.generation() != generation) ++counters_.cold_resets;
       return;
     }
-    case LeafOutcome::kShed:
     case LeafOutcome::kLost:
+      // A cancelled call is no evidence of a cold start.
+      if (result.ended) {
+        limit_.OnFailure();
+      } else {
+        ResetLimit();
+      }
+      return;
+    case LeafOutcome::kShed:
     case LeafOutcome::kLeafDied:
       ResetLimit();
       return;
@@ -83,8 +90,9 @@
 
 void LeafGate::Finish(RunningMap::iterator found,
                       const model::UpstreamResult& result, Actions& out) {
-  const bool unproven = result.outcome == LeafOutcome::kLost ||
-                        result.outcome == LeafOutcome::kTimedOut;
+  const bool unproven =
+      !result.ended && (result.outcome == LeafOutcome::kLost ||
+                        result.outcome == LeafOutcome::kTimedOut);
   if (unproven) {
     ++counters_.unproven;
     found->second.unproven = true;
--- a/limits/unittests/leaf_gate_test.cc
+++ b/limits/unittests/leaf_gate_test.cc
@@ -109,6 +109,18 @@
   EXPECT_EQ(gate_.limit(), 1U);
 }
 
+// Guards against cancelled hedges that take a slot until their deadline.
+TEST_F(LeafGateTest, CancelledCallThatTheLeafAnsweredFreesItsSlot) {
+  WarmUp(4);
+  model::UpstreamResult cancelled;
+  cancelled.id = Call();
+  cancelled.outcome = LeafOutcome::kLost;
+  cancelled.ended = true;
+  gate_.OnResult(cancelled, out_);
+  EXPECT_EQ(gate_.limit(), 4U);
+  EXPECT_EQ(gate_.running(), 0U);
+}
+
 TEST_F(LeafGateTest, RefusedConnectionIsColdEvidence) {
   WarmUp(4);
   model::UpstreamResult refused;
--- a/model/include/berylreach/model/upstream_result.h
+++ b/model/include/berylreach/model/upstream_result.h
@@ -26,6 +26,9 @@
   std::string result;
   /// Reported with kOk and kVersionGone.
   std::vector<Holding> holdings;
+  /// The leaf answered the call itself, so that it no longer runs there,
+  /// whatever `outcome` says of its result.
+  bool ended = false;
   /// The connection was refused or reset before a byte was sent.
   bool connect_failed = false;
   std::chrono::milliseconds retry_after{0};
--- a/transport/lib/leaf_codec.cc
+++ b/transport/lib/leaf_codec.cc
@@ -110,6 +110,7 @@
       std::chrono::milliseconds(Number(answer, "retry_after_ms").value_or(0));
   if (!IsTrue(answer, "not_run")) {
     result.outcome = model::LeafOutcome::kLost;
+    result.ended = true;
   } else if (error == "draining") {
     result.outcome = model::LeafOutcome::kDraining;
   } else if (error == "cancelled" || error == "deadline_exceeded") {
--- a/transport/unittests/upstream_client_test.cc
+++ b/transport/unittests/upstream_client_test.cc
@@ -255,6 +255,7 @@
   socket.Write(Http(503, R"({"error":"cancelled","request_id":")" +
                              ToString(first.id) + R"("})"));
   EXPECT_EQ(Result(1).outcome, LeafOutcome::kLost);
+  EXPECT_TRUE(Result(1).ended);
 }
 
 TEST_F(UpstreamClientTest, RefusalsThatProveNoRunAreToldApart) {
