Run scenarios written in Lua

Cause: the checks of single invariants needed a C++ test each, so that faults in combination were only covered by the fault matrix.

Change: Lua 5.4 files under testing/scenarios drive World; every invariant is observed while they run.

--- /dev/null
+++ b/testing/lib/scenario_platform.cc
@@ -0,0 +1,125 @@
+// Functions of the test language for the store, the leaves and the operators.
+#include <algorithm>
+#include <memory>
+
+#include "scenario_lua.h"
+
+namespace berylreach::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+milliseconds ToMilliseconds(double number) {
+  return milliseconds(static_cast<std::int64_t>(number));
+}
+
+/// store{down=, slow_ms=, lose=, late=, stale=}; what is absent stays.
+int Store(Scenario& scenario, lua_State* state) {
+  FakeStore& store = scenario.world().store();
+  if (const auto down = BoolField(state, 1, "down")) store.SetDown(*down);
+  if (const auto slow = NumberField(state, 1, "slow_ms"))
+    store.SetDelay(ToMilliseconds(*slow));
+  if (const auto lose = NumberField(state, 1, "lose"))
+    store.SetLoseAnswers(*lose);
+  if (const auto late = NumberField(state, 1, "late"))
+    store.SetLateWrites(*late);
+  if (const auto stale = BoolField(state, 1, "stale"))
+    store.SetStaleReads(*stale);
+  return 0;
+}
+
+FakeLeaf& LeafNamed(Scenario& scenario, const std::string& name) {
+  if (!scenario.world().leaves().contains(name))
+    throw ScenarioError("no leaf " + name);
+  return scenario.world().leaf(name);
+}
+
+void ChangeLeaf(FakeLeaf& leaf, lua_State* state) {
+  if (BoolField(state, 1, "kill").value_or(false)) leaf.Kill();
+  if (BoolField(state, 1, "restart").value_or(false)) leaf.Restart();
+  if (BoolField(state, 1, "cold").value_or(false)) leaf.TurnCold();
+  if (const auto on = BoolField(state, 1, "silent")) leaf.SetSilent(*on);
+  if (const auto on = BoolField(state, 1, "shedding")) leaf.SetShedding(*on);
+  if (const auto on = BoolField(state, 1, "draining")) leaf.SetDraining(*on);
+  if (const auto on = BoolField(state, 1, "crossed")) leaf.SetCrossed(*on);
+  if (const auto time = NumberField(state, 1, "service_ms"))
+    leaf.SetServiceTime(ToMilliseconds(*time));
+}
+
+/// change_leaf({kill=, restart=, cold=, silent=, shedding=, draining=,
+/// crossed=, service_ms=}, name); scenarios write leaf(name){...}.
+int ChangeLeafNamed(Scenario& scenario, lua_State* state) {
+  ChangeLeaf(LeafNamed(scenario, StringArgument(state, 2)), state);
+  return 0;
+}
+
+/// publish_version{service=, version=, shards=, keep=}
+int PublishVersion(Scenario& scenario, lua_State* state) {
+  scenario.world().PublishVersion(
+      StringField(state, 1, "service").value_or("order-desk"),
+      static_cast<std::uint64_t>(NumberField(state, 1, "version").value_or(2)),
+      static_cast<std::uint32_t>(NumberField(state, 1, "shards").value_or(4)),
+      BoolField(state, 1, "keep").value_or(false));
+  return 0;
+}
+
+void SetZone(model::Environment& environment, const std::string& name,
+             model::ZoneState zone_state) {
+  const auto found = std::find_if(
+      environment.zones.begin(), environment.zones.end(),
+      [&](const model::Zone& zone) { return zone.name.value == name; });
+  if (found == environment.zones.end()) throw ScenarioError("no zone " + name);
+  found->state = zone_state;
+}
+
+/// submit{zone_out=, zone_in=, region=, racing=, wait=}: the version written.
+/// With wait=false it returns at once, without a version.
+int Submit(Scenario& scenario, lua_State* state) {
+  model::Environment environment = scenario.world().environment();
+  if (const auto zone = StringField(state, 1, "zone_out"))
+    SetZone(environment, *zone, model::ZoneState::kOut);
+  if (const auto zone = StringField(state, 1, "zone_in"))
+    SetZone(environment, *zone, model::ZoneState::kIn);
+  if (const auto region = StringField(state, 1, "region"))
+    environment.zones.back().region = *region;
+  // Shared, because a submission may outlast the wait for it.
+  const auto written = std::make_shared<std::uint64_t>(0);
+  scenario.Submit(environment, BoolField(state, 1, "racing").value_or(false),
+                  [written](std::uint64_t version) { *written = version; });
+  if (!BoolField(state, 1, "wait").value_or(true)) return 0;
+  if (!scenario.RunUntil([&] { return *written != 0; },
+                         std::chrono::seconds(10))) {
+    throw ScenarioError("the document was not written within 10 s");
+  }
+  return Push(state, static_cast<double>(*written));
+}
+
+int SetLeaving(Scenario& scenario, lua_State* state) {
+  const auto names = ListArgument(state, 1);
+  scenario.SetLeaving({names.begin(), names.end()});
+  return 0;
+}
+
+/// accepted_at_ms(version): when it was accepted; nil if it is not yet.
+int AcceptedAt(Scenario& scenario, lua_State* state) {
+  const auto at = scenario.invariants().AcceptedAt(
+      static_cast<std::uint64_t>(NumberArgument(state, 1)));
+  if (!at) return 0;
+  return Push(state, Milliseconds(*at));
+}
+
+}  // namespace
+
+const std::vector<ScenarioEntry>& PlatformFunctions() {
+  static const std::vector<ScenarioEntry> entries = {
+      {"store", Store},
+      {"change_leaf", ChangeLeafNamed},
+      {"publish_version", PublishVersion},
+      {"submit", Submit},
+      {"set_leaving", SetLeaving},
+      {"accepted_at_ms", AcceptedAt},
+  };
+  return entries;
+}
+
+}  // namespace berylreach::testing
