--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions that start a local deployment: stand-ins for the platform and the leaves, and six hosts.
 # Sourced by the demo and by the process tests; all processes listen on loopback addresses.
 #
@@ -44,13 +45,41 @@
   HOST_LIST=$(jq -r .address "$WORK/hostlist.out")
 }
 
+# Runs one leaf in a process of its own and starts it anew on the same address whenever it ends.
+# Each end adds a line to WORK/deaths. DIE_ON is set again after each start.
+keep_leaf() {
+  local leaf=$1 out=$WORK/leaf-$2.out address=127.0.0.1:0
+  while true; do
+    : >"$out.next"
+    "$bin/standins/berylreach-standin-leaf" --name="$2" --address="$address" \
+      --service="$(jq -r .service <<<"$leaf")" --slots="$(jq -r .slots <<<"$leaf")" \
+      --shard="$(jq -r .shard <<<"$leaf")" --shard_count="$(jq -r .shard_count <<<"$leaf")" >"$out.next" &
+    echo "$!" >"$WORK/leaf-$2.pid"
+    wait_for test -s "$out.next"
+    address=$(jq -r .address "$out.next")
+    control "$address" "{\"die_on\": \"${DIE_ON:-}\"}" >/dev/null
+    mv "$out.next" "$out"
+    wait "$!" || true
+    echo "$2" >>"$WORK/deaths"
+  done
+}
+
 # Starts the leaves on free ports and replaces DOCUMENT by a copy in WORK with the bound addresses.
+# Leaves of the service OWN_PROCESS, if it is set, run in processes of their own.
 start_leaves() {
-  leaf_list | jq 'map(.address = "127.0.0.1:0")' >"$WORK/leaves.json"
+  local leaf name
+  leaf_list | jq --arg own "${OWN_PROCESS:-}" \
+    'map(select(.service != $own) | .address = "127.0.0.1:0")' >"$WORK/leaves.json"
   start leaves "$bin/standins/berylreach-standin-leaf" --leaves="$WORK/leaves.json"
-  jq --slurpfile ready "$WORK/leaves.out" \
-    '($ready[0].leaves | map({(.name): .address}) | add) as $bound
-      | .services[].leaves[] |= (.address = $bound[.name])' "$DOCUMENT" >"$WORK/document.json"
+  while read -r leaf; do
+    name=$(jq -r .name <<<"$leaf")
+    keep_leaf "$leaf" "$name" 2>>"$WORK/leaf-$name.log" &
+    PID[leaf-$name]=$!
+    wait_for test -s "$WORK/leaf-$name.out" || return 1
+  done < <(leaf_list | jq -c --arg own "${OWN_PROCESS:-}" '.[] | select(.service == $own)')
+  jq -n '[inputs.leaves[] | {(.name): .address}] | add' "$WORK"/lea*.out >"$WORK/bound.json"
+  jq --slurpfile bound "$WORK/bound.json" \
+    '.services[].leaves[] |= (.address = $bound[0][.name])' "$DOCUMENT" >"$WORK/document.json"
   DOCUMENT=$WORK/document.json
 }
 
@@ -133,9 +162,13 @@
 # Ends all processes at once.
 kill_cluster() {
   local name
-  for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null; done
-  wait 2>/dev/null
-  return 0
+  for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null || true; done
+  # Leaves of their own are children of keep_leaf, which no longer starts new ones.
+  for name in "$WORK"/leaf-*.pid; do
+    [[ ! -s $name ]] || kill -KILL "$(cat "$name")" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  PID=()
 }
 
 berylctl() { "$bin/tools/berylctl/berylctl" --store="$STORE" --environment=production "$@"; }
--- a/scripts/process_tests/common.sh
+++ b/scripts/process_tests/common.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Common part of the process tests: one deployment, load, checks and the cleanup.
 # Sourced by each case. Bounds come from the targets in docs/design.md.
 set -euo pipefail
@@ -52,8 +53,7 @@
   shift
   "$bin/testing/berylreach-load" --hosts="$(all_addresses)" --seconds=240 --verify-orders \
     --leaves="$(leaf_addresses '.service == "hide-ledger"' | paste -sd ,)" --key_prefix="$name" \
-    "$@" \
-    >"$WORK/$name.json" 2>"$WORK/$name.log" &
+    "$@" >"$WORK/$name.json" 2>"$WORK/$name.log" &
   PID[$name]=$!
   phase 1
 }
--- a/scripts/process_tests/zone_out_and_back.sh
+++ b/scripts/process_tests/zone_out_and_back.sh
@@ -27,7 +27,8 @@
 set_zone "$zone" in
 wait_for all_ready || fail "not all hosts are ready after the return of the zone"
 phase 5
-(($(last_new_call) > (ACCEPTED_MS) * 1000)) || fail "zone $zone got no calls after its return"
+last=$(last_new_call)
+((last > ACCEPTED_MS * 1000)) || fail "zone $zone got no calls after its return"
 end_load main
 expect_truth main
 expect_whole main
--- a/testing/load/load.cc
+++ b/testing/load/load.cc
@@ -16,6 +16,8 @@
 #include <boost/json.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -173,7 +175,7 @@
     reply.transfer = transfer;
     std::optional<tcp::socket> socket;
     if (transfer == Transfer::kReplied) {
-      reply.status = parser_.get().result_int();
+      reply.status = static_cast<int>(parser_.get().result_int());
       reply.body = std::move(parser_.get().body());
       if (parser_.get().keep_alive()) {
         stream_.expires_never();
@@ -684,5 +686,10 @@
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return berylreach::load::Load().Run();
+  try {
+    return berylreach::load::Load().Run();
+  } catch (const std::exception& exception) {
+    std::fprintf(stderr, "berylreach-load: %s\n", exception.what());
+    return 2;
+  }
 }
