--- a/membership/lib/membership_drive.cc
+++ b/membership/lib/membership_drive.cc
@@ -38,7 +38,10 @@
     head_.StartRead(now_, out);
     return;
   }
-  if (DriveLeave(out) || DriveJoin(out) || DriveRemovals(out)) return;
+  if (DriveLeave(out) || DriveJoin(out) || DriveRemovals(out) ||
+      DriveCleanup(out)) {
+    return;
+  }
   DriveTouch(out);
 }
 
@@ -48,10 +51,8 @@
     has_left_ = true;
     return true;
   }
-  model::HeadRecord next = WithRemoved(
-      record(), {self_.host}, quorums_, [this](const model::Departed& entry) {
-        return fences_.Fenced(entry, record(), now_);
-      });
+  model::HeadRecord next =
+      WithRemoved(record(), {self_.host}, quorums_, IsFenced());
   next.writer = self_.host.value;
   head_.StartWrite(std::move(next), now_, out);
   return true;
@@ -64,22 +65,53 @@
   return true;
 }
 
+void Membership::AskWitnesses(Actions& out) {
+  removal_votes_.SetDue(
+      is_member_ ? detector_.RemovalsDue(now_) : std::vector<model::HostName>(),
+      now_);
+  for (const model::HostName& host : removal_votes_.ToAsk(now_)) {
+    const model::Member* silent = FindMember(members(), host);
+    if (silent == nullptr) continue;
+    for (const model::Member& witness : WitnessesOf(members(), host)) {
+      if (witness.host == self_.host) continue;
+      out.push_back(
+          SendTo{witness.host,
+                 model::SilenceNotice{host, silent->incarnation, false, {}}});
+    }
+  }
+}
+
 bool Membership::DriveRemovals(Actions& out) {
   if (!HoldsLease()) return false;
-  const std::vector<model::HostName> due = detector_.RemovalsDue(now_);
+  const std::vector<model::HostName> due =
+      removal_votes_.Removable(detector_.HearsMajority(now_), now_);
   if (due.empty()) return false;
   for (const model::HostName& host : due) {
     Record("removal_proposed", host.value, "no heartbeat", out);
   }
-  model::HeadRecord next = WithRemoved(
-      record(), due, quorums_, [this](const model::Departed& entry) {
-        return fences_.Fenced(entry, record(), now_);
-      });
+  model::HeadRecord next = WithRemoved(record(), due, quorums_, IsFenced());
   next.writer = self_.host.value;
   head_.StartWrite(std::move(next), now_, out);
   return true;
 }
 
+bool Membership::DriveCleanup(Actions& out) {
+  // Without it, hosts that restart again and again before they are missed would
+  // fill the record.
+  if (delegate_rank_ != 0U || !HoldsLease()) return false;
+  model::HeadRecord next = WithoutFenced(record(), IsFenced());
+  if (next.departed == record().departed) return false;
+  next.writer = self_.host.value;
+  head_.StartWrite(std::move(next), now_, out);
+  return true;
+}
+
+FencedPredicate Membership::IsFenced() const {
+  return [this](const model::Departed& entry) {
+    return fences_.Fenced(entry, record(), now_);
+  };
+}
+
 void Membership::DriveTouch(Actions& out) {
   const bool low = lease_.expiry() < now_ + kTouchThreshold;
   if (!low || now_ < next_touch_) return;
