--- a/testing/include/berylreach/testing/world.h
+++ b/testing/include/berylreach/testing/world.h
@@ -23,6 +23,7 @@
 #include "berylreach/testing/operator_session.h"
 #include "berylreach/testing/random.h"
 #include "berylreach/testing/world_event.h"
+#include "berylreach/testing/world_observer.h"
 
 namespace berylreach::testing {
 
@@ -111,6 +112,10 @@
   }
   Random& random() { return random_; }
 
+  /// Tells `observer` of all traffic and events from now on; null ends it. It
+  /// must outlive its use.
+  void SetObserver(WorldObserver* observer) { observer_ = observer; }
+
  private:
   struct Host;
 
@@ -159,6 +164,7 @@
   std::map<model::CallId, std::size_t> record_of_;
   std::vector<LeafRun> runs_;
   std::vector<WorldEvent> events_;
+  WorldObserver* observer_ = nullptr;
 };
 
 }  // namespace berylreach::testing
--- a/testing/lib/world.cc
+++ b/testing/lib/world.cc
@@ -119,7 +119,10 @@
     });
     return;
   }
-  Carry(*found, event(*found->core));
+  if (observer_ != nullptr) observer_->OnEventBegin();
+  core::Actions actions = event(*found->core);
+  if (observer_ != nullptr) observer_->OnEventEnd();
+  Carry(*found, std::move(actions));
 }
 
 std::size_t World::Ask(const std::string& host, model::CallerRequest request,
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -58,6 +58,8 @@
   const std::string to = send.to.value;
   if (!from.peers.contains(to) || !LinkUp(from.name, to)) return;
   if (random_.Chance(message_loss_)) return;
+  if (observer_ != nullptr)
+    observer_->OnPeerMessage(from.name, to, send.message);
   const model::Envelope envelope{{from.name}, from.incarnation, send.message};
   const int copies = random_.Chance(message_duplication_) ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
@@ -101,6 +103,7 @@
 void World::CallStore(Host& host, const model::StoreRequest& request) {
   const std::string name = host.name;
   const std::uint64_t incarnation = host.incarnation;
+  if (observer_ != nullptr) observer_->OnStoreCall(name);
   const auto reply = [this, name,
                       incarnation](const model::StoreResult& result) {
     Dispatch(name, incarnation, [result](core::HostCore& core) {
