--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -161,7 +161,7 @@
 
 bool HostCore::ready() const {
   return !stopping_since_ && !zone_out_since_ && HoldsLease() &&
-         rollout_.current().version > 0;
+         membership_.HearsMajority() && rollout_.current().version > 0;
 }
 
 bool HostCore::ServesCallers() const {
@@ -212,7 +212,7 @@
   versions.leaf_states_digest = leaf_owner_.StatesDigest();
   membership::Actions actions;
   membership_.SetVersions(versions, actions);
-  auto held = leaf_owner_.Held();
+  auto held = Held();
   if (held != reported_held_) {
     reported_held_ = held;
     membership_.SetHeldLeaves(membership_.epoch(), held, actions);
--- a/membership/include/berylreach/membership/membership.h
+++ b/membership/include/berylreach/membership/membership.h
@@ -11,10 +11,12 @@
 #include "berylreach/membership/departed_fences.h"
 #include "berylreach/membership/failure_detector.h"
 #include "berylreach/membership/head_client.h"
+#include "berylreach/membership/head_edits.h"
 #include "berylreach/membership/head_watch.h"
 #include "berylreach/membership/quorum_history.h"
 #include "berylreach/membership/release_sender.h"
 #include "berylreach/membership/release_table.h"
+#include "berylreach/membership/removal_votes.h"
 #include "berylreach/membership/serving_lease.h"
 #include "berylreach/membership/takeover_waits.h"
 #include "berylreach/membership/versions.h"
@@ -100,6 +102,9 @@
   /// Newest head record known.
   const model::HeadRecord& record() const { return head_.record(); }
 
+  /// Whether this host hears at least half of the hosts that it witnesses; if
+  /// not, it is cut off and can reach few leaves.
+  bool HearsMajority() const { return detector_.HearsMajority(clock_.Now()); }
   /// Whether this incarnation is a member at `epoch()`.
   bool is_member() const { return is_member_; }
 
@@ -136,13 +141,19 @@
   void OnRelease(const model::HostName& from, std::uint64_t incarnation,
                  const model::Release& release, Actions& out);
 
+  void OnSilenceNotice(const model::HostName& from,
+                       const model::SilenceNotice& notice, Actions& out);
   void DriveHeartbeats(Actions& out);
   void SendHeartbeat(const model::HostName& host, Actions& out);
   void DriveStore(Actions& out);
   bool DriveLeave(Actions& out);
   bool DriveJoin(Actions& out);
   bool DriveRemovals(Actions& out);
+  /// Drops fenced departed entries from the record; done by the first delegate.
+  bool DriveCleanup(Actions& out);
+  FencedPredicate IsFenced() const;
   void DriveTouch(Actions& out);
+  void AskWitnesses(Actions& out);
   void DriveDelegate(Actions& out);
   void DriveTakeovers(Actions& out);
   void NoteLease(Actions& out);
@@ -159,6 +170,7 @@
   HeadWatch watch_;
   ServingLease lease_;
   FailureDetector detector_;
+  RemovalVotes removal_votes_;
   QuorumHistory quorums_;
   ReleaseTable releases_;
   DepartedFences fences_;
