Let a planned stop finish the work of other hosts

The stopping host ended as soon as the store confirmed its departure, while it still ran leaf calls and orders for other hosts. Ruled out: the balancer (no request was cut) and the leaves. Change: a host ends only when its leaf calls and orders have ended and 0.5 s have passed for late messages; a host that has left still passes orders on; an order that comes back because the other host has older members is tried again after 20 ms. Conclusion: the stop waits for the work of others too.

--- a/core/include/berylreach/core/host_core.h
+++ b/core/include/berylreach/core/host_core.h
@@ -121,6 +121,8 @@
   bool takeovers_changed_ = false;
   std::optional<base::TimePoint> stopping_since_;
   bool leaving_ = false;
+  /// When the membership record was left.
+  std::optional<base::TimePoint> left_at_;
   std::vector<model::LeafName> reported_held_;
 };
 
--- a/core/include/berylreach/core/leaf_owner.h
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -63,6 +63,8 @@
   std::vector<model::LeafName> Owned() const;
   /// Leaves that are no longer owned but still have work.
   std::vector<model::LeafName> Held() const;
+  /// Whether a call runs or waits on any leaf.
+  bool HasWork() const;
   /// Digest of the published states.
   std::uint64_t StatesDigest() const;
 
--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -45,9 +46,7 @@
   void SetExclusiveBuckets(const std::vector<std::uint32_t>& buckets);
 
   void Tick();
-  std::optional<base::TimePoint> NextWakeup() const {
-    return coordinator_.NextWakeup();
-  }
+  std::optional<base::TimePoint> NextWakeup() const;
 
   /// Buckets that this host does not own and still runs orders of, under the
   /// names of BucketName.
@@ -71,7 +70,17 @@
     base::TimePoint deadline;
   };
 
+  /// An order that was passed on to the owner of its bucket.
+  struct PassedOn {
+    model::HostName from;
+    base::TimePoint deadline;
+    /// Set if the order came back, because the other host has older members.
+    std::optional<model::OrderForward> returned;
+    base::TimePoint retry_at;
+  };
+
   bool Owns(std::uint32_t bucket) const;
+  void RetryReturned();
   void PassOn(const model::HostName& from, const model::OrderForward& forward,
               const model::HostName& owner);
   void Carry(const orders::Actions& actions);
@@ -86,9 +95,7 @@
   bool had_lease_ = false;
   std::vector<std::uint32_t> exclusive_;
   std::unordered_map<model::CallId, model::HostName> origins_;
-  /// Orders that were passed on: their sender, and when to forget them.
-  std::unordered_map<model::CallId, std::pair<model::HostName, base::TimePoint>>
-      passed_on_;
+  std::unordered_map<model::CallId, PassedOn> passed_on_;
   std::unordered_map<model::CallId, SentOrder> sent_;
 };
 
--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -19,6 +19,10 @@
 // The same during a planned stop.
 constexpr std::chrono::milliseconds kStopGrace{1500};
 
+// Time for the other hosts to hear of the departure and for their messages
+// under way to arrive and be answered.
+constexpr std::chrono::milliseconds kLeaveGrace{500};
+
 }  // namespace
 
 HostCore::HostCore(const base::Clock& clock, CoreOptions options)
@@ -147,7 +151,10 @@
   return Finish();
 }
 
-bool HostCore::stopped() const { return leaving_ && membership_.has_left(); }
+bool HostCore::stopped() const {
+  return left_at_ && clock_.Now() >= *left_at_ + kLeaveGrace &&
+         !leaf_owner_.HasWork() && orders_.open_work() == 0;
+}
 
 base::TimePoint HostCore::NextWakeup() const {
   base::TimePoint next =
@@ -196,6 +203,7 @@
 }
 
 void HostCore::DriveStop() {
+  if (leaving_ && !left_at_ && membership_.has_left()) left_at_ = clock_.Now();
   if (!stopping_since_ || leaving_) return;
   if (clock_.Now() < *stopping_since_ + kStopGrace) return;
   if (entry_.open_requests() > 0 || orders_.open_work() > 0) return;
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -158,9 +158,14 @@
 }
 
 void HostCore::Adopt() {
-  // A host that was removed owns nothing, whatever the members are.
-  const auto members =
-      membership_.is_member() ? members_ : std::vector<model::Member>();
+  auto members = members_;
+  // A host that was removed owns nothing, even if another process of the same
+  // name is a member. It still knows whom to pass late orders on to.
+  if (!membership_.is_member()) {
+    std::erase_if(members, [&](const model::Member& member) {
+      return member.host == outbox_.self();
+    });
+  }
   adopted_epoch_ = membership_.epoch();
   state_.Adopt(rollout_.current().version, rollout_.environment(),
                adopted_epoch_, members);
--- a/core/lib/leaf_owner_states.cc
+++ b/core/lib/leaf_owner_states.cc
@@ -113,6 +113,11 @@
   return DigestOf(states);
 }
 
+bool LeafOwner::HasWork() const {
+  return std::any_of(leaves_.begin(), leaves_.end(),
+                     [](const auto& item) { return item.second.HasWork(); });
+}
+
 std::uint64_t LeafOwner::NextSequence() {
   // Wall time keeps sequences rising when a leaf moves between owners within
   // one epoch.
--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kNoLeafRetryAfter{1000};
 // Replies may come this long after the deadline of an order.
 constexpr std::chrono::seconds kPassedOnMemory{1};
+// A change of members reaches the other regions within about 20 ms.
+constexpr std::chrono::milliseconds kReturnedRetryDelay{20};
 
 std::uint64_t OrderFingerprint(const orders::SendOrder& order) {
   model::CallerRequest request;
@@ -83,22 +85,43 @@
                          const model::OrderForward& forward,
                          const model::HostName& owner) {
   const auto deadline = clock_.Now() + forward.budget;
-  if (passed_on_.emplace(forward.id, std::pair(from, deadline)).second) {
-    return outbox_.Send(owner, forward);
+  const auto [found, added] =
+      passed_on_.try_emplace(forward.id, PassedOn{from, deadline, {}, {}});
+  if (added) return outbox_.Send(owner, forward);
+  found->second.returned = forward;
+  found->second.retry_at = clock_.Now() + kReturnedRetryDelay;
+}
+
+void OrderRunner::RetryReturned() {
+  std::vector<PassedOn> due;
+  std::erase_if(passed_on_, [&](const auto& item) {
+    const PassedOn& order = item.second;
+    const bool retry = order.returned && order.retry_at <= clock_.Now();
+    if (retry) due.push_back(order);
+    return retry || order.deadline + kPassedOnMemory < clock_.Now();
+  });
+  for (PassedOn& order : due) {
+    order.returned->budget =
+        std::chrono::duration_cast<std::chrono::microseconds>(order.deadline -
+                                                              clock_.Now());
+    OnForward(order.from, *order.returned);
+  }
+}
+
+std::optional<base::TimePoint> OrderRunner::NextWakeup() const {
+  auto next = coordinator_.NextWakeup();
+  for (const auto& [id, order] : passed_on_) {
+    if (order.returned && (!next || order.retry_at < *next)) {
+      next = order.retry_at;
+    }
   }
-  // Two hosts with different members would pass the order back and forth.
-  outbox_.Send(from,
-               model::OrderReply{
-                   forward.id,
-                   model::Refusal{model::ErrorCode::kUnavailable,
-                                  "the order's host is changing",
-                                  model::Ran::kMayHaveRun, kNoLeafRetryAfter}});
+  return next;
 }
 
 bool OrderRunner::OnOrderReply(const model::OrderReply& reply) {
   const auto node = passed_on_.extract(reply.id);
   if (node.empty()) return false;
-  outbox_.Send(node.mapped().first, reply);
+  outbox_.Send(node.mapped().from, reply);
   return true;
 }
 
@@ -199,9 +222,7 @@
   orders::Actions actions;
   coordinator_.Tick(actions);
   Carry(actions);
-  std::erase_if(passed_on_, [&](const auto& item) {
-    return item.second.second + kPassedOnMemory < clock_.Now();
-  });
+  RetryReturned();
   // A call whose reply was lost ends at its deadline, without proof that it did
   // not run.
   std::vector<model::LeafReply> overdue;
