Adapt the capacity commands to the merged cluster script

Cause: main added a message type, and scripts/cluster.sh now writes its own copy of the document and waits for planned ends.

--- a/scripts/capacity/datapath.sh
+++ b/scripts/capacity/datapath.sh
@@ -7,7 +7,7 @@
 source "$here/../cluster.sh"
 source "$here/deployment.sh"
 WORK=$(mktemp -d)
-trap 'stop_cluster; rm -rf "$WORK"' EXIT
+trap 'kill_cluster; rm -rf "$WORK"' EXIT
 output=$root/docs/capacity/datapath.tsv
 seconds=${SECONDS_PER_RUN:-6}
 read -ra widths <<<"${WIDTHS:-4 20 80 320}"
@@ -57,5 +57,5 @@
     ((calls <= shards * 800)) || continue
     measure "$shards" "$(awk -v c="$calls" -v s="$shards" 'BEGIN { print c / s }')" | tee -a "$output"
   done
-  stop_cluster
+  kill_cluster
 done
--- a/scripts/capacity/deployment.sh
+++ b/scripts/capacity/deployment.sh
@@ -22,7 +22,7 @@
 start_deployment() {
   rm -f "$WORK"/*
   PID=()
-  DOCUMENT=$WORK/document.json
+  DOCUMENT=$WORK/source.json
   "$root/scripts/capacity/make-document.sh" "$1" >"$DOCUMENT"
   start_platform
   start_leaves
--- a/scripts/capacity/wire.sh
+++ b/scripts/capacity/wire.sh
@@ -5,7 +5,7 @@
 source "$(dirname "$0")/../cluster.sh"
 source "$root/scripts/capacity/deployment.sh"
 WORK=$(mktemp -d)
-trap 'stop_cluster; rm -rf "$WORK"' EXIT
+trap 'kill_cluster; rm -rf "$WORK"' EXIT
 seconds=10
 header=52  # IP and TCP headers of a segment with timestamps, in bytes
 
--- a/testing/capacity/traffic_count.cc
+++ b/testing/capacity/traffic_count.cc
@@ -16,7 +16,9 @@
     "Heartbeat",      "HeartbeatAck",  "LeafCall",      "LeafReply",
     "LeafCancel",     "OrderForward",  "OrderReply",    "LeafStates",
     "HostListUpdate", "SuspectUpdate", "DocumentOffer", "PartsRequest",
-    "PartsReply",     "HeadUpdate",    "Release"};
+    "PartsReply",     "HeadUpdate",    "Release",       "SilenceNotice"};
+
+static_assert(kTypeNames.back() != nullptr, "a message type has no name");
 
 }  // namespace
 
