--- a/core/lib/entry.cc
+++ b/core/lib/entry.cc
@@ -33,6 +33,13 @@
          service.accepts.end();
 }
 
+/// What a host may say of a request that it refuses without the order's
+/// claimer: an earlier attempt at the same order may have run.
+Ran RanIfRefused(const model::CallerRequest& request) {
+  return request.kind == model::RequestKind::kOrder ? Ran::kMayHaveRun
+                                                    : Ran::kNotRun;
+}
+
 }  // namespace
 
 Entry::Entry(const base::Clock& clock, SharedState& state,
@@ -51,9 +58,10 @@
   const std::size_t leaf_calls = fans_out ? service.shards : 1;
   const auto decision = admission_.Admit(service.priority, leaf_calls);
   if (!decision.admitted) {
-    return Reply(request.id, Refusal{ErrorCode::kOverloaded,
-                                     "the host is at its request limit",
-                                     Ran::kNotRun, decision.retry_after});
+    return Reply(
+        request.id,
+        Refusal{ErrorCode::kOverloaded, "the host is at its request limit",
+                RanIfRefused(request), decision.retry_after});
   }
   if (request.kind == model::RequestKind::kOrder) return ForwardOrder(request);
   StartQuery(request, leaf_calls);
@@ -63,7 +71,7 @@
                                     bool serving) const {
   if (!serving || !state_.HoldsLease()) {
     return Refusal{ErrorCode::kNotServing,
-                   "the host does not take requests now", Ran::kNotRun,
+                   "the host does not take requests now", RanIfRefused(request),
                    kNotServingRetryAfter};
   }
   const model::Service* service =
@@ -71,13 +79,13 @@
   if (service == nullptr) {
     return Refusal{ErrorCode::kUnknownService,
                    "service \"" + request.service.value + "\" does not exist",
-                   Ran::kNotRun, milliseconds(0)};
+                   RanIfRefused(request), milliseconds(0)};
   }
   if (!Accepts(*service, request.kind)) {
     return Refusal{ErrorCode::kBadRequest,
                    "service \"" + request.service.value +
                        "\" does not accept this request kind",
-                   Ran::kNotRun, milliseconds(0)};
+                   RanIfRefused(request), milliseconds(0)};
   }
   return std::nullopt;
 }
@@ -107,7 +115,7 @@
         Refusal{
             ErrorCode::kRequestBlocked,
             "the request is blocked because upstreams died while running it",
-            Ran::kNotRun, expires});
+            RanIfRefused(request), expires});
   }
   const auto bucket = orders::BucketOf(request.service, request.key);
   const model::Member* owner = BucketOwner(bucket, state_.Members());
--- a/testing/lib/scenario_requests.cc
+++ b/testing/lib/scenario_requests.cc
@@ -106,6 +106,8 @@
 void PushRecord(lua_State* state, const CallerRecord& record) {
   lua_newtable(state);
   SetField(state, "host", record.host.value);
+  SetField(state, "key", record.request.key);
+  SetField(state, "asked_ms", Milliseconds(record.asked_at));
   SetField(state, "cut", record.host_lost);
   if (!record.reply) {
     SetField(state, "outcome", std::string("none"));
