--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -44,6 +44,7 @@
   membership::Actions membership_actions;
   membership_.Tick(membership_actions);
   Carry(membership_actions);
+  state_.Doubtful().SetSilent(membership_.SilentMembers());
   rollout::Actions rollout_actions;
   rollout_.Tick(rollout_actions);
   Carry(rollout_actions);
@@ -68,7 +69,14 @@
   return Finish();
 }
 
+Actions HostCore::OnPeerLost(const model::HostName& host) {
+  state_.Doubtful().OnLost(host);
+  entry_.OnPeerLost(host);
+  return Finish();
+}
+
 Actions HostCore::OnEnvelope(const model::Envelope& envelope) {
+  state_.Doubtful().OnAlive(envelope.from);
   Deliver(envelope.from, envelope.incarnation, envelope.message);
   return Finish();
 }
@@ -161,7 +169,7 @@
 
 bool HostCore::ready() const {
   return !stopping_since_ && !zone_out_since_ && HoldsLease() &&
-         rollout_.current().version > 0;
+         membership_.HearsMajority() && rollout_.current().version > 0;
 }
 
 bool HostCore::ServesCallers() const {
@@ -212,7 +220,7 @@
   versions.leaf_states_digest = leaf_owner_.StatesDigest();
   membership::Actions actions;
   membership_.SetVersions(versions, actions);
-  auto held = leaf_owner_.Held();
+  auto held = Held();
   if (held != reported_held_) {
     reported_held_ = held;
     membership_.SetHeldLeaves(membership_.epoch(), held, actions);
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "berylreach/core/host_core.h"
+#include "berylreach/membership/witness_set.h"
 #include "berylreach/orders/bucket.h"
 
 namespace berylreach::core {
@@ -29,7 +30,7 @@
   } else if (const auto* forward = std::get_if<model::OrderForward>(&message)) {
     orders_.OnForward(from, *forward);
   } else if (const auto* order = std::get_if<model::OrderReply>(&message)) {
-    entry_.OnOrderReply(*order);
+    if (!orders_.OnOrderReply(*order)) entry_.OnOrderReply(*order);
   } else if (const auto* states = std::get_if<model::LeafStates>(&message)) {
     OnLeafStates(from, *states);
   } else if (const auto* list = std::get_if<model::HostListUpdate>(&message)) {
@@ -65,8 +66,7 @@
                             const model::LeafStates& states) {
   // An empty message asks for all states of this host.
   if (states.states.empty()) return leaf_owner_.PublishAllTo(from);
-  for (const model::LeafState& state : states.states)
-    state_.Leaves().Merge(state);
+  for (const model::LeafState& state : states.states) state_.OnLeafState(state);
 }
 
 void HostCore::OnPeerVersions(const membership::PeerVersions& versions) {
@@ -112,10 +112,13 @@
         std::find(previous.begin(), previous.end(), member) != previous.end();
     if (!known && member.host != outbox_.self()) joined.push_back(member.host);
   }
-  // Departed hosts stay reachable, since they may still answer calls.
+  // Departed hosts stay reachable, since they may still answer calls. A host
+  // that has been replaced is reached at its new incarnation's address only.
   std::vector<model::Member> peers = members_;
-  for (const model::Departed& departed : record.departed)
-    peers.push_back(departed.member);
+  for (const model::Departed& departed : record.departed) {
+    if (membership::FindMember(members_, departed.member.host) == nullptr)
+      peers.push_back(departed.member);
+  }
   outbox_.Emit(SetPeers{std::move(peers)});
   rollout_.SetPeers(OtherMembers());
   Adopt();
@@ -142,6 +145,7 @@
 void HostCore::OnHostGone(const model::HostName& host) {
   std::erase_if(departing_,
                 [&](const auto& item) { return item.second == host; });
+  state_.Doubtful().OnAlive(host);
   entry_.OnMemberLost(host);
   orders_.OnMemberLost(host);
 }
@@ -169,7 +173,7 @@
       owned.push_back(BucketName(bucket));
   }
   membership_.SetOwnedLeaves(adopted_epoch_, owned, actions);
-  reported_held_ = leaf_owner_.Held();
+  reported_held_ = Held();
   membership_.SetHeldLeaves(adopted_epoch_, reported_held_, actions);
   Carry(actions);
   const model::Zone* zone =
@@ -239,6 +243,13 @@
   }
 }
 
+std::vector<model::LeafName> HostCore::Held() const {
+  auto held = leaf_owner_.Held();
+  const auto buckets = orders_.HeldBuckets();
+  held.insert(held.end(), buckets.begin(), buckets.end());
+  return held;
+}
+
 std::vector<model::HostName> HostCore::OtherMembers() const {
   std::vector<model::HostName> others;
   for (const model::Member& member : members_) {
--- a/membership/lib/failure_detector.cc
+++ b/membership/lib/failure_detector.cc
@@ -41,11 +41,28 @@
 
 std::vector<model::HostName> FailureDetector::Suspects(
     base::TimePoint now) const {
-  std::vector<model::HostName> suspects;
+  return SilentFor(kFailureTimeout, now);
+}
+
+std::vector<model::HostName> FailureDetector::SilentFor(
+    base::Duration span, base::TimePoint now) const {
+  std::vector<model::HostName> silent;
   for (const auto& [host, tracked] : tracked_) {
-    if (now - tracked.last_heard >= kFailureTimeout) suspects.push_back(host);
+    if (now - tracked.last_heard >= span) silent.push_back(host);
   }
-  return suspects;
+  return silent;
+}
+
+bool FailureDetector::Hears(const model::HostName& host,
+                            std::uint64_t incarnation,
+                            base::TimePoint now) const {
+  const auto found = tracked_.find(host);
+  return found != tracked_.end() && found->second.incarnation == incarnation &&
+         now - found->second.last_heard < kFailureTimeout;
+}
+
+bool FailureDetector::HearsMajority(base::TimePoint now) const {
+  return 2 * Suspects(now).size() <= tracked_.size();
 }
 
 std::vector<model::HostName> FailureDetector::RemovalsDue(
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions that start a local deployment: stand-ins for the platform and the leaves, and six hosts.
 # Sourced by the demo and by the process tests; all processes listen on loopback addresses.
 #
@@ -44,10 +45,59 @@
   HOST_LIST=$(jq -r .address "$WORK/hostlist.out")
 }
 
+# Runs one leaf in a process of its own and starts it anew on the same address whenever it ends.
+# Each end adds a line to WORK/deaths. DIE_ON is set again after each start.
+keep_leaf() {
+  local leaf=$1 out=$WORK/leaf-$2.out address=127.0.0.1:0
+  while true; do
+    : >"$out.next"
+    "$bin/standins/berylreach-standin-leaf" --name="$2" --address="$address" \
+      --service="$(jq -r .service <<<"$leaf")" --slots="$(jq -r .slots <<<"$leaf")" \
+      --shard="$(jq -r .shard <<<"$leaf")" --shard_count="$(jq -r .shard_count <<<"$leaf")" >"$out.next" &
+    echo "$!" >"$WORK/leaf-$2.pid"
+    wait_for test -s "$out.next"
+    address=$(jq -r .address "$out.next")
+    control "$address" "{\"die_on\": \"${DIE_ON:-}\"}" >/dev/null
+    mv "$out.next" "$out"
+    wait "$!" || true
+    echo "$2" >>"$WORK/deaths"
+  done
+}
+
+# Starts the leaves on free ports and replaces DOCUMENT by a copy in WORK with the bound addresses.
+# Leaves of the service OWN_PROCESS, if it is set, run in processes of their own.
 start_leaves() {
-  leaf_list >"$WORK/leaves.json"
+  local leaf name
+  leaf_list | jq --arg own "${OWN_PROCESS:-}" \
+    'map(select(.service != $own) | .address = "127.0.0.1:0")' >"$WORK/leaves.json"
   start leaves "$bin/standins/berylreach-standin-leaf" --leaves="$WORK/leaves.json"
-  LEAF_CONTROL=$(jq -r .address "$WORK/leaves.out")
+  while read -r leaf; do
+    name=$(jq -r .name <<<"$leaf")
+    keep_leaf "$leaf" "$name" 2>>"$WORK/leaf-$name.log" &
+    PID[leaf-$name]=$!
+    wait_for test -s "$WORK/leaf-$name.out" || return 1
+  done < <(leaf_list | jq -c --arg own "${OWN_PROCESS:-}" '.[] | select(.service == $own)')
+  jq -n '[inputs.leaves[] | {(.name): .address}] | add' "$WORK"/lea*.out >"$WORK/bound.json"
+  jq --slurpfile bound "$WORK/bound.json" \
+    '.services[].leaves[] |= (.address = $bound[0][.name])' "$DOCUMENT" >"$WORK/document.json"
+  DOCUMENT=$WORK/document.json
+}
+
+# leaf_addresses FILTER: addresses of the leaves for which the jq expression holds; .service is set.
+leaf_addresses() {
+  jq -r ".services[] | .name as \$service | .leaves[] | .service = \$service | select($1) | .address" \
+    "$DOCUMENT"
+}
+
+# control ADDRESS [FIELDS]: sets fields of a stand-in, or prints its counters.
+control() {
+  curl -sf --max-time 10 ${2:+--data "$2"} "http://$1/control"
+}
+
+# control_leaves FILTER FIELDS
+control_leaves() {
+  local address
+  for address in $(leaf_addresses "$1"); do control "$address" "$2" >/dev/null || return 1; done
 }
 
 # start_host NAME ZONE [HTTP_ADDRESS]
@@ -75,12 +125,50 @@
 
 is_ready() { curl -sf "http://${HTTP[$1]}/readyz"; }
 
-# Stops all processes and waits for their end.
+all_ready() {
+  local name
+  for name in "${HOSTS[@]}"; do is_ready "$name" || return 1; done
+}
+
+# Starts everything, puts DOCUMENT in force and waits until all hosts take requests.
+start_cluster() {
+  start_platform && start_leaves && start_hosts || return 1
+  berylctl submit "$DOCUMENT" --author cluster --note start >"$WORK/submit.out" || return 1
+  wait_for all_ready
+}
+
+# kill_process SIGNAL NAME
+kill_process() { kill "-$1" "${PID[$2]}"; }
+
+# Waits for the end of a process and returns its exit status.
+wait_process() {
+  local status=0
+  wait "${PID[$1]}" || status=$?
+  unset "PID[$1]"
+  return "$status"
+}
+
+# Stops the hosts as planned, then the stand-ins. Fails if a host does not end with status 0.
 stop_cluster() {
+  local name failed=0
+  for name in "${HOSTS[@]}"; do kill_process TERM "$name" || failed=1; done
+  for name in "${HOSTS[@]}"; do
+    wait_process "$name" || { echo "$name: exit status $?" >&2; failed=1; }
+  done
+  kill_cluster
+  return "$failed"
+}
+
+# Ends all processes at once.
+kill_cluster() {
   local name
-  for name in "${!PID[@]}"; do kill -CONT "${PID[$name]}" 2>/dev/null; kill "${PID[$name]}" 2>/dev/null; done
-  wait 2>/dev/null
-  return 0
+  for name in "${!PID[@]}"; do kill -KILL "${PID[$name]}" 2>/dev/null || true; done
+  # Leaves of their own are children of keep_leaf, which no longer starts new ones.
+  for name in "$WORK"/leaf-*.pid; do
+    [[ ! -s $name ]] || kill -KILL "$(cat "$name")" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  PID=()
 }
 
 berylctl() { "$bin/tools/berylctl/berylctl" --store="$STORE" --environment=production "$@"; }
--- a/testing/include/berylreach/testing/world.h
+++ b/testing/include/berylreach/testing/world.h
@@ -23,6 +23,7 @@
 #include "berylreach/testing/operator_session.h"
 #include "berylreach/testing/random.h"
 #include "berylreach/testing/world_event.h"
+#include "berylreach/testing/world_observer.h"
 
 namespace berylreach::testing {
 
@@ -39,6 +40,7 @@
 
   // Hosts.
   void StartHost(const std::string& host, const std::string& zone);
+  /// Ends the process; its connections are reset and new ones refused.
   void KillHost(const std::string& host);
   /// The process stands still: it handles no event, and its peers see silence.
   void FreezeHost(const std::string& host);
@@ -111,12 +113,23 @@
   }
   Random& random() { return random_; }
 
+  /// Tells `observer` of all traffic and events from now on; null ends it. It
+  /// must outlive its use.
+  void SetObserver(WorldObserver* observer) { observer_ = observer; }
+
  private:
   struct Host;
+  /// A document that the one operator wants in force.
+  struct Submission {
+    model::Environment environment;
+    std::function<void(std::uint64_t)> accepted;
+    int attempts = 5;
+  };
 
   std::shared_ptr<OperatorSession> MakeSession(
       const model::Environment& environment,
       std::function<void(std::uint64_t)> done);
+  void StartSubmission();
   Host* Find(const std::string& host);
   const Host* Find(const std::string& host) const;
   /// Runs `event` on the host's core now, or when it wakes; drops it if the
@@ -126,7 +139,15 @@
   void Carry(Host& host, core::Actions actions);
   void CarryOne(Host& host, core::Action& action);
   void SendPeer(Host& from, const core::SendToPeer& send);
+  /// Tells hosts connected to `gone` that their connection was reset, and later
+  /// that a new one is refused.
+  void ResetConnections(const std::string& gone);
+  void RefuseConnection(Host& from, const std::string& to);
+  void ReportPeerLost(const Host& host, const std::string& peer,
+                      base::Duration delay);
   void CallUpstream(Host& host, const model::UpstreamCall& call);
+  void WriteCall(const std::string& host, const model::UpstreamCall& call,
+                 FakeLeaf::Reply reply);
   void CallStore(Host& host, const model::StoreRequest& request);
   void PollHostList(Host& host);
   void ReadStatuses(const std::string& host, std::uint64_t incarnation,
@@ -144,11 +165,13 @@
   FakeStore store_;
   model::Environment environment_;
   /// Submissions of the one operator; the first is running.
-  std::deque<std::shared_ptr<OperatorSession>> submissions_;
+  std::deque<Submission> submissions_;
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::map<std::string, std::unique_ptr<FakeLeaf>> leaves_;
   std::set<std::pair<std::string, std::string>> cut_links_;
   std::set<std::string> cut_from_store_;
+  /// Incarnation of the leaf that each host's connections lead to.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> connected_to_;
   double message_loss_ = 0;
   double message_duplication_ = 0;
   model::HostList host_list_;
@@ -159,6 +182,7 @@
   std::map<model::CallId, std::size_t> record_of_;
   std::vector<LeafRun> runs_;
   std::vector<WorldEvent> events_;
+  WorldObserver* observer_ = nullptr;
 };
 
 }  // namespace berylreach::testing
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -18,6 +18,8 @@
 // The hand-over from the core thread to an I/O thread; the process may stand
 // still in between.
 constexpr microseconds kThreadHop{50};
+// Least time between two attempts to connect to a host.
+constexpr milliseconds kReconnectPause{50};
 constexpr milliseconds kStatusInterval{1000};
 constexpr milliseconds kStatusRead{1};
 constexpr milliseconds kHostListRead{2};
@@ -58,13 +60,19 @@
   const std::string to = send.to.value;
   if (!from.peers.contains(to) || !LinkUp(from.name, to)) return;
   if (random_.Chance(message_loss_)) return;
+  if (observer_ != nullptr)
+    observer_->OnPeerMessage(from.name, to, send.message);
   const model::Envelope envelope{{from.name}, from.incarnation, send.message};
   const int copies = random_.Chance(message_duplication_) ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
     const auto delay = Latency(from, to) + copy * kOtherRegion;
     queue_.After(delay, [this, to, sender = from.name, envelope] {
       const Host* receiver = Find(to);
-      if (receiver == nullptr || !LinkUp(sender, to)) return;
+      if (!LinkUp(sender, to)) return;
+      if (receiver == nullptr) {
+        if (Host* found = Find(sender)) RefuseConnection(*found, to);
+        return;
+      }
       Dispatch(to, receiver->incarnation, [envelope](core::HostCore& core) {
         return core.OnEnvelope(envelope);
       });
@@ -72,6 +80,35 @@
   }
 }
 
+void World::ResetConnections(const std::string& gone) {
+  const Host* found = Find(gone);
+  if (found == nullptr) return;
+  for (const auto& [name, host] : hosts_) {
+    if (name != gone && host->peers.contains(gone) && LinkUp(name, gone))
+      ReportPeerLost(*host, gone, Latency(*found, name));
+  }
+}
+
+void World::RefuseConnection(Host& from, const std::string& to) {
+  base::TimePoint& reported = from.refused_at[to];
+  if (clock_.Now() < reported + kReconnectPause) return;
+  reported = clock_.Now();
+  ReportPeerLost(from, to, kOtherRegion);
+}
+
+void World::ReportPeerLost(const Host& host, const std::string& peer,
+                           base::Duration delay) {
+  queue_.After(delay,
+               [this, name = host.name, peer, incarnation = host.incarnation] {
+                 // A process that has been started meanwhile accepts the
+                 // connection.
+                 if (Find(peer) != nullptr || !LinkUp(name, peer)) return;
+                 Dispatch(name, incarnation, [peer](core::HostCore& core) {
+                   return core.OnPeerLost({peer});
+                 });
+               });
+}
+
 void World::CallUpstream(Host& host, const model::UpstreamCall& call) {
   const std::string name = host.name;
   const std::uint64_t incarnation = host.incarnation;
@@ -81,7 +118,7 @@
       return core.OnUpstreamResult(result);
     });
   };
-  const auto write = [this, call, reply]() -> core::Actions {
+  const auto write = [this, name, call, reply]() -> core::Actions {
     // The I/O thread checks the clock immediately before it writes.
     if (clock_.Now() > call.not_after) {
       model::UpstreamResult unsent;
@@ -89,7 +126,7 @@
       unsent.leaf = call.leaf;
       reply(unsent);
     } else {
-      leaves_.at(call.leaf.value)->Call(call, reply);
+      WriteCall(name, call, reply);
     }
     return {};
   };
@@ -98,9 +135,27 @@
   });
 }
 
+void World::WriteCall(const std::string& host, const model::UpstreamCall& call,
+                      FakeLeaf::Reply reply) {
+  FakeLeaf& leaf = *leaves_.at(call.leaf.value);
+  const auto [connected, first] =
+      connected_to_.try_emplace({host, call.leaf.value}, leaf.incarnation());
+  const bool stale = connected->second != leaf.incarnation();
+  connected->second = leaf.incarnation();
+  if (!stale || !leaf.alive()) return leaf.Call(call, std::move(reply));
+  // The connections lead to a process that has ended: the bytes are lost and
+  // the next call opens a new connection.
+  model::UpstreamResult lost;
+  lost.id = call.id;
+  lost.leaf = call.leaf;
+  lost.outcome = model::LeafOutcome::kLeafDied;
+  queue_.After(kSameZone, [reply, lost] { reply(lost); });
+}
+
 void World::CallStore(Host& host, const model::StoreRequest& request) {
   const std::string name = host.name;
   const std::uint64_t incarnation = host.incarnation;
+  if (observer_ != nullptr) observer_->OnStoreCall(name);
   const auto reply = [this, name,
                       incarnation](const model::StoreResult& result) {
     Dispatch(name, incarnation, [result](core::HostCore& core) {
@@ -176,8 +231,13 @@
 }
 
 void World::SetIsolated(const std::string& host, bool isolated) {
+  // A host that is down now must find its link restored when it returns.
+  std::erase_if(cut_links_, [&](const auto& link) {
+    return link.first == host || link.second == host;
+  });
+  if (!isolated) return;
   for (const auto& [other, state] : hosts_) {
-    if (other != host) SetLink(host, other, !isolated);
+    if (other != host) SetLink(host, other, false);
   }
 }
 
