Hold orders until their bucket may be claimed

Change: orders wait at the bucket owner until it holds its lease and the bucket's takeover is complete. An order on a connection whose leaf answers a probe waits for its answer; before, every order longer than 500 ms ended 'may_have_run'. A slow completion must exceed the median by 10 ms, since scheduling noise alone caused 98 to 104 resets on leaves of 2 ms. Conclusion: only the exclusive owner of a bucket claims in it.

--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -70,17 +70,22 @@
     base::TimePoint deadline;
   };
 
-  /// An order that was passed on to the owner of its bucket.
+  /// An order that was passed on to the owner of its bucket, or waits for it.
   struct PassedOn {
     model::HostName from;
     base::TimePoint deadline;
-    /// Set if the order came back, because the other host has older members.
+    /// Set while the order waits here: it came back from a host with older
+    /// members, or this host may not claim in its bucket yet.
     std::optional<model::OrderForward> returned;
     base::TimePoint retry_at;
   };
 
   bool Owns(std::uint32_t bucket) const;
   void RetryReturned();
+  /// Whether this host alone works on `bucket` and holds its lease.
+  bool MayClaim(std::uint32_t bucket) const;
+  /// Keeps an order until it can be claimed or passed on.
+  void Hold(const model::HostName& from, const model::OrderForward& forward);
   void PassOn(const model::HostName& from, const model::OrderForward& forward,
               const model::HostName& owner);
   void Carry(const orders::Actions& actions);
--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -75,12 +75,29 @@
   if (owner != nullptr && owner->host != outbox_.self()) {
     return PassOn(from, forward, owner->host);
   }
+  // For the same reason claims wait for the takeover of the bucket. A fresh
+  // host also waits for its lease.
+  if (owner != nullptr && !MayClaim(bucket)) return Hold(from, forward);
   origins_.emplace(forward.id, from);
   orders::Actions actions;
   coordinator_.OnForward(forward, actions);
   Carry(actions);
 }
 
+bool OrderRunner::MayClaim(std::uint32_t bucket) const {
+  const bool exclusive = std::find(exclusive_.begin(), exclusive_.end(),
+                                   bucket) != exclusive_.end();
+  return exclusive && state_.HoldsLease();
+}
+
+void OrderRunner::Hold(const model::HostName& from,
+                       const model::OrderForward& forward) {
+  const auto [found, added] = passed_on_.try_emplace(
+      forward.id, PassedOn{from, clock_.Now() + forward.budget, {}, {}});
+  found->second.returned = forward;
+  found->second.retry_at = clock_.Now() + kReturnedRetryDelay;
+}
+
 void OrderRunner::PassOn(const model::HostName& from,
                          const model::OrderForward& forward,
                          const model::HostName& owner) {
@@ -88,17 +105,19 @@
   const auto [found, added] =
       passed_on_.try_emplace(forward.id, PassedOn{from, deadline, {}, {}});
   if (added) return outbox_.Send(owner, forward);
-  found->second.returned = forward;
-  found->second.retry_at = clock_.Now() + kReturnedRetryDelay;
+  Hold(from, forward);
 }
 
 void OrderRunner::RetryReturned() {
   std::vector<PassedOn> due;
   std::erase_if(passed_on_, [&](const auto& item) {
     const PassedOn& order = item.second;
+    if (order.deadline <= clock_.Now()) {
+      return order.deadline + kPassedOnMemory < clock_.Now();
+    }
     const bool retry = order.returned && order.retry_at <= clock_.Now();
     if (retry) due.push_back(order);
-    return retry || order.deadline + kPassedOnMemory < clock_.Now();
+    return retry;
   });
   for (PassedOn& order : due) {
     order.returned->budget =
@@ -111,9 +130,8 @@
 std::optional<base::TimePoint> OrderRunner::NextWakeup() const {
   auto next = coordinator_.NextWakeup();
   for (const auto& [id, order] : passed_on_) {
-    if (order.returned && (!next || order.retry_at < *next)) {
-      next = order.retry_at;
-    }
+    if (!order.returned || order.deadline <= clock_.Now()) continue;
+    if (!next || order.retry_at < *next) next = order.retry_at;
   }
   return next;
 }
--- a/limits/lib/concurrency_limit.cc
+++ b/limits/lib/concurrency_limit.cc
@@ -13,6 +13,10 @@
 /// A completion slower than this multiple of the median is slow.
 constexpr int kSlowFactor = 4;
 
+/// A slow completion also exceeds the median by this much: scheduling noise
+/// alone delays the answers of fast leaves several times over.
+constexpr base::Duration kSlowFloor = std::chrono::milliseconds(10);
+
 /// Fewer samples give no usable median.
 constexpr std::size_t kMinSamplesForSlow = 8;
 
@@ -28,7 +32,8 @@
 bool ConcurrencyLimit::IsSecondSlowCompletion(base::Duration service_time) {
   const auto median = service_times_.Quantile(0.5, kMinSamplesForSlow);
   service_times_.Add(service_time);
-  const bool slow = median && service_time > kSlowFactor * *median;
+  const bool slow = median && service_time > kSlowFactor * *median &&
+                    service_time > *median + kSlowFloor;
   consecutive_slow_ = slow ? consecutive_slow_ + 1 : 0;
   return consecutive_slow_ >= kSlowCompletionsForReset;
 }
--- a/transport/lib/leaf_aux.cc
+++ b/transport/lib/leaf_aux.cc
@@ -104,6 +104,11 @@
   return restarted ? model::LeafOutcome::kLeafDied : model::LeafOutcome::kLost;
 }
 
+bool LeafPool::SameProcess(const FlightPtr& flight, const AuxResult& result) {
+  const LeafStatus status = StatusOf(result);
+  return status.reachable && status.incarnation == flight->incarnation;
+}
+
 void LeafPool::Investigate(const FlightPtr& flight, int attempts) {
   const bool sent = SendAux(
       StatusRequest(), true,
@@ -123,17 +128,24 @@
 }
 
 void LeafPool::ProbeSilent(const FlightPtr& flight) {
-  flight->probing =
-      SendAux(StatusRequest(), true,
-              [self = shared_from_this(), flight](const AuxResult& result) {
-                if (flight->reported) return;
-                self->Drop(std::exchange(flight->connection, nullptr));
-                // Idle connections took the same path and may be silent too.
-                self->DropIdle();
-                self->Report(flight, self->LossOutcome(flight, result));
-                self->SendCancel(flight->call.id);
-                self->Forget(flight);
-              });
+  flight->probing = SendAux(
+      StatusRequest(), true,
+      [self = shared_from_this(), flight](const AuxResult& result) {
+        if (flight->reported) return;
+        // A living leaf may still run the call. Only idempotent work
+        // moves; an order waits until its deadline for the answer.
+        const bool order = flight->call.kind == model::RequestKind::kOrder;
+        if (order && self->SameProcess(flight, result)) {
+          flight->probing = false;
+          return;
+        }
+        self->Drop(std::exchange(flight->connection, nullptr));
+        // Idle connections took the same path and may be silent too.
+        self->DropIdle();
+        self->Report(flight, self->LossOutcome(flight, result));
+        self->SendCancel(flight->call.id);
+        self->Forget(flight);
+      });
 }
 
 void LeafPool::Own() {
--- a/transport/lib/leaf_pool.h
+++ b/transport/lib/leaf_pool.h
@@ -99,6 +99,8 @@
   /// Asks on a fresh connection and closes the flight's connection if it still
   /// has no answer by then.
   void ProbeSilent(const FlightPtr& flight);
+  /// Whether a probe was answered by the process that `flight` was sent to.
+  bool SameProcess(const FlightPtr& flight, const AuxResult& result);
   model::LeafOutcome LossOutcome(const FlightPtr& flight,
                                  const AuxResult& result);
   void ReadStatus(bool fresh);
