Push the head record after departed entries were dropped

A host that is stopped and started again within about 60 ms meets the entry of its older incarnation and waits 1.7 s, since it never received that Release.

Change: the first delegate, which has the Release, drops the entry and now pushes the record to the members, so that the new incarnation stops waiting.

--- a/membership/include/berylreach/membership/membership.h
+++ b/membership/include/berylreach/membership/membership.h
@@ -189,6 +189,8 @@
   bool leaving_ = false;
   bool has_left_ = false;
   bool held_lease_ = false;
+  /// A write of DriveCleanup is open.
+  bool cleaning_ = false;
   std::uint64_t epoch_ = 0;
   std::uint64_t announced_document_ = 0;
   std::uint64_t sequence_;
--- a/membership/lib/membership.cc
+++ b/membership/lib/membership.cc
@@ -126,7 +126,11 @@
 
 void Membership::TakeHead(HeadSource source, Actions& out) {
   const std::optional<HeadWrite> applied = head_.TakeApplied();
+  const std::uint64_t previous_epoch = epoch_;
   Adopt(source, out);
+  // Members that wait for an entry learn that it was dropped.
+  if (applied && std::exchange(cleaning_, false) && epoch_ == previous_epoch)
+    PushHead(out);
   if (!applied || !is_member_ || applied->record.epoch != epoch_) return;
   lease_.OnTouch(applied->started, applied->record.document.version);
 }
--- a/membership/lib/membership_drive.cc
+++ b/membership/lib/membership_drive.cc
@@ -101,6 +101,7 @@
   if (delegate_rank_ != 0U || !HoldsLease()) return false;
   model::HeadRecord next = WithoutFenced(record(), IsFenced());
   if (next.departed == record().departed) return false;
+  cleaning_ = true;
   next.writer = self_.host.value;
   head_.StartWrite(std::move(next), now_, out);
   return true;
