--- a/core/include/berylreach/core/host_core.h
+++ b/core/include/berylreach/core/host_core.h
@@ -94,6 +94,7 @@
   void Adopt();
   void UpdateTakeovers();
   void UpdateLease();
+  void UpdateKnowledge();
   void UpdateVersions();
   void DriveStop();
   void Carry(const membership::Actions& actions);
@@ -119,6 +120,10 @@
   std::uint64_t adopted_epoch_ = 0;
   std::optional<base::TimePoint> zone_out_since_;
   bool takeovers_changed_ = false;
+  /// Every service had a usable snapshot at least once.
+  bool knows_leaves_ = false;
+  /// When a first document came into force.
+  std::optional<base::TimePoint> serving_since_;
   std::optional<base::TimePoint> stopping_since_;
   bool leaving_ = false;
   /// When the membership record was left.
--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -19,6 +19,10 @@
 // The same during a planned stop.
 constexpr std::chrono::milliseconds kStopGrace{1500};
 
+// A service whose leaves are all lost must not keep a fresh host from serving
+// the other services.
+constexpr std::chrono::seconds kKnowledgeWait{3};
+
 // Time for the other hosts to hear of the departure and for their messages
 // under way to arrive and be answered.
 constexpr std::chrono::milliseconds kLeaveGrace{500};
@@ -54,6 +58,7 @@
   Carry(rollout_actions);
   UpdateLease();
   state_.Suspects().Tick();
+  UpdateKnowledge();
   DropDeparted();
   arbiter_.Tick();
   leaf_owner_.Tick();
@@ -176,7 +181,19 @@
 
 bool HostCore::ready() const {
   return !stopping_since_ && !zone_out_since_ && HoldsLease() &&
-         membership_.HearsMajority() && rollout_.current().version > 0;
+         knows_leaves_ && membership_.HearsMajority() &&
+         rollout_.current().version > 0;
+}
+
+void HostCore::UpdateKnowledge() {
+  if (knows_leaves_ || rollout_.current().version == 0) return;
+  if (!serving_since_) serving_since_ = clock_.Now();
+  const auto& services = state_.Environment().services;
+  const bool all_known = std::all_of(
+      services.begin(), services.end(), [&](const model::Service& service) {
+        return !state_.Replicas(service.name).snapshots().empty();
+      });
+  knows_leaves_ = all_known || clock_.Now() >= *serving_since_ + kKnowledgeWait;
 }
 
 bool HostCore::ServesCallers() const {
--- a/testing/lib/fake_leaf.cc
+++ b/testing/lib/fake_leaf.cc
@@ -148,10 +148,12 @@
 void FakeLeaf::Cancel(const model::CallId& id) {
   const auto found = running_.find(id);
   if (found == running_.end()) return;
-  const auto result = ResultFor(found->second.call, LeafOutcome::kLost);
-  const auto reply = found->second.reply;
   // An order is not undone by its cancellation.
   if (found->second.call.kind == model::RequestKind::kOrder) return;
+  // The leaf answers that it has stopped the call.
+  auto result = ResultFor(found->second.call, LeafOutcome::kNotSent);
+  result.ended = true;
+  const auto reply = found->second.reply;
   running_.erase(found);
   queue_.After(kHop, [reply, result] { reply(result); });
 }
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -143,12 +143,13 @@
   const bool stale = connected->second != leaf.incarnation();
   connected->second = leaf.incarnation();
   if (!stale || !leaf.alive()) return leaf.Call(call, std::move(reply));
-  // The connections lead to a process that has ended: the bytes are lost and
-  // the next call opens a new connection.
+  // The connections lead to a process that has ended: the pool notices before
+  // it writes, and the next call opens a new connection.
   model::UpstreamResult lost;
   lost.id = call.id;
   lost.leaf = call.leaf;
-  lost.outcome = model::LeafOutcome::kLeafDied;
+  lost.outcome = model::LeafOutcome::kNotSent;
+  lost.connect_failed = true;
   queue_.After(kSameZone, [reply, lost] { reply(lost); });
 }
 
