--- a/testing/lib/fault.cc
+++ b/testing/lib/fault.cc
@@ -27,16 +27,17 @@
   }
   World& world = target.world;
   Invariants& invariants = target.invariants;
+  if (state == model::ZoneState::kOut) {
+    invariants.OnZoneOutBegun(target.zone);
+  } else {
+    invariants.OnZoneInBegun(target.zone);
+  }
   // Submitting runs virtual time, which a fault that strikes inside an event
   // cannot do.
   world.SubmitLater(environment, [&invariants, zone = target.zone,
                                   state](std::uint64_t version) {
     invariants.OnWritten(version);
-    if (state == model::ZoneState::kOut) {
-      invariants.OnZoneOut(zone, version);
-    } else {
-      invariants.OnZoneIn(zone);
-    }
+    if (state == model::ZoneState::kOut) invariants.OnZoneOut(zone, version);
   });
 }
 
--- a/testing/lib/scenario.cc
+++ b/testing/lib/scenario.cc
@@ -48,9 +48,10 @@
                          std::uint64_t version) {
   for (const model::Zone& zone : environment.zones) {
     if (zone.state == model::ZoneState::kOut) {
+      invariants_.OnZoneOutBegun(zone.name.value);
       invariants_.OnZoneOut(zone.name.value, version);
     } else {
-      invariants_.OnZoneIn(zone.name.value);
+      invariants_.OnZoneInBegun(zone.name.value);
     }
   }
 }
--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -193,6 +193,10 @@
     for (const model::Leaf& leaf :
          std::vector<model::Leaf>(reader->status_leaves)) {
       const auto status = leaves_.at(leaf.name.value)->Status();
+      // The read goes over a new connection if the pooled ones were lost.
+      if (status.reachable) {
+        connected_to_[{host, leaf.name.value}] = status.incarnation;
+      }
       Dispatch(host, incarnation, [status](core::HostCore& core) {
         return core.OnLeafStatus(status);
       });
