Confirm the loss of a peer that accepted a last connection

Cause: RpcNodeTest.ReportsAPeerThatEndedThoughNothingIsSent failed about once in 60 runs under load. A process that ends may accept a reconnect from its backlog and reset it; after that nothing was sent, so no further attempt showed that the peer had ended. Ruled out: the limit of the test's wait (20 s). Change: after a reset the next attempt is made even if nothing is queued.

--- a/transport/lib/rpc_peer.cc
+++ b/transport/lib/rpc_peer.cc
@@ -205,6 +205,7 @@
     return;
   }
   connecting_ = true;
+  loss_unconfirmed_ = reset;
   RetryLater();
 }
 
@@ -214,6 +215,9 @@
   context_.tasks.add(
       context_.io.provider->getTimer().afterDelay(ToKj(pause_)).then([self] {
         self->connecting_ = false;
+        // A dying process may still have accepted the connection, so that only
+        // the next attempt shows whether it has ended.
+        if (std::exchange(self->loss_unconfirmed_, false)) self->Connect();
         self->Flush();
       }));
   pause_ = std::min(2 * pause_, context_.options.reconnect_most);
--- a/transport/lib/rpc_peer.h
+++ b/transport/lib/rpc_peer.h
@@ -91,6 +91,8 @@
   /// Identifies the connection that a pending call belongs to.
   std::uint64_t generation_ = 0;
   std::size_t in_flight_ = 0;
+  /// A connection was reset and no attempt to reconnect has been refused yet.
+  bool loss_unconfirmed_ = false;
   bool connecting_ = false;
   bool stopped_ = false;
   bool flush_due_ = false;
