Refuse documents that move a leaf to another zone

Cause: a leaf in another zone has another owner, and hosts adopt a document at different times within one epoch, so that two owners could work on the leaf at once. Ruled out: a takeover wait by document version, which needs a second kind of Release; a new epoch for each such document, for a change that is rare. Change: submit and promote report it with its place. An order refused because the core's channel is full is 'may_have_run', since an earlier attempt of it may have run. Conclusion: ownership moves only with an epoch.

--- a/host/lib/http_frontend.cc
+++ b/host/lib/http_frontend.cc
@@ -111,8 +111,10 @@
     ids_.emplace(request.token, id);
   }
   if (core_.Post(std::move(std::get<model::CallerRequest>(parsed)))) return;
+  // An earlier attempt of the same order may have run.
+  const Ran ran = kind == RequestKind::kOrder ? Ran::kMayHaveRun : Ran::kNotRun;
   Reply(id, Refusal{ErrorCode::kOverloaded, "the host is at its request limit",
-                    Ran::kNotRun, kBusyRetryAfter});
+                    ran, kBusyRetryAfter});
 }
 
 void HttpFrontend::OnRead(const transport::HttpRequest& request) {
--- a/tools/berylctl/include/berylreach/berylctl/document_writer.h
+++ b/tools/berylctl/include/berylreach/berylctl/document_writer.h
@@ -38,6 +38,10 @@
   Result<model::DocumentRef> Write(const Proposal& proposal);
 
  private:
+  /// Ends with kFindings if the document gives a leaf of the document in force
+  /// another zone.
+  Result<void> RefuseMovedLeaves(const model::DocumentRef& current,
+                                 const Proposal& proposal);
   Result<model::DocumentRef> SwapUntilDecided(const Proposal& proposal,
                                               Head head, std::uint64_t base);
   /// The head record with the document on top; draws the nonce.
--- a/tools/berylctl/lib/document_writer.cc
+++ b/tools/berylctl/lib/document_writer.cc
@@ -2,9 +2,14 @@
 #include "berylreach/berylctl/document_writer.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
+#include "berylreach/config/document.h"
 #include "berylreach/config/document_diff.h"
+#include "berylreach/config/document_parts.h"
 
 namespace berylreach::berylctl {
 namespace {
@@ -20,6 +25,23 @@
          record.history.end();
 }
 
+/// A leaf in another zone has another owner, which hosts adopt at different
+/// times within one epoch and thus without a takeover.
+bool MovesLeaf(const config::DocumentChange& change) {
+  return change.kind == config::ChangeKind::kChanged &&
+         change.subject.starts_with("services/") &&
+         change.subject.ends_with("/zone");
+}
+
+std::optional<model::Environment> ParseParts(
+    const config::DocumentParts& parts) {
+  std::vector<std::string> bytes;
+  for (const auto& part : parts.parts) bytes.push_back(part.bytes);
+  const auto document = config::AssembleDocument(parts.manifest.bytes, bytes);
+  if (!document.value) return std::nullopt;
+  return config::ParseDocument(*document.value).value;
+}
+
 Failure Undecided(bool may_be_accepted) {
   return {ExitCode::kStoreUnreachable,
           may_be_accepted
@@ -41,10 +63,31 @@
   if (current.hash == proposal.parts.manifest.hash) return current;
   const std::uint64_t base = proposal.base_version.value_or(current.version);
   if (current.version != base) return Conflict(base, head.record);
+  BOOST_OUTCOME_TRY(RefuseMovedLeaves(current, proposal));
   BOOST_OUTCOME_TRY(store_.WriteParts(proposal.parts));
   return SwapUntilDecided(proposal, std::move(head), base);
 }
 
+Result<void> DocumentWriter::RefuseMovedLeaves(
+    const model::DocumentRef& current, const Proposal& proposal) {
+  if (current.version == 0) return boost::outcome_v2::success();
+  const auto before = store_.ReadDocument(current.hash);
+  const auto after = ParseParts(proposal.parts);
+  // A damaged document in force must not keep its replacement out.
+  if (!before || !after) return boost::outcome_v2::success();
+  Failure failure{ExitCode::kFindings, "the document moves leaves", {}};
+  for (const auto& change :
+       config::DiffDocuments(before.assume_value(), *after)) {
+    if (!MovesLeaf(change)) continue;
+    failure.findings.push_back(
+        {change.place,
+         "a leaf cannot move to another zone; remove it in one document and "
+         "add it in the next"});
+  }
+  if (failure.findings.empty()) return boost::outcome_v2::success();
+  return failure;
+}
+
 Result<model::DocumentRef> DocumentWriter::SwapUntilDecided(
     const Proposal& proposal, Head head, std::uint64_t base) {
   const base::TimePoint deadline = runtime_.clock.Now() + limit_;
--- a/tools/berylctl/unittests/submit_test.cc
+++ b/tools/berylctl/unittests/submit_test.cc
@@ -45,6 +45,17 @@
   EXPECT_EQ(head.history.back().document.version, 51U);
 }
 
+// A leaf that changes its zone changes its owner without a takeover wait.
+TEST_F(SubmitTest, RefusesToMoveALeafToAnotherZone) {
+  Accept("trial", 1);
+  model::Environment moved = Document(1);
+  moved.zones.push_back({{"other"}, "other", model::ZoneState::kIn});
+  moved.services.front().leaves.front().zone = {"other"};
+  const auto file = WriteFile(config::EncodeDocument(moved));
+  EXPECT_EQ(RunCommand("submit", {file}), ExitCode::kFindings);
+  EXPECT_EQ(Head("trial").document.version, 1U);
+}
+
 // A second write after a lost answer would raise the version twice.
 TEST_F(SubmitTest, ResolvesALostAnswerByTheNonce) {
   platform.lost_answers = 1;
