--- a/testing/load/load.cc
+++ b/testing/load/load.cc
@@ -29,6 +29,9 @@
 #include <utility>
 #include <vector>
 
+#include "exchange.h"
+#include "figures.h"
+
 DEFINE_string(hosts, "", "comma-separated HTTP addresses of the hosts");
 DEFINE_double(seconds, 5, "time in which requests are started");
 DEFINE_double(queries, 40, "queries per second");
@@ -55,15 +58,6 @@
 namespace berylreach::load {
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-namespace json = boost::json;
-using tcp = asio::ip::tcp;
-using Error = boost::system::error_code;
-using Clock = std::chrono::steady_clock;
-using std::chrono::milliseconds;
-
 constexpr milliseconds kReadinessInterval{500};
 constexpr milliseconds kReadinessTimeout{400};
 /// A caller waits this much longer than its deadline for the reply.
@@ -75,17 +69,8 @@
 /// Replies "may_have_run" to one order after which no other reply is expected.
 constexpr int kMaxUncertainReplies = 3;
 constexpr std::size_t kMaxIdleConnections = 64;
-constexpr std::uint64_t kMaxBodyBytes = 256ULL << 20;
 constexpr std::size_t kMaxExamples = 10;
 
-enum class Kind { kQuery, kLookup, kOrder };
-constexpr Kind kKinds[] = {Kind::kQuery, Kind::kLookup, Kind::kOrder};
-
-const char* NameOf(Kind kind) {
-  if (kind == Kind::kQuery) return "query";
-  return kind == Kind::kLookup ? "lookup" : "order";
-}
-
 milliseconds Milliseconds(double seconds) {
   return milliseconds(static_cast<std::int64_t>(seconds * 1000));
 }
@@ -104,103 +89,6 @@
   return items;
 }
 
-tcp::endpoint EndpointOf(const std::string& address) {
-  const auto colon = address.rfind(':');
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
-}
-
-/// How an HTTP exchange ended.
-enum class Transfer { kReplied, kNoConnection, kCut, kTimedOut };
-
-struct Reply {
-  Transfer transfer = Transfer::kNoConnection;
-  int status = 0;
-  std::string body;
-};
-
-/// One exchange on one connection. Keeps itself alive until its callback ran.
-class Exchange : public std::enable_shared_from_this<Exchange> {
- public:
-  using Callback = std::function<void(Reply, std::optional<tcp::socket>)>;
-
-  Exchange(asio::io_context& io, Callback done)
-      : stream_(io), done_(std::move(done)) {}
-
-  void Start(const std::string& address, std::optional<tcp::socket> reused,
-             http::verb verb, const std::string& target, std::string body,
-             milliseconds limit) {
-    request_.method(verb);
-    request_.target(target);
-    request_.version(11);
-    request_.set(http::field::host, address);
-    request_.set(http::field::content_type, "application/json");
-    request_.body() = std::move(body);
-    request_.prepare_payload();
-    parser_.body_limit(kMaxBodyBytes);
-    auto self = shared_from_this();
-    if (reused) {
-      stream_.socket() = std::move(*reused);
-      stream_.expires_after(limit);
-      return Write();
-    }
-    stream_.expires_after(limit);
-    stream_.async_connect(EndpointOf(address), [self](Error error) {
-      if (error) return self->Finish(Transfer::kNoConnection);
-      self->stream_.socket().set_option(tcp::no_delay(true), error);
-      self->Write();
-    });
-  }
-
- private:
-  void Write() {
-    auto self = shared_from_this();
-    http::async_write(stream_, request_, [self](Error error, std::size_t) {
-      if (error) return self->Finish(FailureOf(error));
-      http::async_read(
-          self->stream_, self->buffer_, self->parser_,
-          [self](Error read, std::size_t) {
-            self->Finish(read ? FailureOf(read) : Transfer::kReplied);
-          });
-    });
-  }
-
-  static Transfer FailureOf(const Error& error) {
-    return error == beast::error::timeout ? Transfer::kTimedOut
-                                          : Transfer::kCut;
-  }
-
-  void Finish(Transfer transfer) {
-    Reply reply;
-    reply.transfer = transfer;
-    std::optional<tcp::socket> socket;
-    if (transfer == Transfer::kReplied) {
-      reply.status = static_cast<int>(parser_.get().result_int());
-      reply.body = std::move(parser_.get().body());
-      if (parser_.get().keep_alive()) {
-        stream_.expires_never();
-        socket = stream_.release_socket();
-      }
-    }
-    done_(std::move(reply), std::move(socket));
-  }
-
-  beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  http::request<http::string_body> request_;
-  http::response_parser<http::string_body> parser_;
-  Callback done_;
-};
-
-/// True if the peer closed an idle connection or sent bytes on it.
-bool IsStale(tcp::socket& socket) {
-  char byte = 0;
-  Error error;
-  socket.non_blocking(true, error);
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
-}
-
 /// A host as the balancer sees it.
 struct Host {
   std::string address;
@@ -208,86 +96,6 @@
   std::vector<tcp::socket> idle;
 };
 
-/// One request of a caller, over all its attempts.
-struct Request {
-  Kind kind = Kind::kQuery;
-  std::string body;
-  json::value payload;
-  std::string key;
-  Clock::time_point started;
-  std::int64_t started_unix_ms = 0;
-  int attempts = 0;
-  int uncertain_replies = 0;
-  std::size_t last_host = 0;
-  /// What the last reply said of the execution; empty without a refusal.
-  std::string last_ran;
-  bool answered = false;
-  bool whole = false;
-  bool replied = false;
-};
-
-struct KindFigures {
-  std::int64_t started = 0;
-  std::int64_t whole = 0;
-  std::int64_t partial = 0;
-  std::int64_t refused = 0;
-  std::int64_t without_reply = 0;
-  std::int64_t attempts = 0;
-  std::vector<double> latencies_ms;
-};
-
-/// Requests that were started within one second of wall-clock time.
-struct Second {
-  std::int64_t requests = 0;
-  std::int64_t not_whole = 0;
-  double max_latency_ms = 0;
-};
-
-/// What is known of an order when it is given up or answered.
-struct OrderResult {
-  std::string key;
-  bool answered = false;
-  std::string last_ran;
-};
-
-json::object QuantilesOf(std::vector<double> values) {
-  std::sort(values.begin(), values.end());
-  const auto at = [&](double fraction) {
-    if (values.empty()) return 0.0;
-    return values[static_cast<std::size_t>(
-        fraction * static_cast<double>(values.size() - 1))];
-  };
-  return {{"p50", at(0.5)},
-          {"p95", at(0.95)},
-          {"p99", at(0.99)},
-          {"p999", at(0.999)},
-          {"max", at(1)}};
-}
-
-/// Describes what is wrong with an answer; empty if nothing is.
-std::string FaultOf(const json::object& answer, const json::value& payload) {
-  const auto& results = answer.at("results").as_array();
-  const auto& coverage = answer.at("coverage").as_object();
-  const auto answered = coverage.at("shards_answered").to_number<std::size_t>();
-  const auto total = coverage.at("shards_total").to_number<std::size_t>();
-  const auto& missing = coverage.at("missing").as_array();
-  if (results.size() != answered || answered + missing.size() != total)
-    return "coverage does not add up";
-  std::set<std::int64_t> shards;
-  for (const json::value& result : results) {
-    const auto shard = result.at("shard").to_number<std::int64_t>();
-    const json::object& body = result.at("result").as_object();
-    shards.insert(shard);
-    if (body.at("shard").to_number<std::int64_t>() != shard)
-      return "result of another shard";
-    if (body.at("version") != answer.at("version")) return "versions are mixed";
-    if (body.at("payload") != payload) return "payload of another request";
-  }
-  for (const json::value& item : missing)
-    shards.insert(item.at("shard").to_number<std::int64_t>());
-  return shards.size() == total ? "" : "a shard is counted twice";
-}
-
 class Load {
  public:
   Load() : signals_(io_, SIGTERM, SIGINT) {
