Leave the membership although orders follow each other without a pause

Cause: a stopping host waited for a moment without open orders, which never comes while other hosts keep sending orders to its buckets; after 30 s the process would end with work cut off. Found by reading. Ruled out: dropping the wait, since it lets almost all orders finish before their buckets move. Change: the wait for orders ends 2 s after the grace time; the rest of the stop finishes the orders that were sent. The head read is a function of its own. Conclusion: a planned stop does not depend on the order rate.

--- a/core/include/berylreach/core/host_core.h
+++ b/core/include/berylreach/core/host_core.h
@@ -80,6 +80,8 @@
   bool ServesCallers() const;
   void Deliver(const model::HostName& from, std::uint64_t incarnation,
                const model::PeerMessage& message);
+  void OnHeadRead(std::uint64_t id, const model::StoreResult& result,
+                  membership::Actions& out);
   void OnLeafReply(const model::LeafReply& reply);
   void OnLeafCall(const model::HostName& from, const model::LeafCall& call);
   void OnLeafStates(const model::HostName& from,
--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -19,6 +19,10 @@
 // The same during a planned stop.
 constexpr std::chrono::milliseconds kStopGrace{1500};
 
+// A moment without open orders comes within this time unless orders follow
+// each other without a pause.
+constexpr std::chrono::milliseconds kOrderIdleWait{2000};
+
 // A service whose leaves are all lost must not keep a fresh host from serving
 // the other services.
 constexpr std::chrono::seconds kKnowledgeWait{3};
@@ -106,23 +110,9 @@
   membership::Actions membership_actions;
   rollout::Actions rollout_actions;
   switch (call->user) {
-    case StoreUser::kHeadRead: {
-      model::StoreOutcome outcome = result.outcome;
-      std::optional<model::HeadRecord> record;
-      if (outcome == model::StoreOutcome::kOk) {
-        auto decoded = config::DecodeHeadRecord(result.value);
-        if (!decoded.value)
-          outbox_.Record("head_unreadable", "",
-                         decoded.findings.front().message);
-        // An unreadable head must not be taken for an absent one, which would
-        // be overwritten.
-        if (!decoded.value) outcome = model::StoreOutcome::kUnknown;
-        record = std::move(decoded.value);
-      }
-      membership_.OnHeadRead(call->id, outcome, record, result.revision,
-                             membership_actions);
+    case StoreUser::kHeadRead:
+      OnHeadRead(call->id, result, membership_actions);
       break;
-    }
     case StoreUser::kHeadCas:
       membership_.OnHeadCas(call->id, result.outcome, result.revision,
                             membership_actions);
@@ -143,6 +133,23 @@
   return Finish();
 }
 
+void HostCore::OnHeadRead(std::uint64_t id, const model::StoreResult& result,
+                          membership::Actions& out) {
+  model::StoreOutcome outcome = result.outcome;
+  std::optional<model::HeadRecord> record;
+  if (outcome == model::StoreOutcome::kOk) {
+    auto decoded = config::DecodeHeadRecord(result.value);
+    if (!decoded.value) {
+      outbox_.Record("head_unreadable", "", decoded.findings.front().message);
+      // An unreadable head must not be taken for an absent one, which would be
+      // overwritten.
+      outcome = model::StoreOutcome::kUnknown;
+    }
+    record = std::move(decoded.value);
+  }
+  membership_.OnHeadRead(id, outcome, record, result.revision, out);
+}
+
 Actions HostCore::OnHostList(const std::optional<model::HostList>& list) {
   if (list) TakeHostList(*list, /*publish=*/true);
   return Finish();
@@ -222,8 +229,10 @@
 void HostCore::DriveStop() {
   if (leaving_ && !left_at_ && membership_.has_left()) left_at_ = clock_.Now();
   if (!stopping_since_ || leaving_) return;
-  if (clock_.Now() < *stopping_since_ + kStopGrace) return;
-  if (entry_.open_requests() > 0 || orders_.open_work() > 0) return;
+  const base::Duration since = clock_.Now() - *stopping_since_;
+  if (since < kStopGrace || entry_.open_requests() > 0) return;
+  // Other hosts send orders until this host has left.
+  if (orders_.open_work() > 0 && since < kStopGrace + kOrderIdleWait) return;
   leaving_ = true;
   membership::Actions actions;
   membership_.Leave(actions);
