Clean up what the linter found in the test tools

Cause: the full linter run found an exception that can leave main and two constants in functions; the port counter of the test deployment was shared by the threads of the fault matrix. Change: constants at namespace scope, a builder that owns the counter, and a main that reports exceptions.

--- a/testing/bench/order_claim_benchmark.cc
+++ b/testing/bench/order_claim_benchmark.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <exception>
 #include <functional>
 #include <map>
 #include <string>
@@ -173,7 +174,9 @@
 }  // namespace
 }  // namespace berylreach::orders
 
-int main() {
+namespace {
+
+void RunAll() {
   std::printf("%-14s %8s %8s %8s %8s %8s %8s %9s\n", "mode", "offered/s",
               "done/s", "refused", "writes", "p50 ms", "p99 ms", "wall ms");
   for (const int rate : {50, 100, 200, 500, 1000, 2500, 5000, 10000}) {
@@ -184,5 +187,16 @@
     Report("group commit", options.max_changes_per_write,
            options.write_interval, rate);
   }
+}
+
+}  // namespace
+
+int main() {
+  try {
+    RunAll();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 1;
+  }
   return 0;
 }
--- a/testing/lib/deployment.cc
+++ b/testing/lib/deployment.cc
@@ -7,31 +7,38 @@
 namespace berylreach::testing {
 namespace {
 
-model::Leaf MakeLeaf(const std::string& name, int zone, std::uint32_t slots) {
-  static const std::string kZones[] = {"a", "b", "c"};
-  static int port = 20000;
-  return {{name},
-          "127.0.0.1:" + std::to_string(++port),
-          {kZones[zone % 3]},
-          slots,
-          25};
-}
+constexpr const char* kZoneNames[] = {"a", "b", "c"};
 
-model::Service MakeService(const std::string& name, std::uint32_t priority,
-                           std::uint32_t shards, std::uint32_t replicas,
-                           std::uint32_t slots,
-                           std::vector<model::RequestKind> accepts) {
-  model::Service service{{name}, priority, shards, std::move(accepts), {}};
-  for (std::uint32_t shard = 0; shard < shards; ++shard) {
-    for (std::uint32_t replica = 0; replica < replicas; ++replica) {
-      const std::string leaf =
-          name + "-" + std::to_string(shard) + "-" + std::to_string(replica);
-      service.leaves.push_back(
-          MakeLeaf(leaf, static_cast<int>(shard + replica), slots));
+/// Builds services whose leaves have distinct addresses.
+class DeploymentBuilder {
+ public:
+  model::Service MakeService(const std::string& name, std::uint32_t priority,
+                             std::uint32_t shards, std::uint32_t replicas,
+                             std::uint32_t slots,
+                             std::vector<model::RequestKind> accepts) {
+    model::Service service{{name}, priority, shards, std::move(accepts), {}};
+    for (std::uint32_t shard = 0; shard < shards; ++shard) {
+      for (std::uint32_t replica = 0; replica < replicas; ++replica) {
+        const std::string leaf =
+            name + "-" + std::to_string(shard) + "-" + std::to_string(replica);
+        service.leaves.push_back(MakeLeaf(leaf, shard + replica, slots));
+      }
     }
+    return service;
   }
-  return service;
-}
+
+ private:
+  model::Leaf MakeLeaf(const std::string& name, std::uint32_t zone,
+                       std::uint32_t slots) {
+    return {{name},
+            "127.0.0.1:" + std::to_string(++port_),
+            {kZoneNames[zone % 3]},
+            slots,
+            25};
+  }
+
+  int port_ = 20000;
+};
 
 }  // namespace
 
@@ -39,15 +46,16 @@
   using model::RequestKind;
   model::Environment environment;
   environment.name = "small";
-  for (const char* zone : {"a", "b", "c"}) {
+  for (const char* zone : kZoneNames) {
     environment.zones.push_back(
         {{zone}, std::string("region-") + zone, model::ZoneState::kIn});
   }
+  DeploymentBuilder builder;
   environment.services = {
-      MakeService("buckle-screen", 1, 1, 4, 4, {RequestKind::kLookup}),
-      MakeService("hide-ledger", 1, 1, 3, 4,
-                  {RequestKind::kLookup, RequestKind::kOrder}),
-      MakeService("order-desk", 0, 4, 2, 2, {RequestKind::kQuery}),
+      builder.MakeService("buckle-screen", 1, 1, 4, 4, {RequestKind::kLookup}),
+      builder.MakeService("hide-ledger", 1, 1, 3, 4,
+                          {RequestKind::kLookup, RequestKind::kOrder}),
+      builder.MakeService("order-desk", 0, 4, 2, 2, {RequestKind::kQuery}),
   };
   return environment;
 }
--- a/testing/lib/trace.cc
+++ b/testing/lib/trace.cc
@@ -11,12 +11,13 @@
 namespace berylreach::testing {
 namespace {
 
+constexpr const char* kRanNames[] = {"not_run", "may_have_run", "ran"};
+
 std::string Describe(const model::CallerReply& reply) {
   const auto* refusal = std::get_if<model::Refusal>(&reply);
   if (refusal == nullptr) return "answered";
-  constexpr const char* kRan[] = {"not_run", "may_have_run", "ran"};
   return std::string(model::ToString(refusal->code)) + " " +
-         kRan[static_cast<int>(refusal->ran)] + ": " + refusal->message;
+         kRanNames[static_cast<int>(refusal->ran)] + ": " + refusal->message;
 }
 
 }  // namespace
