Drop forwarded orders after their deadline

The trace: an order was forwarded to a bucket owner that stood still for 3.8 s. On waking it was no longer the owner and passed the order on with its full time budget, so that the new owner ran it 0.3 s after it had told a repeat 'not run'. Change: OrderForward carries its deadline as wall-clock time; a host drops the order after it and shortens its budget to it. The entry host has answered the caller by then. Conclusion: no order runs after the deadline of the request that caused it.

--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -27,7 +27,7 @@
   /// Runs the order if this host owns its bucket, else passes it on to the
   /// owner: the sender may have used an older set of members.
   void OnForward(const model::HostName& from,
-                 const model::OrderForward& forward);
+                 const model::OrderForward& received);
   /// Takes the reply to an order that was passed on; returns false for others.
   bool OnOrderReply(const model::OrderReply& reply);
   void OnJournalRead(std::uint64_t id, const model::StoreResult& result);
--- a/core/lib/entry.cc
+++ b/core/lib/entry.cc
@@ -129,6 +129,10 @@
                              .count();
   forward.budget = std::chrono::duration_cast<std::chrono::microseconds>(
       request.deadline - clock_.Now());
+  forward.deadline_unix_ms =
+      std::chrono::duration_cast<milliseconds>(
+          (clock_.WallNow() + forward.budget).time_since_epoch())
+          .count();
   const auto deadline = request.deadline + kForwardGrace;
   orders_.emplace(request.id, Order{owner->host, deadline, false});
   wakeups_.Set(request.id, deadline);
--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -67,7 +67,14 @@
       coordinator_(clock, state.self().host, state.self().incarnation) {}
 
 void OrderRunner::OnForward(const model::HostName& from,
-                            const model::OrderForward& forward) {
+                            const model::OrderForward& received) {
+  model::OrderForward forward = received;
+  const auto wall = clock_.WallNow().time_since_epoch();
+  const auto left = std::chrono::milliseconds(forward.deadline_unix_ms) -
+                    std::chrono::duration_cast<std::chrono::milliseconds>(wall);
+  // Its entry host has answered the caller.
+  if (left <= std::chrono::milliseconds(0)) return;
+  forward.budget = std::min<std::chrono::microseconds>(forward.budget, left);
   const auto bucket = orders::BucketOf(forward.service, forward.key);
   const model::Member* owner = BucketOwner(bucket, state_.Members());
   // Claiming in a bucket of another host would break that host's knowledge of
--- a/transport/lib/call_codec.cc
+++ b/transport/lib/call_codec.cc
@@ -78,6 +78,7 @@
   builder.setPayload(ToData(order.payload));
   builder.setIssuedAtMs(order.issued_at_ms);
   builder.setBudgetUs(order.budget.count());
+  builder.setDeadlineUnixMs(order.deadline_unix_ms);
 }
 
 model::OrderForward Decode(rpc::OrderForward::Reader reader) {
@@ -88,6 +89,7 @@
   order.payload = FromData(reader.getPayload());
   order.issued_at_ms = reader.getIssuedAtMs();
   order.budget = std::chrono::microseconds(reader.getBudgetUs());
+  order.deadline_unix_ms = reader.getDeadlineUnixMs();
   return order;
 }
 
--- a/transport/schema/peer.capnp
+++ b/transport/schema/peer.capnp
@@ -105,6 +105,7 @@
   payload @3 :Data;
   issuedAtMs @4 :Int64;
   budgetUs @5 :Int64;
+  deadlineUnixMs @6 :Int64;
 }
 
 struct ShardResult {
--- a/transport/unittests/peer_codec_test.cc
+++ b/transport/unittests/peer_codec_test.cc
@@ -130,7 +130,8 @@
                        U32(),
                        Ms()},
       model::LeafCancel{Id(), Flag()},
-      model::OrderForward{Id(), {Bytes()}, Bytes(), Bytes(), I64(), Us()},
+      model::OrderForward{
+          Id(), {Bytes()}, Bytes(), Bytes(), I64(), Us(), I64()},
       model::OrderReply{Id(), AnyReply()},
       model::LeafStates{Several(AnyLeafState)},
       model::HostListUpdate{{U64(), Several([] {
