Wait for passed on orders in a planned stop

A leaving host passes orders on to new bucket owners, which may hold them for the takeover (1.7 s), but it ended after 0.5 s and the replies were lost on their way back through it. Ruled out: the deadline of forwarded orders, added before; the order was not late. Change: passed on orders count as open work of the stopping host. Conclusion: a planned stop also waits for what it relays.

--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -52,9 +52,11 @@
   /// names of BucketName.
   std::vector<model::LeafName> HeldBuckets() const;
 
-  /// Orders without final reply, and outcomes that are not in the store yet.
+  /// Orders without final reply, passed on ones included, and outcomes that are
+  /// not in the store yet.
   std::size_t open_work() const {
-    return coordinator_.open_orders() + coordinator_.unwritten_outcomes();
+    return coordinator_.open_orders() + coordinator_.unwritten_outcomes() +
+           passed_on_.size();
   }
 
   const orders::OrderCounters& counters() const {
