Share the incarnation source and the names of request kinds

Cause: host drew random incarnations by two copies of one function, and transport named request kinds beside config::ToString. Change: host/random_incarnation.h serves both; transport depends on config and calls its names. Ids of caller requests are now odd in their first half, as those of hosts were; nothing depends on it. Conclusion: one definition each. The leaf body codecs of transport and config are still two.

--- a/host/lib/host_process.cc
+++ b/host/lib/host_process.cc
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <map>
-#include <random>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "berylreach/host/http_frontend.h"
 #include "berylreach/host/log.h"
 #include "berylreach/host/metrics.h"
+#include "berylreach/host/random_incarnation.h"
 #include "berylreach/host/timeline.h"
 #include "berylreach/transport/host_list_client.h"
 #include "berylreach/transport/http_server.h"
@@ -27,12 +27,6 @@
 constexpr std::chrono::milliseconds kFlushTime{1000};
 constexpr std::chrono::milliseconds kFlushPoll{5};
 
-std::uint64_t RandomIncarnation() {
-  std::random_device device;
-  // 0 means that there is no incarnation.
-  return ((std::uint64_t{device()} << 32) | device()) | 1;
-}
-
 model::LeafStatus ToModel(transport::LeafStatus status) {
   return {std::move(status.leaf), status.reachable, status.refused,
           status.incarnation,     status.draining,  std::move(status.holdings)};
--- a/host/lib/http_frontend.cc
+++ b/host/lib/http_frontend.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <string_view>
 #include <utility>
 
@@ -13,6 +12,7 @@
 #include "berylreach/config/host_status.h"
 #include "berylreach/config/host_timeline.h"
 #include "berylreach/host/core_metrics.h"
+#include "berylreach/host/random_incarnation.h"
 
 namespace berylreach::host {
 namespace {
@@ -35,11 +35,6 @@
   return std::nullopt;
 }
 
-std::uint64_t RandomIncarnation() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32) | device();
-}
-
 std::uint64_t AfterOf(std::string_view target) {
   const auto place = target.find(kAfterParameter);
   if (place == std::string_view::npos) return 0;
--- a/transport/lib/leaf_codec.cc
+++ b/transport/lib/leaf_codec.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <string_view>
 
+#include "berylreach/config/request_kind_name.h"
+
 namespace berylreach::transport {
 namespace {
 
@@ -15,18 +17,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kHexadecimal = 16;
 
-std::string_view KindName(model::RequestKind kind) {
-  switch (kind) {
-    case model::RequestKind::kQuery:
-      return "query";
-    case model::RequestKind::kLookup:
-      return "lookup";
-    case model::RequestKind::kOrder:
-      return "order";
-  }
-  return "query";
-}
-
 /// Payloads are JSON text; other text is sent as a JSON string.
 json::value ToJson(const std::string& payload) {
   boost::system::error_code error;
@@ -127,7 +117,7 @@
   json::object body;
   body["request_id"] = model::ToString(call.id);
   body["service"] = call.service.value;
-  body["kind"] = KindName(call.kind);
+  body["kind"] = config::ToString(call.kind);
   body["shard"] = call.shard;
   body["version"] = call.version;
   body["payload"] =
