Move benchmarks and the load program out of the test package

Cause: testing/ held benchmarks, the load program and the capacity programs beside the tests, so that the share of test code by path was overstated and the test package built programs that no test needs. Ruled out: a package per program; they share nothing but the build rule. Change: benchmarks/{policy,load,capacity} with one CMake file; no code changed. Conclusion: tests, fakes and stand-ins can be counted by path.

--- a/scripts/capacity/control.sh
+++ b/scripts/capacity/control.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 out=docs/capacity
-program=build/testing/berylreach-capacity
+program=build/benchmarks/berylreach-capacity
 
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
--- a/scripts/capacity/deployment.sh
+++ b/scripts/capacity/deployment.sh
@@ -14,7 +14,7 @@
 
 # load QUERIES_PER_SECOND SECONDS: sends all queries to the first host.
 load() {
-  "$bin/testing/berylreach-capacity" --measure=load --target="${HTTP[${HOSTS[0]}]}" --rate="$1" \
+  "$bin/benchmarks/berylreach-capacity" --measure=load --target="${HTTP[${HOSTS[0]}]}" --rate="$1" \
     --seconds="$2" --connections=64
 }
 
--- a/scripts/process_tests/common.sh
+++ b/scripts/process_tests/common.sh
@@ -40,7 +40,7 @@
 
 # load FLAGS...: runs the load program against all hosts until it ends.
 load() {
-  "$bin/testing/berylreach-load" --hosts="$(all_addresses)" --verify-orders \
+  "$bin/benchmarks/berylreach-load" --hosts="$(all_addresses)" --verify-orders \
     --leaves="$(leaf_addresses '.service == "hide-ledger"' | paste -sd ,)" "$@"
 }
 
@@ -51,7 +51,7 @@
 start_load() {
   local name=$1
   shift
-  "$bin/testing/berylreach-load" --hosts="$(all_addresses)" --seconds=240 --verify-orders \
+  "$bin/benchmarks/berylreach-load" --hosts="$(all_addresses)" --seconds=240 --verify-orders \
     --leaves="$(leaf_addresses '.service == "hide-ledger"' | paste -sd ,)" --key_prefix="$name" \
     "$@" >"$WORK/$name.json" 2>"$WORK/$name.log" &
   PID[$name]=$!
