Keep work for a host that returned from being dropped as lost

A host that leaves is remembered for 1.7 s, after which all work sent to it counts as lost. The memory was kept when the host came back within that time, so that orders and leaf calls in flight to its new process were declared lost. Ruled out: the wait for passed-on orders of the stopping host (the refused order was sent 1.7 s after the departure, when that process was long gone); lost messages (the retry found the order done). Change: adopting a head record in which the host is back ends the work of its former process at once and clears the memory. Conclusion: the memory of a departed process must not outlive the process.

--- a/core/include/berylreach/core/host_core.h
+++ b/core/include/berylreach/core/host_core.h
@@ -90,6 +90,8 @@
   void OnHead(const model::HeadRecord& record);
   void NoteDeparture(const model::Member& member,
                      const model::HeadRecord& record);
+  /// Ends the work of the process of `host` that left before.
+  void NoteReturn(const model::HostName& host);
   void OnHostGone(const model::HostName& host);
   void DropDeparted();
   void TakeHostList(const model::HostList& list, bool publish);
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -123,7 +123,10 @@
   rollout_.SetPeers(OtherMembers());
   Adopt();
   for (const model::Member& member : previous) NoteDeparture(member, record);
-  for (const model::HostName& host : joined) leaf_owner_.PublishAllTo(host);
+  for (const model::HostName& host : joined) {
+    NoteReturn(host);
+    leaf_owner_.PublishAllTo(host);
+  }
 }
 
 void HostCore::NoteDeparture(const model::Member& member,
@@ -142,6 +145,15 @@
   }
 }
 
+void HostCore::NoteReturn(const model::HostName& host) {
+  const auto departed =
+      std::find_if(departing_.begin(), departing_.end(),
+                   [&](const auto& item) { return item.second == host; });
+  // The process that left has ended. Work that is sent to the host from now on
+  // must not be taken for work of that process when its time is over.
+  if (departed != departing_.end()) OnHostGone(host);
+}
+
 void HostCore::OnHostGone(const model::HostName& host) {
   std::erase_if(departing_,
                 [&](const auto& item) { return item.second == host; });
