Keep a running digest of the leaf states of each owner

Cause: each heartbeat copied, sorted and filtered the states of all leaves of the environment and hashed those of the sender, which made the processor time of control grow with hosts x leaves (term 1 of section 5 of docs/CAPACITY.md). Ruled out: comparing less often; a lost state must be repaired within a heartbeat. Change: the leaf table adds and takes away the hash of each state at Merge and Retain, and a heartbeat is compared with the sum. The digest is a sum as before.

--- a/core/include/berylreach/core/leaf_owner.h
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -118,7 +118,4 @@
   std::unordered_set<model::CallId> recent_order_ids_;
 };
 
-/// Digest of leaf states that is equal for equal sets of states.
-std::uint64_t DigestOf(const std::vector<model::LeafState>& states);
-
 }  // namespace berylreach::core
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -80,11 +80,8 @@
     outbox_.Send(versions.host, state_.Suspects().Entries());
   }
   if (!versions.leaf_states_digest) return;
-  std::vector<model::LeafState> held;
-  for (model::LeafState& state : state_.Leaves().States()) {
-    if (state.owner == versions.host) held.push_back(std::move(state));
-  }
-  if (DigestOf(held) != *versions.leaf_states_digest) {
+  if (state_.Leaves().StatesDigest(versions.host) !=
+      *versions.leaf_states_digest) {
     outbox_.Send(versions.host, model::LeafStates{});
   }
 }
--- a/core/lib/leaf_owner_states.cc
+++ b/core/lib/leaf_owner_states.cc
@@ -1,10 +1,9 @@
 // Ownership changes and publication of leaf states.
 #include <algorithm>
-#include <string>
 #include <utility>
 
-#include "berylreach/base/hash.h"
 #include "berylreach/core/leaf_owner.h"
+#include "berylreach/routing/leaf_state_digest.h"
 
 namespace berylreach::core {
 
@@ -114,12 +113,12 @@
 }
 
 std::uint64_t LeafOwner::ComputeStatesDigest() const {
-  std::vector<model::LeafState> states;
+  std::uint64_t digest = 0;
   for (const auto& [name, entry] : leaves_) {
     if (entry.owned && entry.published.sequence != 0)
-      states.push_back(entry.published);
+      digest += routing::DigestOf(entry.published);
   }
-  return DigestOf(states);
+  return digest;
 }
 
 bool LeafOwner::HasWork() const {
@@ -137,16 +136,4 @@
   return last_sequence_;
 }
 
-std::uint64_t DigestOf(const std::vector<model::LeafState>& states) {
-  std::uint64_t digest = 0;
-  for (const model::LeafState& state : states) {
-    const std::string text = state.leaf.value + '\0' +
-                             std::to_string(state.epoch) + '\0' +
-                             std::to_string(state.sequence);
-    // Addition makes the digest independent of the order of states.
-    digest += base::Hash64(text);
-  }
-  return digest;
-}
-
 }  // namespace berylreach::core
--- a/routing/include/berylreach/routing/leaf_table.h
+++ b/routing/include/berylreach/routing/leaf_table.h
@@ -47,6 +47,9 @@
   /// All states, for a host that has just joined.
   std::vector<model::LeafState> States() const;
 
+  /// Digest of the states that `owner` published; 0 if there are none.
+  std::uint64_t StatesDigest(const model::HostName& owner) const;
+
   /// Whether `leaf` may get new work, zones aside: its state is known, and
   /// neither state, host list nor evidence says down, draining or leaving.
   bool TakesWork(const model::LeafName& leaf) const;
@@ -84,12 +87,17 @@
   };
 
   const Entry* Find(const model::LeafName& leaf) const;
+  /// Takes the state of `entry` out of its owner's digest.
+  void RemoveFromDigest(const Entry& entry);
   void NoteEvidence(Entry& entry, const model::LeafReply& reply,
                     std::uint64_t version);
 
   const base::Clock& clock_;
   std::unordered_map<model::LeafName, Entry> entries_;
   std::unordered_set<model::LeafName> leaving_;
+  /// Kept up to date with each state, because every heartbeat is compared with
+  /// the digest of its sender and the leaves of a cell are many.
+  std::unordered_map<model::HostName, std::uint64_t> digests_;
   std::uint64_t host_list_index_ = 0;
   std::uint64_t revision_ = 0;
 };
--- /dev/null
+++ b/routing/lib/leaf_state_digest.cc
@@ -0,0 +1,16 @@
+// Digests of published leaf states.
+#include "berylreach/routing/leaf_state_digest.h"
+
+#include <string>
+
+#include "berylreach/base/hash.h"
+
+namespace berylreach::routing {
+
+std::uint64_t DigestOf(const model::LeafState& state) {
+  // Epoch and sequence change with every other field.
+  return base::Hash64(state.leaf.value + '\0' + std::to_string(state.epoch) +
+                      '\0' + std::to_string(state.sequence));
+}
+
+}  // namespace berylreach::routing
--- a/routing/lib/leaf_table.cc
+++ b/routing/lib/leaf_table.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "berylreach/routing/leaf_state_digest.h"
+
 namespace berylreach::routing {
 namespace {
 
@@ -23,6 +25,8 @@
 bool LeafTable::Merge(const model::LeafState& state) {
   Entry& entry = entries_[state.leaf];
   if (entry.state && OrderOf(*entry.state) >= OrderOf(state)) return false;
+  RemoveFromDigest(entry);
+  digests_[state.owner] += DigestOf(state);
   entry.state = state;
   entry.refusing_until = {};
   entry.gone_until.clear();
@@ -47,7 +51,9 @@
     for (const model::Leaf& leaf : service.leaves) named.insert(leaf.name);
   }
   std::erase_if(entries_, [&](const auto& entry) {
-    return !named.contains(entry.first);
+    if (named.contains(entry.first)) return false;
+    RemoveFromDigest(entry.second);
+    return true;
   });
   ++revision_;
 }
@@ -62,6 +68,19 @@
   return entry != nullptr && entry->state ? &*entry->state : nullptr;
 }
 
+std::uint64_t LeafTable::StatesDigest(const model::HostName& owner) const {
+  const auto found = digests_.find(owner);
+  return found == digests_.end() ? 0 : found->second;
+}
+
+void LeafTable::RemoveFromDigest(const Entry& entry) {
+  if (!entry.state) return;
+  const auto found = digests_.find(entry.state->owner);
+  found->second -= DigestOf(*entry.state);
+  // The digest of no states is 0. Hosts that left would stay here for ever.
+  if (found->second == 0) digests_.erase(found);
+}
+
 std::vector<model::LeafState> LeafTable::States() const {
   std::vector<model::LeafState> states;
   for (const auto& [leaf, entry] : entries_) {
--- a/routing/unittests/leaf_table_test.cc
+++ b/routing/unittests/leaf_table_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "berylreach/base/manual_clock.h"
+#include "berylreach/routing/leaf_state_digest.h"
 #include "berylreach/routing/replica_index_cache.h"
 #include "test_environment.h"
 
@@ -89,6 +90,28 @@
 
 // Without the lapse in the cache a leaf with outdated evidence would stay
 // unused until the next change of any leaf.
+// Guards against a running digest that differs from that of the states held,
+// which would make a host ask for all states after every heartbeat.
+TEST_F(LeafTableTest, DigestFollowsTheStatesOfEachOwner) {
+  auto first = MakeState("l0", {{7, 0, 1}}, 1);
+  auto second = MakeState("l1", {{7, 0, 1}}, 2);
+  first.owner = second.owner = {"a1"};
+  table_.Merge(first);
+  table_.Merge(second);
+  EXPECT_EQ(table_.StatesDigest({"a1"}), DigestOf(first) + DigestOf(second));
+
+  auto moved = MakeState("l1", {{7, 0, 1}}, 3);
+  moved.owner = {"b1"};
+  table_.Merge(moved);
+  EXPECT_FALSE(table_.Merge(second));
+  EXPECT_EQ(table_.StatesDigest({"a1"}), DigestOf(first));
+  EXPECT_EQ(table_.StatesDigest({"b1"}), DigestOf(moved));
+
+  table_.Retain({});
+  EXPECT_EQ(table_.StatesDigest({"a1"}), 0U);
+  EXPECT_EQ(table_.StatesDigest({"b1"}), 0U);
+}
+
 TEST_F(LeafTableTest, CachedIndexFollowsChangesAndLapses) {
   const auto environment = MakeEnvironment({"z0"});
   ReplicaIndexCache cache(clock_);
