Keep published leaf states over a change of members

Cause: every new epoch made each owner number and publish the states of all its leaves again to every host (term 4 of section 5 of docs/CAPACITY.md), though only leaves whose owner changed need it. Ruled out: never publishing again for a later epoch; another host may have owned the leaf in an epoch that this one skipped, and its state would win. Change: a state stays published until health or holdings change, ownership is lost, or the host skips an epoch. Conclusion: leaf states cost bytes by changes of ownership, not by epochs.

--- a/core/include/berylreach/core/leaf_owner.h
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -96,6 +96,7 @@
               model::LeafOutcome outcome);
   /// Whether the state published last still holds.
   bool IsPublished(const OwnedLeaf& entry) const;
+  void ForgetPublished();
   std::uint64_t ComputeStatesDigest() const;
   std::uint64_t NextSequence();
 
--- a/core/lib/leaf_owner_states.cc
+++ b/core/lib/leaf_owner_states.cc
@@ -11,6 +11,9 @@
                       const model::Environment& environment,
                       const std::vector<model::Member>& members) {
   states_dirty_ = true;
+  // Another host may have owned a leaf and published newer states in an epoch
+  // that this host has skipped.
+  if (table.epoch() > epoch_ + 1) ForgetPublished();
   epoch_ = table.epoch();
   members_ = members;
   const auto owned = table.OwnedBy(outbox_.self());
@@ -19,6 +22,7 @@
     if (!entry.owned || owned_names.contains(name)) continue;
     entry.owned = false;
     entry.open = false;
+    entry.published = {};
     limits::Actions actions;
     entry.gate.OnOwnershipLost(actions);
     Carry(entry, actions);
@@ -63,11 +67,16 @@
 
 bool LeafOwner::IsPublished(const OwnedLeaf& entry) const {
   const model::LeafState& published = entry.published;
-  return published.sequence != 0 && published.epoch == epoch_ &&
-         published.health == entry.Health() &&
+  // A state of an earlier epoch stays valid while the owner stays: to publish
+  // all states at every change of members costs as much as there are leaves.
+  return published.sequence != 0 && published.health == entry.Health() &&
          published.holdings == entry.holdings;
 }
 
+void LeafOwner::ForgetPublished() {
+  for (auto& [name, entry] : leaves_) entry.published = {};
+}
+
 void LeafOwner::PublishChanges() {
   // Most events change no state, and a scan of all leaves after each of them
   // took a third of an owner's processor time.
