Compare who limits the work on a leaf

Cause: the choice of one owner for each leaf rested on argument only; no benchmark compared it with limits at each host.

Change: berylreach-limit-bench runs the query runner and the leaf gates with the gate at each host, at fixed or rotating shares, or at the owner, beside random replicas without limits. The service times move to a class of their own and the simulation gets hooks for the path of a call. The product is unchanged.

--- a/benchmarks/policy/bench_host.h
+++ b/benchmarks/policy/bench_host.h
@@ -12,14 +12,21 @@
 
 namespace berylreach::bench {
 
-// The context of the query runners of one host. Leaf "<shard>/<replica>" holds
-// its shard at version 1; all are in one zone, so that no network latency hides
-// the stragglers.
+// The context of the query runners of one host. Leaf `shard * replicas +
+// replica` holds its shard at version 1.
 class BenchHost final : public query::QueryContext {
  public:
   BenchHost(const BenchOptions& options, const base::Clock& clock,
             std::uint64_t number);
 
+  static std::size_t ZoneOfHost(const BenchOptions& options,
+                                std::uint64_t host) {
+    return host % options.zones;
+  }
+  static std::size_t ZoneOfLeaf(const BenchOptions& options, std::size_t leaf) {
+    return (leaf / options.replicas + leaf % options.replicas) % options.zones;
+  }
+
   const model::Environment& Environment() const override {
     return environment_;
   }
@@ -30,7 +37,7 @@
     return ownership_;
   }
   const model::ZoneName& OwnZone() const override {
-    return environment_.zones[0].name;
+    return environment_.zones[ZoneOfHost(options_, number_)].name;
   }
   routing::LeafTable& Leaves() override { return leaves_; }
   const routing::ReplicaIndex& Replicas(
@@ -54,9 +61,9 @@
   static constexpr std::size_t kWindow = 1000;
   static constexpr double kRetryBurst = 20;
 
-  void AddLeaf(const BenchOptions& options, std::uint32_t shard,
-               std::uint32_t replica);
+  void AddLeaf(std::uint32_t shard, std::uint32_t replica);
 
+  const BenchOptions options_;
   std::uint64_t number_;
   std::uint64_t calls_ = 0;
   std::mt19937_64 random_;
--- a/benchmarks/policy/bench_options.h
+++ b/benchmarks/policy/bench_options.h
@@ -24,6 +24,10 @@
   std::uint32_t shards = 20;
   std::uint32_t replicas = 2;
   std::uint32_t slots = 2;
+  // Hosts and the replicas of a shard are spread over them.
+  std::uint32_t zones = 1;
+  // Each zone is a region of its own.
+  bool zone_is_region = true;
   bool stragglers = true;
   // Every query has its own fingerprint and starts with a canary.
   bool unproven = false;
--- a/benchmarks/policy/leaf_model.cc
+++ b/benchmarks/policy/leaf_model.cc
@@ -3,17 +3,11 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <utility>
 
 namespace berylreach::bench {
 namespace {
 
-constexpr double kMedianSeconds = 0.010;
-constexpr double kSigma = 0.35;
-constexpr double kStragglers = 0.01;
-constexpr double kStragglerFactor = 10;
-
 // Calls of all hosts have different ids only by incarnation and counter.
 std::uint64_t Key(const model::CallId& id) {
   return id.incarnation << 48 | id.counter;
@@ -21,23 +15,6 @@
 
 }  // namespace
 
-double LeafModel::MeanService() {
-  return kMedianSeconds * std::exp(kSigma * kSigma / 2) *
-         (1 + kStragglers * (kStragglerFactor - 1));
-}
-
-base::Duration LeafModel::ServiceTime() {
-  std::lognormal_distribution<double> normal(std::log(kMedianSeconds), kSigma);
-  std::uniform_real_distribution<double> uniform(0, 1);
-  double seconds = normal(random_);
-  // Drawn in both cases, so that runs with and without stragglers share the
-  // other numbers.
-  const bool slow = uniform(random_) < kStragglers;
-  if (slow && options_.stragglers) seconds *= kStragglerFactor;
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 void LeafModel::Call(const model::LeafCall& call, ReplyTo reply) {
   Job job{call, std::move(reply), events_.Now() + call.budget};
   const auto place = options_.deadline_order
@@ -58,7 +35,7 @@
     ++result_.calls_started;
     const model::CallId id = job.call.id;
     running_.emplace(Key(id), std::move(job));
-    events_.After(ServiceTime(), [this, id] { Finish(id); });
+    events_.After(service_times_.Draw(), [this, id] { Finish(id); });
   }
 }
 
--- a/benchmarks/policy/leaf_model.h
+++ b/benchmarks/policy/leaf_model.h
@@ -5,32 +5,31 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <random>
 
 #include "bench_options.h"
 #include "bench_result.h"
 #include "berylreach/model/leaf_call.h"
 #include "berylreach/model/leaf_reply.h"
 #include "event_queue.h"
+#include "service_times.h"
 
 namespace berylreach::bench {
 
-// Serves calls in `slots` slots with lognormal service times; a hundredth of
-// the calls takes ten times as long.
+// Serves calls in `slots` slots.
 class LeafModel {
  public:
   using ReplyTo = std::function<void(const model::LeafReply&)>;
 
   LeafModel(const BenchOptions& options, EventQueue& events,
             BenchResult& result, std::uint64_t seed)
-      : options_(options), events_(events), result_(result), random_(seed) {}
+      : options_(options),
+        events_(events),
+        result_(result),
+        service_times_(seed, options.stragglers) {}
 
   void Call(const model::LeafCall& call, ReplyTo reply);
   void Cancel(const model::CallId& id, bool only_if_queued);
 
-  // Mean service time with stragglers, in seconds.
-  static double MeanService();
-
  private:
   struct Job {
     model::LeafCall call;
@@ -43,12 +42,11 @@
   void Finish(const model::CallId& id);
   void Reply(const Job& job, model::LeafOutcome outcome);
   void Release(const Job& job);
-  base::Duration ServiceTime();
 
   const BenchOptions& options_;
   EventQueue& events_;
   BenchResult& result_;
-  std::mt19937_64 random_;
+  ServiceTimes service_times_;
   std::deque<Job> queue_;
   std::map<std::uint64_t, Job> running_;
 };
--- /dev/null
+++ b/benchmarks/policy/product_gate.h
@@ -0,0 +1,53 @@
+// The gate of the product.
+#pragma once
+
+#include <optional>
+#include <utility>
+
+#include "berylreach/limits/leaf_gate.h"
+#include "call_gate.h"
+
+namespace berylreach::bench {
+
+class ProductGate final : public CallGate {
+ public:
+  ProductGate(const base::Clock& clock, model::LeafName leaf,
+              std::uint32_t slots)
+      : gate_(clock, std::move(leaf), slots) {
+    limits::Actions none;
+    gate_.SetLeaseExpiry(base::TimePoint::max(), none);
+    gate_.SetOpen(true, none);
+  }
+
+  void OnCall(const model::LeafCall& call, limits::Actions& out) override {
+    gate_.OnCall(call, out);
+  }
+  void OnCancel(const model::CallId& id, bool only_if_queued,
+                limits::Actions& out) override {
+    if (only_if_queued) {
+      gate_.OnMoved(id, out);
+    } else {
+      gate_.OnCancel(id, out);
+    }
+  }
+  void OnResult(const model::UpstreamResult& result,
+                limits::Actions& out) override {
+    gate_.OnResult(result, out);
+  }
+  void OnColdEvidence(limits::Actions& out) override {
+    gate_.OnColdEvidence(out);
+  }
+  void SetOpen(bool open, limits::Actions& out) override {
+    gate_.SetOpen(open, out);
+  }
+  void Tick(limits::Actions& out) override { gate_.Tick(out); }
+  std::optional<base::TimePoint> NextWakeup() const override {
+    return gate_.NextWakeup();
+  }
+  bool cold() const override { return gate_.cold(); }
+
+ private:
+  limits::LeafGate gate_;
+};
+
+}  // namespace berylreach::bench
--- a/benchmarks/policy/simulation.cc
+++ b/benchmarks/policy/simulation.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "berylreach/quarantine/fingerprint.h"
+#include "service_times.h"
 
 namespace berylreach::bench {
 namespace {
@@ -42,17 +43,19 @@
 void Simulation::ScheduleArrival() {
   const double slots = static_cast<double>(leaves_.size()) * options_.slots;
   const double per_second =
-      options_.load * slots / (options_.shards * LeafModel::MeanService());
+      options_.load * slots / (options_.shards * ServiceTimes::MeanSeconds());
   std::exponential_distribution<double> gap(per_second);
   const auto delay = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(gap(random_)));
   events_.After(delay, [this] { Arrive(); });
 }
 
+std::size_t Simulation::PickHost() { return random_() % hosts_.size(); }
+
 void Simulation::Arrive() {
   const std::uint64_t number = arrived_++;
   Query& query = queries_[number];
-  query.host = random_() % hosts_.size();
+  query.host = PickHost();
   query.arrived = events_.Now();
   result_.calls_needed += options_.shards;
   if (options_.method == Method::kQueryRunner) {
@@ -103,21 +106,29 @@
   return *leaves_[std::stoul(name.value)];
 }
 
+void Simulation::SendCall(std::uint64_t number, const model::LeafCall& call) {
+  events_.After(options_.hop, [this, number, call] {
+    LeafOf(call.leaf).Call(
+        call, [this, number](const auto& reply) { Deliver(number, reply); });
+  });
+}
+
+void Simulation::CancelCall(std::uint64_t /*number*/,
+                            const model::LeafName& leaf,
+                            const query::CancelCall& cancel) {
+  events_.After(options_.hop, [this, leaf, cancel] {
+    LeafOf(leaf).Cancel(cancel.id, cancel.only_if_queued);
+  });
+}
+
 void Simulation::Apply(std::uint64_t number,
                        const std::vector<query::Action>& actions) {
   for (const query::Action& action : actions) {
     if (const auto* send = std::get_if<query::SendCall>(&action)) {
       call_leaves_[send->call.id] = send->call.leaf;
-      events_.After(options_.hop, [this, number, call = send->call] {
-        LeafOf(call.leaf).Call(call, [this, number](const auto& reply) {
-          Deliver(number, reply);
-        });
-      });
+      SendCall(number, send->call);
     } else if (const auto* c = std::get_if<query::CancelCall>(&action)) {
-      events_.After(options_.hop, [this, cancel = *c] {
-        LeafOf(call_leaves_.at(cancel.id))
-            .Cancel(cancel.id, cancel.only_if_queued);
-      });
+      CancelCall(number, call_leaves_.at(c->id), *c);
     } else if (const auto* finish = std::get_if<query::Finish>(&action)) {
       const auto* answer = std::get_if<model::Answer>(&finish->reply);
       RecordLatency(queries_.at(number),
--- a/benchmarks/policy/simulation.h
+++ b/benchmarks/policy/simulation.h
@@ -21,9 +21,12 @@
 class Simulation {
  public:
   explicit Simulation(const BenchOptions& options);
+  virtual ~Simulation() = default;
+  Simulation(const Simulation&) = delete;
+  Simulation& operator=(const Simulation&) = delete;
   BenchResult Run();
 
- private:
+ protected:
   // A query under way, by either method.
   struct Query {
     std::size_t host = 0;
@@ -34,26 +37,36 @@
     std::uint32_t open = 0;
   };
 
-  void ScheduleArrival();
-  void Arrive();
-  void StartRunner(std::uint64_t number);
-  void StartRandom(std::uint64_t number);
+  // The host of the next query.
+  virtual std::size_t PickHost();
+  virtual void StartRandom(std::uint64_t number);
+  // The call of query `number` leaves its host.
+  virtual void SendCall(std::uint64_t number, const model::LeafCall& call);
+  virtual void CancelCall(std::uint64_t number, const model::LeafName& leaf,
+                          const query::CancelCall& cancel);
+
   void Apply(std::uint64_t number, const std::vector<query::Action>& actions);
   void Deliver(std::uint64_t number, const model::LeafReply& reply);
   void AfterEvent(std::uint64_t number);
   void Wake(std::uint64_t number, base::TimePoint planned);
-  void RecordLatency(const Query& query, bool whole);
-  LeafModel& LeafOf(const model::LeafName& name);
+  virtual void RecordLatency(const Query& query, bool whole);
 
   BenchOptions options_;
   EventQueue events_;
   BenchResult result_;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<BenchHost>> hosts_;
-  std::vector<std::unique_ptr<LeafModel>> leaves_;
   std::unordered_map<std::uint64_t, Query> queries_;
-  std::unordered_map<model::CallId, model::LeafName> call_leaves_;
   std::uint64_t arrived_ = 0;
+
+ private:
+  void ScheduleArrival();
+  void Arrive();
+  void StartRunner(std::uint64_t number);
+  LeafModel& LeafOf(const model::LeafName& name);
+
+  std::vector<std::unique_ptr<LeafModel>> leaves_;
+  std::unordered_map<model::CallId, model::LeafName> call_leaves_;
 };
 
 }  // namespace berylreach::bench
