Compare rules for cold starts

Cause: the cold-start rules of the design rested on argument only.

Ruled out: all slots at once after the first proven completion.

The product is unchanged.

Conclusion: one owner with stepwise growth stays.

--- a/benchmarks/policy/limiter_benchmark.cc
+++ b/benchmarks/policy/limiter_benchmark.cc
@@ -20,8 +20,9 @@
 DEFINE_bool(
     slow_overload, false,
     "a leaf with too many calls runs all of them slowly and sheds none");
-DEFINE_bool(warms_gradually, false,
-            "a cold leaf bears one more call for each completion");
+DEFINE_uint32(completions_per_call, 0,
+              "completions after which a cold leaf bears one more call; 0: it "
+              "bears all after the first");
 DEFINE_bool(cold_rule, true,
             "limits fall to 1 on evidence of a cold start (limits)");
 DEFINE_uint32(zone_hop_us, 500, "latency within a zone, one way");
@@ -30,6 +31,7 @@
             "a hedge replaces a call that is still queued");
 DEFINE_string(only, "", "run only the rows whose names contain this");
 DEFINE_uint32(turn_ms, 25, "length of a turn of the rotating shares");
+DEFINE_uint32(status_ms, 1000, "time between two status reads of a leaf");
 // No multiple of the interval of status reads, so that the phase varies.
 DEFINE_uint32(restart_ms, 5137, "time between two restarts (cold)");
 
@@ -59,7 +61,8 @@
   row.limiter.scope = scope;
   row.limiter.cold_rule = rule;
   row.limiter.slow_overload = FLAGS_slow_overload;
-  row.limiter.warms_gradually = FLAGS_warms_gradually;
+  row.limiter.status_interval = std::chrono::milliseconds(FLAGS_status_ms);
+  row.limiter.completions_per_call = FLAGS_completions_per_call;
   row.limiter.zone_hop = std::chrono::microseconds(FLAGS_zone_hop_us);
   row.limiter.turn = std::chrono::milliseconds(FLAGS_turn_ms);
   if (FLAGS_one_region) row.limiter.crossing_hop = std::chrono::milliseconds(1);
--- a/benchmarks/policy/limiter_options.h
+++ b/benchmarks/policy/limiter_options.h
@@ -43,9 +43,11 @@
   base::Duration restart_interval{0};
   // Time that a leaf is down.
   base::Duration down_time = std::chrono::milliseconds(500);
-  // A leaf bears one more call for each completion since its start, and not
-  // all after the first.
-  bool warms_gradually = false;
+  // Between two status reads of a leaf, as in transport::UpstreamClient.
+  base::Duration status_interval = std::chrono::seconds(1);
+  // Completions since its start after which a leaf bears one more call; with 0
+  // it bears all after the first completion.
+  std::uint32_t completions_per_call = 0;
 };
 
 }  // namespace berylreach::bench
--- a/benchmarks/policy/limiter_simulation.cc
+++ b/benchmarks/policy/limiter_simulation.cc
@@ -10,12 +10,6 @@
 #include "product_gate.h"
 
 namespace berylreach::bench {
-namespace {
-
-// Interval of status reads, as in transport::UpstreamClient.
-constexpr base::Duration kStatusInterval = std::chrono::seconds(1);
-
-}  // namespace
 
 LimiterSimulation::LimiterSimulation(const BenchOptions& options,
                                      const LimiterOptions& limiter)
@@ -148,7 +142,7 @@
 
 void LimiterSimulation::ReadStatuses() {
   for (const auto& gate : gates_) gate->ReadStatus();
-  events_.After(kStatusInterval, [this] {
+  events_.After(limiter_.status_interval, [this] {
     if (!Finished()) ReadStatuses();
   });
 }
--- a/benchmarks/policy/upstream_leaf.cc
+++ b/benchmarks/policy/upstream_leaf.cc
@@ -11,8 +11,9 @@
 
 std::uint32_t UpstreamLeaf::Bears() const {
   if (completions_ == 0) return 1;
-  if (!limiter_.warms_gradually) return options_.slots;
-  return std::min(options_.slots, 1 + completions_);
+  const std::uint32_t step = limiter_.completions_per_call;
+  if (step == 0) return options_.slots;
+  return std::min(options_.slots, 1 + completions_ / step);
 }
 
 ColdStart* UpstreamLeaf::CurrentColdStart() {
