Test the check of the version in answers

Cause: the check of the version in answers had not been turned off in a trial, and no test leaf answered from another version than the one named.

--- a/testing/include/berylreach/testing/fake_leaf.h
+++ b/testing/include/berylreach/testing/fake_leaf.h
@@ -50,6 +50,10 @@
   void SetServiceTime(base::Duration time) { service_time_ = time; }
   /// The next calls answer for another request.
   void SetCrossed(bool crossed) { crossed_ = crossed; }
+  /// Answers from its first holding, whatever version a call names.
+  void SetIgnoresVersion(bool ignores) { ignores_version_ = ignores; }
+  /// Runs calls past their deadline, as a leaf does whose clock is behind.
+  void SetIgnoresDeadline(bool ignores) { ignores_deadline_ = ignores; }
 
   const model::Leaf& leaf() const { return leaf_; }
   bool alive() const { return alive_; }
@@ -90,6 +94,8 @@
   bool shedding_ = false;
   bool draining_ = false;
   bool crossed_ = false;
+  bool ignores_version_ = false;
+  bool ignores_deadline_ = false;
   base::Duration service_time_ = std::chrono::milliseconds(10);
 };
 
--- a/testing/lib/fake_leaf.cc
+++ b/testing/lib/fake_leaf.cc
@@ -43,7 +43,7 @@
 }
 
 bool FakeLeaf::Holds(const model::UpstreamCall& call) const {
-  if (call.version == 0) return true;
+  if (call.version == 0 || ignores_version_) return true;
   return std::any_of(
       holdings_.begin(), holdings_.end(), [&](const model::Holding& holding) {
         return holding.version == call.version && holding.shard == call.shard;
@@ -77,7 +77,8 @@
     const auto result = ResultFor(call, outcome);
     queue_.After(kHop, [reply, result] { reply(result); });
   };
-  if (queue_.Now() >= call.not_after) return refuse(LeafOutcome::kTimedOut);
+  const bool late = queue_.Now() >= call.not_after;
+  if (late && !ignores_deadline_) return refuse(LeafOutcome::kTimedOut);
   if (draining_) return refuse(LeafOutcome::kDraining);
   if (shedding_) return refuse(LeafOutcome::kShed);
   if (!Holds(call)) return refuse(LeafOutcome::kVersionGone);
@@ -98,6 +99,7 @@
       service_time_ * (0.5 + random_.Unit()));
   const auto id = call.id;
   queue_.After(time, [this, id, incarnation] { Complete(id, incarnation); });
+  if (ignores_deadline_) return;
   queue_.At(call.not_after,
             [this, id, incarnation] { Expire(id, incarnation); });
 }
@@ -114,7 +116,7 @@
       ResultFor(run.call, silent ? LeafOutcome::kTimedOut : LeafOutcome::kOk);
   const auto holding = std::find_if(
       holdings_.begin(), holdings_.end(), [&](const model::Holding& candidate) {
-        return run.call.version == 0 ||
+        return run.call.version == 0 || ignores_version_ ||
                (candidate.version == run.call.version &&
                 candidate.shard == run.call.shard);
       });
--- a/testing/lib/scenario_platform.cc
+++ b/testing/lib/scenario_platform.cc
@@ -42,12 +42,17 @@
   if (const auto on = BoolField(state, 1, "shedding")) leaf.SetShedding(*on);
   if (const auto on = BoolField(state, 1, "draining")) leaf.SetDraining(*on);
   if (const auto on = BoolField(state, 1, "crossed")) leaf.SetCrossed(*on);
+  if (const auto on = BoolField(state, 1, "ignores_version"))
+    leaf.SetIgnoresVersion(*on);
+  if (const auto on = BoolField(state, 1, "ignores_deadline"))
+    leaf.SetIgnoresDeadline(*on);
   if (const auto time = NumberField(state, 1, "service_ms"))
     leaf.SetServiceTime(ToMilliseconds(*time));
 }
 
 /// change_leaf({kill=, restart=, cold=, silent=, shedding=, draining=,
-/// crossed=, service_ms=}, name); scenarios write leaf(name){...}.
+/// crossed=, ignores_version=, ignores_deadline=, service_ms=}, name);
+/// scenarios write leaf(name){...}.
 int ChangeLeafNamed(Scenario& scenario, lua_State* state) {
   ChangeLeaf(LeafNamed(scenario, StringArgument(state, 2)), state);
   return 0;
