Read and write the bodies of leaves by one codec

Cause: the bodies of leaf calls, answers and status were written and read twice, in transport for the process and in config for the tests of config only, with other checks in each. The leaf stand-in had a third writer. LeafStatus existed in model, transport and config. Ruled out: keeping the codec of transport: it accepted answers with repeated members, holdings outside their partition map and unreadable incarnations, and read fields that were missing as zero. Change: config keeps the only codec, used by transport, the leaf stand-in and the tests; model::LeafStatus is the only status type. From transport come the key of a call, the key or a JSON string in place of a payload, refusals "cancelled" and "deadline_exceeded", an optional retry_after_ms, incarnations on refusals, and the rule that a 503 without "not_run" ends the call as lost. From config come the bounds and the required members. The test that took a 503 without proof as a finding now requires kLost, which proves nothing either and which transport's test requires. An answer outside its documented form now ends its call as lost, also where the process used to fill in the gaps; so does a refusal with an unknown error. Conclusion: one definition each.

--- a/config/lib/leaf_answer_codec.cc
+++ b/config/lib/leaf_answer_codec.cc
@@ -1,7 +1,9 @@
 // JSON bodies of answers of leaves.
 #include "berylreach/config/leaf_answer_codec.h"
 
+#include <array>
 #include <utility>
+#include <vector>
 
 #include "berylreach/config/bounds.h"
 #include "call_id_reader.h"
@@ -19,10 +21,16 @@
 constexpr unsigned kUnavailableStatus = 503;
 constexpr std::int64_t kMaxRetryAfterMs = 24LL * 60 * 60 * 1000;
 
+/// Errors of refusals that prove that the call did not run, and their outcomes.
+const std::vector<std::string_view> kRefusalNames = {
+    "shedding", "draining", "cancelled", "deadline_exceeded"};
+constexpr std::array<LeafOutcome, 4> kRefusalOutcomes = {
+    LeafOutcome::kShed, LeafOutcome::kDraining, LeafOutcome::kNotSent,
+    LeafOutcome::kNotSent};
+
 void ReadOk(ObjectReader& reader, UpstreamResult& result) {
   result.outcome = LeafOutcome::kOk;
   result.leaf.value = reader.NonEmptyText("leaf", kMaxNameBytes);
-  result.incarnation = reader.HexOrUnsigned("incarnation");
   result.shard = reader.Count("shard");
   result.shard_count = reader.Count("shard_count");
   result.version = reader.Unsigned("version");
@@ -37,20 +45,17 @@
 }
 
 void ReadUnavailable(ObjectReader& reader, UpstreamResult& result) {
-  const std::size_t error = reader.OneOf("error", {"shedding", "draining"});
-  result.outcome = error == 1 ? LeafOutcome::kDraining : LeafOutcome::kShed;
-  if (!reader.Flag("not_run"))
-    reader.Add("not_run", "must be true to prove that the call did not run");
-  result.retry_after = std::chrono::milliseconds(
-      reader.Integer("retry_after_ms", 0, kMaxRetryAfterMs));
-}
-
-json::object UnavailableBody(const UpstreamResult& result) {
-  const bool draining = result.outcome == LeafOutcome::kDraining;
-  return {{"error", draining ? "draining" : "shedding"},
-          {"request_id", ToString(result.id)},
-          {"not_run", true},
-          {"retry_after_ms", result.retry_after.count()}};
+  if (reader.Has("retry_after_ms"))
+    result.retry_after = std::chrono::milliseconds(
+        reader.Integer("retry_after_ms", 0, kMaxRetryAfterMs));
+  // Without the proof the call may have run, whatever the error says.
+  if (!reader.Has("not_run") || !reader.Flag("not_run")) {
+    result.outcome = LeafOutcome::kLost;
+    result.ended = true;
+    return;
+  }
+  const std::size_t error = reader.OneOf("error", kRefusalNames);
+  if (error < kRefusalNames.size()) result.outcome = kRefusalOutcomes[error];
 }
 
 std::string OkBody(const UpstreamResult& result) {
@@ -74,6 +79,8 @@
   ObjectReader reader(*value, "", parsed.findings);
   UpstreamResult result;
   result.id = ReadCallId(reader, "request_id");
+  if (http_status == kOkStatus || reader.Has("incarnation"))
+    result.incarnation = reader.HexOrUnsigned("incarnation");
   if (http_status == kOkStatus)
     ReadOk(reader, result);
   else if (http_status == kConflictStatus)
@@ -105,11 +112,22 @@
                        {"request_id", ToString(result.id)},
                        {"holdings", ToJson(result.holdings)}});
     case LeafOutcome::kShed:
+      return EncodeLeafRefusal(
+          {result.id, "shedding", true, result.retry_after});
     case LeafOutcome::kDraining:
-      return json::serialize(UnavailableBody(result));
+      return EncodeLeafRefusal(
+          {result.id, "draining", true, result.retry_after});
     default:
       return {};
   }
 }
 
+std::string EncodeLeafRefusal(const LeafRefusal& refusal) {
+  json::object body{{"error", refusal.error},
+                    {"request_id", ToString(refusal.id)}};
+  if (refusal.not_run) body["not_run"] = true;
+  body["retry_after_ms"] = refusal.retry_after.count();
+  return json::serialize(body);
+}
+
 }  // namespace berylreach::config
--- a/config/lib/leaf_call_codec.cc
+++ b/config/lib/leaf_call_codec.cc
@@ -8,14 +8,27 @@
 #include "object_reader.h"
 
 namespace berylreach::config {
+namespace {
+
+/// Payloads are JSON text; other text is sent as a JSON string.
+std::string PayloadText(const model::UpstreamCall& call) {
+  if (call.payload.empty()) return Quote(call.key);
+  json::error_code error;
+  json::parse(call.payload, error);
+  return error ? Quote(call.payload) : call.payload;
+}
+
+}  // namespace
 
 std::string EncodeLeafCall(const model::UpstreamCall& call) {
+  const std::string key =
+      call.key.empty() ? std::string() : ",\"key\":" + Quote(call.key);
   return "{\"request_id\":" + Quote(ToString(call.id)) +
          ",\"service\":" + Quote(call.service.value) +
          ",\"kind\":" + Quote(ToString(call.kind)) +
          ",\"shard\":" + std::to_string(call.shard) +
-         ",\"version\":" + std::to_string(call.version) + ",\"payload\":" +
-         (call.payload.empty() ? std::string("null") : call.payload) +
+         ",\"version\":" + std::to_string(call.version) +
+         ",\"payload\":" + PayloadText(call) + key +
          ",\"deadline_unix_ms\":" + std::to_string(ToUnixMs(call.deadline)) +
          '}';
 }
@@ -24,6 +37,16 @@
   return "{\"request_id\":" + Quote(ToString(id)) + '}';
 }
 
+Parsed<model::CallId> ParseLeafCancel(std::string_view body) {
+  Parsed<model::CallId> result;
+  const auto value = ParseJson(body, kMaxLeafBodyBytes, result.findings);
+  if (!value) return result;
+  ObjectReader reader(*value, "", result.findings);
+  const model::CallId id = ReadCallId(reader, "request_id");
+  if (result.findings.empty()) result.value = id;
+  return result;
+}
+
 Parsed<model::UpstreamCall> ParseLeafCall(std::string_view body) {
   Parsed<model::UpstreamCall> result;
   const auto value = ParseJson(body, kMaxLeafBodyBytes, result.findings);
@@ -40,6 +63,7 @@
   call.shard = reader.Count("shard");
   call.version = reader.Unsigned("version");
   call.payload = reader.AnyValue("payload");
+  if (reader.Has("key")) call.key = reader.NonEmptyText("key", kMaxKeyBytes);
   call.deadline = reader.Time("deadline_unix_ms");
   if (result.findings.empty()) result.value = std::move(call);
   return result;
--- a/config/lib/leaf_status.cc
+++ b/config/lib/leaf_status_codec.cc
@@ -1,5 +1,5 @@
-// The status that a leaf reports about itself.
-#include "berylreach/config/leaf_status.h"
+// JSON bodies of the status that a leaf reports about itself.
+#include "berylreach/config/leaf_status_codec.h"
 
 #include "berylreach/config/bounds.h"
 #include "json_output.h"
@@ -7,7 +7,7 @@
 
 namespace berylreach::config {
 
-std::string EncodeLeafStatus(const LeafStatus& status) {
+std::string EncodeLeafStatus(const model::LeafStatus& status) {
   return json::serialize(
       json::object{{"leaf", status.leaf.value},
                    {"incarnation", ToHex(status.incarnation)},
@@ -15,12 +15,13 @@
                    {"holdings", ToJson(status.holdings)}});
 }
 
-Parsed<LeafStatus> ParseLeafStatus(std::string_view body) {
-  Parsed<LeafStatus> result;
+Parsed<model::LeafStatus> ParseLeafStatus(std::string_view body) {
+  Parsed<model::LeafStatus> result;
   const auto value = ParseJson(body, kMaxLeafBodyBytes, result.findings);
   if (!value) return result;
   ObjectReader reader(*value, "", result.findings);
-  LeafStatus status;
+  model::LeafStatus status;
+  status.reachable = true;
   status.leaf.value = reader.NonEmptyText("leaf", kMaxNameBytes);
   status.incarnation = reader.HexOrUnsigned("incarnation");
   status.draining = reader.OneOf("state", {"live", "draining"}) == 1;
--- a/config/unittests/leaf_codec_test.cc
+++ b/config/unittests/leaf_codec_test.cc
@@ -5,7 +5,7 @@
 
 #include "berylreach/config/leaf_answer_codec.h"
 #include "berylreach/config/leaf_call_codec.h"
-#include "berylreach/config/leaf_status.h"
+#include "berylreach/config/leaf_status_codec.h"
 
 namespace berylreach::config {
 namespace {
@@ -40,12 +40,35 @@
   return result;
 }
 
+constexpr char kId[] = R"("request_id":"0000000000000001-0000000000000002")";
+
+/// Reads a 503 with `members`.
+Parsed<model::UpstreamResult> Refusal(const std::string& members) {
+  return ParseLeafAnswer(503, '{' + std::string(kId) + ',' + members + '}');
+}
+
 TEST(LeafCallTest, SurvivesItsJsonForm) {
-  EXPECT_EQ(ParseLeafCall(EncodeLeafCall(SampleCall())).value, SampleCall());
+  auto call = SampleCall();
+  EXPECT_EQ(ParseLeafCall(EncodeLeafCall(call)).value, call);
+  call.key = "order \"1\"";
+  EXPECT_EQ(ParseLeafCall(EncodeLeafCall(call)).value, call);
+  EXPECT_EQ(ParseLeafCancel(EncodeLeafCancel({1, 2})).value,
+            (model::CallId{1, 2}));
   EXPECT_EQ(EncodeLeafCancel({1, 2}),
             R"({"request_id":"0000000000000001-0000000000000002"})");
 }
 
+// A body that is not JSON would be refused by the leaf and count as its death.
+TEST(LeafCallTest, EveryPayloadGivesAJsonBody) {
+  auto call = SampleCall();
+  call.payload = "not {json";
+  EXPECT_EQ(ParseLeafCall(EncodeLeafCall(call)).value->payload,
+            R"("not {json")");
+  call.payload.clear();
+  call.key = "batch-7";
+  EXPECT_EQ(ParseLeafCall(EncodeLeafCall(call)).value->payload, R"("batch-7")");
+}
+
 TEST(LeafAnswerTest, SurvivesItsJsonForm) {
   const auto ok = SampleResult();
   EXPECT_EQ(ParseLeafAnswer(200, EncodeLeafAnswer(ok)).value, ok);
@@ -64,18 +87,40 @@
 }
 
 // Without the proof, an order that may have run would be reported as not run.
-TEST(LeafAnswerTest, RefusalWithoutProofIsAFinding) {
-  const std::string id = R"("request_id":"0000000000000001-0000000000000002")";
-  const std::string rest = R"(,"error":"shedding","retry_after_ms":5)";
-  EXPECT_FALSE(ParseLeafAnswer(503, '{' + id + rest + '}').value);
-  EXPECT_FALSE(
-      ParseLeafAnswer(503, '{' + id + rest + R"(,"not_run":false})").value);
-  EXPECT_TRUE(
-      ParseLeafAnswer(503, '{' + id + rest + R"(,"not_run":true})").value);
-  EXPECT_FALSE(ParseLeafAnswer(500, '{' + id + '}').value);
+TEST(LeafAnswerTest, RefusalWithoutProofMayHaveRun) {
+  for (const std::string proof : {"", R"(,"not_run":false)"}) {
+    const auto answer = Refusal(R"("error":"shedding")" + proof);
+    ASSERT_TRUE(answer.value);
+    EXPECT_EQ(answer.value->outcome, LeafOutcome::kLost);
+    EXPECT_FALSE(ProvesNotRun(answer.value->outcome));
+    EXPECT_TRUE(answer.value->ended);
+  }
+  EXPECT_FALSE(Refusal(R"("error":"shedding","not_run":"true")").value);
+  const auto proven = Refusal(R"("error":"shedding","not_run":true)");
+  ASSERT_TRUE(proven.value);
+  EXPECT_EQ(proven.value->outcome, LeafOutcome::kShed);
+  EXPECT_FALSE(proven.value->ended);
+  EXPECT_FALSE(ParseLeafAnswer(500, '{' + std::string(kId) + '}').value);
   EXPECT_FALSE(ParseLeafAnswer(200, "<html>").value);
 }
 
+// An unknown error or a doubtful member would pass as proof of not running.
+TEST(LeafAnswerTest, RefusalsAreReadStrictly) {
+  for (const std::string error : {"cancelled", "deadline_exceeded"}) {
+    const auto answer =
+        ParseLeafAnswer(503, EncodeLeafRefusal({{1, 2}, error, true, {}}));
+    ASSERT_TRUE(answer.value);
+    EXPECT_EQ(answer.value->outcome, LeafOutcome::kNotSent);
+  }
+  EXPECT_FALSE(Refusal(R"("error":"unheard of","not_run":true)").value);
+  EXPECT_FALSE(Refusal(R"("not_run":true)").value);
+  const std::string shed = R"("error":"shedding","not_run":true)";
+  EXPECT_FALSE(Refusal(shed + R"(,"retry_after_ms":-1)").value);
+  EXPECT_FALSE(Refusal(shed + R"(,"not_run":true)").value);
+  EXPECT_FALSE(Refusal(shed + R"(,"incarnation":"x")").value);
+  EXPECT_EQ(Refusal(shed + R"(,"incarnation":9)").value->incarnation, 9U);
+}
+
 // A crossed answer would reach another caller.
 TEST(LeafAnswerTest, CrossedAnswersDoNotBelong) {
   auto call = SampleCall();
@@ -98,13 +143,19 @@
 }
 
 TEST(LeafStatusTest, SurvivesItsJsonForm) {
-  const LeafStatus status{{"desk-03-a"}, 77, true, {{1, 0, 1}}};
+  model::LeafStatus status;
+  status.leaf.value = "desk-03-a";
+  status.reachable = true;
+  status.incarnation = 77;
+  status.draining = true;
+  status.holdings = {{1, 0, 1}};
   EXPECT_EQ(ParseLeafStatus(EncodeLeafStatus(status)).value, status);
+  status = {{"x"}, true, false, 9, false, {}};
   EXPECT_EQ(
       ParseLeafStatus(
           R"({"leaf":"x","incarnation":9,"state":"live","holdings":[],"y":1})")
           .value,
-      (LeafStatus{{"x"}, 9, false, {}}));
+      status);
 }
 
 // A shard outside its partition map would be counted as covered.
--- a/host/lib/host_process.cc
+++ b/host/lib/host_process.cc
@@ -27,11 +27,6 @@
 constexpr std::chrono::milliseconds kFlushTime{1000};
 constexpr std::chrono::milliseconds kFlushPoll{5};
 
-model::LeafStatus ToModel(transport::LeafStatus status) {
-  return {std::move(status.leaf), status.reachable, status.refused,
-          status.incarnation,     status.draining,  std::move(status.holdings)};
-}
-
 core::CoreOptions CoreOptionsOf(const config::HostSettings& settings) {
   core::CoreOptions options;
   options.self.host = settings.host;
@@ -69,8 +64,8 @@
   void OnResult(model::UpstreamResult result) override {
     core.Post(std::move(result));
   }
-  void OnStatus(transport::LeafStatus status) override {
-    core.Post(ToModel(std::move(status)));
+  void OnStatus(model::LeafStatus status) override {
+    core.Post(std::move(status));
   }
 
   void Carry(core::SendToPeer& action) {
--- a/model/include/berylreach/model/leaf_status.h
+++ b/model/include/berylreach/model/leaf_status.h
@@ -13,7 +13,8 @@
 /// precedence.
 struct LeafStatus {
   LeafName leaf;
-  /// False if the leaf refused the connection or did not answer.
+  /// False if the leaf refused the connection or gave no valid answer in time;
+  /// the fields from `incarnation` on are then unset.
   bool reachable = false;
   /// The connection was refused, as opposed to unanswered.
   bool refused = false;
--- a/standins/include/berylreach/standins/leaf_model.h
+++ b/standins/include/berylreach/standins/leaf_model.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "berylreach/model/holding.h"
+#include "berylreach/model/upstream_call.h"
 #include "berylreach/standins/leaf_behaviour.h"
 #include "berylreach/standins/leaf_counters.h"
 #include "berylreach/standins/leaf_options.h"
@@ -39,14 +40,7 @@
  private:
   struct Call {
     transport::HttpToken token;
-    std::string id;
-    std::string kind;
-    std::string payload;
-    std::string key;
-    std::uint64_t version = 0;
-    std::uint32_t shard = 0;
-    std::int64_t deadline_unix_ms = 0;
-    boost::json::value payload_json;
+    model::UpstreamCall request;
   };
 
   void ServeCall(const transport::HttpRequest& request);
@@ -61,12 +55,10 @@
   void Answer(const Call& call);
   void ReplyError(const Call& call, int status, const std::string& error,
                   bool not_run);
-  void Reply(transport::HttpToken token, int status,
-             const boost::json::value& body);
+  void ReplyVersionGone(const Call& call);
+  void Reply(transport::HttpToken token, int status, std::string body);
   const model::Holding* FindHolding(const Call& call) const;
   std::chrono::microseconds DrawServiceTime();
-  boost::json::array HoldingsJson() const;
-  std::string IncarnationText() const;
 
   transport::HttpServer& server_;
   const LeafOptions options_;
--- a/standins/lib/leaf_control.cc
+++ b/standins/lib/leaf_control.cc
@@ -1,10 +1,12 @@
 // Control endpoint and common answers of one leaf stand-in.
 #include <array>
 #include <boost/json.hpp>
+#include <chrono>
 #include <cinttypes>
 #include <cstdio>
 #include <utility>
 
+#include "berylreach/config/leaf_answer_codec.h"
 #include "berylreach/standins/leaf_model.h"
 #include "berylreach/standins/standin.h"
 
@@ -13,7 +15,7 @@
 
 namespace json = boost::json;
 
-constexpr int kRetryAfterMs = 20;
+constexpr std::chrono::milliseconds kRetryAfter{20};
 
 bool IsSet(const json::object& fields, std::string_view name) {
   bool value = false;
@@ -61,37 +63,31 @@
 json::object LeafModel::Counters() const {
   json::object counters = ToJson(counters_);
   counters["running"] = running_.size();
-  counters["incarnation"] = IncarnationText();
+  std::array<char, 17> incarnation{};
+  std::snprintf(incarnation.data(), incarnation.size(), "%016" PRIx64,
+                incarnation_);
+  counters["incarnation"] = incarnation.data();
   return counters;
 }
 
 void LeafModel::ReplyError(const Call& call, int status,
                            const std::string& error, bool not_run) {
-  json::object body{{"error", error}, {"request_id", call.id}};
-  if (not_run) body["not_run"] = true;
-  body["retry_after_ms"] = kRetryAfterMs;
-  Reply(call.token, status, body);
+  Reply(call.token, status,
+        config::EncodeLeafRefusal(
+            {call.request.id, error, not_run, kRetryAfter}));
 }
 
-void LeafModel::Reply(transport::HttpToken token, int status,
-                      const json::value& body) {
-  server_.Respond(token,
-                  {status, "application/json", json::serialize(body), {}});
-}
-
-json::array LeafModel::HoldingsJson() const {
-  json::array list;
-  for (const model::Holding& holding : holdings_)
-    list.push_back({{"version", holding.version},
-                    {"shard", holding.shard},
-                    {"shard_count", holding.shard_count}});
-  return list;
+void LeafModel::ReplyVersionGone(const Call& call) {
+  model::UpstreamResult result;
+  result.id = call.request.id;
+  result.outcome = model::LeafOutcome::kVersionGone;
+  result.holdings = holdings_;
+  Reply(call.token, 409, config::EncodeLeafAnswer(result));
 }
 
-std::string LeafModel::IncarnationText() const {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016" PRIx64, incarnation_);
-  return text.data();
+void LeafModel::Reply(transport::HttpToken token, int status,
+                      std::string body) {
+  server_.Respond(token, {status, "application/json", std::move(body), {}});
 }
 
 }  // namespace berylreach::standins
--- a/standins/lib/leaf_model.cc
+++ b/standins/lib/leaf_model.cc
@@ -4,38 +4,32 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <chrono>
 #include <cmath>
 #include <utility>
 
+#include "berylreach/config/leaf_answer_codec.h"
+#include "berylreach/config/leaf_call_codec.h"
+#include "berylreach/config/leaf_status_codec.h"
+#include "berylreach/config/request_kind_name.h"
+
 namespace berylreach::standins {
 namespace {
 
-namespace json = boost::json;
-using std::chrono::duration_cast;
+using model::RequestKind;
 
 /// Distinct payloads that are counted, which bounds the memory of load tests.
 constexpr std::size_t kMaxPayloads = 100'000;
 
-template <typename Unit>
-std::int64_t UnixNow() {
-  return duration_cast<Unit>(
+std::int64_t UnixMicroseconds() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
-std::uint64_t NumberOf(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains(name);
-  boost::system::error_code error;
-  return value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
-}
-
-std::string TextOf(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains(name);
-  return value != nullptr && value->is_string()
-             ? std::string(value->get_string())
-             : std::string();
+/// The key that counts a call; calls without one are told apart by payload.
+const std::string& KeyOf(const model::UpstreamCall& call) {
+  return call.key.empty() ? call.payload : call.key;
 }
 
 }  // namespace
@@ -59,33 +53,18 @@
   } else if (request.target == "/v1/status") {
     ServeStatus(request);
   } else {
-    Reply(request.token, 404, {{"error", "not_found"}});
+    Reply(request.token, 404, R"({"error":"not_found"})");
   }
 }
 
 void LeafModel::ServeCall(const transport::HttpRequest& request) {
-  counters_.last_new_call_unix_us = UnixNow<std::chrono::microseconds>();
-  boost::system::error_code error;
-  const json::value body = json::parse(request.body, error);
-  if (error || !body.is_object()) {
-    Reply(request.token, 400, {{"error", "bad_request"}});
-    return;
+  counters_.last_new_call_unix_us = UnixMicroseconds();
+  auto call = config::ParseLeafCall(request.body);
+  if (call.value) {
+    Admit({request.token, std::move(*call.value)});
+  } else {
+    Reply(request.token, 400, R"({"error":"bad_request"})");
   }
-  const json::object& fields = body.get_object();
-  Call call;
-  call.token = request.token;
-  call.id = TextOf(fields, "request_id");
-  call.kind = TextOf(fields, "kind");
-  if (const json::value* payload = fields.if_contains("payload"))
-    call.payload_json = *payload;
-  call.payload = json::serialize(call.payload_json);
-  call.key = TextOf(fields, "key");
-  if (call.key.empty()) call.key = call.payload;
-  call.version = NumberOf(fields, "version");
-  call.shard = static_cast<std::uint32_t>(NumberOf(fields, "shard"));
-  call.deadline_unix_ms =
-      static_cast<std::int64_t>(NumberOf(fields, "deadline_unix_ms"));
-  Admit(std::move(call));
 }
 
 void LeafModel::Admit(Call call) {
@@ -105,7 +84,7 @@
 }
 
 bool LeafModel::Refuse(const Call& call) {
-  if (call.deadline_unix_ms <= UnixNow<std::chrono::milliseconds>()) {
+  if (call.request.deadline <= std::chrono::system_clock::now()) {
     ++counters_.past_deadline;
     ReplyError(call, 503, "deadline_exceeded", true);
     return true;
@@ -117,34 +96,33 @@
   }
   if (FindHolding(call) != nullptr) return false;
   ++counters_.version_gone;
-  Reply(call.token, 409,
-        {{"error", "version_gone"},
-         {"request_id", call.id},
-         {"holdings", HoldingsJson()}});
+  ReplyVersionGone(call);
   return true;
 }
 
 const model::Holding* LeafModel::FindHolding(const Call& call) const {
   const model::Holding* found = nullptr;
   for (const model::Holding& holding : holdings_) {
-    const bool version = call.version == 0 || holding.version == call.version;
-    if (!version || holding.shard != call.shard) continue;
+    const bool version =
+        call.request.version == 0 || holding.version == call.request.version;
+    if (!version || holding.shard != call.request.shard) continue;
     if (found == nullptr || holding.version > found->version) found = &holding;
   }
   return found;
 }
 
 void LeafModel::Run(Call call) {
-  ++counters_.started[call.kind];
+  const model::UpstreamCall& request = call.request;
+  ++counters_.started[std::string(config::ToString(request.kind))];
   if (counters_.payloads.size() < kMaxPayloads)
-    ++counters_.payloads[call.payload];
-  if (call.kind == "order") ++counters_.orders[call.key];
+    ++counters_.payloads[request.payload];
+  if (request.kind == RequestKind::kOrder) ++counters_.orders[KeyOf(request)];
   if (!behaviour_.die_on.empty() &&
-      call.payload.find(behaviour_.die_on) != std::string::npos)
+      request.payload.find(behaviour_.die_on) != std::string::npos)
     _exit(1);
   const std::uint64_t run = next_run_++;
-  const auto left = std::chrono::milliseconds(
-      call.deadline_unix_ms - UnixNow<std::chrono::milliseconds>());
+  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+      request.deadline - std::chrono::system_clock::now());
   const auto service_time = DrawServiceTime();
   const bool in_time = service_time < left;
   running_.emplace(run, std::move(call));
@@ -186,33 +164,27 @@
   const model::Holding* holding = FindHolding(call);
   if (holding == nullptr) {
     // The version went away while the call ran.
-    Reply(call.token, 409,
-          {{"error", "version_gone"},
-           {"request_id", call.id},
-           {"holdings", HoldingsJson()}});
+    ReplyVersionGone(call);
     return;
   }
-  const std::string wrong = "0000000000000000-0000000000000000";
-  Reply(call.token, 200,
-        {{"request_id", behaviour_.wrong_request_id ? wrong : call.id},
-         {"leaf", options_.name},
-         {"incarnation", IncarnationText()},
-         {"shard", call.shard},
-         {"shard_count", holding->shard_count},
-         {"version", holding->version},
-         {"result",
-          {{"shard", call.shard},
-           {"version", holding->version},
-           {"payload", call.payload_json}}},
-         {"holdings", HoldingsJson()}});
+  model::UpstreamResult result;
+  if (!behaviour_.wrong_request_id) result.id = call.request.id;
+  result.leaf.value = options_.name;
+  result.outcome = model::LeafOutcome::kOk;
+  result.incarnation = incarnation_;
+  result.shard = call.request.shard;
+  result.shard_count = holding->shard_count;
+  result.version = holding->version;
+  result.result = "{\"shard\":" + std::to_string(result.shard) +
+                  ",\"version\":" + std::to_string(result.version) +
+                  ",\"payload\":" + call.request.payload + '}';
+  result.holdings = holdings_;
+  Reply(call.token, 200, config::EncodeLeafAnswer(result));
 }
 
 void LeafModel::ServeCancel(const transport::HttpRequest& request) {
-  boost::system::error_code error;
-  const json::value body = json::parse(request.body, error);
-  const std::string id =
-      body.is_object() ? TextOf(body.get_object(), "request_id") : "";
-  const auto same_id = [&](const Call& call) { return call.id == id; };
+  const auto id = config::ParseLeafCancel(request.body).value;
+  const auto same_id = [&](const Call& call) { return call.request.id == id; };
   const auto queued = std::find_if(backlog_.begin(), backlog_.end(), same_id);
   const auto running =
       std::find_if(running_.begin(), running_.end(),
@@ -221,22 +193,24 @@
     ++counters_.cancelled;
     ReplyError(*queued, 503, "cancelled", true);
     backlog_.erase(queued);
-  } else if (running != running_.end() && running->second.kind != "order") {
+  } else if (running != running_.end() &&
+             running->second.request.kind != RequestKind::kOrder) {
     ++counters_.cancelled;
     ReplyError(running->second, 503, "cancelled", false);
     running_.erase(running);
     StartWaiting();
   }
-  Reply(request.token, 200, {{"ok", true}});
+  Reply(request.token, 200, R"({"ok":true})");
 }
 
 void LeafModel::ServeStatus(const transport::HttpRequest& request) {
   ++counters_.status_reads;
-  Reply(request.token, 200,
-        {{"leaf", options_.name},
-         {"incarnation", IncarnationText()},
-         {"state", behaviour_.drain ? "draining" : "live"},
-         {"holdings", HoldingsJson()}});
+  model::LeafStatus status;
+  status.leaf.value = options_.name;
+  status.incarnation = incarnation_;
+  status.draining = behaviour_.drain;
+  status.holdings = holdings_;
+  Reply(request.token, 200, config::EncodeLeafStatus(status));
 }
 
 void LeafModel::OnClientGone(transport::HttpToken token) {
--- a/transport/include/berylreach/transport/upstream_handler.h
+++ b/transport/include/berylreach/transport/upstream_handler.h
@@ -1,8 +1,8 @@
 // Receiver of results from leaves.
 #pragma once
 
+#include "berylreach/model/leaf_status.h"
 #include "berylreach/model/upstream_result.h"
-#include "berylreach/transport/leaf_status.h"
 
 namespace berylreach::transport {
 
@@ -15,7 +15,7 @@
   virtual void OnResult(model::UpstreamResult result) = 0;
 
   /// One per status read.
-  virtual void OnStatus(LeafStatus status) = 0;
+  virtual void OnStatus(model::LeafStatus status) = 0;
 };
 
 }  // namespace berylreach::transport
--- a/transport/lib/leaf_aux.cc
+++ b/transport/lib/leaf_aux.cc
@@ -1,8 +1,9 @@
 // Probes, status reads and cancellations of one leaf.
 #include <utility>
 
+#include "berylreach/config/leaf_call_codec.h"
+#include "berylreach/config/leaf_status_codec.h"
 #include "endpoint.h"
-#include "leaf_codec.h"
 #include "leaf_pool.h"
 
 namespace berylreach::transport {
@@ -82,7 +83,8 @@
 }
 
 void LeafPool::SendCancel(const model::CallId& id) {
-  SendAux(FormatRequest("POST", "/v1/cancel", address_, FormatCancel(id)),
+  SendAux(FormatRequest("POST", "/v1/cancel", address_,
+                        config::EncodeLeafCancel(id)),
           false, [](const AuxResult&) {});
 }
 
@@ -93,11 +95,8 @@
 model::LeafOutcome LeafPool::LossOutcome(const FlightPtr& flight,
                                          const AuxResult& result) {
   if (result.refused) return model::LeafOutcome::kLeafDied;
-  const auto& response = result.exchange.response;
-  const LeafStatus status = ParseStatus(
-      leaf_, static_cast<int>(response.result_int()), response.body());
-  if (result.exchange.end != ExchangeEnd::kAnswered || !status.reachable)
-    return model::LeafOutcome::kLost;
+  const model::LeafStatus status = ReadStatusAnswer(result.exchange);
+  if (!status.reachable) return model::LeafOutcome::kLost;
   incarnation_ = status.incarnation;
   const bool restarted =
       flight->incarnation != 0 && status.incarnation != flight->incarnation;
@@ -105,7 +104,7 @@
 }
 
 bool LeafPool::SameProcess(const FlightPtr& flight, const AuxResult& result) {
-  const LeafStatus status = StatusOf(result);
+  const model::LeafStatus status = StatusOf(result);
   return status.reachable && status.incarnation == flight->incarnation;
 }
 
@@ -173,14 +172,19 @@
           });
 }
 
-LeafStatus LeafPool::StatusOf(const AuxResult& result) {
-  LeafStatus status;
-  status.leaf = leaf_;
-  const auto& response = result.exchange.response;
-  if (result.exchange.end == ExchangeEnd::kAnswered) {
-    status = ParseStatus(leaf_, static_cast<int>(response.result_int()),
-                         response.body());
-  }
+model::LeafStatus LeafPool::ReadStatusAnswer(const Exchange& exchange) const {
+  model::LeafStatus unread;
+  unread.leaf = leaf_;
+  if (exchange.end != ExchangeEnd::kAnswered ||
+      exchange.response.result() != http::status::ok)
+    return unread;
+  const auto parsed = config::ParseLeafStatus(exchange.response.body());
+  if (!parsed.value || parsed.value->leaf != leaf_) return unread;
+  return *parsed.value;
+}
+
+model::LeafStatus LeafPool::StatusOf(const AuxResult& result) {
+  model::LeafStatus status = ReadStatusAnswer(result.exchange);
   status.refused = result.refused;
   if (status.reachable) incarnation_ = status.incarnation;
   return status;
@@ -191,7 +195,7 @@
   const auto verify = [self = shared_from_this(),
                        known = incarnation_](const AuxResult& result) {
     self->verifying_ = false;
-    LeafStatus status = self->StatusOf(result);
+    model::LeafStatus status = self->StatusOf(result);
     const bool same =
         status.reachable && (known == 0 || status.incarnation == known);
     if (self->reads_status_) self->context_.on_status(std::move(status));
--- a/transport/lib/leaf_pool.cc
+++ b/transport/lib/leaf_pool.cc
@@ -4,7 +4,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "leaf_codec.h"
+#include "berylreach/config/leaf_answer_codec.h"
+#include "berylreach/config/leaf_call_codec.h"
 
 namespace berylreach::transport {
 
@@ -14,7 +15,7 @@
 void LeafPool::Submit(model::UpstreamCall call) {
   SetPlace(call.address, call.connections);
   std::string request =
-      FormatRequest("POST", "/v1/call", address_, FormatCall(call));
+      FormatRequest("POST", "/v1/call", address_, config::EncodeLeafCall(call));
   auto flight = std::make_shared<LeafFlight>(context_.io, std::move(call),
                                              std::move(request));
   if (queue_.size() >= context_.options.leaf_queue ||
@@ -101,20 +102,21 @@
 
 void LeafPool::OnAnswer(const FlightPtr& flight, const Exchange& exchange) {
   const ConnectionPtr connection = std::exchange(flight->connection, nullptr);
-  auto result = ParseCallAnswer(
-      flight->call, static_cast<int>(exchange.response.result_int()),
-      exchange.response.body());
-  if (!result) {
+  auto answer = config::ParseLeafAnswer(exchange.response.result_int(),
+                                        exchange.response.body());
+  if (!answer.value || !config::BelongsTo(*answer.value, flight->call)) {
     Drop(connection);
     Report(flight, model::LeafOutcome::kLost);
     Forget(flight);
     return;
   }
-  if (result->incarnation != 0) incarnation_ = result->incarnation;
+  model::UpstreamResult& result = *answer.value;
+  result.leaf = leaf_;
+  if (result.incarnation != 0) incarnation_ = result.incarnation;
   Return(connection);
   if (!flight->reported) {
     flight->reported = true;
-    context_.on_result(std::move(*result));
+    context_.on_result(std::move(result));
   }
   Forget(flight);
 }
--- a/transport/lib/leaf_pool.h
+++ b/transport/lib/leaf_pool.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "berylreach/base/clock.h"
-#include "berylreach/transport/leaf_status.h"
+#include "berylreach/model/leaf_status.h"
 #include "berylreach/transport/upstream_client.h"
 #include "client_connection.h"
 #include "leaf_flight.h"
@@ -31,7 +31,7 @@
     std::function<std::chrono::milliseconds(const model::ServiceName&)>
         silent_after;
     std::function<void(model::UpstreamResult)> on_result;
-    std::function<void(LeafStatus)> on_status;
+    std::function<void(model::LeafStatus)> on_status;
   };
 
   LeafPool(const Context& context, model::LeafName leaf);
@@ -101,6 +101,9 @@
   void ProbeSilent(const FlightPtr& flight);
   /// Whether a probe was answered by the process that `flight` was sent to.
   bool SameProcess(const FlightPtr& flight, const AuxResult& result);
+  /// The status in an answer; not `reachable` if the answer is not of the known
+  /// form or names another leaf.
+  model::LeafStatus ReadStatusAnswer(const Exchange& exchange) const;
   model::LeafOutcome LossOutcome(const FlightPtr& flight,
                                  const AuxResult& result);
   void ReadStatus(bool fresh);
@@ -108,7 +111,7 @@
   /// the queued calls are sent on new ones: a new process is cold, and they
   /// were started under the limit of a warm one.
   void VerifyIncarnation();
-  LeafStatus StatusOf(const AuxResult& result);
+  model::LeafStatus StatusOf(const AuxResult& result);
   void OnStatusRead(const AuxResult& result);
   std::string StatusRequest() const;
 
--- a/transport/lib/upstream_client.cc
+++ b/transport/lib/upstream_client.cc
@@ -70,7 +70,9 @@
               calls.erase(result.id);
               handler.OnResult(std::move(result));
             },
-            [this](LeafStatus status) { handler.OnStatus(std::move(status)); }};
+            [this](model::LeafStatus status) {
+              handler.OnStatus(std::move(status));
+            }};
   }
 
   void SetOwnedLeaves(const std::vector<OwnedLeaf>& leaves) {
--- a/transport/unittests/upstream_client_test.cc
+++ b/transport/unittests/upstream_client_test.cc
@@ -56,7 +56,7 @@
   void OnResult(model::UpstreamResult result) override {
     results_.Add(std::move(result));
   }
-  void OnStatus(LeafStatus status) override {
+  void OnStatus(model::LeafStatus status) override {
     statuses_.Add(std::move(status));
   }
 
@@ -107,7 +107,7 @@
   TestListener leaf_;
   IoThread thread_;
   Collector<model::UpstreamResult> results_;
-  Collector<LeafStatus> statuses_;
+  Collector<model::LeafStatus> statuses_;
   std::unique_ptr<UpstreamClient> client_;
 };
 
@@ -190,6 +190,36 @@
   }
 }
 
+// Unread or doubtful members of an answer would be counted as covered or as
+// proof that the call did not run.
+TEST_F(UpstreamClientTest, AnswersOutsideTheirFormAreLost) {
+  const auto with = [](int status, const std::string& fields) {
+    return Http(status, R"({"request_id":")" + ToString(model::CallId{1, 1}) +
+                            "\"," + fields + "}");
+  };
+  const std::string ok =
+      R"("leaf":"l1","incarnation":"00000000000000aa","shard":3,)"
+      R"("shard_count":20,"version":7,"result":1)";
+  const std::string answers[] = {
+      with(200, ok),
+      with(200, ok + R"(,"holdings":[{"version":7,"shard":20,)"
+                     R"("shard_count":20}])"),
+      with(200, ok + R"(,"holdings":[],"version":7)"),
+      with(409, R"("error":"version_gone")"),
+      with(503, R"("error":"unheard of","not_run":true)"),
+      with(503, R"("error":"shedding","not_run":true,"retry_after_ms":-1)"),
+      with(503, R"("error":"shedding","not_run":true,"not_run":true)")};
+  for (std::uint64_t i = 0; i < std::size(answers); ++i) {
+    client_->Send(Call(1));
+    TestSocket socket = leaf_.Accept();
+    socket.ReadHttp();
+    socket.Write(answers[i]);
+    EXPECT_EQ(Result(i).outcome, LeafOutcome::kLost) << answers[i];
+    EXPECT_FALSE(Result(i).ended);
+    EXPECT_EQ(socket.ReadAll(), "");
+  }
+}
+
 TEST_F(UpstreamClientTest, OrderOnAStaleConnectionIsWrittenOnce) {
   WarmUp().Close();
   client_->Send(Call(2, model::RequestKind::kOrder));
@@ -311,7 +341,7 @@
   leaf_.Close();
   socket.Close();
   EXPECT_TRUE(statuses_.WaitAny(
-      [](const LeafStatus& status) { return status.refused; }));
+      [](const model::LeafStatus& status) { return status.refused; }));
 }
 
 }  // namespace
