Split the load program by duty

Ruled out: a shared client with benchmarks/capacity, whose connection blocks on purpose and drives one host.

--- /dev/null
+++ b/benchmarks/load/order_check.cc
@@ -0,0 +1,77 @@
+// Comparison of the answers to orders with the runs that leaves count.
+#include "order_check.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "exchange.h"
+
+namespace berylreach::load {
+namespace {
+
+constexpr milliseconds kControlTimeout{10000};
+
+/// Runs by order key.
+using Runs = std::map<std::string, std::int64_t>;
+
+void AddRuns(const std::string& leaf, const Reply& reply, Runs& runs,
+             json::array& unread_leaves) {
+  Error error;
+  const json::value body = json::parse(reply.body, error);
+  if (reply.transfer != Transfer::kReplied || error) {
+    unread_leaves.push_back(json::value(leaf));
+    return;
+  }
+  for (const auto& [key, count] : body.at("orders").as_object())
+    runs[std::string(key)] += count.to_number<std::int64_t>();
+}
+
+Runs ReadRuns(const std::vector<std::string>& leaves,
+              json::array& unread_leaves) {
+  Runs runs;
+  asio::io_context io;
+  for (const std::string& leaf : leaves) {
+    auto exchange = std::make_shared<Exchange>(
+        io, [&, leaf](const Reply& reply, const std::optional<tcp::socket>&) {
+          AddRuns(leaf, reply, runs, unread_leaves);
+        });
+    exchange->Start(leaf, std::nullopt, http::verb::get, "/control", "",
+                    kControlTimeout);
+  }
+  io.run();
+  return runs;
+}
+
+void CheckOrder(const OrderResult& order, std::int64_t runs, OrderCheck& check,
+                json::array& examples) {
+  const auto add = [&](std::int64_t& count, const char* text) {
+    ++count;
+    if (examples.size() < kMaxExamples)
+      examples.push_back({{"key", order.key},
+                          {"fault", text},
+                          {"runs", runs},
+                          {"last_ran", order.last_ran}});
+  };
+  if (runs > 0) ++check.run;
+  if (runs > 1) add(check.run_twice, "order ran more than once");
+  if (order.last_ran == "not_run" && runs > 0)
+    add(check.false_not_run, "order is said not to have run and ran");
+  if ((order.answered || order.last_ran == "ran") && runs == 0)
+    add(check.false_ran, "order is said to have run and did not");
+}
+
+}  // namespace
+
+OrderCheck CheckOrders(const std::vector<std::string>& leaves,
+                       Figures& figures) {
+  OrderCheck check;
+  Runs runs = ReadRuns(leaves, check.unread_leaves);
+  for (const OrderResult& order : figures.orders)
+    CheckOrder(order, runs[order.key], check, figures.examples);
+  return check;
+}
+
+}  // namespace berylreach::load
