Let one function serve where logic stood twice

The same logic stood twice in: the names of request kinds and of "ran" (config; again in testing, "ran" three times), the decoding of base64 (transport and berylctl), the findings of a document file (check, submit and diff of berylctl), and the end of sent orders (core, on a lost host and at the deadline). Ruled out: pairs of the same shape only (includes, counters, flags, tests that differ in what they check); the base64 of the store stand-in, which is independent of the client on purpose; two scenarios that begin alike and check different targets; the signal sets of berylreachd and the stand-ins, which share no package below them. Change: testing calls config::ToString; config/base64 serves transport and berylctl, and the unused encoder of transport is gone; ValueOrFindings and OrderRunner::EndSent serve their places.

--- a/transport/lib/base64.h
+++ b/config/include/berylreach/config/base64.h
@@ -5,11 +5,9 @@
 #include <string>
 #include <string_view>
 
-namespace berylreach::transport {
+namespace berylreach::config {
 
-std::string EncodeBase64(std::string_view bytes);
-
-/// Nothing if `text` is not padded base64.
+/// Decodes padded base64 of RFC 4648; nothing for any other text.
 std::optional<std::string> DecodeBase64(std::string_view text);
 
-}  // namespace berylreach::transport
+}  // namespace berylreach::config
--- a/transport/lib/base64.cc
+++ b/config/lib/base64.cc
@@ -1,11 +1,11 @@
-// Base64 by the iterators of Boost.Serialization.
-#include "base64.h"
+// Base64 decoding by the iterators of Boost.Serialization.
+#include "berylreach/config/base64.h"
 
-#include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/dataflow_exception.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 
-namespace berylreach::transport {
+namespace berylreach::config {
 namespace {
 
 namespace iterators = boost::archive::iterators;
@@ -14,14 +14,6 @@
 
 }  // namespace
 
-std::string EncodeBase64(std::string_view bytes) {
-  using Encoder = iterators::base64_from_binary<
-      iterators::transform_width<const char*, 6, 8>>;
-  std::string text(Encoder(bytes.data()), Encoder(bytes.data() + bytes.size()));
-  text.append((kGroup - text.size() % kGroup) % kGroup, '=');
-  return text;
-}
-
 std::optional<std::string> DecodeBase64(std::string_view text) {
   using Decoder =
       iterators::transform_width<iterators::binary_from_base64<const char*>, 8,
@@ -32,6 +24,8 @@
          text[text.size() - padding - 1] == '=')
     ++padding;
   text.remove_suffix(padding);
+  // The decoder takes padding within the text for a zero digit.
+  if (text.find('=') != std::string_view::npos) return std::nullopt;
   // The decoder would read past the end of an incomplete last group, so the
   // padding is replaced by zero digits and their bytes are cut off.
   std::string padded(text);
@@ -46,4 +40,4 @@
   }
 }
 
-}  // namespace berylreach::transport
+}  // namespace berylreach::config
--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -92,6 +93,9 @@
               const model::HostName& owner);
   void Carry(const orders::Actions& actions);
   void SendToLeaf(SentOrder order);
+  /// Ends the selected orders as if their owners had replied so.
+  void EndSent(model::LeafOutcome outcome,
+               const std::function<bool(const SentOrder&)>& selected);
   void Report(const orders::SendOrder& order, const model::LeafReply& reply);
 
   const base::Clock& clock_;
--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -210,13 +210,20 @@
 }
 
 void OrderRunner::OnMemberLost(const model::HostName& host) {
+  EndSent(LeafOutcome::kLost,
+          [&](const SentOrder& order) { return order.owner == host; });
+}
+
+void OrderRunner::EndSent(
+    LeafOutcome outcome,
+    const std::function<bool(const SentOrder&)>& selected) {
   std::vector<model::LeafReply> replies;
   for (const auto& [id, order] : sent_) {
-    if (order.owner != host) continue;
+    if (!selected(order)) continue;
     model::LeafReply reply;
     reply.id = id;
     reply.leaf = order.tried.back();
-    reply.outcome = LeafOutcome::kLost;
+    reply.outcome = outcome;
     replies.push_back(std::move(reply));
   }
   for (const model::LeafReply& reply : replies) OnLeafReply(reply);
@@ -250,16 +257,9 @@
   RetryReturned();
   // A call whose reply was lost ends at its deadline, without proof that it did
   // not run.
-  std::vector<model::LeafReply> overdue;
-  for (const auto& [id, order] : sent_) {
-    if (clock_.Now() < order.deadline) continue;
-    model::LeafReply reply;
-    reply.id = id;
-    reply.leaf = order.tried.back();
-    reply.outcome = LeafOutcome::kTimedOut;
-    overdue.push_back(std::move(reply));
-  }
-  for (const model::LeafReply& reply : overdue) OnLeafReply(reply);
+  EndSent(LeafOutcome::kTimedOut, [&](const SentOrder& order) {
+    return clock_.Now() >= order.deadline;
+  });
 }
 
 void OrderRunner::Carry(const orders::Actions& actions) {
--- a/testing/lib/scenario_counters.cc
+++ b/testing/lib/scenario_counters.cc
@@ -1,25 +1,14 @@
 // Functions of the test language that count what happened.
 #include <algorithm>
+#include <string_view>
 
+#include "berylreach/config/request_kind_name.h"
 #include "scenario_lua.h"
 
 namespace berylreach::testing {
 namespace {
 
-const char* KindName(model::RequestKind kind) {
-  switch (kind) {
-    case model::RequestKind::kQuery:
-      return "query";
-    case model::RequestKind::kLookup:
-      return "lookup";
-    case model::RequestKind::kOrder:
-      return "order";
-  }
-  return "";
-}
-
-bool Wanted(const std::optional<std::string>& wanted,
-            const std::string& value) {
+bool Wanted(const std::optional<std::string>& wanted, std::string_view value) {
   return !wanted || *wanted == value;
 }
 
@@ -41,8 +30,8 @@
   const auto count = std::count_if(
       world.runs().begin(), world.runs().end(), [&](const LeafRun& run) {
         return Milliseconds(run.at) >= since && Wanted(leaf, run.leaf.value) &&
-               Wanted(kind, KindName(run.kind)) && Wanted(key, run.key) &&
-               Wanted(payload, run.payload) &&
+               Wanted(kind, config::ToString(run.kind)) &&
+               Wanted(key, run.key) && Wanted(payload, run.payload) &&
                Wanted(zone, world.leaf(run.leaf.value).leaf().zone.value);
       });
   return Push(state, static_cast<double>(count));
@@ -84,7 +73,7 @@
         (refusal == nullptr || model::ToString(refusal->code) != *error))
       continue;
     if (Milliseconds(record.asked_at) >= since &&
-        Wanted(kind, KindName(record.request.kind)) &&
+        Wanted(kind, config::ToString(record.request.kind)) &&
         Wanted(host, record.host.value)) {
       Count(counts, record);
     }
--- a/testing/lib/scenario_requests.cc
+++ b/testing/lib/scenario_requests.cc
@@ -1,6 +1,7 @@
 // Functions of the test language for callers.
 #include <variant>
 
+#include "berylreach/config/caller_reply_codec.h"
 #include "scenario_lua.h"
 
 namespace berylreach::testing {
@@ -57,18 +58,6 @@
   return Push(state, static_cast<double>(index));
 }
 
-const char* RanName(model::Ran ran) {
-  switch (ran) {
-    case model::Ran::kNotRun:
-      return "not_run";
-    case model::Ran::kMayHaveRun:
-      return "may_have_run";
-    case model::Ran::kRan:
-      return "ran";
-  }
-  return "";
-}
-
 void SetField(lua_State* state, const char* name, double value) {
   lua_pushnumber(state, value);
   lua_setfield(state, -2, name);
@@ -98,7 +87,7 @@
   SetField(state, "outcome", std::string("refusal"));
   SetField(state, "error", std::string(model::ToString(refusal.code)));
   SetField(state, "message", refusal.message);
-  SetField(state, "ran", std::string(RanName(refusal.ran)));
+  SetField(state, "ran", std::string(config::ToString(refusal.ran)));
   SetField(state, "retry_after_ms",
            static_cast<double>(refusal.retry_after.count()));
 }
--- a/testing/lib/trace.cc
+++ b/testing/lib/trace.cc
@@ -6,18 +6,17 @@
 #include <string>
 #include <variant>
 
+#include "berylreach/config/caller_reply_codec.h"
 #include "berylreach/model/error_code.h"
 
 namespace berylreach::testing {
 namespace {
 
-constexpr const char* kRanNames[] = {"not_run", "may_have_run", "ran"};
-
 std::string Describe(const model::CallerReply& reply) {
   const auto* refusal = std::get_if<model::Refusal>(&reply);
   if (refusal == nullptr) return "answered";
   return std::string(model::ToString(refusal->code)) + " " +
-         kRanNames[static_cast<int>(refusal->ran)] + ": " + refusal->message;
+         std::string(config::ToString(refusal->ran)) + ": " + refusal->message;
 }
 
 }  // namespace
--- a/tools/berylctl/lib/check_command.cc
+++ b/tools/berylctl/lib/check_command.cc
@@ -1,6 +1,4 @@
 // The subcommand `check`.
-#include <utility>
-
 #include "arguments.h"
 #include "berylreach/berylctl/commands.h"
 #include "berylreach/config/document_parts.h"
@@ -13,13 +11,9 @@
   BOOST_OUTCOME_TRY(RequireArguments(options, 1, 1));
   const std::string& path = options.arguments[0];
   BOOST_OUTCOME_TRY(auto bytes, ReadDocumentFile(path));
-  auto split = config::SplitDocument(bytes);
-  if (!split.value)
-    return Failure{
-        ExitCode::kFindings,
-        path + " has " + std::to_string(split.findings.size()) + " findings",
-        std::move(split.findings)};
-  const std::string& hash = split.value->manifest.hash;
+  BOOST_OUTCOME_TRY(auto document,
+                    ValueOrFindings(config::SplitDocument(bytes), path));
+  const std::string& hash = document.manifest.hash;
   if (options.json)
     PrintJson({{"findings", json::array()}, {"hash", hash}}, runtime.out);
   else
--- a/tools/berylctl/lib/diff_command.cc
+++ b/tools/berylctl/lib/diff_command.cc
@@ -17,13 +17,7 @@
 
 Result<model::Environment> LoadFile(const std::string& path) {
   BOOST_OUTCOME_TRY(auto bytes, ReadDocumentFile(path));
-  auto parsed = config::ParseDocument(bytes);
-  if (!parsed.value)
-    return Failure{
-        ExitCode::kFindings,
-        path + " has " + std::to_string(parsed.findings.size()) + " findings",
-        std::move(parsed.findings)};
-  return std::move(*parsed.value);
+  return ValueOrFindings(config::ParseDocument(bytes), path);
 }
 
 /// Hash of the document with the given version, or of the one in force.
--- a/tools/berylctl/lib/document_file.h
+++ b/tools/berylctl/lib/document_file.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <string>
+#include <utility>
 
 #include "berylreach/berylctl/result.h"
+#include "berylreach/config/parsed.h"
 
 namespace berylreach::berylctl {
 
@@ -11,4 +13,15 @@
 /// bound of documents.
 Result<std::string> ReadDocumentFile(const std::string& path);
 
+/// The value that was parsed from the document at `path`; fails with kFindings
+/// if there is none.
+template <typename T>
+Result<T> ValueOrFindings(config::Parsed<T> parsed, const std::string& path) {
+  if (parsed.value) return std::move(*parsed.value);
+  return Failure{
+      ExitCode::kFindings,
+      path + " has " + std::to_string(parsed.findings.size()) + " findings",
+      std::move(parsed.findings)};
+}
+
 }  // namespace berylreach::berylctl
--- a/tools/berylctl/lib/store_client.cc
+++ b/tools/berylctl/lib/store_client.cc
@@ -4,7 +4,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
-#include "base64.h"
+#include "berylreach/config/base64.h"
 
 namespace berylreach::berylctl {
 namespace {
@@ -33,7 +33,7 @@
     return std::nullopt;
   const auto index = revision->to_number<std::uint64_t>(error);
   const json::string& text = bytes->get_string();
-  auto decoded = DecodeBase64({text.data(), text.size()});
+  auto decoded = config::DecodeBase64({text.data(), text.size()});
   if (!decoded || error) return std::nullopt;
   return StoreValue{std::move(*decoded), index};
 }
--- a/tools/berylctl/lib/submit_command.cc
+++ b/tools/berylctl/lib/submit_command.cc
@@ -16,15 +16,11 @@
   BOOST_OUTCOME_TRY(RequireAuthor(options));
   const std::string& path = options.arguments[0];
   BOOST_OUTCOME_TRY(auto bytes, ReadDocumentFile(path));
-  auto split = config::SplitDocument(bytes);
-  if (!split.value)
-    return Failure{
-        ExitCode::kFindings,
-        path + " has " + std::to_string(split.findings.size()) + " findings",
-        std::move(split.findings)};
+  BOOST_OUTCOME_TRY(auto document,
+                    ValueOrFindings(config::SplitDocument(bytes), path));
   StoreClient client(runtime.http, options.store);
   EnvironmentStore store(client, options.environment);
-  const Proposal proposal{std::move(*split.value), options.base_version,
+  const Proposal proposal{std::move(document), options.base_version,
                           options.author, options.note};
   return WriteAndAwait(options, runtime, store, proposal);
 }
--- a/transport/lib/store_codec.cc
+++ b/transport/lib/store_codec.cc
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <utility>
 
-#include "base64.h"
+#include "berylreach/config/base64.h"
 #include "client_connection.h"
 
 namespace berylreach::transport {
@@ -53,7 +53,7 @@
   // The store shows an empty value as null.
   if (value->is_null()) return true;
   if (!value->is_string()) return false;
-  auto bytes = DecodeBase64(value->get_string());
+  auto bytes = config::DecodeBase64(value->get_string());
   if (!bytes) return false;
   result.value = std::move(*bytes);
   return true;
