End berylreachd with its documented exit codes

Ruled out: berylctl and the findings of settings and documents: their exit codes and JSON pointers are as documented. A finding about the whole file has no empty pointer. Flags with one dash are read by both programs, as berylreachd did before. Conclusion: a supervisor can tell wrong usage, wrong settings and a taken port apart.

--- a/config/include/berylreach/config/host_settings.h
+++ b/config/include/berylreach/config/host_settings.h
@@ -1,6 +1,7 @@
 // Process settings of an entry host.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,4 +36,8 @@
 /// its members may be left out.
 Parsed<HostSettings> ParseHostSettings(std::string_view bytes);
 
+/// Why a host cannot listen on `text` as `http_listen` or `rpc_listen`; nothing
+/// if it can.
+std::optional<std::string> FaultOfListenAddress(std::string_view text);
+
 }  // namespace berylreach::config
--- a/config/lib/host_settings.cc
+++ b/config/lib/host_settings.cc
@@ -13,9 +13,8 @@
 
 std::string ReadListenAddress(ObjectReader& reader, std::string_view name) {
   std::string text = reader.IpAddress(name, true);
-  const auto address = ParseAddress(text);
-  if (address && IsUnspecified(*address))
-    reader.Add(name, "must be an address that other hosts can reach");
+  if (text.empty()) return text;
+  if (const auto fault = FaultOfListenAddress(text)) reader.Add(name, *fault);
   return text;
 }
 
@@ -43,6 +42,15 @@
 
 }  // namespace
 
+std::optional<std::string> FaultOfListenAddress(std::string_view text) {
+  const auto address = ParseAddress(text);
+  if (!address)
+    return "must be an IP address and a port, such as \"10.0.0.7:8080\"";
+  if (IsUnspecified(*address))
+    return "must be an address that other hosts can reach";
+  return std::nullopt;
+}
+
 Parsed<HostSettings> ParseHostSettings(std::string_view bytes) {
   Parsed<HostSettings> result;
   const auto value = ParseJson(bytes, kMaxSettingsBytes, result.findings);
--- a/tools/berylreachd/main.cc
+++ b/tools/berylreachd/main.cc
@@ -11,7 +11,9 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "berylreach/command_line/parse.h"
 #include "berylreach/config/host_settings.h"
 #include "berylreach/host/host_process.h"
 #include "berylreach/host/log.h"
@@ -29,6 +31,27 @@
 constexpr int kStopTimedOut = 5;
 constexpr unsigned kStopLimitSeconds = 30;
 
+constexpr char kUsageText[] =
+    R"(berylreachd runs one berylreach entry host.
+
+usage: berylreachd --settings=FILE [FLAGS]
+
+Prints the bound addresses as one JSON line when ready to accept connections.
+SIGTERM begins a planned stop; a second signal ends it at once.
+
+flags
+  --settings=FILE        settings of the host (JSON)
+  --http_listen=IP:PORT  overrides http_listen of the settings
+  --rpc_listen=IP:PORT   overrides rpc_listen of the settings
+  --check                check the settings and exit
+  --help, --version
+
+exit codes
+  0 stopped               4 cannot listen
+  2 wrong usage           5 planned stop cut short
+  3 wrong settings
+)";
+
 using berylreach::config::HostSettings;
 
 std::optional<std::string> ReadFile(const std::string& path) {
@@ -37,6 +60,18 @@
   return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
+// Sets `address` to that of a flag, if one was given; false if it is wrong.
+bool Override(const char* flag, const std::string& value,
+              std::string& address) {
+  if (value.empty()) return true;
+  if (const auto fault = berylreach::config::FaultOfListenAddress(value)) {
+    std::cerr << flag << ": " << *fault << "\n";
+    return false;
+  }
+  address = value;
+  return true;
+}
+
 std::optional<HostSettings> LoadSettings() {
   const auto bytes = ReadFile(FLAGS_settings);
   if (!bytes) {
@@ -45,12 +80,16 @@
   }
   auto parsed = berylreach::config::ParseHostSettings(*bytes);
   for (const auto& finding : parsed.findings) {
-    std::cerr << FLAGS_settings << ":" << finding.place << ": "
-              << finding.message << "\n";
+    std::cerr << FLAGS_settings << (finding.place.empty() ? "" : ":")
+              << finding.place << ": " << finding.message << "\n";
   }
   if (!parsed.value) return std::nullopt;
-  if (!FLAGS_http_listen.empty()) parsed.value->http_listen = FLAGS_http_listen;
-  if (!FLAGS_rpc_listen.empty()) parsed.value->rpc_listen = FLAGS_rpc_listen;
+  HostSettings& settings = *parsed.value;
+  const bool http =
+      Override("--http_listen", FLAGS_http_listen, settings.http_listen);
+  const bool rpc =
+      Override("--rpc_listen", FLAGS_rpc_listen, settings.rpc_listen);
+  if (!http || !rpc) return std::nullopt;
   return std::move(parsed.value);
 }
 
@@ -113,19 +152,21 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetVersionString(BERYLREACH_VERSION);
-  gflags::SetUsageMessage(
-      "runs one berylreach entry host\n\n"
-      "  berylreachd --settings=FILE [--http_listen=IP:PORT] "
-      "[--rpc_listen=IP:PORT] [--check]\n\n"
-      "Prints the bound addresses as one JSON line when ready to accept "
-      "connections.\n"
-      "SIGTERM begins a planned stop; a second signal ends it at once.\n"
-      "Exit status: 0 stopped, 2 wrong usage, 3 wrong settings, 4 cannot "
-      "listen,\n"
-      "5 planned stop cut short.");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (argc > 1 || FLAGS_settings.empty()) {
+  std::vector<std::string> positional;
+  if (const auto wrong =
+          berylreach::command_line::Parse(argc, argv, positional)) {
+    std::cerr << "wrong flag " << *wrong << " (see --help)\n";
+    return kUsageError;
+  }
+  if (berylreach::command_line::IsSet("help")) {
+    std::cout << kUsageText;
+    return EXIT_SUCCESS;
+  }
+  if (berylreach::command_line::IsSet("version")) {
+    std::cout << "berylreachd " BERYLREACH_VERSION "\n";
+    return EXIT_SUCCESS;
+  }
+  if (!positional.empty() || FLAGS_settings.empty()) {
     std::cerr << "usage: berylreachd --settings=FILE (see --help)\n";
     return kUsageError;
   }
