Make the commands on the pages work as printed

Ruled out: the requests and refusals of docs/caller-api.md, which answer as printed. Change: `berylctl show env:NAME[@VERSION]` prints a document. The demo puts the store on 127.0.0.1:8500 if that port is free and prints its address.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,8 @@
 # Functions that start a local deployment: stand-ins for the platform and the leaves, and six hosts.
 # Sourced by the demo and by the process tests; all processes listen on loopback addresses.
 #
-# Callers set WORK (an empty folder) and DOCUMENT (the deployment's document).
+# Callers set WORK (an empty folder) and DOCUMENT (the deployment's document). STORE_ADDRESS and
+# FIRST_HTTP are the addresses of the store and of the first host, if they are set.
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 bin=$root/build
@@ -39,7 +40,7 @@
 }
 
 start_platform() {
-  start store "$bin/standins/berylreach-standin-store"
+  start store "$bin/standins/berylreach-standin-store" --address="${STORE_ADDRESS:-127.0.0.1:0}"
   start hostlist "$bin/standins/berylreach-standin-hostlist"
   STORE=$(jq -r .address "$WORK/store.out")
   HOST_LIST=$(jq -r .address "$WORK/hostlist.out")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 WORK=$(mktemp -d)
 DOCUMENT=$PWD/examples/remmevaerk.json
 FIRST_HTTP=127.0.0.1:8080
+STORE_ADDRESS=127.0.0.1:8500
 # shellcheck source=cluster.sh
 source scripts/cluster.sh
 
@@ -57,9 +58,11 @@
 scripts/install-packages.sh
 scripts/build.sh
 if port_is_taken "$FIRST_HTTP"; then FIRST_HTTP=127.0.0.1:0; fi
+if port_is_taken "$STORE_ADDRESS"; then STORE_ADDRESS=127.0.0.1:0; fi
 
 say "store, host list, leaves and six hosts"
 start_cluster || fail "the deployment did not start"
+echo "store: $STORE"
 for host in "${HOSTS[@]}"; do echo "$host: http://${HTTP[$host]}"; done
 
 ask_each_kind
--- a/tools/berylctl/include/berylreach/berylctl/commands.h
+++ b/tools/berylctl/include/berylreach/berylctl/commands.h
@@ -19,6 +19,9 @@
 /// Shows the difference of two documents.
 Result<void> Diff(const Options& options, Runtime& runtime);
 
+/// Prints a document that is or was in force.
+Result<void> Show(const Options& options, Runtime& runtime);
+
 /// Lists the accepted documents of an environment, newest first.
 Result<void> History(const Options& options, Runtime& runtime);
 
--- a/tools/berylctl/include/berylreach/berylctl/environment_store.h
+++ b/tools/berylctl/include/berylreach/berylctl/environment_store.h
@@ -38,6 +38,9 @@
   /// against its hash.
   Result<config::DocumentParts> ReadParts(const std::string& hash);
 
+  /// The canonical text of the document whose manifest has the given hash.
+  Result<std::string> ReadDocumentText(const std::string& hash);
+
   /// The document whose manifest has the given hash; an empty one for an empty
   /// hash.
   Result<model::Environment> ReadDocument(const std::string& hash);
--- a/tools/berylctl/lib/diff_command.cc
+++ b/tools/berylctl/lib/diff_command.cc
@@ -1,7 +1,4 @@
 // The subcommand `diff`.
-#include <string_view>
-#include <utility>
-
 #include "arguments.h"
 #include "berylreach/berylctl/commands.h"
 #include "berylreach/berylctl/environment_store.h"
@@ -9,51 +6,28 @@
 #include "berylreach/config/document_diff.h"
 #include "document_file.h"
 #include "report.h"
+#include "stored_document.h"
 
 namespace berylreach::berylctl {
 namespace {
 
-constexpr std::string_view kEnvironmentPrefix = "env:";
-
 Result<model::Environment> LoadFile(const std::string& path) {
   BOOST_OUTCOME_TRY(auto bytes, ReadDocumentFile(path));
   return ValueOrFindings(config::ParseDocument(bytes), path);
 }
 
-/// Hash of the document with the given version, or of the one in force.
-Result<std::string> FindHash(const model::HeadRecord& head,
-                             const std::string& version) {
-  if (version.empty()) return head.document.hash;
-  for (const model::DocumentEntry& entry : head.history) {
-    if (std::to_string(entry.document.version) == version)
-      return entry.document.hash;
-  }
-  return Failure{ExitCode::kUsage,
-                 "version " + version + " is not in the history"};
-}
-
-/// Loads "NAME" or "NAME@VERSION".
-Result<model::Environment> LoadEnvironment(const Options& options,
-                                           Runtime& runtime,
-                                           std::string_view text) {
-  const std::size_t at = text.find('@');
-  const std::string name(text.substr(0, at));
-  const std::string version(at == std::string_view::npos ? ""
-                                                         : text.substr(at + 1));
-  BOOST_OUTCOME_TRY(RequireEnvironment(name, "env:NAME"));
+/// Loads "env:NAME" or "env:NAME@VERSION".
+Result<model::Environment> LoadStored(const Options& options, Runtime& runtime,
+                                      const std::string& argument) {
+  BOOST_OUTCOME_TRY(auto found, FindStoredDocument(options, runtime, argument));
   StoreClient client(runtime.http, options.store);
-  EnvironmentStore store(client, name);
-  BOOST_OUTCOME_TRY(auto head, store.ReadHead());
-  BOOST_OUTCOME_TRY(auto hash, FindHash(head.record, version));
-  return store.ReadDocument(hash);
+  return EnvironmentStore(client, found.environment).ReadDocument(found.hash);
 }
 
 Result<model::Environment> Load(const Options& options, Runtime& runtime,
                                 const std::string& argument) {
-  const std::string_view text(argument);
-  if (text.substr(0, kEnvironmentPrefix.size()) == kEnvironmentPrefix)
-    return LoadEnvironment(options, runtime,
-                           text.substr(kEnvironmentPrefix.size()));
+  if (NamesStoredDocument(argument))
+    return LoadStored(options, runtime, argument);
   return LoadFile(argument);
 }
 
--- a/tools/berylctl/lib/environment_store.cc
+++ b/tools/berylctl/lib/environment_store.cc
@@ -61,9 +61,8 @@
   return parts;
 }
 
-Result<model::Environment> EnvironmentStore::ReadDocument(
+Result<std::string> EnvironmentStore::ReadDocumentText(
     const std::string& hash) {
-  if (hash.empty()) return model::Environment{};
   BOOST_OUTCOME_TRY(auto parts, ReadParts(hash));
   std::vector<std::string> bytes;
   for (config::DocumentPart& part : parts.parts)
@@ -71,7 +70,14 @@
   auto assembled = config::AssembleDocument(parts.manifest.bytes, bytes);
   if (!assembled.value)
     return Damaged("document " + hash, std::move(assembled.findings));
-  auto parsed = config::ParseDocument(*assembled.value);
+  return std::move(*assembled.value);
+}
+
+Result<model::Environment> EnvironmentStore::ReadDocument(
+    const std::string& hash) {
+  if (hash.empty()) return model::Environment{};
+  BOOST_OUTCOME_TRY(auto text, ReadDocumentText(hash));
+  auto parsed = config::ParseDocument(text);
   if (!parsed.value)
     return Damaged("document " + hash, std::move(parsed.findings));
   return std::move(*parsed.value);
--- a/tools/berylctl/lib/run.cc
+++ b/tools/berylctl/lib/run.cc
@@ -21,10 +21,11 @@
   bool reports_before_failure = false;
 };
 
-constexpr std::array<Command, 7> kCommands{{{"check", Check},
+constexpr std::array<Command, 8> kCommands{{{"check", Check},
                                             {"submit", Submit},
                                             {"promote", Promote},
                                             {"diff", Diff},
+                                            {"show", Show},
                                             {"history", History},
                                             {"status", Status, true},
                                             {"timeline", Timeline, true}}};
@@ -77,6 +78,7 @@
                   (--from, --to, --author, --note, --base-version)
   diff A B        difference from A to B; each is a file, env:NAME or
                   env:NAME@VERSION
+  show A          text of a document, env:NAME or env:NAME@VERSION
   history         accepted documents, newest first (--environment)
   status          hosts with document, lease and readiness (--environment)
   timeline        events of all hosts by time (--environment)
--- a/tools/berylctl/unittests/read_commands_test.cc
+++ b/tools/berylctl/unittests/read_commands_test.cc
@@ -47,6 +47,21 @@
       "\n");
 }
 
+// Without it, operators could not start from the document in force.
+TEST_F(ReadCommandsTest, ShowPrintsADocumentThatCanBeSubmittedAgain) {
+  Accept("trial", 2);
+  Accept("trial", 3);
+  ASSERT_EQ(RunCommand("show", {"env:trial"}), ExitCode::kSuccess);
+  const std::string shown = WriteFile(out.str());
+  ASSERT_EQ(RunCommand("diff", {shown, "env:trial"}), ExitCode::kSuccess);
+  EXPECT_EQ(out.str(), "");
+  ASSERT_EQ(RunCommand("show", {"env:trial@1"}), ExitCode::kSuccess);
+  EXPECT_THAT(out.str(), HasSubstr(R"("slots":2)"));
+  EXPECT_EQ(RunCommand("show", {"env:trial@9"}), ExitCode::kUsage);
+  EXPECT_EQ(RunCommand("show", {"env:production"}), ExitCode::kUsage);
+  EXPECT_EQ(RunCommand("show", {"trial"}), ExitCode::kUsage);
+}
+
 TEST_F(ReadCommandsTest, HistoryShowsTheNewestFirst) {
   Accept("trial", 2);
   Accept("trial", 3);
