Say may_have_run when "not run" arrives too late

Ruled out: a fault of the check: the caller gets "not run" after the order ran; a wrong refusal of the claimer: the orders had not run at their deadline. Change: an entry host replaces "not run" by may_have_run once it would have given the order up. Usually its own timer comes first; the refusal wins when it is the first event after the freeze.

--- a/core/lib/entry.cc
+++ b/core/lib/entry.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "berylreach/core/order_runner.h"
@@ -40,6 +41,17 @@
                                                     : Ran::kNotRun;
 }
 
+bool SaysNotRun(const model::CallerReply& reply) {
+  const auto* refusal = std::get_if<Refusal>(&reply);
+  return refusal != nullptr && refusal->ran == Ran::kNotRun;
+}
+
+/// The reply to an order without an outcome at its deadline.
+Refusal GivenUp() {
+  return {ErrorCode::kDeadlineExceeded, "no outcome before the deadline",
+          Ran::kMayHaveRun, kNotServingRetryAfter};
+}
+
 }  // namespace
 
 Entry::Entry(const base::Clock& clock, SharedState& state,
@@ -167,6 +179,12 @@
 }
 
 void Entry::OnOrderReply(const model::OrderReply& reply) {
+  const auto order = orders_.find(reply.id);
+  if (order == orders_.end()) return;
+  // A host that stood still gets refusals late. Its caller may have repeated
+  // the order at another host meanwhile, so that "not run" is no longer true.
+  const bool late = clock_.Now() >= order->second.deadline;
+  if (late && SaysNotRun(reply.reply)) return FinishOrder(reply.id, GivenUp());
   FinishOrder(reply.id, reply.reply);
 }
 
@@ -209,9 +227,7 @@
 void Entry::Tick() {
   while (const auto id = wakeups_.PopDue(clock_.Now())) {
     if (orders_.contains(*id)) {
-      FinishOrder(*id, Refusal{ErrorCode::kDeadlineExceeded,
-                               "no outcome before the deadline",
-                               Ran::kMayHaveRun, kNotServingRetryAfter});
+      FinishOrder(*id, GivenUp());
     } else {
       WakeQuery(*id);
     }
