Measure lookups and several regions in the tail benchmark

Cause: the tail benchmark ran queries of one region only, so that a change of the leaf that runs new lookups, or of the region of that leaf, could not be measured. Ruled out: the scenario runner for this; its leaves have no stragglers and its load is fixed. Change: flags for lookups, shards, replicas, slots, regions 20 ms apart and the hop within a region. Defaults are unchanged. Conclusion: the benchmark can compare choices of a canary's leaf.

--- a/benchmarks/policy/bench_host.h
+++ b/benchmarks/policy/bench_host.h
@@ -13,8 +13,8 @@
 namespace berylreach::bench {
 
 // The context of the query runners of one host. Leaf "<shard>/<replica>" holds
-// its shard at version 1; all are in one zone, so that no network latency hides
-// the stragglers.
+// its shard at version 1. Each region is one zone; a single region keeps
+// network latency from hiding the stragglers.
 class BenchHost final : public query::QueryContext {
  public:
   BenchHost(const BenchOptions& options, const base::Clock& clock,
@@ -29,9 +29,7 @@
   const routing::OwnershipTable& Ownership() const override {
     return ownership_;
   }
-  const model::ZoneName& OwnZone() const override {
-    return environment_.zones[0].name;
-  }
+  const model::ZoneName& OwnZone() const override { return own_zone_; }
   routing::LeafTable& Leaves() override { return leaves_; }
   const routing::ReplicaIndex& Replicas(
       const model::ServiceName& service) override {
@@ -58,6 +56,7 @@
                std::uint32_t replica);
 
   std::uint64_t number_;
+  model::ZoneName own_zone_;
   std::uint64_t calls_ = 0;
   std::mt19937_64 random_;
   model::Environment environment_;
--- a/benchmarks/policy/bench_options.h
+++ b/benchmarks/policy/bench_options.h
@@ -27,6 +27,10 @@
   bool stragglers = true;
   // Every query has its own fingerprint and starts with a canary.
   bool unproven = false;
+  // Requests are lookups, which touch one shard, and not queries.
+  bool lookups = false;
+  // Regions over which hosts and leaves are spread.
+  std::uint32_t regions = 1;
   // A cancelled call gives its slot back at once.
   bool cancel_running = true;
   // The owner's queue is ordered by deadline (design 3.4) and not by arrival.
@@ -34,6 +38,23 @@
   // Hedges that a host may send at once after a quiet time.
   double burst = 50;
   base::Duration hop = std::chrono::microseconds(100);
+  // One way between regions.
+  base::Duration region_hop = std::chrono::milliseconds(20);
+
+  // Shards that one request touches.
+  std::uint32_t ShardsTouched() const { return lookups ? 1 : shards; }
+  // Regions of the parts, numbered from 0.
+  std::uint32_t RegionOfHost(std::uint64_t host) const {
+    return static_cast<std::uint32_t>(host % regions);
+  }
+  std::uint32_t RegionOfLeaf(std::uint64_t leaf) const {
+    return static_cast<std::uint32_t>((leaf / replicas + leaf % replicas) %
+                                      regions);
+  }
+  // One way between a host and a leaf.
+  base::Duration Way(std::uint64_t host, std::uint64_t leaf) const {
+    return RegionOfHost(host) == RegionOfLeaf(leaf) ? hop : region_hop;
+  }
 };
 
 }  // namespace berylreach::bench
--- a/benchmarks/policy/leaf_model.cc
+++ b/benchmarks/policy/leaf_model.cc
@@ -38,8 +38,9 @@
       std::chrono::duration<double>(seconds));
 }
 
-void LeafModel::Call(const model::LeafCall& call, ReplyTo reply) {
-  Job job{call, std::move(reply), events_.Now() + call.budget};
+void LeafModel::Call(const model::LeafCall& call, base::Duration way,
+                     ReplyTo reply) {
+  Job job{call, way, std::move(reply), events_.Now() + call.budget};
   const auto place = options_.deadline_order
                          ? std::upper_bound(queue_.begin(), queue_.end(), job,
                                             [](const Job& a, const Job& b) {
@@ -105,7 +106,7 @@
   reply.shard = job.call.shard;
   reply.shard_count = job.call.shard_count;
   reply.load = static_cast<std::uint32_t>(queue_.size() + running_.size());
-  events_.After(options_.hop,
+  events_.After(job.way,
                 [to = job.reply, reply = std::move(reply)] { to(reply); });
 }
 
--- a/benchmarks/policy/leaf_model.h
+++ b/benchmarks/policy/leaf_model.h
@@ -25,7 +25,8 @@
             BenchResult& result, std::uint64_t seed)
       : options_(options), events_(events), result_(result), random_(seed) {}
 
-  void Call(const model::LeafCall& call, ReplyTo reply);
+  // The reply takes `way` to its host.
+  void Call(const model::LeafCall& call, base::Duration way, ReplyTo reply);
   void Cancel(const model::CallId& id, bool only_if_queued);
 
   // Mean service time with stragglers, in seconds.
@@ -34,6 +35,7 @@
  private:
   struct Job {
     model::LeafCall call;
+    base::Duration way{};
     ReplyTo reply;
     base::TimePoint deadline{};
     base::TimePoint started{};
--- a/benchmarks/policy/simulation.cc
+++ b/benchmarks/policy/simulation.cc
@@ -42,7 +42,8 @@
 void Simulation::ScheduleArrival() {
   const double slots = static_cast<double>(leaves_.size()) * options_.slots;
   const double per_second =
-      options_.load * slots / (options_.shards * LeafModel::MeanService());
+      options_.load * slots /
+      (options_.ShardsTouched() * LeafModel::MeanService());
   std::exponential_distribution<double> gap(per_second);
   const auto delay = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(gap(random_)));
@@ -54,7 +55,7 @@
   Query& query = queries_[number];
   query.host = random_() % hosts_.size();
   query.arrived = events_.Now();
-  result_.calls_needed += options_.shards;
+  result_.calls_needed += options_.ShardsTouched();
   if (options_.method == Method::kQueryRunner) {
     StartRunner(number);
   } else {
@@ -69,6 +70,10 @@
   model::CallerRequest request;
   request.service = {"desk"};
   request.payload = options_.unproven ? std::to_string(number) : "same";
+  if (options_.lookups) {
+    request.kind = model::RequestKind::kLookup;
+    request.key = std::to_string(number);
+  }
   request.deadline = events_.Now() + kDeadline;
   if (!options_.unproven) {
     host.Suspects().OnCompleted(quarantine::FingerprintOf(request));
@@ -82,14 +87,18 @@
 
 void Simulation::StartRandom(std::uint64_t number) {
   Query& query = queries_.at(number);
-  query.open = options_.shards;
-  for (std::uint32_t shard = 0; shard < options_.shards; ++shard) {
+  query.open = options_.ShardsTouched();
+  for (std::uint32_t i = 0; i < query.open; ++i) {
+    const std::uint64_t shard =
+        options_.lookups ? random_() % options_.shards : i;
     model::LeafCall call;
     call.id = hosts_[query.host]->NextCallId();
-    LeafModel& leaf = *leaves_[std::size_t{shard} * options_.replicas +
-                               random_() % options_.replicas];
-    events_.After(options_.hop, [this, &leaf, call, number] {
-      leaf.Call(call, [this, number](const model::LeafReply&) {
+    const std::size_t place =
+        shard * options_.replicas + random_() % options_.replicas;
+    LeafModel& leaf = *leaves_[place];
+    const base::Duration way = options_.Way(query.host, place);
+    events_.After(way, [this, &leaf, call, way, number] {
+      leaf.Call(call, way, [this, number](const model::LeafReply&) {
         Query& running = queries_.at(number);
         if (--running.open > 0) return;
         RecordLatency(running, true);
@@ -103,18 +112,25 @@
   return *leaves_[std::stoul(name.value)];
 }
 
+base::Duration Simulation::WayTo(std::uint64_t number,
+                                 const model::LeafName& leaf) const {
+  return options_.Way(queries_.at(number).host, std::stoul(leaf.value));
+}
+
 void Simulation::Apply(std::uint64_t number,
                        const std::vector<query::Action>& actions) {
   for (const query::Action& action : actions) {
     if (const auto* send = std::get_if<query::SendCall>(&action)) {
       call_leaves_[send->call.id] = send->call.leaf;
-      events_.After(options_.hop, [this, number, call = send->call] {
-        LeafOf(call.leaf).Call(call, [this, number](const auto& reply) {
+      const base::Duration way = WayTo(number, send->call.leaf);
+      events_.After(way, [this, number, way, call = send->call] {
+        LeafOf(call.leaf).Call(call, way, [this, number](const auto& reply) {
           Deliver(number, reply);
         });
       });
     } else if (const auto* c = std::get_if<query::CancelCall>(&action)) {
-      events_.After(options_.hop, [this, cancel = *c] {
+      const base::Duration way = WayTo(number, call_leaves_.at(c->id));
+      events_.After(way, [this, cancel = *c] {
         LeafOf(call_leaves_.at(cancel.id))
             .Cancel(cancel.id, cancel.only_if_queued);
       });
--- a/benchmarks/policy/simulation.h
+++ b/benchmarks/policy/simulation.h
@@ -44,6 +44,8 @@
   void Wake(std::uint64_t number, base::TimePoint planned);
   void RecordLatency(const Query& query, bool whole);
   LeafModel& LeafOf(const model::LeafName& name);
+  // One way between the host of query `number` and `leaf`.
+  base::Duration WayTo(std::uint64_t number, const model::LeafName& leaf) const;
 
   BenchOptions options_;
   EventQueue events_;
--- a/benchmarks/policy/tail_benchmark.cc
+++ b/benchmarks/policy/tail_benchmark.cc
@@ -5,6 +5,7 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <functional>
 #include <future>
@@ -34,6 +35,12 @@
 DEFINE_double(budget, 0.049, "hedges per first call");
 DEFINE_bool(hedge_canary, true, "canaries may be hedged");
 DEFINE_bool(unproven, false, "every query starts with a canary");
+DEFINE_bool(lookups, false, "requests are lookups of one shard");
+DEFINE_uint32(shards, 20, "shards of the service");
+DEFINE_uint32(replicas, 2, "leaves of each shard");
+DEFINE_uint32(slots, 2, "slots of each leaf");
+DEFINE_uint32(regions, 1, "regions of hosts and leaves, 20 ms apart");
+DEFINE_double(hop_ms, 0.1, "one way within a region");
 DEFINE_bool(cancel, true, "cancelling a running call frees its slot");
 DEFINE_bool(deadline_order, true,
             "the owner's queue is ordered by deadline, not by arrival");
@@ -58,6 +65,13 @@
   options.hedge.canary = FLAGS_hedge_canary;
   options.hedge_budget = FLAGS_budget;
   options.unproven = FLAGS_unproven;
+  options.lookups = FLAGS_lookups;
+  options.shards = FLAGS_shards;
+  options.replicas = FLAGS_replicas;
+  options.slots = FLAGS_slots;
+  options.regions = FLAGS_regions;
+  options.hop = std::chrono::duration_cast<berylreach::base::Duration>(
+      std::chrono::duration<double, std::milli>(FLAGS_hop_ms));
   options.cancel_running = FLAGS_cancel;
   options.deadline_order = FLAGS_deadline_order;
   options.burst = FLAGS_burst;
