--- a/base/lib/rendezvous.cc
+++ b/base/lib/rendezvous.cc
@@ -17,4 +17,12 @@
   return Hash64(joined);
 }
 
+std::uint64_t RendezvousWeight(std::uint64_t key, std::uint64_t node) {
+  // The finaliser of SplitMix64; the multiplication keeps swapped hashes apart.
+  std::uint64_t mixed = key * 0x9E3779B97F4A7C15ULL + node;
+  mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
+  return mixed ^ (mixed >> 31);
+}
+
 }  // namespace berylreach::base
--- a/benchmarks/policy/leaf_model.cc
+++ b/benchmarks/policy/leaf_model.cc
@@ -40,6 +40,10 @@
 
 void LeafModel::Call(const model::LeafCall& call, base::Duration way,
                      ReplyTo reply) {
+  const bool busy = running_.size() >= options_.slots || !queue_.empty();
+  if (call.no_wait && busy) {
+    return Reply({call, way, std::move(reply)}, model::LeafOutcome::kNoSlot);
+  }
   Job job{call, way, std::move(reply), events_.Now() + call.budget};
   const auto place = options_.deadline_order
                          ? std::upper_bound(queue_.begin(), queue_.end(), job,
--- a/core/include/berylreach/core/leaf_owner.h
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -44,6 +44,9 @@
   void OnUpstreamResult(const model::UpstreamResult& result);
   void OnLeafStatus(const model::LeafStatus& status);
 
+  /// Refuses queued canaries whose fingerprint has become suspect or blocked.
+  void RefuseSuspects();
+
   /// Leaves that the host list shows as leaving.
   void SetLeaving(const std::set<model::LeafName>& leaving);
 
@@ -88,6 +91,8 @@
   void DropFinished();
   void ApplyDraining(OwnedLeaf& entry);
   void NoteIncarnation(OwnedLeaf& entry, std::uint64_t incarnation);
+  /// A call has succeeded; proves its fingerprint if it was a canary.
+  void NoteProven(const model::CallId& id);
   void ReportDeath(const model::LeafName& leaf);
   void Carry(const OwnedLeaf& entry, const limits::Actions& actions);
   void Start(const OwnedLeaf& entry, const limits::StartCall& start);
@@ -105,6 +110,8 @@
   /// Something that a state depends on may have changed since PublishChanges.
   bool states_dirty_ = false;
   std::uint64_t states_digest_ = 0;
+  /// Quarantine::revision() at the last RefuseSuspects.
+  std::uint64_t quarantine_revision_ = 0;
   std::uint64_t epoch_ = 0;
   std::uint64_t last_sequence_ = 0;
   std::vector<model::Member> members_;
--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -14,6 +14,8 @@
 #include "berylreach/model/order_forward.h"
 #include "berylreach/orders/action.h"
 #include "berylreach/orders/order_coordinator.h"
+#include "berylreach/routing/replica.h"
+#include "berylreach/routing/snapshot.h"
 
 namespace berylreach::core {
 
@@ -92,6 +94,9 @@
               const model::HostName& owner);
   void Carry(const orders::Actions& actions);
   void SendToLeaf(SentOrder order);
+  std::optional<routing::Replica> ChooseLeaf(const SentOrder& order,
+                                             std::uint64_t fingerprint,
+                                             const routing::Snapshot& snapshot);
   void Report(const orders::SendOrder& order, const model::LeafReply& reply);
 
   const base::Clock& clock_;
--- a/core/include/berylreach/core/suspect_arbiter.h
+++ b/core/include/berylreach/core/suspect_arbiter.h
@@ -1,6 +1,7 @@
 // Passes suspect calls on, one at a time.
 #pragma once
 
+#include <optional>
 #include <unordered_map>
 
 #include "berylreach/core/outbox.h"
@@ -31,10 +32,22 @@
   /// Withdraws a forwarded call.
   void OnCancel(const model::LeafCancel& cancel);
 
-  /// Ends runs whose reply has not come in time.
+  /// Ends runs whose reply has not come in time, and starts those whose wait is
+  /// over.
   void Tick();
 
+  /// When a waiting run is due.
+  std::optional<base::TimePoint> NextWakeup() const;
+
  private:
+  /// A canary that waits for deaths at other hosts to be heard.
+  struct Waiting {
+    model::HostName from;
+    model::LeafCall call;
+    base::TimePoint start_at;
+    base::TimePoint deadline;
+  };
+
   /// A call that was passed on.
   struct Forwarded {
     model::HostName from;
@@ -43,6 +56,10 @@
     base::TimePoint until;
   };
 
+  /// Makes `call` wait or refuses it; returns false if it may run now.
+  bool HoldBack(const model::HostName& from, const model::LeafCall& call);
+  void Run(const model::HostName& from, const model::LeafCall& call,
+           base::TimePoint deadline);
   void Refuse(const model::HostName& to, const model::LeafCall& call,
               model::LeafOutcome outcome);
   void Conclude(const Forwarded& run, model::LeafOutcome outcome);
@@ -51,6 +68,8 @@
   SharedState& state_;
   Outbox& outbox_;
   std::unordered_map<model::CallId, Forwarded> runs_;
+  /// By fingerprint: more than one would not get a grant.
+  std::unordered_map<std::uint64_t, Waiting> waiting_;
 };
 
 }  // namespace berylreach::core
--- a/core/lib/host_core.cc
+++ b/core/lib/host_core.cc
@@ -177,6 +177,7 @@
   consider(leaf_owner_.NextWakeup());
   consider(orders_.NextWakeup());
   consider(entry_.NextWakeup());
+  consider(arbiter_.NextWakeup());
   consider(state_.NextQuarantineWakeup());
   if (stopping_since_ && clock_.Now() < *stopping_since_ + kStopGrace) {
     consider(*stopping_since_ + kStopGrace);
@@ -211,6 +212,7 @@
 }
 
 Actions HostCore::Finish() {
+  leaf_owner_.RefuseSuspects();
   while (auto message = outbox_.NextLocal()) {
     Deliver(outbox_.self(), state_.self().incarnation, *message);
   }
--- a/core/lib/host_core_messages.cc
+++ b/core/lib/host_core_messages.cc
@@ -38,6 +38,8 @@
   } else if (const auto* suspects =
                  std::get_if<model::SuspectUpdate>(&message)) {
     state_.Suspects().Merge(*suspects);
+    leaf_owner_.RefuseSuspects();
+    arbiter_.Tick();
   } else {
     membership::Actions membership_actions;
     membership_.OnMessage(from, incarnation, message, membership_actions);
--- a/core/lib/leaf_owner.cc
+++ b/core/lib/leaf_owner.cc
@@ -39,14 +39,43 @@
     return Refuse(from, call, LeafOutcome::kNotOwner);
   // An order that became suspect on its way is not run in company.
   const bool suspect = standing == quarantine::Standing::kSuspect;
-  if (suspect && !call.alone) return Refuse(from, call, LeafOutcome::kBlocked);
+  if (suspect && !call.alone) {
+    return Refuse(from, call,
+                  call.canary ? LeafOutcome::kSuspect : LeafOutcome::kBlocked);
+  }
   if (calls_.contains(call.id) || IsRepeatedOrder(call)) return;
-  calls_.emplace(call.id, AcceptedCall{from, call});
+  model::LeafCall accepted = call;
+  // A run alone needs no other guard, and a proven fingerprint none at all.
+  if (call.alone || standing == quarantine::Standing::kProven)
+    accepted.canary = false;
+  calls_.emplace(call.id, AcceptedCall{from, accepted});
   limits::Actions actions;
-  entry->gate.OnCall(call, actions);
+  entry->gate.OnCall(accepted, actions);
   Carry(*entry, actions);
 }
 
+void LeafOwner::RefuseSuspects() {
+  if (quarantine_revision_ == quarantine_.revision()) return;
+  quarantine_revision_ = quarantine_.revision();
+  const auto outcome_of =
+      [this](std::uint64_t fingerprint) -> std::optional<LeafOutcome> {
+    switch (quarantine_.StandingOf(fingerprint)) {
+      case quarantine::Standing::kSuspect:
+        return LeafOutcome::kSuspect;
+      case quarantine::Standing::kBlocked:
+        return LeafOutcome::kBlocked;
+      default:
+        return std::nullopt;
+    }
+  };
+  for (auto& [name, entry] : leaves_) {
+    if (entry.gate.queued() == 0) continue;
+    limits::Actions actions;
+    entry.gate.RefuseCanaries(outcome_of, actions);
+    Carry(entry, actions);
+  }
+}
+
 void LeafOwner::OnCancel(const model::LeafCancel& cancel) {
   const auto found = calls_.find(cancel.id);
   if (found == calls_.end()) return;
@@ -67,6 +96,7 @@
   if (found == leaves_.end()) return;
   OwnedLeaf& entry = found->second;
   if (result.outcome == LeafOutcome::kLeafDied) ReportDeath(result.leaf);
+  if (result.outcome == LeafOutcome::kOk) NoteProven(result.id);
   if (result.connect_failed) {
     entry.reachable = false;
     entry.known = true;
@@ -191,6 +221,12 @@
   Carry(entry, actions);
 }
 
+void LeafOwner::NoteProven(const model::CallId& id) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end() && found->second.call.canary)
+    quarantine_.OnCompleted(found->second.call.fingerprint);
+}
+
 void LeafOwner::ReportDeath(const model::LeafName& leaf) {
   std::vector<quarantine::RunningCall> running;
   const OwnedLeaf& entry = leaves_.at(leaf);
@@ -203,7 +239,11 @@
         fingerprints.end()) {
       continue;
     }
-    running.push_back({fingerprint, accepted.call.alone});
+    const bool canary =
+        accepted.call.canary &&
+        quarantine_.StandingOf(fingerprint) != quarantine::Standing::kProven;
+    running.push_back({fingerprint, accepted.call.alone,
+                       canary ? quarantine::LeafIdOf(leaf) : 0});
   }
   std::vector<quarantine::Action> actions;
   quarantine_.OnLeafDeath(running, actions);
@@ -213,6 +253,8 @@
   }
   outbox_.Record("leaf_died", leaf.value,
                  std::to_string(running.size()) + " calls running");
+  // Before the gate learns that the slot is free.
+  RefuseSuspects();
 }
 
 void LeafOwner::Carry(const OwnedLeaf& entry, const limits::Actions& actions) {
--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -9,6 +9,7 @@
 #include "berylreach/base/rendezvous.h"
 #include "berylreach/config/order_journal_codec.h"
 #include "berylreach/quarantine/fingerprint.h"
+#include "berylreach/routing/choose_by_fingerprint.h"
 #include "berylreach/routing/choose_replica.h"
 #include "berylreach/routing/choose_snapshot.h"
 
@@ -21,6 +22,8 @@
 // did not run it.
 constexpr std::size_t kMaxLeaves = 3;
 constexpr std::chrono::milliseconds kNoLeafRetryAfter{1000};
+// Orders run on shard 0.
+constexpr std::uint32_t kOrderShard = 0;
 // Replies may come this long after the deadline of an order.
 constexpr std::chrono::seconds kPassedOnMemory{1};
 // A change of members reaches the other regions within about 20 ms.
@@ -197,6 +200,12 @@
   if (node.empty()) return false;
   SentOrder& order = node.mapped();
   state_.Leaves().OnCallEnded(reply.leaf);
+  const std::uint64_t fingerprint = OrderFingerprint(order.order);
+  if (reply.outcome == LeafOutcome::kOk) {
+    state_.Suspects().OnCompleted(fingerprint);
+  } else if (reply.outcome == LeafOutcome::kSuspect) {
+    state_.Suspects().OnSuspectElsewhere(fingerprint);
+  }
   const bool may_offer_again = model::ProvesNotRun(reply.outcome) &&
                                reply.outcome != LeafOutcome::kBlocked &&
                                order.tried.size() < kMaxLeaves &&
@@ -279,24 +288,46 @@
   }
 }
 
+std::optional<routing::Replica> OrderRunner::ChooseLeaf(
+    const SentOrder& order, std::uint64_t fingerprint,
+    const routing::Snapshot& snapshot) {
+  const auto standing = state_.Suspects().StandingOf(fingerprint);
+  const auto& index = state_.Replicas(order.order.service);
+  if (standing == quarantine::Standing::kUnproven) {
+    routing::FingerprintQuery query;
+    query.version = snapshot.version;
+    query.shard_count = snapshot.shard_count;
+    query.fingerprint = fingerprint;
+    query.shards = {&kOrderShard, 1};
+    query.is_excluded = [&](std::uint32_t, const model::LeafName& leaf) {
+      return std::count(order.tried.begin(), order.tried.end(), leaf) > 0;
+    };
+    query.is_last_resort = [this](const model::LeafName& leaf) {
+      return state_.OwnerDoubtful(leaf);
+    };
+    const auto place = routing::ChooseByFingerprint(index, query);
+    if (!place) return std::nullopt;
+    return place->replica;
+  }
+  routing::ReplicaQuery query;
+  query.version = snapshot.version;
+  query.shard_count = snapshot.shard_count;
+  query.own_zone = state_.OwnZone();
+  query.own_region = RegionOf(state_.Environment(), state_.OwnZone());
+  query.tried = order.tried;
+  query.suspect = standing == quarantine::Standing::kSuspect;
+  query.random = state_.Random();
+  return routing::ChooseReplica(index, state_.Leaves(), query);
+}
+
 void OrderRunner::SendToLeaf(SentOrder order) {
   const std::uint64_t fingerprint = OrderFingerprint(order.order);
-  const bool suspect = state_.Suspects().StandingOf(fingerprint) ==
-                       quarantine::Standing::kSuspect;
-  const auto& index = state_.Replicas(order.order.service);
-  const auto snapshot = routing::ChooseSnapshot(index, {});
+  const auto standing = state_.Suspects().StandingOf(fingerprint);
+  const bool suspect = standing == quarantine::Standing::kSuspect;
+  const auto snapshot =
+      routing::ChooseSnapshot(state_.Replicas(order.order.service), {});
   std::optional<routing::Replica> replica;
-  if (snapshot) {
-    routing::ReplicaQuery query;
-    query.version = snapshot->version;
-    query.shard_count = snapshot->shard_count;
-    query.own_zone = state_.OwnZone();
-    query.own_region = RegionOf(state_.Environment(), state_.OwnZone());
-    query.tried = order.tried;
-    query.suspect = suspect;
-    query.random = state_.Random();
-    replica = routing::ChooseReplica(index, state_.Leaves(), query);
-  }
+  if (snapshot) replica = ChooseLeaf(order, fingerprint, *snapshot);
   const model::HostName* owner =
       replica ? state_.Ownership().Owner(replica->leaf) : nullptr;
   const model::Member* arbiter =
@@ -321,6 +352,7 @@
   call.budget = std::chrono::duration_cast<std::chrono::microseconds>(
       order.deadline - clock_.Now());
   call.alone = suspect;
+  call.canary = standing != quarantine::Standing::kProven;
   order.tried.push_back(call.leaf);
   order.owner = suspect ? arbiter->host : *owner;
   state_.Leaves().OnCallSent(call.leaf);
--- a/core/lib/suspect_arbiter.cc
+++ b/core/lib/suspect_arbiter.cc
@@ -35,11 +35,33 @@
 
 void SuspectArbiter::OnCall(const model::HostName& from,
                             const model::LeafCall& call) {
+  if (!HoldBack(from, call)) Run(from, call, clock_.Now() + call.budget);
+}
+
+bool SuspectArbiter::HoldBack(const model::HostName& from,
+                              const model::LeafCall& call) {
+  if (!call.canary) return false;
+  auto& suspects = state_.Suspects();
+  suspects.OnSuspectElsewhere(call.fingerprint);
+  const base::Duration wait = suspects.CanaryHoldOff(call.fingerprint);
+  if (wait == base::Duration::zero()) return false;
+  const auto [place, added] = waiting_.try_emplace(
+      call.fingerprint,
+      Waiting{from, call, clock_.Now() + wait, clock_.Now() + call.budget});
+  if (!added) Refuse(from, call, LeafOutcome::kOverloaded);
+  return true;
+}
+
+void SuspectArbiter::Run(const model::HostName& from,
+                         const model::LeafCall& call,
+                         base::TimePoint deadline) {
   const model::HostName* owner = state_.Ownership().Owner(call.leaf);
   if (owner == nullptr || !state_.HoldsLease()) {
     return Refuse(from, call, LeafOutcome::kNotOwner);
   }
-  const auto until = std::min(clock_.Now() + call.budget, state_.LeaseExpiry());
+  if (deadline <= clock_.Now())
+    return Refuse(from, call, LeafOutcome::kNotSent);
+  const auto until = std::min(deadline, state_.LeaseExpiry());
   switch (state_.Suspects().TryStartAlone(call.fingerprint, until)) {
     case Grant::kBlocked:
       return Refuse(from, call, LeafOutcome::kBlocked);
@@ -66,12 +88,36 @@
 void SuspectArbiter::OnCancel(const model::LeafCancel& cancel) {
   const auto found = runs_.find(cancel.id);
   if (found != runs_.end()) outbox_.Send(found->second.owner, cancel);
+  for (auto item = waiting_.begin(); item != waiting_.end(); ++item) {
+    if (item->second.call.id != cancel.id) continue;
+    Refuse(item->second.from, item->second.call, LeafOutcome::kNotSent);
+    waiting_.erase(item);
+    return;
+  }
 }
 
 void SuspectArbiter::Tick() {
   std::erase_if(runs_, [&](const auto& item) {
     return item.second.until <= clock_.Now();
   });
+  std::vector<Waiting> due;
+  std::erase_if(waiting_, [&](const auto& item) {
+    const bool blocked = state_.Suspects().StandingOf(item.first) ==
+                         quarantine::Standing::kBlocked;
+    if (item.second.start_at > clock_.Now() && !blocked) return false;
+    due.push_back(item.second);
+    return true;
+  });
+  for (const Waiting& waiting : due)
+    Run(waiting.from, waiting.call, waiting.deadline);
+}
+
+std::optional<base::TimePoint> SuspectArbiter::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  for (const auto& [fingerprint, waiting] : waiting_) {
+    if (!next || waiting.start_at < *next) next = waiting.start_at;
+  }
+  return next;
 }
 
 void SuspectArbiter::Conclude(const Forwarded& run, LeafOutcome outcome) {
--- a/limits/include/berylreach/limits/call_queue.h
+++ b/limits/include/berylreach/limits/call_queue.h
@@ -51,6 +51,18 @@
     return removed;
   }
 
+  /// The first call for which `predicate(call)` holds; null if there is none.
+  template <typename Predicate>
+  const QueuedCall* FindFirst(Predicate predicate) const {
+    for (const auto& [key, call] : calls_) {
+      if (predicate(call)) return &call;
+    }
+    return nullptr;
+  }
+
+  /// The fingerprint is proven: its canaries become ordinary calls.
+  void OnProven(std::uint64_t fingerprint);
+
   /// The earliest deadline; nothing if the queue is empty.
   std::optional<base::TimePoint> EarliestDeadline() const;
 
--- a/limits/include/berylreach/limits/gate_counters.h
+++ b/limits/include/berylreach/limits/gate_counters.h
@@ -16,6 +16,10 @@
   std::uint64_t refused_overload = 0;
   /// Refused because the leaf is draining or its zone is out.
   std::uint64_t refused_closed = 0;
+  /// Refused because the fingerprint became suspect or blocked while queued.
+  std::uint64_t refused_suspect = 0;
+  /// Canaries sent on to another leaf for want of a free slot.
+  std::uint64_t refused_no_slot = 0;
   /// Past the deadline while queued.
   std::uint64_t expired = 0;
   std::uint64_t cancelled_queued = 0;
--- a/limits/include/berylreach/limits/leaf_gate.h
+++ b/limits/include/berylreach/limits/leaf_gate.h
@@ -3,8 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "berylreach/base/clock.h"
@@ -28,6 +31,10 @@
 /// result, since the result passes through another thread.
 inline constexpr base::Duration kResultGrace = std::chrono::milliseconds(50);
 
+/// How long a gate remembers that it has sent a canary on to another leaf; no
+/// leaf call lasts longer than the serving lease (1.5 s) and its grace.
+inline constexpr base::Duration kCanaryMemory = std::chrono::seconds(2);
+
 /// Gate of one leaf. A new gate is closed, cold, and without a lease: calls
 /// wait until SetOpen(true) and SetLeaseExpiry. Each accepted call gets exactly
 /// one Reply. Not thread-safe.
@@ -47,6 +54,12 @@
   /// What became of a StartCall.
   void OnResult(const model::UpstreamResult& result, Actions& out);
 
+  /// Refuses the queued canaries whose fingerprint `outcome_of` has an outcome
+  /// for.
+  void RefuseCanaries(const std::function<std::optional<model::LeafOutcome>(
+                          std::uint64_t fingerprint)>& outcome_of,
+                      Actions& out);
+
   /// Evidence of a cold start from elsewhere, such as a status probe.
   void OnColdEvidence(Actions& out);
 
@@ -97,7 +110,12 @@
 
   bool TakesCalls() const { return !draining_ && !zone_out_; }
   bool Known(const model::CallId& id) const;
-  bool CanStart(const QueuedCall& next) const;
+  bool CanStart(const model::LeafCall& next) const;
+  /// Whether `call` is a canary whose fingerprint runs here as a canary.
+  bool AwaitsCanary(const model::LeafCall& call) const;
+  /// Whether the canary `call` must look for another leaf; remembers it then,
+  /// so that further calls of its fingerprint follow it.
+  bool SendsOn(const model::LeafCall& call);
   void StartCalls(Actions& out);
   void Start(QueuedCall next, Actions& out);
   void ExpireQueued(Actions& out);
@@ -126,6 +144,8 @@
   RunningMap running_;
   GateCounters counters_;
   base::TimePoint lease_expiry_ = base::TimePoint::min();
+  /// Fingerprints of canaries that were sent on lately, oldest first.
+  std::deque<std::pair<base::TimePoint, std::uint64_t>> sent_on_;
   std::uint64_t incarnation_ = 0;
   bool open_ = false;
   bool draining_ = false;
--- a/limits/include/berylreach/limits/running_call.h
+++ b/limits/include/berylreach/limits/running_call.h
@@ -16,6 +16,8 @@
   std::uint64_t generation = 0;
   /// Nothing else may run on the leaf with it.
   bool alone = false;
+  /// No other canary of the fingerprint may run on the leaf with it.
+  bool canary = false;
   /// The answer was lost or timed out and the sender has its reply; the slot
   /// stays taken since the leaf may still run the call.
   bool unproven = false;
--- a/limits/lib/call_queue.cc
+++ b/limits/lib/call_queue.cc
@@ -29,6 +29,12 @@
   return Take(calls_.find(key->second));
 }
 
+void CallQueue::OnProven(std::uint64_t fingerprint) {
+  for (auto& [key, call] : calls_) {
+    if (call.call.fingerprint == fingerprint) call.call.canary = false;
+  }
+}
+
 std::optional<base::TimePoint> CallQueue::EarliestDeadline() const {
   std::optional<base::TimePoint> earliest;
   for (const auto& [key, call] : calls_) {
--- a/limits/lib/leaf_gate.cc
+++ b/limits/lib/leaf_gate.cc
@@ -24,6 +24,11 @@
     RefuseOutOfService(call, out);
     return;
   }
+  if (call.canary && call.no_wait && SendsOn(call)) {
+    ++counters_.refused_no_slot;
+    Answer(call.id, LeafOutcome::kNoSlot, {}, out);
+    return;
+  }
   queue_.Push({call, clock_.Now() + call.budget});
   Update(out);
 }
@@ -47,6 +52,19 @@
   Update(out);
 }
 
+void LeafGate::RefuseCanaries(
+    const std::function<std::optional<LeafOutcome>(std::uint64_t)>& outcome_of,
+    Actions& out) {
+  const auto refused = queue_.RemoveIf([&](const QueuedCall& call) {
+    return call.call.canary && outcome_of(call.call.fingerprint).has_value();
+  });
+  for (const QueuedCall& call : refused) {
+    ++counters_.refused_suspect;
+    Answer(call.call.id, *outcome_of(call.call.fingerprint), {}, out);
+  }
+  if (!refused.empty()) Update(out);
+}
+
 void LeafGate::OnResult(const model::UpstreamResult& result, Actions& out) {
   NoteIncarnation(result);
   const auto found = running_.find(result.id);
@@ -97,6 +115,9 @@
 
 void LeafGate::Finish(RunningMap::iterator found,
                       const model::UpstreamResult& result, Actions& out) {
+  if (found->second.canary && result.outcome == LeafOutcome::kOk) {
+    queue_.OnProven(found->second.fingerprint);
+  }
   const bool unproven =
       !result.ended && (result.outcome == LeafOutcome::kLost ||
                         result.outcome == LeafOutcome::kTimedOut);
--- a/limits/lib/leaf_gate_queue.cc
+++ b/limits/lib/leaf_gate_queue.cc
@@ -27,17 +27,46 @@
   ShedQueued(out);
 }
 
-bool LeafGate::CanStart(const QueuedCall& next) const {
+bool LeafGate::CanStart(const model::LeafCall& next) const {
   if (!open_ || clock_.Now() >= lease_expiry_) return false;
   if (running_.size() >= limit_.value()) return false;
   if (running_.empty()) return true;
   // A call that must run alone is the only running one.
-  return !next.call.alone && !running_.begin()->second.alone;
+  return !next.alone && !running_.begin()->second.alone;
 }
 
 void LeafGate::StartCalls(Actions& out) {
-  while (!queue_.empty() && CanStart(queue_.Front()))
-    Start(queue_.PopFront(), out);
+  const auto ready = [this](const QueuedCall& call) {
+    return !AwaitsCanary(call.call);
+  };
+  while (const QueuedCall* next = queue_.FindFirst(ready)) {
+    if (!CanStart(next->call)) return;
+    Start(*queue_.Remove(next->call.id), out);
+  }
+}
+
+bool LeafGate::AwaitsCanary(const model::LeafCall& call) const {
+  if (!call.canary) return false;
+  return std::any_of(running_.begin(), running_.end(), [&](const auto& item) {
+    return item.second.canary && item.second.fingerprint == call.fingerprint;
+  });
+}
+
+bool LeafGate::SendsOn(const model::LeafCall& call) {
+  const bool waits_here =
+      AwaitsCanary(call) || queue_.FindFirst([&](const QueuedCall& other) {
+        return other.call.canary && other.call.fingerprint == call.fingerprint;
+      }) != nullptr;
+  if (waits_here) return false;
+  const base::TimePoint now = clock_.Now();
+  while (!sent_on_.empty() && sent_on_.front().first + kCanaryMemory <= now)
+    sent_on_.pop_front();
+  const bool before = std::any_of(
+      sent_on_.begin(), sent_on_.end(),
+      [&](const auto& item) { return item.second == call.fingerprint; });
+  if (!before && queue_.empty() && CanStart(call)) return false;
+  sent_on_.emplace_back(now, call.fingerprint);
+  return true;
 }
 
 void LeafGate::Start(QueuedCall next, Actions& out) {
@@ -47,6 +76,7 @@
   running.not_after = std::min(next.deadline, lease_expiry_);
   running.generation = limit_.generation();
   running.alone = next.call.alone;
+  running.canary = next.call.canary;
   running_.emplace(next.call.id, running);
   ++counters_.started;
   out.emplace_back(StartCall{std::move(next.call), running.not_after});
--- a/model/include/berylreach/model/leaf_call.h
+++ b/model/include/berylreach/model/leaf_call.h
@@ -33,6 +33,12 @@
   /// The fingerprint is suspect: the call must run with nothing else on the
   /// leaf.
   bool alone = false;
+  /// The fingerprint has not been proven at the sender. Such calls of one
+  /// fingerprint run on the leaf one after the other until one succeeds.
+  bool canary = false;
+  /// A canary for which the leaf has no free slot is answered with kNoSlot at
+  /// once.
+  bool no_wait = false;
 
   friend bool operator==(const LeafCall&, const LeafCall&) = default;
 };
--- a/model/include/berylreach/model/leaf_reply.h
+++ b/model/include/berylreach/model/leaf_reply.h
@@ -29,6 +29,10 @@
           ///< sent.
   kLeafDied,  ///< Like kLost, and the leaf process is known to have ended.
   kTimedOut,  ///< No answer before the deadline, after bytes were sent.
+  kSuspect,   ///< The fingerprint became suspect before the call started;
+              ///< nothing was sent.
+  kNoSlot,  ///< The leaf has no free slot for a call marked `no_wait`; nothing
+            ///< was sent.
 };
 
 /// True if the outcome proves that the leaf did not run the call.
--- a/model/include/berylreach/model/suspect_update.h
+++ b/model/include/berylreach/model/suspect_update.h
@@ -15,7 +15,7 @@
 };
 
 /// One entry of the quarantine table. Entries merge by the higher `deaths`,
-/// then by state.
+/// then by state; the leaves of equal suspects add up.
 struct SuspectEntry {
   std::uint64_t fingerprint = 0;
   SuspectState state = SuspectState::kSuspect;
@@ -24,6 +24,9 @@
   /// Remaining lifetime of the entry. Relative, because host clocks are not
   /// comparable.
   std::chrono::milliseconds expires_in{0};
+  /// Of a suspect: hashes of the leaves that died under its canaries, sorted.
+  /// Two of them block it.
+  std::vector<std::uint64_t> canary_leaves;
 
   friend bool operator==(const SuspectEntry&, const SuspectEntry&) = default;
 };
--- a/model/lib/leaf_reply.cc
+++ b/model/lib/leaf_reply.cc
@@ -12,6 +12,8 @@
     case LeafOutcome::kNotOwner:
     case LeafOutcome::kBlocked:
     case LeafOutcome::kNotSent:
+    case LeafOutcome::kSuspect:
+    case LeafOutcome::kNoSlot:
       return true;
     case LeafOutcome::kOk:
     case LeafOutcome::kLost:
--- a/quarantine/include/berylreach/quarantine/fingerprint.h
+++ b/quarantine/include/berylreach/quarantine/fingerprint.h
@@ -15,6 +15,9 @@
 /// order under a new key is recognised.
 std::uint64_t FingerprintOf(const model::CallerRequest& request);
 
+/// Identifies a leaf in SuspectEntry::canary_leaves; never 0.
+std::uint64_t LeafIdOf(const model::LeafName& leaf);
+
 /// The member that arbitrates runs of a suspect fingerprint: its rendezvous
 /// winner among all members. Null if there are no members.
 const model::Member* ArbiterOf(std::uint64_t fingerprint,
--- a/quarantine/include/berylreach/quarantine/quarantine.h
+++ b/quarantine/include/berylreach/quarantine/quarantine.h
@@ -23,9 +23,11 @@
 ///
 /// A suspect runs only through its arbiter (ArbiterOf), which grants one run at
 /// a time; the leaf's owner accepts a call marked `alone` only from the
-/// arbiter. A death while running alone blocks the fingerprint. Deaths in
-/// company only make suspects, however many leaves die together: a zone that
-/// loses power must not block the requests that were running there.
+/// arbiter. A death while running alone blocks the fingerprint, and so do the
+/// deaths of two leaves under its canaries, from whatever hosts. Deaths in the
+/// company of a proven request only make suspects, however many leaves die
+/// together: a zone that loses power must not block the requests that were
+/// running there.
 class Quarantine {
  public:
   static constexpr std::size_t kProvenCapacity = 100000;
@@ -73,8 +75,13 @@
   /// it.
   void OnSecondDeath(std::uint64_t fingerprint, std::vector<Action>& out);
 
+  /// The owner of a leaf has answered that the fingerprint is suspect, and its
+  /// push has not arrived yet.
+  void OnSuspectElsewhere(std::uint64_t fingerprint);
+
   /// Takes over entries of another host; returns whether the table changed.
-  /// Idempotent and commutative: the higher (deaths, state) wins.
+  /// Idempotent and commutative: the higher (deaths, state) wins, and the
+  /// leaves of equal suspects add up.
   bool Merge(const model::SuspectUpdate& update);
 
   /// All entries that have not expired, ordered by fingerprint.
@@ -83,6 +90,14 @@
   /// Equal on hosts with equal entries, whatever their order; lifetimes aside.
   std::uint64_t Digest() const;
 
+  /// At the arbiter: how long the run of a suspect canary must wait, so that
+  /// deaths of the same request at other hosts, which got it at the same
+  /// instant, are heard first. Zero if the fingerprint is no suspect.
+  base::Duration CanaryHoldOff(std::uint64_t fingerprint) const;
+
+  /// Rises whenever a standing may have become worse.
+  std::uint64_t revision() const { return revision_; }
+
   /// At the arbiter: asks to run a suspect alone until `until` at the latest.
   Grant TryStartAlone(std::uint64_t fingerprint, base::TimePoint until);
 
@@ -107,11 +122,20 @@
     model::SuspectState state = model::SuspectState::kSuspect;
     std::uint32_t deaths = 0;
     base::TimePoint expires{};
+    /// When this host learned of the state.
+    base::TimePoint since{};
+    /// Sorted, at most kFatalDeaths of them.
+    std::vector<std::uint64_t> canary_leaves{};
+
+    bool Blocked() const;
   };
 
   const Entry* Find(std::uint64_t fingerprint) const;
-  void Put(std::uint64_t fingerprint, model::SuspectState state,
-           std::uint32_t deaths, std::vector<Action>& out);
+  void Put(std::uint64_t fingerprint, Entry entry, std::vector<Action>& out);
+  void Store(std::uint64_t fingerprint, Entry entry);
+  /// Adds the leaves of another report of the same suspicion; returns whether
+  /// there were new ones.
+  bool AddLeaves(Entry& entry, const std::vector<std::uint64_t>& leaves);
   bool MergeEntry(const model::SuspectEntry& incoming);
   model::SuspectEntry ToModel(std::uint64_t fingerprint,
                               const Entry& entry) const;
@@ -121,6 +145,7 @@
   std::map<std::uint64_t, Entry> entries_;
   std::unordered_map<std::uint64_t, base::TimePoint> grants_;
   base::TimePoint no_grants_before_{};
+  std::uint64_t revision_ = 0;
 };
 
 }  // namespace berylreach::quarantine
--- a/quarantine/lib/fingerprint.cc
+++ b/quarantine/lib/fingerprint.cc
@@ -27,6 +27,11 @@
   return base::Hash64(text);
 }
 
+std::uint64_t LeafIdOf(const model::LeafName& leaf) {
+  const std::uint64_t hash = base::Hash64(leaf.value);
+  return hash == 0 ? 1 : hash;
+}
+
 const model::Member* ArbiterOf(std::uint64_t fingerprint,
                                const std::vector<model::Member>& members) {
   const std::string key =
--- a/quarantine/lib/quarantine.cc
+++ b/quarantine/lib/quarantine.cc
@@ -17,6 +17,12 @@
 
 }  // namespace
 
+bool Quarantine::Entry::Blocked() const {
+  return state == SuspectState::kBlocked ||
+         (state == SuspectState::kSuspect &&
+          canary_leaves.size() >= kFatalDeaths);
+}
+
 const Quarantine::Entry* Quarantine::Find(std::uint64_t fingerprint) const {
   const auto found = entries_.find(fingerprint);
   if (found == entries_.end()) return nullptr;
@@ -25,6 +31,7 @@
 
 Standing Quarantine::StandingOf(std::uint64_t fingerprint) const {
   if (const Entry* entry = Find(fingerprint)) {
+    if (entry->Blocked()) return Standing::kBlocked;
     switch (entry->state) {
       case SuspectState::kSuspect:
         return Standing::kSuspect;
@@ -44,12 +51,32 @@
                           : entry->expires - clock_.Now();
 }
 
-void Quarantine::Put(std::uint64_t fingerprint, SuspectState state,
-                     std::uint32_t deaths, std::vector<Action>& out) {
-  const Entry entry{state, deaths, clock_.Now() + kEntryLifetime};
-  entries_[fingerprint] = entry;
-  if (state != SuspectState::kCleared) proven_.Erase(fingerprint);
+void Quarantine::Put(std::uint64_t fingerprint, Entry entry,
+                     std::vector<Action>& out) {
+  entry.expires = clock_.Now() + kEntryLifetime;
   out.push_back(PublishSuspects{{{ToModel(fingerprint, entry)}}});
+  Store(fingerprint, std::move(entry));
+}
+
+void Quarantine::Store(std::uint64_t fingerprint, Entry entry) {
+  entry.since = clock_.Now();
+  if (entry.state != SuspectState::kCleared) proven_.Erase(fingerprint);
+  entries_[fingerprint] = std::move(entry);
+  ++revision_;
+}
+
+bool Quarantine::AddLeaves(Entry& entry,
+                           const std::vector<std::uint64_t>& leaves) {
+  auto merged = entry.canary_leaves;
+  merged.insert(merged.end(), leaves.begin(), leaves.end());
+  std::sort(merged.begin(), merged.end());
+  merged.erase(std::unique(merged.begin(), merged.end()), merged.end());
+  // Hosts must agree on the entry, whatever the order of the reports.
+  if (merged.size() > kFatalDeaths) merged.resize(kFatalDeaths);
+  if (merged == entry.canary_leaves) return false;
+  entry.canary_leaves = std::move(merged);
+  ++revision_;
+  return true;
 }
 
 void Quarantine::OnCompleted(std::uint64_t fingerprint) {
@@ -63,10 +90,10 @@
   const Entry* entry = Find(fingerprint);
   // A block stands: the leaf's death after it proves more than a completion
   // before it.
-  if (entry != nullptr && entry->state == SuspectState::kBlocked) return;
+  if (entry != nullptr && entry->Blocked()) return;
   proven_.Insert(fingerprint);
   if (entry == nullptr || entry->state == SuspectState::kCleared) return;
-  Put(fingerprint, SuspectState::kCleared, entry->deaths, out);
+  Put(fingerprint, {SuspectState::kCleared, entry->deaths}, out);
 }
 
 void Quarantine::OnLeafDeath(const std::vector<RunningCall>& running,
@@ -74,25 +101,50 @@
   for (const RunningCall& call : running) {
     const Entry* entry = Find(call.fingerprint);
     const std::uint32_t deaths = entry == nullptr ? 0 : entry->deaths;
-    if (entry != nullptr && entry->state == SuspectState::kBlocked) continue;
+    if (entry != nullptr && entry->Blocked()) continue;
     if (call.alone) {
-      Put(call.fingerprint, SuspectState::kBlocked,
-          std::max(deaths + 1, kFatalDeaths), out);
+      Put(call.fingerprint,
+          {SuspectState::kBlocked, std::max(deaths + 1, kFatalDeaths)}, out);
+      continue;
+    }
+    std::vector<std::uint64_t> leaves;
+    if (call.canary_leaf != 0) leaves.push_back(call.canary_leaf);
+    if (entry == nullptr || entry->state != SuspectState::kSuspect) {
+      Put(call.fingerprint,
+          {SuspectState::kSuspect, deaths + 1, {}, {}, std::move(leaves)}, out);
       continue;
     }
     // The second report of the same death, or a death in company that adds no
-    // evidence to the first.
-    if (entry != nullptr && entry->state == SuspectState::kSuspect) continue;
-    Put(call.fingerprint, SuspectState::kSuspect, deaths + 1, out);
+    // evidence to the first, changes nothing.
+    Entry& known = entries_.at(call.fingerprint);
+    if (!AddLeaves(known, leaves)) continue;
+    out.push_back(PublishSuspects{{{ToModel(call.fingerprint, known)}}});
+  }
+}
+
+void Quarantine::OnSuspectElsewhere(std::uint64_t fingerprint) {
+  if (Find(fingerprint) != nullptr) return;
+  Store(fingerprint,
+        {SuspectState::kSuspect, 1, clock_.Now() + kEntryLifetime});
+}
+
+base::Duration Quarantine::CanaryHoldOff(std::uint64_t fingerprint) const {
+  const Entry* entry = Find(fingerprint);
+  if (entry == nullptr || entry->state != SuspectState::kSuspect ||
+      entry->Blocked()) {
+    return base::Duration::zero();
   }
+  return std::max<base::Duration>(entry->since + kPropagation - clock_.Now(),
+                                  base::Duration::zero());
 }
 
 void Quarantine::OnSecondDeath(std::uint64_t fingerprint,
                                std::vector<Action>& out) {
   const Entry* entry = Find(fingerprint);
-  if (entry != nullptr && entry->state == SuspectState::kBlocked) return;
+  if (entry != nullptr && entry->Blocked()) return;
   const std::uint32_t deaths = entry == nullptr ? 0 : entry->deaths;
-  Put(fingerprint, SuspectState::kBlocked, std::max(deaths, kFatalDeaths), out);
+  Put(fingerprint, {SuspectState::kBlocked, std::max(deaths, kFatalDeaths)},
+      out);
 }
 
 bool Quarantine::Merge(const model::SuspectUpdate& update) {
@@ -118,14 +170,15 @@
     if (offered < held) return false;
     if (offered == held) {
       entry.expires = std::max(entry.expires, expires);
-      return false;
+      return entry.state == SuspectState::kSuspect &&
+             AddLeaves(entry, incoming.canary_leaves);
     }
   }
-  entries_[incoming.fingerprint] =
-      Entry{incoming.state, incoming.deaths, expires};
-  if (incoming.state != SuspectState::kCleared) {
-    proven_.Erase(incoming.fingerprint);
+  Entry entry{incoming.state, incoming.deaths, expires};
+  if (entry.state == SuspectState::kSuspect) {
+    AddLeaves(entry, incoming.canary_leaves);
   }
+  Store(incoming.fingerprint, std::move(entry));
   return true;
 }
 
@@ -137,6 +190,7 @@
   result.deaths = entry.deaths;
   result.expires_in = std::chrono::duration_cast<std::chrono::milliseconds>(
       entry.expires - clock_.Now());
+  result.canary_leaves = entry.canary_leaves;
   return result;
 }
 
@@ -156,7 +210,10 @@
     // differ.
     if (entry.expires - clock_.Now() < kLeastLifetime) continue;
     text += std::to_string(fingerprint) + ':' + std::to_string(entry.deaths) +
-            ':' + std::to_string(static_cast<int>(entry.state)) + ';';
+            ':' + std::to_string(static_cast<int>(entry.state));
+    for (const std::uint64_t leaf : entry.canary_leaves)
+      text += ':' + std::to_string(leaf);
+    text += ';';
   }
   return base::Hash64(text);
 }
--- a/quarantine/unittests/quarantine_test.cc
+++ b/quarantine/unittests/quarantine_test.cc
@@ -40,6 +40,57 @@
   EXPECT_EQ(out_.size(), 2U);
 }
 
+// Copies of a request that reach hosts of several regions at the same instant
+// kill a leaf in each; without the sum a further leaf would run it alone.
+TEST_F(QuarantineTest, DeathsOfTwoLeavesUnderCanariesBlock) {
+  Quarantine other(clock_);
+  std::vector<Action> others;
+  quarantine_.OnLeafDeath({{1, false, 11}}, out_);
+  other.OnLeafDeath({{1, false, 12}}, others);
+  EXPECT_EQ(other.StandingOf(1), Standing::kSuspect);
+  const auto revision = other.revision();
+  EXPECT_TRUE(other.Merge(std::get<PublishSuspects>(out_[0]).update));
+  EXPECT_TRUE(quarantine_.Merge(std::get<PublishSuspects>(others[0]).update));
+  EXPECT_EQ(other.StandingOf(1), Standing::kBlocked);
+  EXPECT_EQ(quarantine_.StandingOf(1), Standing::kBlocked);
+  EXPECT_GT(other.revision(), revision);
+  EXPECT_EQ(quarantine_.Digest(), other.Digest());
+  EXPECT_EQ(quarantine_.TryStartAlone(1, clock_.Now()), Grant::kBlocked);
+  quarantine_.OnCompletedAlone(1, out_);
+  EXPECT_EQ(quarantine_.StandingOf(1), Standing::kBlocked);
+}
+
+// The entry host and the owner both report the death of a canary's leaf.
+TEST_F(QuarantineTest, TwoReportsOfOneLeafDoNotBlock) {
+  quarantine_.OnLeafDeath({{1}}, out_);
+  quarantine_.OnLeafDeath({{1, false, 11}}, out_);
+  EXPECT_EQ(out_.size(), 2U);
+  quarantine_.OnLeafDeath({{1, false, 11}}, out_);
+  EXPECT_EQ(out_.size(), 2U);
+  EXPECT_EQ(quarantine_.StandingOf(1), Standing::kSuspect);
+}
+
+// A run alone before the deaths at other hosts are heard could kill one leaf
+// too many.
+TEST_F(QuarantineTest, SuspectCanaryIsHeldOffUntilOtherDeathsAreHeard) {
+  EXPECT_EQ(quarantine_.CanaryHoldOff(1), base::Duration::zero());
+  quarantine_.OnLeafDeath({{1, false, 11}}, out_);
+  EXPECT_EQ(quarantine_.CanaryHoldOff(1), Quarantine::kPropagation);
+  clock_.Advance(Quarantine::kPropagation);
+  EXPECT_EQ(quarantine_.CanaryHoldOff(1), base::Duration::zero());
+}
+
+TEST_F(QuarantineTest, SuspicionHeardBeforeItsPushMergesWithIt) {
+  quarantine_.OnCompleted(1);
+  quarantine_.OnSuspectElsewhere(1);
+  EXPECT_EQ(quarantine_.StandingOf(1), Standing::kSuspect);
+  Quarantine owner(clock_);
+  owner.OnLeafDeath({{1, false, 11}}, out_);
+  quarantine_.Merge(std::get<PublishSuspects>(out_[0]).update);
+  EXPECT_EQ(quarantine_.Entries(), owner.Entries());
+  EXPECT_EQ(quarantine_.StandingOf(1), Standing::kSuspect);
+}
+
 TEST_F(QuarantineTest, DeathAloneBlocksUntilExpiry) {
   quarantine_.OnLeafDeath({{1}}, out_);
   quarantine_.OnLeafDeath({{1, true}}, out_);
@@ -90,10 +141,10 @@
 }
 
 TEST_F(QuarantineTest, ExpiringEntriesAreNotRevived) {
-  EXPECT_FALSE(
-      quarantine_.Merge({{{1, SuspectState::kBlocked, 2, milliseconds(999)}}}));
+  EXPECT_FALSE(quarantine_.Merge(
+      {{{1, SuspectState::kBlocked, 2, milliseconds(999), {}}}}));
   EXPECT_TRUE(quarantine_.Merge(
-      {{{1, SuspectState::kBlocked, 2, std::chrono::hours(99)}}}));
+      {{{1, SuspectState::kBlocked, 2, std::chrono::hours(99), {}}}}));
   EXPECT_EQ(quarantine_.ExpiresIn(1), Quarantine::kEntryLifetime);
 }
 
@@ -103,9 +154,15 @@
   for (int round = 0; round < 200; ++round) {
     std::vector<model::SuspectEntry> entries;
     for (int i = 0; i < 20; ++i) {
-      entries.push_back({random() % 4, static_cast<SuspectState>(random() % 3),
+      entries.push_back({random() % 4,
+                         static_cast<SuspectState>(random() % 3),
                          static_cast<std::uint32_t>(1 + random() % 3),
-                         milliseconds(1000 + random() % 5000)});
+                         milliseconds(1000 + random() % 5000),
+                         {}});
+      auto& leaves = entries.back().canary_leaves;
+      for (std::uint64_t leaf = 1; leaf <= 3; ++leaf) {
+        if (random() % 3 == 0) leaves.push_back(leaf);
+      }
     }
     Quarantine first(clock_);
     first.Merge({entries});
--- a/query/include/berylreach/query/query_runner.h
+++ b/query/include/berylreach/query/query_runner.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "berylreach/query/hedge_policy.h"
 #include "berylreach/query/query_context.h"
 #include "berylreach/query/shard_progress.h"
+#include "berylreach/routing/choose_by_fingerprint.h"
 #include "berylreach/routing/replica.h"
 #include "berylreach/routing/snapshot.h"
 
@@ -33,6 +35,9 @@
   /// Leaves on which an unproven request may fail before it is given up, since
   /// each failure may be a death that has not been recognised yet.
   static constexpr std::uint32_t kMaxRiskyFailures = 2;
+  /// Leaves without a free slot that a canary passes by before it waits at the
+  /// first of them.
+  static constexpr std::uint32_t kMaxCanaryMoves = 3;
   /// Given with refusals for want of a usable leaf; leaf states change within
   /// about this time.
   static constexpr std::chrono::milliseconds kRetryAfter{1000};
@@ -77,13 +82,21 @@
   void Launch(std::vector<Action>& out);
   void LaunchAll(std::vector<Action>& out);
   void LaunchCanary(std::vector<Action>& out);
-  ShardProgress* CanaryShard(bool suspect);
-  double CanaryCost(const ShardProgress& shard) const;
+  ShardProgress* CanaryShard();
+  ShardProgress* SuspectShard();
+  void WaitAtFirstChoice();
+  const ShardProgress& ProgressOf(std::uint32_t shard) const;
   bool TryReplan(std::vector<Action>& out);
   bool ReachesFurther(const routing::Snapshot& snapshot) const;
 
   // Calls and hedges (query_runner_calls.cc).
   std::optional<routing::Replica> PickReplica(const ShardProgress& shard) const;
+  /// The fingerprint is unproven and no shard has answered yet.
+  bool RunsCanary() const;
+  /// The fingerprint's choice among `shards`, which must be open.
+  std::optional<routing::Placement> PickCanary(
+      std::span<const std::uint32_t> shards) const;
+  std::string OwnRegion() const;
   bool Send(ShardProgress& shard, bool hedge, bool extra,
             std::vector<Action>& out);
   const model::HostName* Destination(const model::LeafName& leaf,
@@ -108,6 +121,8 @@
   void OnFailure(const ActiveCall& call, const model::LeafReply& reply,
                  std::vector<Action>& out);
   void OnMoved(const ActiveCall& call, std::vector<Action>& out);
+  void OnNoSlot(const ActiveCall& call, std::vector<Action>& out);
+  void OnSuspect(const ActiveCall& call, std::vector<Action>& out);
   bool NoteDeath(const ActiveCall& call, const model::LeafReply& reply,
                  std::vector<Action>& out);
   void Recover(ShardProgress& shard, model::MissingReason reason,
@@ -163,6 +178,9 @@
 
   /// Only the canary's shard has been started.
   bool canary_phase_ = false;
+  /// Leaves that had no free slot for the canary; empty once it waits.
+  std::vector<model::LeafName> canary_moves_;
+  bool canary_waits_ = false;
   std::uint32_t failed_canaries_ = 0;
   std::uint32_t canary_deaths_ = 0;
   std::uint32_t risky_failures_ = 0;
--- a/query/lib/query_runner_calls.cc
+++ b/query/lib/query_runner_calls.cc
@@ -8,16 +8,51 @@
 
 namespace berylreach::query {
 
+bool QueryRunner::RunsCanary() const {
+  return canary_phase_ && CurrentStanding() == quarantine::Standing::kUnproven;
+}
+
+std::string QueryRunner::OwnRegion() const {
+  const model::Zone* zone =
+      model::FindZone(context_.Environment(), context_.OwnZone());
+  return zone == nullptr ? std::string() : zone->region;
+}
+
+std::optional<routing::Placement> QueryRunner::PickCanary(
+    std::span<const std::uint32_t> shards) const {
+  routing::FingerprintQuery query;
+  query.version = snapshot_.version;
+  query.shard_count = snapshot_.shard_count;
+  query.fingerprint = fingerprint_;
+  query.region = OwnRegion();
+  query.shards = shards;
+  query.is_excluded = [this](std::uint32_t shard, const model::LeafName& leaf) {
+    const auto& tried = ProgressOf(shard).tried;
+    return std::count(tried.begin(), tried.end(), leaf) > 0 ||
+           std::count(canary_moves_.begin(), canary_moves_.end(), leaf) > 0;
+  };
+  if (context_.AnyOwnerDoubtful()) {
+    query.is_last_resort = [this](const model::LeafName& leaf) {
+      return context_.OwnerDoubtful(leaf);
+    };
+  }
+  return routing::ChooseByFingerprint(context_.Replicas(request_.service),
+                                      query);
+}
+
 std::optional<routing::Replica> QueryRunner::PickReplica(
     const ShardProgress& shard) const {
+  if (RunsCanary()) {
+    const auto place = PickCanary({&shard.shard, 1});
+    if (!place) return std::nullopt;
+    return place->replica;
+  }
   routing::ReplicaQuery query;
   query.version = snapshot_.version;
   query.shard_count = snapshot_.shard_count;
   query.shard = shard.shard;
   query.own_zone = context_.OwnZone();
-  const model::Zone* zone =
-      model::FindZone(context_.Environment(), query.own_zone);
-  if (zone != nullptr) query.own_region = zone->region;
+  query.own_region = OwnRegion();
   query.tried = shard.tried;
   query.suspect = CurrentStanding() == quarantine::Standing::kSuspect;
   if (context_.AnyOwnerDoubtful()) {
@@ -75,6 +110,10 @@
   action.call.id = context_.NextCallId();
   action.call.extra = extra;
   action.call.alone = alone;
+  action.call.canary =
+      canary_phase_ && CurrentStanding() != quarantine::Standing::kProven;
+  action.call.no_wait = RunsCanary() && !hedge && !canary_waits_ &&
+                        replica->region == OwnRegion();
   ActiveCall call;
   call.to = *to;
   call.leaf = replica->leaf;
@@ -89,7 +128,10 @@
   shard.tried.push_back(replica->leaf);
   shard.started = true;
   context_.Leaves().OnCallSent(replica->leaf);
-  if (!extra) {
+  const bool sent_on =
+      canary_phase_ && (canary_waits_ || !canary_moves_.empty());
+  // A canary that was sent on has earned already.
+  if (!extra && !sent_on) {
     context_.HedgeBudget().Earn();
     context_.RetryBudget().Earn();
   }
--- a/query/lib/query_runner_plan.cc
+++ b/query/lib/query_runner_plan.cc
@@ -9,13 +9,8 @@
 namespace berylreach::query {
 namespace {
 
-// Shards compared when the canary's shard is chosen; comparing all of 720 would
-// cost more than it gains.
-constexpr std::size_t kCanaryCandidates = 8;
 // A repeat cannot succeed.
 constexpr std::chrono::milliseconds kNever{0};
-// Weighs more than any work per slot, so that the own zone comes first.
-constexpr double kOtherZoneCost = 1e6;
 
 bool Accepts(const model::Service& service, model::RequestKind kind) {
   return kind != model::RequestKind::kOrder &&
@@ -74,6 +69,8 @@
   }
   open_shards_ = static_cast<std::uint32_t>(shards_.size());
   missing_shards_ = 0;
+  canary_moves_.clear();
+  canary_waits_ = false;
   next_hedge_ = base::TimePoint::max();
   const routing::ReplicaIndex& index = context_.Replicas(request_.service);
   for (ShardProgress& shard : shards_) {
@@ -113,51 +110,64 @@
 
 void QueryRunner::LaunchCanary(std::vector<Action>& out) {
   canary_phase_ = true;
-  const bool suspect = CurrentStanding() == quarantine::Standing::kSuspect;
   // Each pass either sends the canary or gives up one shard.
-  while (ShardProgress* shard = CanaryShard(suspect)) {
+  while (ShardProgress* shard = CanaryShard()) {
     if (Send(*shard, /*hedge=*/false, /*extra=*/false, out)) return;
     MarkMissing(*shard, model::MissingReason::kNoReplica);
   }
 }
 
-ShardProgress* QueryRunner::CanaryShard(bool suspect) {
+ShardProgress* QueryRunner::CanaryShard() {
+  if (CurrentStanding() == quarantine::Standing::kSuspect) {
+    return SuspectShard();
+  }
+  std::vector<std::uint32_t> places;
+  for (const ShardProgress& shard : shards_) {
+    if (shard.Open() && !shard.started) places.push_back(shard.shard);
+  }
+  if (places.empty()) return nullptr;
+  auto place = PickCanary(places);
+  // Waiting for a slot takes less time than another region.
+  const bool near = place && place->replica.region == OwnRegion();
+  if (!near && !canary_moves_.empty()) {
+    WaitAtFirstChoice();
+    place = PickCanary(places);
+  }
+  const std::uint32_t chosen = place ? place->shard : places.front();
+  return &shards_[static_cast<std::size_t>(&ProgressOf(chosen) -
+                                           shards_.data())];
+}
+
+const ShardProgress& QueryRunner::ProgressOf(std::uint32_t shard) const {
+  // A lookup has one shard, a query all of them in order.
+  return shards_.size() == 1 ? shards_.front() : shards_.at(shard);
+}
+
+// All copies of the request come back to the same leaf, which knows the first.
+void QueryRunner::WaitAtFirstChoice() {
+  canary_moves_.clear();
+  canary_waits_ = true;
+}
+
+// The shard with most replicas, which can best spare one.
+ShardProgress* QueryRunner::SuspectShard() {
   ShardProgress* best = nullptr;
-  double best_cost = 0;
-  std::size_t compared = 0;
+  std::size_t most = 0;
+  const routing::ReplicaIndex& index = context_.Replicas(request_.service);
   const std::size_t offset = context_.Random() % shards_.size();
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     ShardProgress& shard = shards_[(offset + i) % shards_.size()];
     if (!shard.Open() || shard.started) continue;
-    const routing::ReplicaIndex& index = context_.Replicas(request_.service);
-    const auto replicas =
-        index.Replicas(snapshot_.version, snapshot_.shard_count, shard.shard);
-    // A suspect goes to the shard with most replicas, which can best spare one.
-    const double cost =
-        suspect ? -static_cast<double>(replicas.size()) : CanaryCost(shard);
-    if (best == nullptr || cost < best_cost) {
-      best = &shard;
-      best_cost = cost;
-    }
-    if (!suspect && ++compared == kCanaryCandidates) break;
+    const std::size_t replicas =
+        index.Replicas(snapshot_.version, snapshot_.shard_count, shard.shard)
+            .size();
+    if (best != nullptr && replicas <= most) continue;
+    best = &shard;
+    most = replicas;
   }
   return best;
 }
 
-double QueryRunner::CanaryCost(const ShardProgress& shard) const {
-  double least = 2 * kOtherZoneCost;
-  const routing::ReplicaIndex& index = context_.Replicas(request_.service);
-  for (const routing::Replica& replica :
-       index.Replicas(snapshot_.version, snapshot_.shard_count, shard.shard)) {
-    double cost =
-        static_cast<double>(context_.Leaves().PendingWork(replica.leaf)) /
-        replica.slots;
-    if (replica.zone != context_.OwnZone()) cost += kOtherZoneCost;
-    least = std::min(least, cost);
-  }
-  return least;
-}
-
 bool QueryRunner::ReachesFurther(const routing::Snapshot& snapshot) const {
   // The shard whose version has gone is still open and counts as lost.
   const std::uint64_t reachable = shards_.size() - missing_shards_ - 1;
--- a/query/lib/query_runner_replies.cc
+++ b/query/lib/query_runner_replies.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <string>
 
+#include "berylreach/quarantine/fingerprint.h"
 #include "berylreach/query/query_runner.h"
 
 namespace berylreach::query {
@@ -14,7 +15,9 @@
 bool NeverReachedLeaf(LeafOutcome outcome) {
   return outcome == LeafOutcome::kNotSent ||
          outcome == LeafOutcome::kOverloaded ||
-         outcome == LeafOutcome::kNotOwner || outcome == LeafOutcome::kBlocked;
+         outcome == LeafOutcome::kNotOwner ||
+         outcome == LeafOutcome::kBlocked || outcome == LeafOutcome::kSuspect ||
+         outcome == LeafOutcome::kNoSlot;
 }
 
 bool LossOfConnection(LeafOutcome outcome) {
@@ -100,6 +103,8 @@
     RefuseBlocked(reply.retry_after, out);
     return;
   }
+  if (reply.outcome == LeafOutcome::kNoSlot) return OnNoSlot(call, out);
+  if (reply.outcome == LeafOutcome::kSuspect) return OnSuspect(call, out);
   if (LossOfConnection(reply.outcome) && NoteDeath(call, reply, out)) return;
   const MissingReason reason = ReasonOf(reply.outcome);
   if (reason == MissingReason::kOverloaded) {
@@ -129,6 +134,25 @@
   Recover(shard, MissingReason::kFailed, RetryCost::kBudgeted, out);
 }
 
+void QueryRunner::OnNoSlot(const ActiveCall& call, std::vector<Action>& out) {
+  ShardProgress& shard = shards_[call.place];
+  std::erase(shard.tried, call.leaf);
+  canary_moves_.push_back(call.leaf);
+  if (canary_moves_.size() >= kMaxCanaryMoves) WaitAtFirstChoice();
+  if (Decided() || !shard.Open() || !shard.live.empty()) return;
+  shard.started = false;
+  Launch(out);
+}
+
+// Another copy of the request has killed the leaf. This one goes on as a
+// suspect.
+void QueryRunner::OnSuspect(const ActiveCall& call, std::vector<Action>& out) {
+  last_death_ = clock_.Now();
+  context_.Suspects().OnSuspectElsewhere(fingerprint_);
+  Recover(shards_[call.place], MissingReason::kOverloaded, RetryCost::kFree,
+          out);
+}
+
 // Returns whether the request is refused.
 bool QueryRunner::NoteDeath(const ActiveCall& call,
                             const model::LeafReply& reply,
@@ -144,7 +168,11 @@
   last_death_ = clock_.Now();
   std::vector<quarantine::Action> published;
   quarantine::Quarantine& suspects = context_.Suspects();
-  suspects.OnLeafDeath({{fingerprint_, call.alone}}, published);
+  const bool canary = died && canary_phase_ && !call.alone &&
+                      CurrentStanding() != quarantine::Standing::kProven;
+  suspects.OnLeafDeath({{fingerprint_, call.alone,
+                         canary ? quarantine::LeafIdOf(call.leaf) : 0}},
+                       published);
   if (died && canary_phase_ && ++canary_deaths_ >= 2) {
     suspects.OnSecondDeath(fingerprint_, published);
   }
--- a/query/unittests/killing_request_test.cc
+++ b/query/unittests/killing_request_test.cc
@@ -85,6 +85,55 @@
   EXPECT_EQ(FinalRefusal().retry_after, quarantine::Quarantine::kEntryLifetime);
 }
 
+// Another copy of the request has killed the leaf for which this one waited.
+TEST_F(SuspectTest, CanaryRefusedAsSuspectGoesOnAlone) {
+  Start(false);
+  EXPECT_TRUE(sent_[0].call.canary);
+  Answer(0, LeafOutcome::kSuspect);
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_TRUE(sent_[1].call.alone);
+  Answer(1, LeafOutcome::kOverloaded);
+  EXPECT_EQ(FinalRefusal().ran, model::Ran::kNotRun);
+  EXPECT_GE(FinalRefusal().retry_after, quarantine::Quarantine::kPropagation);
+}
+
+TEST_F(SuspectTest, CopiesAtAllHostsChooseTheSameLeaf) {
+  Start(false);
+  for (std::uint64_t i = 2; i < 8; ++i) {
+    FakeContext other(clock_, 3, 2, i);
+    for (std::uint32_t j = 0; j < 2; ++j) other.Hold(j, {7});
+    other.own_zone = {"z" + std::to_string(i % 2)};
+    for (int call = 0; call < 3; ++call)
+      other.leaves.OnCallSent(sent_[0].call.leaf);
+    QueryRunner runner(clock_, other, request_);
+    std::vector<Action> out;
+    runner.Start(out);
+    EXPECT_EQ(std::get<SendCall>(out.at(0)).call.leaf, sent_[0].call.leaf);
+  }
+}
+
+TEST_F(SuspectTest, CanaryPassesByLeavesWithoutASlotThenWaitsAtTheFirst) {
+  Start(false);
+  for (std::size_t i = 0; i < QueryRunner::kMaxCanaryMoves; ++i) {
+    EXPECT_TRUE(sent_.at(i).call.no_wait);
+    Answer(i, LeafOutcome::kNoSlot);
+  }
+  ASSERT_EQ(sent_.size(), QueryRunner::kMaxCanaryMoves + 1);
+  EXPECT_EQ(sent_.back().call.leaf, sent_.front().call.leaf);
+  EXPECT_FALSE(sent_.back().call.no_wait);
+  std::set<model::LeafName> leaves;
+  for (const SendCall& send : sent_) leaves.insert(send.call.leaf);
+  EXPECT_EQ(leaves.size(), QueryRunner::kMaxCanaryMoves);
+  Answer(sent_.size() - 1);
+  // Shards that were passed by run with the rest of the fan-out.
+  for (std::size_t i = QueryRunner::kMaxCanaryMoves + 1; i < sent_.size(); ++i)
+    EXPECT_FALSE(sent_[i].call.canary);
+  Answer(sent_.size() - 2);
+  Answer(sent_.size() - 1);
+  EXPECT_EQ(FinalAnswer().coverage.shards_answered, 3U);
+  EXPECT_EQ(FinalAnswer().coverage.shards_total, 3U);
+}
+
 constexpr milliseconds kWay{6};
 constexpr milliseconds kImpatience{200};
 
@@ -197,6 +246,19 @@
     for (const auto& push : pushes) {
       Push(std::get<quarantine::PublishSuspects>(push));
     }
+    PublishDown(call.leaf);
+  }
+
+  // The owner's state of the leaf follows its push, so that later requests use
+  // other leaves.
+  void PublishDown(const model::LeafName& leaf) {
+    model::LeafState state;
+    state.leaf = leaf;
+    state.sequence = ~std::uint64_t{0};
+    state.health = model::LeafHealth::kDown;
+    for (auto& context : contexts_) {
+      At(milliseconds(20), [&context, state] { context->leaves.Merge(state); });
+    }
   }
 
   std::set<model::LeafName> dead_;
--- a/routing/lib/replica_index.cc
+++ b/routing/lib/replica_index.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "berylreach/base/hash.h"
+
 namespace berylreach::routing {
 namespace {
 
@@ -46,6 +48,7 @@
   const model::LeafState& state = *table.State(leaf.name);
   Replica replica;
   replica.leaf = leaf.name;
+  replica.name_hash = base::Hash64(leaf.name.value);
   replica.zone = leaf.zone;
   replica.region = model::FindZone(environment, leaf.zone)->region;
   replica.slots = state.health == model::LeafHealth::kCold
--- /dev/null
+++ b/testing/scenarios/killing_query_one_region.lua
@@ -0,0 +1,19 @@
+-- Guards against a killing request that arrives at all hosts of one region at
+-- the same instant (target: 2 leaves killed at most).
+start_hosts()
+run_for_ms(500)
+for round = 1, 5 do
+  for _, host in ipairs{"a1", "a2"} do
+    for copy = 1, 3 do
+      ask{host = host, kind = "query", payload = "kill", deadline_ms = 800}
+    end
+  end
+  run_for_ms(1000)
+  for _, name in ipairs(leaves{}) do
+    if not alive(name) then leaf(name){restart = true} end
+  end
+  run_for_ms(1500)
+end
+local killed = runs{payload = "kill"}
+check(killed >= 1, "no leaf ran the killing request")
+check(killed <= 2, killed .. " leaves ran the killing request")
--- a/transport/lib/call_codec.cc
+++ b/transport/lib/call_codec.cc
@@ -20,6 +20,8 @@
   builder.setBudgetUs(call.budget.count());
   builder.setExtra(call.extra);
   builder.setAlone(call.alone);
+  builder.setCanary(call.canary);
+  builder.setNoWait(call.no_wait);
 }
 
 model::LeafCall Decode(rpc::LeafCall::Reader reader) {
@@ -38,6 +40,8 @@
   call.budget = std::chrono::microseconds(reader.getBudgetUs());
   call.extra = reader.getExtra();
   call.alone = reader.getAlone();
+  call.canary = reader.getCanary();
+  call.no_wait = reader.getNoWait();
   return call;
 }
 
@@ -58,8 +62,7 @@
   model::LeafReply reply;
   reply.id = Decode(reader.getId());
   reply.leaf.value = FromText(reader.getLeaf());
-  reply.outcome =
-      FromNumber(reader.getOutcome(), model::LeafOutcome::kTimedOut);
+  reply.outcome = FromNumber(reader.getOutcome(), model::LeafOutcome::kNoSlot);
   reply.version = reader.getVersion();
   reply.shard = reader.getShard();
   reply.shard_count = reader.getShardCount();
--- a/transport/lib/control_codec.cc
+++ b/transport/lib/control_codec.cc
@@ -94,6 +94,9 @@
   builder.setState(static_cast<std::uint8_t>(entry.state));
   builder.setDeaths(entry.deaths);
   builder.setExpiresInMs(entry.expires_in.count());
+  auto leaves = builder.initCanaryLeaves(entry.canary_leaves.size());
+  for (std::uint32_t i = 0; i < entry.canary_leaves.size(); ++i)
+    leaves.set(i, entry.canary_leaves[i]);
 }
 
 model::SuspectEntry Decode(rpc::SuspectEntry::Reader reader) {
@@ -102,6 +105,8 @@
   entry.state = FromNumber(reader.getState(), model::SuspectState::kBlocked);
   entry.deaths = reader.getDeaths();
   entry.expires_in = std::chrono::milliseconds(reader.getExpiresInMs());
+  for (const std::uint64_t leaf : reader.getCanaryLeaves())
+    entry.canary_leaves.push_back(leaf);
   return entry;
 }
 
--- a/transport/schema/peer.capnp
+++ b/transport/schema/peer.capnp
@@ -77,6 +77,8 @@
   budgetUs @11 :Int64;
   extra @12 :Bool;
   alone @13 :Bool;
+  canary @14 :Bool;
+  noWait @15 :Bool;
 }
 
 struct Holding {
@@ -165,6 +167,7 @@
   state @1 :UInt8;
   deaths @2 :UInt32;
   expiresInMs @3 :Int64;
+  canaryLeaves @4 :List(UInt64);
 }
 
 struct Member {
--- a/transport/unittests/peer_codec_test.cc
+++ b/transport/unittests/peer_codec_test.cc
@@ -79,7 +79,8 @@
 }
 
 model::SuspectEntry AnySuspect() {
-  return {U64(), UpTo(model::SuspectState::kBlocked), U32(), Ms()};
+  return {U64(), UpTo(model::SuspectState::kBlocked), U32(), Ms(),
+          Several(U64)};
 }
 
 model::HeadUpdate AnyHead() {
@@ -118,10 +119,12 @@
                       U64(),
                       Us(),
                       Flag(),
+                      Flag(),
+                      Flag(),
                       Flag()},
       model::LeafReply{Id(),
                        {Bytes()},
-                       UpTo(model::LeafOutcome::kTimedOut),
+                       UpTo(model::LeafOutcome::kNoSlot),
                        U64(),
                        U32(),
                        U32(),
