Send new orders on when their leaf has no free slot

Cause: new orders of one payload all queued at the leaf of their fingerprint. A bucket owner without a success of its own, such as one that has just restarted, kept sending to that leaf while the queue kept it from the success. Change: an order passes by leaves without a free slot and waits at the last leaf that it may be offered to. The owner also sends on a call whose fingerprint it knows as proven, without remembering it.

--- a/core/lib/order_runner.cc
+++ b/core/lib/order_runner.cc
@@ -353,6 +353,14 @@
       order.deadline - clock_.Now());
   call.alone = suspect;
   call.canary = standing != quarantine::Standing::kProven;
+  // The last leaf that may be offered the order lets it wait.
+  const std::size_t leaves = std::min(
+      kMaxLeaves,
+      state_.Replicas(order.order.service)
+          .Replicas(snapshot->version, snapshot->shard_count, kOrderShard)
+          .size());
+  call.no_wait = standing == quarantine::Standing::kUnproven &&
+                 order.tried.size() + 1 < leaves;
   order.tried.push_back(call.leaf);
   order.owner = suspect ? arbiter->host : *owner;
   state_.Leaves().OnCallSent(call.leaf);
--- a/limits/include/berylreach/limits/leaf_gate.h
+++ b/limits/include/berylreach/limits/leaf_gate.h
@@ -113,8 +113,8 @@
   bool CanStart(const model::LeafCall& next) const;
   /// Whether `call` is a canary whose fingerprint runs here as a canary.
   bool AwaitsCanary(const model::LeafCall& call) const;
-  /// Whether the canary `call` must look for another leaf; remembers it then,
-  /// so that further calls of its fingerprint follow it.
+  /// Whether `call` must look for another leaf. A canary is remembered then, so
+  /// that further calls of its fingerprint follow it.
   bool SendsOn(const model::LeafCall& call);
   void StartCalls(Actions& out);
   void Start(QueuedCall next, Actions& out);
--- a/limits/lib/leaf_gate.cc
+++ b/limits/lib/leaf_gate.cc
@@ -24,7 +24,7 @@
     RefuseOutOfService(call, out);
     return;
   }
-  if (call.canary && call.no_wait && SendsOn(call)) {
+  if (call.no_wait && SendsOn(call)) {
     ++counters_.refused_no_slot;
     Answer(call.id, LeafOutcome::kNoSlot, {}, out);
     return;
--- a/limits/lib/leaf_gate_queue.cc
+++ b/limits/lib/leaf_gate_queue.cc
@@ -53,6 +53,8 @@
 }
 
 bool LeafGate::SendsOn(const model::LeafCall& call) {
+  // Copies of a proven request may run anywhere.
+  if (!call.canary) return !queue_.empty() || !CanStart(call);
   const bool waits_here =
       AwaitsCanary(call) || queue_.FindFirst([&](const QueuedCall& other) {
         return other.call.canary && other.call.fingerprint == call.fingerprint;
--- a/limits/unittests/leaf_gate_canary_test.cc
+++ b/limits/unittests/leaf_gate_canary_test.cc
@@ -152,6 +152,15 @@
   EXPECT_TRUE(Started(Call(1, true, true)));
 }
 
+// Hosts that have not seen a popular request yet would all queue at one leaf.
+TEST_F(LeafGateCanaryTest, ProvenCallThatDoesNotWaitIsSentOnButNotRemembered) {
+  std::vector<model::CallId> running;
+  for (std::uint32_t i = 0; i < kSlots; ++i) running.push_back(Call(9));
+  EXPECT_EQ(Reply(Call(1, false, true)), LeafOutcome::kNoSlot);
+  for (const auto& id : running) Result(id, LeafOutcome::kOk);
+  EXPECT_TRUE(Started(Call(1, false, true)));
+}
+
 TEST_F(LeafGateCanaryTest, CopiesOfACanaryThatIsHereWaitForIt) {
   const auto first = Call(1, true, true);
   for (std::uint32_t i = 1; i < kSlots; ++i) Call(9);
--- a/model/include/berylreach/model/leaf_call.h
+++ b/model/include/berylreach/model/leaf_call.h
@@ -36,8 +36,7 @@
   /// The fingerprint has not been proven at the sender. Such calls of one
   /// fingerprint run on the leaf one after the other until one succeeds.
   bool canary = false;
-  /// A canary for which the leaf has no free slot is answered with kNoSlot at
-  /// once.
+  /// Answered with kNoSlot at once if the leaf has no free slot.
   bool no_wait = false;
 
   friend bool operator==(const LeafCall&, const LeafCall&) = default;
