--- a/benchmarks/policy/bench_host.cc
+++ b/benchmarks/policy/bench_host.cc
@@ -30,7 +30,7 @@
   for (std::uint32_t host = 0; host < options.hosts; ++host) {
     model::Member member;
     member.host = {std::to_string(host)};
-    member.zone = environment_.zones[ZoneOfHost(options, host)].name;
+    member.zone = environment_.zones[options.ZoneOfHost(host)].name;
     members_.push_back(member);
   }
   ownership_ = routing::OwnershipTable(1, 1, environment_, members_);
@@ -40,7 +40,7 @@
   const std::size_t number = std::size_t{shard} * options_.replicas + replica;
   model::Leaf leaf;
   leaf.name = {std::to_string(number)};
-  leaf.zone = environment_.zones[ZoneOfLeaf(options_, number)].name;
+  leaf.zone = environment_.zones[options_.ZoneOfLeaf(number)].name;
   leaf.slots = options_.slots;
   environment_.services[0].leaves.push_back(leaf);
   model::LeafState state;
--- a/benchmarks/policy/bench_host.h
+++ b/benchmarks/policy/bench_host.h
@@ -19,14 +19,6 @@
   BenchHost(const BenchOptions& options, const base::Clock& clock,
             std::uint64_t number);
 
-  static std::size_t ZoneOfHost(const BenchOptions& options,
-                                std::uint64_t host) {
-    return host % options.zones;
-  }
-  static std::size_t ZoneOfLeaf(const BenchOptions& options, std::size_t leaf) {
-    return (leaf / options.replicas + leaf % options.replicas) % options.zones;
-  }
-
   const model::Environment& Environment() const override {
     return environment_;
   }
@@ -37,7 +29,7 @@
     return ownership_;
   }
   const model::ZoneName& OwnZone() const override {
-    return environment_.zones[ZoneOfHost(options_, number_)].name;
+    return environment_.zones[options_.ZoneOfHost(number_)].name;
   }
   routing::LeafTable& Leaves() override { return leaves_; }
   const routing::ReplicaIndex& Replicas(
--- a/benchmarks/policy/bench_options.h
+++ b/benchmarks/policy/bench_options.h
@@ -31,6 +31,8 @@
   bool stragglers = true;
   // Every query has its own fingerprint and starts with a canary.
   bool unproven = false;
+  // Requests are lookups, which touch one shard, and not queries.
+  bool lookups = false;
   // A cancelled call gives its slot back at once.
   bool cancel_running = true;
   // The owner's queue is ordered by deadline (design 3.4) and not by arrival.
@@ -38,6 +40,20 @@
   // Hedges that a host may send at once after a quiet time.
   double burst = 50;
   base::Duration hop = std::chrono::microseconds(100);
+  // One way between zones.
+  base::Duration zone_hop = std::chrono::milliseconds(20);
+
+  // Shards that one request touches.
+  std::uint32_t ShardsTouched() const { return lookups ? 1 : shards; }
+  // Zones of the parts, numbered from 0.
+  std::size_t ZoneOfHost(std::uint64_t host) const { return host % zones; }
+  std::size_t ZoneOfLeaf(std::size_t leaf) const {
+    return (leaf / replicas + leaf % replicas) % zones;
+  }
+  // One way between a host and a leaf.
+  base::Duration Way(std::uint64_t host, std::size_t leaf) const {
+    return ZoneOfHost(host) == ZoneOfLeaf(leaf) ? hop : zone_hop;
+  }
 };
 
 }  // namespace berylreach::bench
--- a/benchmarks/policy/leaf_model.cc
+++ b/benchmarks/policy/leaf_model.cc
@@ -15,8 +15,13 @@
 
 }  // namespace
 
-void LeafModel::Call(const model::LeafCall& call, ReplyTo reply) {
-  Job job{call, std::move(reply), events_.Now() + call.budget};
+void LeafModel::Call(const model::LeafCall& call, base::Duration way,
+                     ReplyTo reply) {
+  const bool busy = running_.size() >= options_.slots || !queue_.empty();
+  if (call.no_wait && busy) {
+    return Reply({call, way, std::move(reply)}, model::LeafOutcome::kNoSlot);
+  }
+  Job job{call, way, std::move(reply), events_.Now() + call.budget};
   const auto place = options_.deadline_order
                          ? std::upper_bound(queue_.begin(), queue_.end(), job,
                                             [](const Job& a, const Job& b) {
@@ -82,7 +87,7 @@
   reply.shard = job.call.shard;
   reply.shard_count = job.call.shard_count;
   reply.load = static_cast<std::uint32_t>(queue_.size() + running_.size());
-  events_.After(options_.hop,
+  events_.After(job.way,
                 [to = job.reply, reply = std::move(reply)] { to(reply); });
 }
 
--- a/benchmarks/policy/leaf_model.h
+++ b/benchmarks/policy/leaf_model.h
@@ -27,12 +27,14 @@
         result_(result),
         service_times_(seed, options.stragglers) {}
 
-  void Call(const model::LeafCall& call, ReplyTo reply);
+  // The reply takes `way` to its host.
+  void Call(const model::LeafCall& call, base::Duration way, ReplyTo reply);
   void Cancel(const model::CallId& id, bool only_if_queued);
 
  private:
   struct Job {
     model::LeafCall call;
+    base::Duration way{};
     ReplyTo reply;
     base::TimePoint deadline{};
     base::TimePoint started{};
--- a/benchmarks/policy/limiter_random.cc
+++ b/benchmarks/policy/limiter_random.cc
@@ -20,9 +20,8 @@
                                    const model::LeafCall& call) {
   const std::size_t leaf = std::size_t{call.shard} * options_.replicas +
                            replica_random_() % options_.replicas;
-  const base::Duration hop =
-      Latency(BenchHost::ZoneOfHost(options_, queries_.at(number).host),
-              BenchHost::ZoneOfLeaf(options_, leaf));
+  const base::Duration hop = Latency(
+      options_.ZoneOfHost(queries_.at(number).host), options_.ZoneOfLeaf(leaf));
   events_.After(hop, [this, number, call, leaf, hop] {
     upstreams_[leaf]->Call(
         call, [this, number, call, hop](const model::UpstreamResult& result) {
--- a/benchmarks/policy/limiter_simulation.cc
+++ b/benchmarks/policy/limiter_simulation.cc
@@ -42,8 +42,8 @@
 }
 
 void LimiterSimulation::AddGatedLeaf(std::size_t leaf, std::size_t host) {
-  const base::Duration hop = Latency(BenchHost::ZoneOfHost(options_, host),
-                                     BenchHost::ZoneOfLeaf(options_, leaf));
+  const base::Duration hop =
+      Latency(options_.ZoneOfHost(host), options_.ZoneOfLeaf(leaf));
   gates_.push_back(std::make_unique<GatedLeaf>(
       events_, *upstreams_[leaf], MakeGate({std::to_string(leaf)}), hop,
       [this, leaf, host](model::LeafHealth health) {
@@ -71,8 +71,7 @@
   if (limiter_.scope != LimitScope::kOneOwner) return base::Duration::zero();
   const std::size_t owner = OwnerOf(leaf);
   if (owner == host) return base::Duration::zero();
-  return Latency(BenchHost::ZoneOfHost(options_, host),
-                 BenchHost::ZoneOfHost(options_, owner));
+  return Latency(options_.ZoneOfHost(host), options_.ZoneOfHost(owner));
 }
 
 void LimiterSimulation::Publish(std::size_t leaf, std::size_t host,
--- a/benchmarks/policy/simulation.cc
+++ b/benchmarks/policy/simulation.cc
@@ -43,7 +43,8 @@
 void Simulation::ScheduleArrival() {
   const double slots = static_cast<double>(leaves_.size()) * options_.slots;
   const double per_second =
-      options_.load * slots / (options_.shards * ServiceTimes::MeanSeconds());
+      options_.load * slots /
+      (options_.ShardsTouched() * ServiceTimes::MeanSeconds());
   std::exponential_distribution<double> gap(per_second);
   const auto delay = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(gap(random_)));
@@ -57,7 +58,7 @@
   Query& query = queries_[number];
   query.host = PickHost();
   query.arrived = events_.Now();
-  result_.calls_needed += options_.shards;
+  result_.calls_needed += options_.ShardsTouched();
   if (options_.method == Method::kQueryRunner) {
     StartRunner(number);
   } else {
@@ -72,6 +73,10 @@
   model::CallerRequest request;
   request.service = {"desk"};
   request.payload = options_.unproven ? std::to_string(number) : "same";
+  if (options_.lookups) {
+    request.kind = model::RequestKind::kLookup;
+    request.key = std::to_string(number);
+  }
   request.deadline = events_.Now() + kDeadline;
   if (!options_.unproven) {
     host.Suspects().OnCompleted(quarantine::FingerprintOf(request));
@@ -85,14 +90,18 @@
 
 void Simulation::StartRandom(std::uint64_t number) {
   Query& query = queries_.at(number);
-  query.open = options_.shards;
-  for (std::uint32_t shard = 0; shard < options_.shards; ++shard) {
+  query.open = options_.ShardsTouched();
+  for (std::uint32_t i = 0; i < query.open; ++i) {
+    const std::uint64_t shard =
+        options_.lookups ? random_() % options_.shards : i;
     model::LeafCall call;
     call.id = hosts_[query.host]->NextCallId();
-    LeafModel& leaf = *leaves_[std::size_t{shard} * options_.replicas +
-                               random_() % options_.replicas];
-    events_.After(options_.hop, [this, &leaf, call, number] {
-      leaf.Call(call, [this, number](const model::LeafReply&) {
+    const std::size_t place =
+        shard * options_.replicas + random_() % options_.replicas;
+    LeafModel& leaf = *leaves_[place];
+    const base::Duration way = options_.Way(query.host, place);
+    events_.After(way, [this, &leaf, call, way, number] {
+      leaf.Call(call, way, [this, number](const model::LeafReply&) {
         Query& running = queries_.at(number);
         if (--running.open > 0) return;
         RecordLatency(running, true);
@@ -106,17 +115,23 @@
   return *leaves_[std::stoul(name.value)];
 }
 
+base::Duration Simulation::WayTo(std::uint64_t number,
+                                 const model::LeafName& leaf) const {
+  return options_.Way(queries_.at(number).host, std::stoul(leaf.value));
+}
+
 void Simulation::SendCall(std::uint64_t number, const model::LeafCall& call) {
-  events_.After(options_.hop, [this, number, call] {
-    LeafOf(call.leaf).Call(
-        call, [this, number](const auto& reply) { Deliver(number, reply); });
+  const base::Duration way = WayTo(number, call.leaf);
+  events_.After(way, [this, number, way, call] {
+    LeafOf(call.leaf).Call(call, way, [this, number](const auto& reply) {
+      Deliver(number, reply);
+    });
   });
 }
 
-void Simulation::CancelCall(std::uint64_t /*number*/,
-                            const model::LeafName& leaf,
+void Simulation::CancelCall(std::uint64_t number, const model::LeafName& leaf,
                             const query::CancelCall& cancel) {
-  events_.After(options_.hop, [this, leaf, cancel] {
+  events_.After(WayTo(number, leaf), [this, leaf, cancel] {
     LeafOf(leaf).Cancel(cancel.id, cancel.only_if_queued);
   });
 }
--- a/benchmarks/policy/simulation.h
+++ b/benchmarks/policy/simulation.h
@@ -50,6 +50,8 @@
   void AfterEvent(std::uint64_t number);
   void Wake(std::uint64_t number, base::TimePoint planned);
   virtual void RecordLatency(const Query& query, bool whole);
+  // One way between the host of query `number` and `leaf`.
+  base::Duration WayTo(std::uint64_t number, const model::LeafName& leaf) const;
 
   BenchOptions options_;
   EventQueue events_;
--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -15,6 +15,8 @@
 #include "berylreach/model/order_forward.h"
 #include "berylreach/orders/action.h"
 #include "berylreach/orders/order_coordinator.h"
+#include "berylreach/routing/replica.h"
+#include "berylreach/routing/snapshot.h"
 
 namespace berylreach::core {
 
@@ -93,6 +95,9 @@
               const model::HostName& owner);
   void Carry(const orders::Actions& actions);
   void SendToLeaf(SentOrder order);
+  std::optional<routing::Replica> ChooseLeaf(const SentOrder& order,
+                                             std::uint64_t fingerprint,
+                                             const routing::Snapshot& snapshot);
   /// Ends the selected orders as if their owners had replied so.
   void EndSent(model::LeafOutcome outcome,
                const std::function<bool(const SentOrder&)>& selected);
