Let the measured leaf latency set the silence threshold

Cause: section 3.10 of the design wants the larger of 500 ms and 3 times the p99 of the service's leaf latency, but the upstream client was told nothing, so that each call of a service slower than 500 ms was probed, given up and its connection closed. Ruled out: the entry host's latencies (they contain the owner's queue); counting each call that ends without an answer (a few broken connections would raise the threshold for the others); counting none (a service that never answers within 500 ms would never be measured). Change: limits::SilenceThreshold derives the time from the last 512 answers, LeafOwner measures from the hand-over to the upstream client, and the action SetSilentAfter carries a changed value to the process once a second. Conclusion: slow services keep their connections, fast ones are probed at 500 ms as before.

--- a/core/include/berylreach/core/action.h
+++ b/core/include/berylreach/core/action.h
@@ -1,6 +1,7 @@
 // What HostCore asks its surroundings to do.
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,6 +37,13 @@
   std::vector<model::Leaf> leaves;
 };
 
+/// Sets the time after which an unanswered call of `service` makes its
+/// connection suspect.
+struct SetSilentAfter {
+  model::ServiceName service;
+  std::chrono::milliseconds time;
+};
+
 /// Sends a store request; its StoreResult must follow.
 struct CallStore {
   model::StoreRequest request;
@@ -63,9 +71,9 @@
 };
 
 /// One action.
-using Action =
-    std::variant<SendToPeer, CallUpstream, CancelUpstream, ReadLeafStatuses,
-                 CallStore, PollHostList, SetPeers, ReplyToCaller, RecordEvent>;
+using Action = std::variant<SendToPeer, CallUpstream, CancelUpstream,
+                            ReadLeafStatuses, SetSilentAfter, CallStore,
+                            PollHostList, SetPeers, ReplyToCaller, RecordEvent>;
 
 /// Actions in the order in which they must be carried out.
 using Actions = std::vector<Action>;
--- a/core/include/berylreach/core/leaf_owner.h
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -13,6 +13,7 @@
 #include "berylreach/base/clock.h"
 #include "berylreach/core/outbox.h"
 #include "berylreach/core/owned_leaf.h"
+#include "berylreach/core/silence_thresholds.h"
 #include "berylreach/limits/action.h"
 #include "berylreach/model/environment.h"
 #include "berylreach/model/leaf_call.h"
@@ -78,6 +79,8 @@
   struct AcceptedCall {
     model::HostName from;
     model::LeafCall call;
+    /// When the call was handed to the upstream client; nothing while it waits.
+    std::optional<base::TimePoint> started_at;
   };
 
   /// Whether the order call was accepted before; remembers it otherwise.
@@ -90,6 +93,8 @@
   void NoteIncarnation(OwnedLeaf& entry, std::uint64_t incarnation);
   void ReportDeath(const model::LeafName& leaf);
   void Carry(const OwnedLeaf& entry, const limits::Actions& actions);
+  /// Measures the latency of a call that was started.
+  void NoteLatency(const model::UpstreamResult& result);
   void Start(const OwnedLeaf& entry, const limits::StartCall& start);
   void Answer(const model::LeafReply& reply);
   void Refuse(const model::HostName& from, const model::LeafCall& call,
@@ -102,6 +107,7 @@
   const base::Clock& clock_;
   quarantine::Quarantine& quarantine_;
   Outbox& outbox_;
+  SilenceThresholds silence_thresholds_;
   /// Something that a state depends on may have changed since PublishChanges.
   bool states_dirty_ = false;
   std::uint64_t states_digest_ = 0;
--- a/core/lib/leaf_owner.cc
+++ b/core/lib/leaf_owner.cc
@@ -23,7 +23,10 @@
 
 LeafOwner::LeafOwner(const base::Clock& clock,
                      quarantine::Quarantine& quarantine, Outbox& outbox)
-    : clock_(clock), quarantine_(quarantine), outbox_(outbox) {}
+    : clock_(clock),
+      quarantine_(quarantine),
+      outbox_(outbox),
+      silence_thresholds_(clock, outbox) {}
 
 void LeafOwner::OnCall(const model::HostName& from,
                        const model::LeafCall& call) {
@@ -41,7 +44,7 @@
   const bool suspect = standing == quarantine::Standing::kSuspect;
   if (suspect && !call.alone) return Refuse(from, call, LeafOutcome::kBlocked);
   if (calls_.contains(call.id) || IsRepeatedOrder(call)) return;
-  calls_.emplace(call.id, AcceptedCall{from, call});
+  calls_.emplace(call.id, AcceptedCall{from, call, {}});
   limits::Actions actions;
   entry->gate.OnCall(call, actions);
   Carry(*entry, actions);
@@ -66,6 +69,7 @@
   const auto found = leaves_.find(result.leaf);
   if (found == leaves_.end()) return;
   OwnedLeaf& entry = found->second;
+  NoteLatency(result);
   if (result.outcome == LeafOutcome::kLeafDied) ReportDeath(result.leaf);
   if (result.connect_failed) {
     entry.reachable = false;
@@ -139,6 +143,7 @@
     entry.gate.Tick(actions);
     Carry(entry, actions);
   }
+  silence_thresholds_.Tick();
   ForgetOldOrders();
   DropFinished();
 }
@@ -229,6 +234,10 @@
 }
 
 void LeafOwner::Start(const OwnedLeaf& entry, const limits::StartCall& start) {
+  if (const auto accepted = calls_.find(start.call.id);
+      accepted != calls_.end()) {
+    accepted->second.started_at = clock_.Now();
+  }
   model::UpstreamCall call;
   call.id = start.call.id;
   call.leaf = entry.leaf.name;
@@ -247,6 +256,14 @@
   outbox_.Emit(CallUpstream{std::move(call)});
 }
 
+void LeafOwner::NoteLatency(const model::UpstreamResult& result) {
+  const auto found = calls_.find(result.id);
+  // The sender of a call that has run past its deadline has its reply already.
+  if (found == calls_.end() || !found->second.started_at) return;
+  silence_thresholds_.OnResult(found->second.call.service,
+                               *found->second.started_at, result);
+}
+
 void LeafOwner::Answer(const model::LeafReply& reply) {
   const auto node = calls_.extract(reply.id);
   if (node.empty()) return;
--- a/core/lib/leaf_owner_states.cc
+++ b/core/lib/leaf_owner_states.cc
@@ -12,6 +12,7 @@
                       const model::Environment& environment,
                       const std::vector<model::Member>& members) {
   states_dirty_ = true;
+  silence_thresholds_.Retain(environment);
   epoch_ = table.epoch();
   members_ = members;
   const auto owned = table.OwnedBy(outbox_.self());
--- /dev/null
+++ b/core/unittests/silence_thresholds_test.cc
@@ -0,0 +1,157 @@
+// Guards against latencies of owned leaves that do not reach the upstream
+// client, which would then close the connections of slow services.
+#include "berylreach/core/silence_thresholds.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <variant>
+#include <vector>
+
+#include "berylreach/base/manual_clock.h"
+#include "berylreach/core/leaf_owner.h"
+
+namespace berylreach::core {
+namespace {
+
+using model::LeafOutcome;
+using std::chrono::milliseconds;
+
+class SilenceThresholdsTest : public testing::Test {
+ protected:
+  SilenceThresholdsTest() {
+    environment_.zones = {{{"zone"}, {"region"}, model::ZoneState::kIn}};
+    model::Service service;
+    service.name = {"desk"};
+    service.shards = 1;
+    service.leaves = {{{"leaf"}, "127.0.0.1:1", {"zone"}, 2, 4}};
+    environment_.services = {service};
+    Adopt();
+    owner_.SetLeaseExpiry(clock_.Now() + std::chrono::hours(1));
+    owner_.SetOpen({"leaf"}, true);
+    outbox_.Take();
+  }
+
+  void Adopt() {
+    const std::vector<model::Member> members{{{"host"}, 1, {"zone"}, "", ""}};
+    owner_.Adopt(routing::OwnershipTable(1, 1, environment_, members),
+                 environment_, members);
+  }
+
+  model::CallId Start() {
+    model::LeafCall call;
+    call.id = {1, ++next_};
+    call.leaf = {"leaf"};
+    call.service = {"desk"};
+    call.budget = std::chrono::seconds(10);
+    call.fingerprint = 1;
+    owner_.OnCall({"host"}, call);
+    return call.id;
+  }
+
+  void End(const model::CallId& id, LeafOutcome outcome, bool ended = false) {
+    model::UpstreamResult result;
+    result.id = id;
+    result.leaf = {"leaf"};
+    result.outcome = outcome;
+    result.ended = ended;
+    owner_.OnUpstreamResult(result);
+  }
+
+  /// Runs calls one after the other that end with `outcome` after `time`.
+  void Run(int count, milliseconds time, LeafOutcome outcome = LeafOutcome::kOk,
+           bool ended = false) {
+    for (int i = 0; i < count; ++i) {
+      const auto id = Start();
+      clock_.Advance(time);
+      End(id, outcome, ended);
+    }
+  }
+
+  /// The thresholds of "desk" that a Tick reports.
+  std::vector<milliseconds> Reported() {
+    clock_.Advance(std::chrono::seconds(1));
+    outbox_.Take();
+    owner_.Tick();
+    return Taken();
+  }
+
+  std::vector<milliseconds> Taken() {
+    std::vector<milliseconds> times;
+    for (const Action& action : outbox_.Take()) {
+      const auto* set = std::get_if<SetSilentAfter>(&action);
+      if (set == nullptr) continue;
+      EXPECT_EQ(set->service, model::ServiceName{"desk"});
+      times.push_back(set->time);
+    }
+    return times;
+  }
+
+  using Times = std::vector<milliseconds>;
+
+  base::ManualClock clock_;
+  quarantine::Quarantine quarantine_{clock_};
+  Outbox outbox_{{"host"}};
+  LeafOwner owner_{clock_, quarantine_, outbox_};
+  model::Environment environment_;
+  std::uint64_t next_ = 0;
+};
+
+TEST_F(SilenceThresholdsTest, FastServiceKeepsTheLeastThreshold) {
+  Run(100, milliseconds(6));
+  EXPECT_EQ(Reported(), Times{});
+}
+
+TEST_F(SilenceThresholdsTest, SlowServiceIsReportedOnceForEachChange) {
+  Run(100, milliseconds(200));
+  EXPECT_EQ(Reported(), Times{milliseconds(600)});
+  EXPECT_EQ(Reported(), Times{});
+  Run(512, milliseconds(6));
+  EXPECT_EQ(Reported(), Times{milliseconds(500)});
+}
+
+// A call that waits in the queue of its owner takes no time at the leaf.
+TEST_F(SilenceThresholdsTest, TimeInTheQueueDoesNotCount) {
+  for (int i = 0; i < 20; ++i) {
+    std::vector<model::CallId> ids;
+    for (int call = 0; call < 4; ++call) ids.push_back(Start());
+    for (const model::CallId& id : ids) {
+      clock_.Advance(milliseconds(150));
+      End(id, LeafOutcome::kOk);
+    }
+  }
+  // Two run at once from the first completions on, 150 ms apart.
+  EXPECT_EQ(Reported(), Times{milliseconds(900)});
+}
+
+TEST_F(SilenceThresholdsTest, CancelledCallsCountWithTheirTime) {
+  Run(100, milliseconds(200), LeafOutcome::kLost, /*ended=*/true);
+  EXPECT_EQ(Reported(), Times{milliseconds(600)});
+}
+
+TEST_F(SilenceThresholdsTest, ResetConnectionsDoNotCount) {
+  Run(100, milliseconds(200), LeafOutcome::kLost);
+  EXPECT_EQ(Reported(), Times{});
+}
+
+TEST_F(SilenceThresholdsTest, ServiceThatNeverAnswersInTimeIsReported) {
+  for (int i = 0; i < 15; ++i) {
+    Run(1, milliseconds(500), LeafOutcome::kLost);
+    // The slot is free again after the deadline of the call.
+    clock_.Advance(std::chrono::seconds(11));
+    EXPECT_EQ(Reported(), Times{});
+  }
+  Run(1, milliseconds(500), LeafOutcome::kLost);
+  EXPECT_EQ(Reported(), Times{milliseconds(1500)});
+}
+
+TEST_F(SilenceThresholdsTest, RemovedServiceStartsAgainWithTheLeastThreshold) {
+  Run(100, milliseconds(200));
+  EXPECT_EQ(Reported(), Times{milliseconds(600)});
+  environment_.services.clear();
+  Adopt();
+  EXPECT_EQ(Taken(), Times{milliseconds(500)});
+}
+
+}  // namespace
+}  // namespace berylreach::core
--- a/host/lib/host_process.cc
+++ b/host/lib/host_process.cc
@@ -92,6 +92,9 @@
     }
     upstream.SetOwnedLeaves(std::move(owned));
   }
+  void Carry(core::SetSilentAfter& action) {
+    upstream.SetSilentAfter(std::move(action.service), action.time);
+  }
   void Carry(core::CallStore& action) {
     model::StoreResult unknown;
     unknown.id = action.request.id;
--- a/transport/unittests/upstream_client_test.cc
+++ b/transport/unittests/upstream_client_test.cc
@@ -238,6 +238,31 @@
   EXPECT_TRUE(silent.peer_closed());
 }
 
+// A slow service must keep its connections although a fast one on the same
+// thread is probed much earlier.
+TEST_F(UpstreamClientTest, SlowServiceIsNotProbedAtTheThresholdOfOthers) {
+  UpstreamOptions options;
+  options.silent_after = milliseconds(30);
+  options.probe_timeout = std::chrono::seconds(10);
+  Open(options);
+  client_->SetSilentAfter({"slow"}, std::chrono::seconds(60));
+  auto slow = Call(1);
+  slow.service = {"slow"};
+  client_->Send(slow);
+  TestSocket waiting = leaf_.Accept();
+  waiting.ReadHttp();
+  // Written later, so that its probe shows that the slow call was due as well.
+  client_->Send(Call(2));
+  TestSocket silent = leaf_.Accept();
+  silent.ReadHttp();
+  const TestSocket probe = AnswerProbe(kOldIncarnation);
+  EXPECT_EQ(Result(0).id, (model::CallId{1, 2}));
+  EXPECT_EQ(Result(0).outcome, LeafOutcome::kLost);
+  waiting.Write(CallAnswer(1));
+  EXPECT_EQ(Result(1).id, slow.id);
+  EXPECT_EQ(Result(1).outcome, LeafOutcome::kOk);
+}
+
 TEST_F(UpstreamClientTest, UnansweredCallTimesOutAndIsCancelled) {
   auto call = Call(1);
   call.deadline = clock_.WallNow() + milliseconds(50);
