Compare the CPU of queries of several builds in one run

Cause: CPU per query varies by 20% with the load of the machine, so that runs of two builds one after the other cannot be compared, and a restart of the deployment for each sample leaves few samples. Ruled out: hardware counters (not supported on the machine); idle CPU measured for 3 s (it varied from 3.9 to 8.3 ms/s between equal deployments and shifted the result by 6%).

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -107,7 +107,7 @@
       http_listen: $http, rpc_listen: "127.0.0.1:0", store_address: $store,
       host_list_address: $list}' >"$WORK/$1.json"
   rm -f "$WORK/$1.out"
-  start "$1" "$bin/tools/berylreachd/berylreachd" --settings="$WORK/$1.json"
+  start "$1" "${host_program:-$bin/tools/berylreachd/berylreachd}" --settings="$WORK/$1.json"
   HTTP[$1]=$(jq -r .http "$WORK/$1.out")
 }
 
