Wake the receiving thread once for several items

Cause: a query of 20 shards handed 20 calls to the RPC thread one by one, which woke for the first and sent it by itself; the calls that arrive in one message woke the core thread in the same way. Ruled out: a delay before a batch is sent (the RPC loop's timers count in milliseconds, a quarter of the median query); one call to a peer at a time, which batches by itself but makes messages to another region wait 40 ms. Change: a push into a channel may leave the wake-up to a Flush. The core flushes after the events that it took together, at most 32; RpcNode hands on the messages of one call together.

--- a/benchmarks/policy/rpc_benchmark.cc
+++ b/benchmarks/policy/rpc_benchmark.cc
@@ -39,11 +39,11 @@
 }
 
 std::unique_ptr<RpcNode> Open(const std::string& name,
-                              RpcNode::Callback on_message) {
+                              RpcNode::Callback on_messages) {
   RpcOptions options;
   options.self = {name};
   options.address = "127.0.0.1:0";
-  auto node = RpcNode::Open(options, std::move(on_message));
+  auto node = RpcNode::Open(options, std::move(on_messages));
   if (node.has_error()) {
     std::cerr << node.error().message << std::endl;
     std::exit(1);
@@ -55,10 +55,14 @@
 struct Pair {
   Pair()
       : owner(Open("owner",
-                   [this](const model::Envelope& envelope) {
-                     Answer(std::get<model::LeafCall>(envelope.message));
+                   [this](const std::vector<model::Envelope>& envelopes) {
+                     for (const model::Envelope& envelope : envelopes)
+                       Answer(std::get<model::LeafCall>(envelope.message));
                    })),
-        entry(Open("entry", [this](const model::Envelope&) { ++replies; })) {
+        entry(Open("entry",
+                   [this](const std::vector<model::Envelope>& envelopes) {
+                     replies += envelopes.size();
+                   })) {
     owner->SetPeers({{{"entry"}, entry->address()}});
     entry->SetPeers({{{"owner"}, owner->address()}});
   }
--- a/host/include/berylreach/host/action_sink.h
+++ b/host/include/berylreach/host/action_sink.h
@@ -14,6 +14,10 @@
   /// Carries out one action.
   virtual void OnAction(core::Action action) = 0;
 
+  /// Follows a group of actions: what they hand to other threads must be on its
+  /// way when this returns.
+  virtual void OnActionsEnd() = 0;
+
   /// The planned stop is complete.
   virtual void OnStopped() = 0;
 };
--- a/host/include/berylreach/host/core_thread.h
+++ b/host/include/berylreach/host/core_thread.h
@@ -34,9 +34,10 @@
   /// accepted and dropped.
   void Quit();
 
-  /// Hands over an event; false if the channel is full. Callable from any
-  /// thread.
-  bool Post(CoreEvent event);
+  /// Hands over an event; false if the channel is full. With Wakeup::kAtFlush
+  /// the core takes it after the next Flush. Callable from any thread.
+  bool Post(CoreEvent event, base::Wakeup wakeup = base::Wakeup::kNow);
+  void Flush() { channel_.Flush(); }
 
   /// Events refused because the channel was full.
   std::uint64_t refused_events() const { return refused_events_; }
--- a/host/lib/core_thread.cc
+++ b/host/lib/core_thread.cc
@@ -12,6 +12,9 @@
 constexpr std::size_t kChannelCapacity = 65536;
 // Bounds the delay of timers that an event did not announce.
 constexpr std::chrono::milliseconds kLongestSleep{100};
+// Events after which their actions go out although more events wait: bounds the
+// delay that the first of them suffers to about a millisecond.
+constexpr std::size_t kEventsPerGroup = 32;
 
 template <typename... Ts>
 struct Overloaded : Ts... {
@@ -43,8 +46,8 @@
   thread_ = std::thread([this] { Loop(); });
 }
 
-bool CoreThread::Post(CoreEvent event) {
-  if (channel_.TryPush(std::move(event))) return true;
+bool CoreThread::Post(CoreEvent event, base::Wakeup wakeup) {
+  if (channel_.TryPush(std::move(event), wakeup)) return true;
   ++refused_events_;
   return false;
 }
@@ -59,6 +62,7 @@
 
 void CoreThread::Loop() {
   Carry(core_->Start());
+  sink_.OnActionsEnd();
   while (true) {
     {
       std::unique_lock<std::mutex> lock(mutex_);
@@ -68,8 +72,13 @@
       if (quit_) return;
       wake_ = false;
     }
-    for (CoreEvent& event : channel_.Drain()) Handle(event);
+    std::size_t handled = 0;
+    for (CoreEvent& event : channel_.Drain()) {
+      Handle(event);
+      if (++handled % kEventsPerGroup == 0) sink_.OnActionsEnd();
+    }
     if (core_->NextWakeup() <= clock_.Now()) Carry(core_->Tick());
+    sink_.OnActionsEnd();
     if (core_->stopped() && !std::exchange(stop_reported_, true))
       sink_.OnStopped();
   }
--- a/host/lib/host_process.cc
+++ b/host/lib/host_process.cc
@@ -65,6 +65,10 @@
   void OnAction(core::Action action) override {
     std::visit([this](auto& item) { Carry(item); }, action);
   }
+  void OnActionsEnd() override {
+    rpc->Flush();
+    upstream.Flush();
+  }
   void OnStopped() override { on_stopped(); }
   void OnResult(model::UpstreamResult result) override {
     core.Post(std::move(result));
@@ -74,14 +78,15 @@
   }
 
   void Carry(core::SendToPeer& action) {
-    rpc->Send(action.to, std::move(action.message));
+    rpc->Send(action.to, std::move(action.message), base::Wakeup::kAtFlush);
   }
   void Carry(core::CallUpstream& action) {
     model::UpstreamResult refused;
     refused.id = action.call.id;
     refused.leaf = action.call.leaf;
     // A full channel means that nothing was sent.
-    if (!upstream.Send(std::move(action.call))) core.Post(std::move(refused));
+    if (!upstream.Send(std::move(action.call), base::Wakeup::kAtFlush))
+      core.Post(std::move(refused));
   }
   void Carry(core::CancelUpstream& action) { upstream.Cancel(action.id); }
   void Carry(core::ReadLeafStatuses& action) {
@@ -144,8 +149,10 @@
       {.self = settings.host,
        .incarnation = options.self.incarnation,
        .address = settings.rpc_listen},
-      [core = &impl->core](model::Envelope envelope) {
-        core->Post(std::move(envelope));
+      [core = &impl->core](std::vector<model::Envelope> envelopes) {
+        for (model::Envelope& envelope : envelopes)
+          core->Post(std::move(envelope), base::Wakeup::kAtFlush);
+        core->Flush();
       },
       [core = &impl->core](model::HostName host) {
         core->Post(PeerLost{std::move(host)});
--- a/transport/include/berylreach/transport/rpc_node.h
+++ b/transport/include/berylreach/transport/rpc_node.h
@@ -8,7 +8,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "berylreach/base/channel.h"
 #include "berylreach/model/envelope.h"
 #include "berylreach/model/names.h"
 #include "berylreach/model/peer_message.h"
@@ -43,8 +45,9 @@
 class RpcNode {
  public:
   struct Impl;
-  /// Called on the RPC thread; must not block.
-  using Callback = std::function<void(model::Envelope)>;
+  /// Called on the RPC thread with the messages of one call, in order; must not
+  /// block.
+  using Callback = std::function<void(std::vector<model::Envelope>)>;
   /// Called on the RPC thread when a connection to a peer ended and could not
   /// be opened again at once, and at each further refusal; must not block. A
   /// peer that is only silent is not reported.
@@ -52,7 +55,7 @@
 
   /// Binds and starts the thread. `on_peer_lost` may be empty.
   static BindResult<std::unique_ptr<RpcNode>> Open(
-      RpcOptions options, Callback on_message,
+      RpcOptions options, Callback on_messages,
       PeerLostCallback on_peer_lost = {});
   /// Closes all connections and joins the thread.
   ~RpcNode();
@@ -63,7 +66,11 @@
   const std::string& address() const;
 
   /// Queues a message; false if `to` is not a peer or its queue is full.
-  bool Send(const model::HostName& to, model::PeerMessage message);
+  /// Messages that are queued with Wakeup::kAtFlush travel together.
+  bool Send(const model::HostName& to, model::PeerMessage message,
+            base::Wakeup wakeup = base::Wakeup::kNow);
+  /// Sends what was queued with Wakeup::kAtFlush.
+  void Flush();
 
   /// Replaces the peers by name and RPC address. Connections to peers that are
   /// gone or have moved are closed and their queues dropped.
--- a/transport/include/berylreach/transport/upstream_client.h
+++ b/transport/include/berylreach/transport/upstream_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "berylreach/base/channel.h"
 #include "berylreach/base/clock.h"
 #include "berylreach/model/call_id.h"
 #include "berylreach/model/names.h"
@@ -49,8 +50,10 @@
   UpstreamClient& operator=(const UpstreamClient&) = delete;
 
   /// Hands over one call; false if the channel is full, in which case nothing
-  /// is sent and no result follows.
-  bool Send(model::UpstreamCall call);
+  /// is sent and no result follows. With Wakeup::kAtFlush the upstream thread
+  /// takes the call after the next Flush.
+  bool Send(model::UpstreamCall call, base::Wakeup wakeup = base::Wakeup::kNow);
+  void Flush();
 
   /// Withdraws a call. A queued call ends at once as kNotSent. For a call in
   /// flight the leaf is told, and the result follows when the leaf answers or
--- a/transport/lib/rpc_node.cc
+++ b/transport/lib/rpc_node.cc
@@ -1,6 +1,4 @@
 // The RPC thread: accepting, sending, and work handed over by other threads.
-#include "berylreach/transport/rpc_node.h"
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/eventfd.h>
@@ -9,6 +7,7 @@
 
 #include <utility>
 
+#include "berylreach/transport/rpc_node.h"
 #include "rpc_node_impl.h"
 #include "rpc_service.h"
 
@@ -38,10 +37,10 @@
 
 }  // namespace
 
-RpcNode::Impl::Impl(RpcOptions node_options, Callback on_message,
+RpcNode::Impl::Impl(RpcOptions node_options, Callback on_messages,
                     PeerLostCallback on_peer_lost)
     : options_(std::move(node_options)),
-      on_message_(std::move(on_message)),
+      on_messages_(std::move(on_messages)),
       on_peer_lost_(std::move(on_peer_lost)),
       outgoing_(kOutgoingCapacity, [this] { Wake(); }),
       wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
@@ -62,8 +61,8 @@
   return result.get();
 }
 
-bool RpcNode::Impl::Send(const model::HostName& to,
-                         model::PeerMessage message) {
+bool RpcNode::Impl::Send(const model::HostName& to, model::PeerMessage message,
+                         base::Wakeup wakeup) {
   std::shared_ptr<RpcPeer> peer;
   {
     std::lock_guard<std::mutex> lock(mutex_);
@@ -72,7 +71,7 @@
     peer = found->second;
   }
   if (!peer->Reserve()) return false;
-  if (outgoing_.TryPush({peer, std::move(message)})) return true;
+  if (outgoing_.TryPush({peer, std::move(message)}, wakeup)) return true;
   peer->Unreserve();
   return false;
 }
@@ -129,7 +128,7 @@
             std::to_string(receiver->getPort());
   kj::UnixEventPort::FdObserver observer(
       io.unixEventPort, wake_fd_, kj::UnixEventPort::FdObserver::OBSERVE_READ);
-  capnp::TwoPartyServer server(kj::heap<RpcService>(on_message_, dropped));
+  capnp::TwoPartyServer server(kj::heap<RpcService>(on_messages_, dropped));
   kj::TaskSet tasks(*this);
   context_.emplace(
       RpcPeer::Context{options_, io, tasks, dropped, on_peer_lost_});
@@ -200,8 +199,8 @@
 }
 
 BindResult<std::unique_ptr<RpcNode>> RpcNode::Open(
-    RpcOptions options, Callback on_message, PeerLostCallback on_peer_lost) {
-  auto impl = std::make_unique<Impl>(std::move(options), std::move(on_message),
+    RpcOptions options, Callback on_messages, PeerLostCallback on_peer_lost) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(on_messages),
                                      std::move(on_peer_lost));
   if (auto error = impl->Start()) return *error;
   return std::unique_ptr<RpcNode>(new RpcNode(std::move(impl)));
@@ -213,10 +212,13 @@
 
 const std::string& RpcNode::address() const { return impl_->address; }
 
-bool RpcNode::Send(const model::HostName& to, model::PeerMessage message) {
-  return impl_->Send(to, std::move(message));
+bool RpcNode::Send(const model::HostName& to, model::PeerMessage message,
+                   base::Wakeup wakeup) {
+  return impl_->Send(to, std::move(message), wakeup);
 }
 
+void RpcNode::Flush() { impl_->Flush(); }
+
 void RpcNode::SetPeers(std::map<model::HostName, std::string> peers) {
   impl_->SetPeers(std::move(peers));
 }
--- a/transport/lib/rpc_node_impl.h
+++ b/transport/lib/rpc_node_impl.h
@@ -22,13 +22,15 @@
 namespace berylreach::transport {
 
 struct RpcNode::Impl : private kj::TaskSet::ErrorHandler {
-  Impl(RpcOptions node_options, Callback on_message,
+  Impl(RpcOptions node_options, Callback on_messages,
        PeerLostCallback on_peer_lost);
   ~Impl();
 
   /// Starts the thread; returns the error if it cannot listen.
   std::optional<BindError> Start();
-  bool Send(const model::HostName& to, model::PeerMessage message);
+  bool Send(const model::HostName& to, model::PeerMessage message,
+            base::Wakeup wakeup);
+  void Flush() { outgoing_.Flush(); }
   void SetPeers(std::map<model::HostName, std::string> peers);
 
   std::string address;
@@ -53,7 +55,7 @@
   void taskFailed(kj::Exception&& exception) override;
 
   const RpcOptions options_;
-  const Callback on_message_;
+  const Callback on_messages_;
   const PeerLostCallback on_peer_lost_;
   base::Channel<Outgoing> outgoing_;
   const int wake_fd_;
--- a/transport/lib/rpc_service.h
+++ b/transport/lib/rpc_service.h
@@ -12,14 +12,14 @@
 /// Decodes the messages of each call and hands them on in order.
 class RpcService final : public rpc::Peer::Server {
  public:
-  RpcService(const RpcNode::Callback& on_message,
+  RpcService(const RpcNode::Callback& on_messages,
              std::atomic<std::uint64_t>& dropped)
-      : on_message_(on_message), dropped_(dropped) {}
+      : on_messages_(on_messages), dropped_(dropped) {}
 
   kj::Promise<void> deliver(DeliverContext context) override;
 
  private:
-  const RpcNode::Callback& on_message_;
+  const RpcNode::Callback& on_messages_;
   std::atomic<std::uint64_t>& dropped_;
 };
 
--- a/transport/lib/upstream_client.cc
+++ b/transport/lib/upstream_client.cc
@@ -123,10 +123,12 @@
   RunAndWait(impl_->thread, [this] { impl_->Close(); });
 }
 
-bool UpstreamClient::Send(model::UpstreamCall call) {
-  return impl_->commands.TryPush(std::move(call));
+bool UpstreamClient::Send(model::UpstreamCall call, base::Wakeup wakeup) {
+  return impl_->commands.TryPush(std::move(call), wakeup);
 }
 
+void UpstreamClient::Flush() { impl_->commands.Flush(); }
+
 void UpstreamClient::Cancel(model::CallId id) { impl_->commands.TryPush(id); }
 
 void UpstreamClient::SetOwnedLeaves(std::vector<OwnedLeaf> leaves) {
--- a/transport/unittests/rpc_node_test.cc
+++ b/transport/unittests/rpc_node_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "collector.h"
 #include "test_socket.h"
@@ -34,8 +35,10 @@
     options.call_timeout = std::chrono::milliseconds(200);
     auto node = RpcNode::Open(
         options,
-        [this](model::Envelope envelope) {
-          received_.Add(std::move(envelope));
+        [this](std::vector<model::Envelope> envelopes) {
+          batches_.Add(envelopes.size());
+          for (model::Envelope& envelope : envelopes)
+            received_.Add(std::move(envelope));
         },
         [this](model::HostName host) { lost_.Add(std::move(host)); });
     return node.has_error() ? nullptr : std::move(node.value());
@@ -54,6 +57,8 @@
   }
 
   Collector<model::Envelope> received_;
+  /// Messages in each call.
+  Collector<std::size_t> batches_;
   Collector<model::HostName> lost_;
 };
 
@@ -72,6 +77,22 @@
   EXPECT_EQ(received[0].incarnation, 7U);
 }
 
+// Guards against one call for each message of an event.
+TEST_F(RpcNodeTest, MessagesQueuedBeforeAFlushTravelInOneCall) {
+  const auto a = Open("a");
+  const auto b = Open("b");
+  a->SetPeers({{{"b"}, b->address()}});
+  ASSERT_TRUE(SendUntilReceived(*a, 0));
+  constexpr std::uint64_t message_count = 20;
+  for (std::uint64_t i = 0; i < message_count; ++i) {
+    ASSERT_TRUE(a->Send({"b"}, CallWithCounter(i), base::Wakeup::kAtFlush));
+  }
+  a->Flush();
+  // Messages sent before may still wait and join them.
+  EXPECT_TRUE(batches_.WaitAny(
+      [](std::size_t messages) { return messages >= message_count; }));
+}
+
 TEST_F(RpcNodeTest, RefusesUnknownPeersAndFullQueues) {
   const auto a = Open("a");
   EXPECT_FALSE(a->Send({"b"}, CallWithCounter(0)));
@@ -137,7 +158,8 @@
   const auto a = Open("a");
   RpcOptions options;
   options.address = a->address();
-  const auto second = RpcNode::Open(options, [](model::Envelope) {});
+  const auto second =
+      RpcNode::Open(options, [](std::vector<model::Envelope>) {});
   ASSERT_TRUE(second.has_error());
   EXPECT_EQ(second.error().address, a->address());
 }
