Publish leaf states after an answer only if it changes them

Cause: each answer of a leaf marked the states of all owned leaves as possibly changed, so that all were compared and hashed; each call to an owner hashed all members to find the arbiter, which only calls that run alone need. Ruled out: dropping the check after answers (new holdings, a cold or a draining leaf show there first). Change: only an answer that differs from the published state of its leaf marks the states; the arbiter is looked up for calls that run alone.

--- a/core/include/berylreach/core/leaf_owner.h
+++ b/core/include/berylreach/core/leaf_owner.h
@@ -83,6 +83,7 @@
     std::optional<base::TimePoint> started_at;
   };
 
+  bool IsArbiter(const model::HostName& host, std::uint64_t fingerprint) const;
   /// Whether the order call was accepted before; remembers it otherwise.
   bool IsRepeatedOrder(const model::LeafCall& call);
   void ForgetOldOrders();
--- a/core/lib/leaf_owner.cc
+++ b/core/lib/leaf_owner.cc
@@ -35,10 +35,7 @@
   const auto standing = quarantine_.StandingOf(call.fingerprint);
   if (standing == quarantine::Standing::kBlocked)
     return Refuse(from, call, LeafOutcome::kBlocked);
-  const model::Member* arbiter =
-      quarantine::ArbiterOf(call.fingerprint, members_);
-  const bool from_arbiter = arbiter != nullptr && arbiter->host == from;
-  if (call.alone && !from_arbiter)
+  if (call.alone && !IsArbiter(from, call.fingerprint))
     return Refuse(from, call, LeafOutcome::kNotOwner);
   // An order that became suspect on its way is not run in company.
   const bool suspect = standing == quarantine::Standing::kSuspect;
@@ -65,7 +62,6 @@
 }
 
 void LeafOwner::OnUpstreamResult(const model::UpstreamResult& result) {
-  states_dirty_ = true;
   const auto found = leaves_.find(result.leaf);
   if (found == leaves_.end()) return;
   OwnedLeaf& entry = found->second;
@@ -79,14 +75,17 @@
   const bool reports_holdings = result.outcome == LeafOutcome::kOk ||
                                 result.outcome == LeafOutcome::kVersionGone;
   if (reports_holdings && !result.holdings.empty()) {
-    entry.holdings = result.holdings;
+    if (entry.holdings != result.holdings) entry.holdings = result.holdings;
     entry.known = true;
     entry.reachable = true;
   }
   limits::Actions actions;
   entry.gate.OnResult(result, actions);
   Carry(entry, actions);
-  DropFinished();
+  // Most answers confirm what was published; a scan of all leaves after each of
+  // them would cost more than the answer itself.
+  if (!IsPublished(entry)) states_dirty_ = true;
+  if (!entry.owned) DropFinished();
 }
 
 void LeafOwner::OnLeafStatus(const model::LeafStatus& status) {
@@ -157,6 +156,12 @@
   return earliest;
 }
 
+bool LeafOwner::IsArbiter(const model::HostName& host,
+                          std::uint64_t fingerprint) const {
+  const model::Member* arbiter = quarantine::ArbiterOf(fingerprint, members_);
+  return arbiter != nullptr && arbiter->host == host;
+}
+
 bool LeafOwner::IsRepeatedOrder(const model::LeafCall& call) {
   if (call.kind != model::RequestKind::kOrder) return false;
   if (!recent_order_ids_.insert(call.id).second) return true;
