Learn the latency of a service that never answers in time sooner

Cause: on real processes with a service time of 550 ms from the start no call was ever answered: an owner had to lose 16 calls before its threshold rose, and a query gives up after two. Ruled out: a threshold from the first loss on (one broken connection would raise it). Change: calls without an answer count from the fourth in a row on, and four samples give a quantile; before it was the ninth and eight. The first calls of such a service are still lost.

--- a/limits/lib/silence_threshold.cc
+++ b/limits/lib/silence_threshold.cc
@@ -10,12 +10,12 @@
 constexpr int kFactor = 3;
 
 /// Fewer samples give no usable quantile.
-constexpr std::size_t kMinSamples = 8;
+constexpr std::size_t kMinSamples = 4;
 
 /// So many silent calls without any answer between them are taken for a service
 /// that has become slower than the threshold. Fewer are broken connections,
 /// which must not raise the threshold for the others.
-constexpr std::size_t kSilencesOfSlowService = 8;
+constexpr std::size_t kSilencesOfSlowService = 4;
 
 }  // namespace
 
@@ -26,7 +26,7 @@
 
 void SilenceThreshold::OnSilence(base::Duration elapsed) {
   ++silences_in_row_;
-  if (silences_in_row_ > kSilencesOfSlowService) latencies_.Add(elapsed);
+  if (silences_in_row_ >= kSilencesOfSlowService) latencies_.Add(elapsed);
 }
 
 std::chrono::milliseconds SilenceThreshold::Value() const {
