--- a/core/lib/leaf_owner.cc
+++ b/core/lib/leaf_owner.cc
@@ -23,7 +23,10 @@
 
 LeafOwner::LeafOwner(const base::Clock& clock,
                      quarantine::Quarantine& quarantine, Outbox& outbox)
-    : clock_(clock), quarantine_(quarantine), outbox_(outbox) {}
+    : clock_(clock),
+      quarantine_(quarantine),
+      outbox_(outbox),
+      silence_thresholds_(clock, outbox) {}
 
 void LeafOwner::OnCall(const model::HostName& from,
                        const model::LeafCall& call) {
@@ -32,10 +35,7 @@
   const auto standing = quarantine_.StandingOf(call.fingerprint);
   if (standing == quarantine::Standing::kBlocked)
     return Refuse(from, call, LeafOutcome::kBlocked);
-  const model::Member* arbiter =
-      quarantine::ArbiterOf(call.fingerprint, members_);
-  const bool from_arbiter = arbiter != nullptr && arbiter->host == from;
-  if (call.alone && !from_arbiter)
+  if (call.alone && !IsArbiter(from, call.fingerprint))
     return Refuse(from, call, LeafOutcome::kNotOwner);
   // An order that became suspect on its way is not run in company.
   const bool suspect = standing == quarantine::Standing::kSuspect;
@@ -48,7 +48,7 @@
   // A run alone needs no other guard, and a proven fingerprint none at all.
   if (call.alone || standing == quarantine::Standing::kProven)
     accepted.canary = false;
-  calls_.emplace(call.id, AcceptedCall{from, accepted});
+  calls_.emplace(call.id, AcceptedCall{from, accepted, {}});
   limits::Actions actions;
   entry->gate.OnCall(accepted, actions);
   Carry(*entry, actions);
@@ -91,10 +91,10 @@
 }
 
 void LeafOwner::OnUpstreamResult(const model::UpstreamResult& result) {
-  states_dirty_ = true;
   const auto found = leaves_.find(result.leaf);
   if (found == leaves_.end()) return;
   OwnedLeaf& entry = found->second;
+  NoteLatency(result);
   if (result.outcome == LeafOutcome::kLeafDied) ReportDeath(result.leaf);
   if (result.outcome == LeafOutcome::kOk) NoteProven(result.id);
   if (result.connect_failed) {
@@ -105,14 +105,17 @@
   const bool reports_holdings = result.outcome == LeafOutcome::kOk ||
                                 result.outcome == LeafOutcome::kVersionGone;
   if (reports_holdings && !result.holdings.empty()) {
-    entry.holdings = result.holdings;
+    if (entry.holdings != result.holdings) entry.holdings = result.holdings;
     entry.known = true;
     entry.reachable = true;
   }
   limits::Actions actions;
   entry.gate.OnResult(result, actions);
   Carry(entry, actions);
-  DropFinished();
+  // Most answers confirm what was published; a scan of all leaves after each of
+  // them would cost more than the answer itself.
+  if (!IsPublished(entry)) states_dirty_ = true;
+  if (!entry.owned) DropFinished();
 }
 
 void LeafOwner::OnLeafStatus(const model::LeafStatus& status) {
@@ -169,6 +172,7 @@
     entry.gate.Tick(actions);
     Carry(entry, actions);
   }
+  silence_thresholds_.Tick();
   ForgetOldOrders();
   DropFinished();
 }
@@ -182,6 +186,12 @@
   return earliest;
 }
 
+bool LeafOwner::IsArbiter(const model::HostName& host,
+                          std::uint64_t fingerprint) const {
+  const model::Member* arbiter = quarantine::ArbiterOf(fingerprint, members_);
+  return arbiter != nullptr && arbiter->host == host;
+}
+
 bool LeafOwner::IsRepeatedOrder(const model::LeafCall& call) {
   if (call.kind != model::RequestKind::kOrder) return false;
   if (!recent_order_ids_.insert(call.id).second) return true;
@@ -271,6 +281,10 @@
 }
 
 void LeafOwner::Start(const OwnedLeaf& entry, const limits::StartCall& start) {
+  if (const auto accepted = calls_.find(start.call.id);
+      accepted != calls_.end()) {
+    accepted->second.started_at = clock_.Now();
+  }
   model::UpstreamCall call;
   call.id = start.call.id;
   call.leaf = entry.leaf.name;
@@ -289,6 +303,14 @@
   outbox_.Emit(CallUpstream{std::move(call)});
 }
 
+void LeafOwner::NoteLatency(const model::UpstreamResult& result) {
+  const auto found = calls_.find(result.id);
+  // The sender of a call that has run past its deadline has its reply already.
+  if (found == calls_.end() || !found->second.started_at) return;
+  silence_thresholds_.OnResult(found->second.call.service,
+                               *found->second.started_at, result);
+}
+
 void LeafOwner::Answer(const model::LeafReply& reply) {
   const auto node = calls_.extract(reply.id);
   if (node.empty()) return;
--- a/core/lib/leaf_owner_states.cc
+++ b/core/lib/leaf_owner_states.cc
@@ -14,6 +14,7 @@
   // Another host may have owned a leaf and published newer states in an epoch
   // that this host has skipped.
   if (table.epoch() > epoch_ + 1) ForgetPublished();
+  silence_thresholds_.Retain(environment);
   epoch_ = table.epoch();
   members_ = members;
   const auto owned = table.OwnedBy(outbox_.self());
