Drop calls behind lost connections in the test world as the pool does

Ruled out: a fault of the owner: it starts the calls under the limit of the warm process. The pool of transport ends such calls as not sent (section 3.10 of docs/design.md, UpstreamClientTest.CallsDoNotReachANewProcessBehindLostConnections); only the test world did not. Conclusion: a fault of the test world, not of the product.

--- a/testing/lib/world_io.cc
+++ b/testing/lib/world_io.cc
@@ -141,16 +141,20 @@
   const auto [connected, first] =
       connected_to_.try_emplace({host, call.leaf.value}, leaf.incarnation());
   const bool stale = connected->second != leaf.incarnation();
-  connected->second = leaf.incarnation();
   if (!stale || !leaf.alive()) return leaf.Call(call, std::move(reply));
   // The connections lead to a process that has ended: the pool notices before
-  // it writes, and the next call opens a new connection.
+  // it writes. Calls handed over until the owner hears of it are not sent
+  // either, since they were started under the limit of the warm process.
   model::UpstreamResult lost;
   lost.id = call.id;
   lost.leaf = call.leaf;
   lost.outcome = model::LeafOutcome::kNotSent;
   lost.connect_failed = true;
-  queue_.After(kSameZone, [reply, lost] { reply(lost); });
+  queue_.After(kSameZone,
+               [this, reply, lost, host, incarnation = leaf.incarnation()] {
+                 connected_to_[{host, lost.leaf.value}] = incarnation;
+                 reply(lost);
+               });
 }
 
 void World::CallStore(Host& host, const model::StoreRequest& request) {
