Send refused canaries of a full region on without a retry

Ruled out: leaving the region as soon as its leaves have no free slot; a free slot comes in a few ms, another region costs 40. Change: a canary that had waited and is refused as overloaded goes to the next leaf at no cost to the retry budget. It has not reached a leaf, so that no leaf gets more work than the one call. The new unit test failed before. Conclusion: a full region spills over to others only when it refuses.

--- a/query/lib/query_runner_replies.cc
+++ b/query/lib/query_runner_replies.cc
@@ -118,7 +118,12 @@
       std::erase(shard.tried, call.leaf);
     }
   }
-  Recover(shard, reason, RetryCost::kBudgeted, out);
+  // The leaves of the own region are full. The canary was held there only to
+  // save the way to another region, so that going there costs no retry.
+  const bool region_full = canary_waits_ && RunsCanary() &&
+                           reply.outcome == LeafOutcome::kOverloaded;
+  Recover(shard, reason, region_full ? RetryCost::kFree : RetryCost::kBudgeted,
+          out);
 }
 
 // The hedge has replaced the call and is no longer an extra one.
--- a/query/unittests/killing_request_test.cc
+++ b/query/unittests/killing_request_test.cc
@@ -134,6 +134,21 @@
   EXPECT_EQ(FinalAnswer().coverage.shards_total, 3U);
 }
 
+// Guards against new requests that are refused in a full region for want of
+// retry budget while leaves of another region are idle.
+TEST_F(SuspectTest, RefusedCanaryOfAFullRegionLeavesItWithoutARetry) {
+  context_.environment.zones[1].region = "far";
+  Start(false);
+  while (sent_.back().call.no_wait)
+    Answer(sent_.size() - 1, LeafOutcome::kNoSlot);
+  while (context_.retry_budget.TrySpend()) continue;
+  const std::size_t waiting = sent_.size() - 1;
+  Answer(waiting, LeafOutcome::kOverloaded);
+  ASSERT_EQ(sent_.size(), waiting + 2);
+  EXPECT_EQ(sent_.back().call.shard, sent_[waiting].call.shard);
+  EXPECT_NE(sent_.back().call.leaf, sent_[waiting].call.leaf);
+}
+
 constexpr milliseconds kWay{6};
 constexpr milliseconds kImpatience{200};
 
