Split the calls of orders out of the order runner

Ruled out: a class of its own for the calls; they share the order table, the outbox and the state with the rest. Change: order_runner_calls.cc holds the calls to leaves, and MakeCall builds one. Behaviour stays as it is.

--- a/core/include/berylreach/core/order_runner.h
+++ b/core/include/berylreach/core/order_runner.h
@@ -11,6 +11,7 @@
 #include "berylreach/core/outbox.h"
 #include "berylreach/core/shared_state.h"
 #include "berylreach/core/store_calls.h"
+#include "berylreach/model/leaf_call.h"
 #include "berylreach/model/leaf_reply.h"
 #include "berylreach/model/order_forward.h"
 #include "berylreach/orders/action.h"
@@ -98,6 +99,9 @@
   std::optional<routing::Replica> ChooseLeaf(const SentOrder& order,
                                              std::uint64_t fingerprint,
                                              const routing::Snapshot& snapshot);
+  model::LeafCall MakeCall(const SentOrder& order, std::uint64_t fingerprint,
+                           const routing::Snapshot& snapshot,
+                           const model::LeafName& leaf);
   /// Ends the selected orders as if their owners had replied so.
   void EndSent(model::LeafOutcome outcome,
                const std::function<bool(const SentOrder&)>& selected);
