Bound the free attempts of a refused canary

Cause: the change that sends a refused canary on without a retry had no bound, so that a new request of a full service with many leaves would have tried all of them. Ruled out: one free attempt only; the next leaf by weight may lie in the same full region. Change: the first 3 refusals are free, as many as leaves that a canary passes by; later ones take from the retry budget. Conclusion: the calls of one new request are bounded also without retry budget.

--- a/query/include/berylreach/query/query_runner.h
+++ b/query/include/berylreach/query/query_runner.h
@@ -181,6 +181,9 @@
   /// Leaves that had no free slot for the canary; empty once it waits.
   std::vector<model::LeafName> canary_moves_;
   bool canary_waits_ = false;
+  /// Refusals of the waiting canary as overloaded. The first kMaxCanaryMoves
+  /// cost no retry; more would multiply the calls of a full service.
+  std::uint32_t canary_refusals_ = 0;
   std::uint32_t failed_canaries_ = 0;
   std::uint32_t canary_deaths_ = 0;
   std::uint32_t risky_failures_ = 0;
--- a/query/lib/query_runner_replies.cc
+++ b/query/lib/query_runner_replies.cc
@@ -121,7 +121,8 @@
   // The leaves of the own region are full. The canary was held there only to
   // save the way to another region, so that going there costs no retry.
   const bool region_full = canary_waits_ && RunsCanary() &&
-                           reply.outcome == LeafOutcome::kOverloaded;
+                           reply.outcome == LeafOutcome::kOverloaded &&
+                           ++canary_refusals_ <= kMaxCanaryMoves;
   Recover(shard, reason, region_full ? RetryCost::kFree : RetryCost::kBudgeted,
           out);
 }
--- a/query/unittests/killing_request_test.cc
+++ b/query/unittests/killing_request_test.cc
@@ -149,6 +149,27 @@
   EXPECT_NE(sent_.back().call.leaf, sent_[waiting].call.leaf);
 }
 
+// Guards against a full service whose new requests try all of its leaves.
+TEST_F(SuspectTest, RefusedCanaryTriesFewLeavesWithoutARetry) {
+  constexpr std::uint32_t kReplicas = 12;
+  FakeContext wide(clock_, 1, kReplicas);
+  for (std::uint32_t j = 0; j < kReplicas; ++j) wide.Hold(j, {7});
+  while (wide.retry_budget.TrySpend()) continue;
+  QueryRunner runner(clock_, wide, request_);
+  std::vector<Action> out;
+  runner.Start(out);
+  std::size_t refusals = 0;
+  while (!runner.finished()) {
+    ASSERT_TRUE(std::holds_alternative<SendCall>(out.back()));
+    const model::LeafCall call = std::get<SendCall>(out.back()).call;
+    if (!call.no_wait) ++refusals;
+    runner.OnLeafReply(ReplyTo(call, call.no_wait ? LeafOutcome::kNoSlot
+                                                  : LeafOutcome::kOverloaded),
+                       out);
+  }
+  EXPECT_EQ(refusals, QueryRunner::kMaxCanaryMoves + 1);
+}
+
 constexpr milliseconds kWay{6};
 constexpr milliseconds kImpatience{200};
 
