Repeat a status read early only after status reads

Cause: the short interval for leaves that are down was armed wherever a status answer was read, probes of silent connections included. Probes that keep failing could so put off the next read again and again; this was found by reading and not seen. Ruled out: a timer that is only ever brought forward; probes have no part in it. Change: the two readers of the status report it in one place, which arms the timer. Conclusion: the interval belongs to the reads.

--- a/transport/lib/leaf_aux.cc
+++ b/transport/lib/leaf_aux.cc
@@ -190,14 +190,16 @@
 model::LeafStatus LeafPool::StatusOf(const AuxResult& result) {
   model::LeafStatus status = ReadStatusAnswer(result.exchange);
   status.refused = result.refused;
-  if (status.reachable) {
-    incarnation_ = status.incarnation;
-  } else if (reads_status_) {
-    ReadStatusAfter(context_.options.down_status_interval);
-  }
+  if (status.reachable) incarnation_ = status.incarnation;
   return status;
 }
 
+void LeafPool::ReportStatus(model::LeafStatus status) {
+  if (!reads_status_) return;
+  if (!status.reachable) ReadStatusAfter(context_.options.down_status_interval);
+  context_.on_status(std::move(status));
+}
+
 void LeafPool::VerifyIncarnation() {
   verifying_ = true;
   const auto verify = [self = shared_from_this(),
@@ -206,7 +208,7 @@
     model::LeafStatus status = self->StatusOf(result);
     const bool same =
         status.reachable && (known == 0 || status.incarnation == known);
-    if (self->reads_status_) self->context_.on_status(std::move(status));
+    self->ReportStatus(std::move(status));
     if (!same) self->FailQueued();
     self->Pump();
   };
@@ -221,7 +223,7 @@
     ReadStatus(true);
     return;
   }
-  context_.on_status(StatusOf(result));
+  ReportStatus(StatusOf(result));
 }
 
 }  // namespace berylreach::transport
--- a/transport/lib/leaf_pool.h
+++ b/transport/lib/leaf_pool.h
@@ -108,6 +108,8 @@
                                  const AuxResult& result);
   void ReadStatus(bool fresh);
   void ReadStatusAfter(std::chrono::milliseconds delay);
+  /// Passes on the result of a status read, and repeats a failed one soon.
+  void ReportStatus(model::LeafStatus status);
   /// Asks whether the process behind the lost connections still runs, before
   /// the queued calls are sent on new ones: a new process is cold, and they
   /// were started under the limit of a warm one.
