--- a/core/lib/leaf_owner.cc
+++ b/core/lib/leaf_owner.cc
@@ -48,9 +48,11 @@
   // A run alone needs no other guard, and a proven fingerprint none at all.
   if (call.alone || standing == quarantine::Standing::kProven)
     accepted.canary = false;
-  calls_.emplace(call.id, AcceptedCall{from, accepted, {}});
+  const auto place =
+      calls_.emplace(call.id, AcceptedCall{from, std::move(accepted), {}})
+          .first;
   limits::Actions actions;
-  entry->gate.OnCall(accepted, actions);
+  entry->gate.OnCall(place->second.call, actions);
   Carry(*entry, actions);
 }
 
--- a/core/lib/order_runner_calls.cc
+++ b/core/lib/order_runner_calls.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
-#include <string>
 #include <utility>
 
 #include "berylreach/core/order_runner.h"
@@ -31,12 +30,6 @@
   return quarantine::FingerprintOf(request);
 }
 
-std::string RegionOf(const model::Environment& environment,
-                     const model::ZoneName& zone) {
-  const model::Zone* found = model::FindZone(environment, zone);
-  return found == nullptr ? std::string() : found->region;
-}
-
 }  // namespace
 
 bool OrderRunner::OnLeafReply(const model::LeafReply& reply) {
@@ -102,7 +95,7 @@
   query.version = snapshot.version;
   query.shard_count = snapshot.shard_count;
   query.own_zone = state_.OwnZone();
-  query.own_region = RegionOf(state_.Environment(), state_.OwnZone());
+  query.own_region = model::RegionOf(state_.Environment(), state_.OwnZone());
   query.tried = order.tried;
   query.suspect = standing == quarantine::Standing::kSuspect;
   query.random = state_.Random();
--- a/core/unittests/leaf_owner_states_test.cc
+++ b/core/unittests/leaf_owner_states_test.cc
@@ -4,27 +4,15 @@
 
 #include <chrono>
 #include <cstdint>
-#include <variant>
 #include <vector>
 
 #include "berylreach/base/manual_clock.h"
 #include "berylreach/core/leaf_owner.h"
-#include "berylreach/model/leaf_states.h"
+#include "one_leaf.h"
 
 namespace berylreach::core {
 namespace {
 
-model::Environment OneLeaf() {
-  model::Environment environment;
-  environment.zones = {{{"a"}, "east"}};
-  model::Service service;
-  service.name = {"desk"};
-  service.accepts = {model::RequestKind::kQuery};
-  service.leaves.push_back({{"l0"}, "127.0.0.1:1", {"a"}, 2, 25});
-  environment.services.push_back(service);
-  return environment;
-}
-
 model::Member HostIn(const std::string& host, const std::string& zone) {
   model::Member member;
   member.host = {host};
@@ -37,10 +25,10 @@
  protected:
   // The only member of the zone of the leaf owns it.
   void AdoptAsOwner(std::uint64_t epoch) {
-    Adopt(epoch, {HostIn("a1", "a"), HostIn("b1", "b")});
-    owner_.SetOpen({"l0"}, true);
+    Adopt(epoch, {HostIn("a1", "zone"), HostIn("b1", "other")});
+    owner_.SetOpen({"leaf"}, true);
     model::LeafStatus status;
-    status.leaf = {"l0"};
+    status.leaf = {"leaf"};
     status.reachable = true;
     status.incarnation = 7;
     status.holdings = {{5, 0, 1}};
@@ -48,20 +36,14 @@
   }
 
   void AdoptWithoutLeaves(std::uint64_t epoch) {
-    Adopt(epoch, {HostIn("b1", "b")});
+    Adopt(epoch, {HostIn("b1", "other")});
   }
 
   // Epochs of the states that PublishChanges sends to the other host.
   std::vector<std::uint64_t> PublishedEpochs() {
-    owner_.PublishChanges();
     std::vector<std::uint64_t> epochs;
-    for (const Action& action : outbox_.Take()) {
-      const auto* send = std::get_if<SendToPeer>(&action);
-      if (send == nullptr) continue;
-      const auto* states = std::get_if<model::LeafStates>(&send->message);
-      if (states == nullptr) continue;
-      for (const auto& state : states->states) epochs.push_back(state.epoch);
-    }
+    for (const auto& state : PublishedStates(owner_, outbox_))
+      epochs.push_back(state.epoch);
     return epochs;
   }
 
--- a/core/unittests/leaf_owner_test.cc
+++ b/core/unittests/leaf_owner_test.cc
@@ -5,10 +5,10 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
-#include <variant>
 #include <vector>
 
 #include "berylreach/base/manual_clock.h"
+#include "one_leaf.h"
 
 namespace berylreach::core {
 namespace {
@@ -19,12 +19,6 @@
 class LeafOwnerTest : public testing::Test {
  protected:
   LeafOwnerTest() {
-    environment_.zones = {{{"zone"}, {"region"}, model::ZoneState::kIn}};
-    model::Service service;
-    service.name = {"desk"};
-    service.shards = 1;
-    service.leaves = {{{"leaf"}, "127.0.0.1:1", {"zone"}, 2, 4}};
-    environment_.services = {service};
     const std::vector<model::Member> members{{{"host"}, 1, {"zone"}, "", ""},
                                              {{"peer"}, 2, {"other"}, "", ""}};
     owner_.Adopt(routing::OwnershipTable(1, 1, environment_, members),
@@ -56,23 +50,14 @@
 
   /// The states that are sent to the peer.
   std::vector<model::LeafState> Published() {
-    owner_.PublishChanges();
-    std::vector<model::LeafState> states;
-    for (const Action& action : outbox_.Take()) {
-      const auto* send = std::get_if<SendToPeer>(&action);
-      if (send == nullptr) continue;
-      const auto* sent = std::get_if<model::LeafStates>(&send->message);
-      if (sent == nullptr) continue;
-      states.insert(states.end(), sent->states.begin(), sent->states.end());
-    }
-    return states;
+    return PublishedStates(owner_, outbox_);
   }
 
   base::ManualClock clock_;
   quarantine::Quarantine quarantine_{clock_};
   Outbox outbox_{{"host"}};
   LeafOwner owner_{clock_, quarantine_, outbox_};
-  model::Environment environment_;
+  model::Environment environment_ = OneLeaf();
   std::uint64_t next_ = 0;
 };
 
--- a/core/unittests/silence_thresholds_test.cc
+++ b/core/unittests/silence_thresholds_test.cc
@@ -10,6 +10,7 @@
 
 #include "berylreach/base/manual_clock.h"
 #include "berylreach/core/leaf_owner.h"
+#include "one_leaf.h"
 
 namespace berylreach::core {
 namespace {
@@ -20,12 +21,6 @@
 class SilenceThresholdsTest : public testing::Test {
  protected:
   SilenceThresholdsTest() {
-    environment_.zones = {{{"zone"}, {"region"}, model::ZoneState::kIn}};
-    model::Service service;
-    service.name = {"desk"};
-    service.shards = 1;
-    service.leaves = {{{"leaf"}, "127.0.0.1:1", {"zone"}, 2, 4}};
-    environment_.services = {service};
     Adopt();
     owner_.SetLeaseExpiry(clock_.Now() + std::chrono::hours(1));
     owner_.SetOpen({"leaf"}, true);
@@ -93,7 +88,7 @@
   quarantine::Quarantine quarantine_{clock_};
   Outbox outbox_{{"host"}};
   LeafOwner owner_{clock_, quarantine_, outbox_};
-  model::Environment environment_;
+  model::Environment environment_ = OneLeaf();
   std::uint64_t next_ = 0;
 };
 
--- a/model/include/berylreach/model/environment.h
+++ b/model/include/berylreach/model/environment.h
@@ -27,6 +27,9 @@
 /// The zone of that name; null if there is none.
 const Zone* FindZone(const Environment& environment, const ZoneName& name);
 
+/// The region of the zone; empty if there is no such zone.
+std::string RegionOf(const Environment& environment, const ZoneName& zone);
+
 /// The leaf of that name, and the service that it belongs to; both null if
 /// there is none.
 struct LeafPlace {
--- a/model/lib/environment.cc
+++ b/model/lib/environment.cc
@@ -25,6 +25,11 @@
   return FindByName(environment.zones, name);
 }
 
+std::string RegionOf(const Environment& environment, const ZoneName& zone) {
+  const Zone* found = FindZone(environment, zone);
+  return found == nullptr ? std::string() : found->region;
+}
+
 LeafPlace FindLeaf(const Environment& environment, const LeafName& name) {
   for (const Service& service : environment.services) {
     if (const Leaf* leaf = FindByName(service.leaves, name))
--- a/query/lib/query_runner_calls.cc
+++ b/query/lib/query_runner_calls.cc
@@ -13,9 +13,7 @@
 }
 
 std::string QueryRunner::OwnRegion() const {
-  const model::Zone* zone =
-      model::FindZone(context_.Environment(), context_.OwnZone());
-  return zone == nullptr ? std::string() : zone->region;
+  return model::RegionOf(context_.Environment(), context_.OwnZone());
 }
 
 std::optional<routing::Placement> QueryRunner::PickCanary(
