--- /dev/null
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -0,0 +1,73 @@
+// The leaves of all services, as discovery lists them.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/forward/leaf_record.h"
+
+namespace berylreach::forward {
+
+/// Where this host stands, and which zone belongs to which region.
+struct Location {
+  std::string zone;
+  std::string region;
+  std::unordered_map<std::string, std::string> region_of_zone;
+};
+
+/// Keeps one record for each leaf incarnation. Entries that vanish while the
+/// store is away, or shortly after its return, may only have lapsed: they stay
+/// usable until `kReturnGrace` after the return. Not thread-safe.
+class LeafDirectory {
+ public:
+  /// Time after the store's return in which living leaves are listed again.
+  static constexpr base::Duration kReturnGrace = std::chrono::milliseconds(
+      2500);  // 2 s of the platform and a margin for the delivery
+
+  LeafDirectory(const base::Clock& clock, Location location);
+
+  void Put(LeafEntry entry);
+  void Remove(const std::string& id);
+  /// A complete listing; leaves that are not in it are removed.
+  void Replace(std::vector<LeafEntry> entries);
+  /// The zones that take no new calls.
+  void SetEvacuatedZones(std::set<std::string> zones);
+
+  void OnStoreLost();
+  void OnStoreRegained();
+  /// Removes entries whose grace has ended.
+  void Tick();
+
+  /// Leaves of a service that may take calls; draining, gone and evacuated
+  /// ones are left out.
+  std::vector<std::shared_ptr<LeafRecord>> Usable(
+      const std::string& service) const;
+
+  std::shared_ptr<LeafRecord> Find(const std::string& id) const;
+  std::size_t size() const { return leaves_.size(); }
+  const std::set<std::string>& evacuated_zones() const { return evacuated_; }
+
+ private:
+  bool InGrace() const;
+  void Erase(const std::string& id);
+  Distance DistanceOf(const std::string& zone) const;
+  std::string RegionOf(const std::string& zone) const;
+
+  const base::Clock& clock_;
+  Location location_;
+  std::unordered_map<std::string, std::shared_ptr<LeafRecord>> leaves_;
+  std::unordered_map<std::string, std::vector<std::shared_ptr<LeafRecord>>>
+      by_service_;
+  std::set<std::string> evacuated_;
+  /// Ids that the store no longer lists but that may only have lapsed.
+  std::set<std::string> lapsed_;
+  bool store_lost_ = false;
+  base::TimePoint grace_until_{};
+};
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -0,0 +1,57 @@
+// Chooses the leaf of a call.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/forward/cold_call_limit.h"
+#include "berylreach/forward/configuration.h"
+#include "berylreach/forward/leaf_directory.h"
+
+namespace berylreach::forward {
+
+/// What a call needs of its leaf.
+struct LeafQuery {
+  const Service* service = nullptr;
+  /// Regions that may serve the call; empty for all.
+  const std::vector<std::string>* regions = nullptr;
+  /// Leaves that the request has already tried.
+  const std::vector<std::string>* tried = nullptr;
+  /// Spreads ties, for example a hash of the request id.
+  std::uint64_t seed = 0;
+  /// Whether a leaf that is silent or backed off will do.
+  bool any = true;
+};
+
+/// Chooses by expected time to an answer among the leaves that may be called.
+class LeafSelector {
+ public:
+  /// The arguments must outlive the selector.
+  LeafSelector(const base::Clock& clock, LeafDirectory& directory,
+               ColdCallLimit& cold);
+
+  /// Hosts that share the connections of a leaf; at least 1.
+  void SetHosts(std::size_t hosts);
+
+  /// The best leaf, or null if none may be called now.
+  std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
+
+  /// A call to the leaf was sent.
+  void OnSent(LeafRecord& leaf) const;
+
+  /// Whether the service has a leaf that may be called at some time.
+  bool HasLeaf(const LeafQuery& query) const;
+
+  /// Connections of this host to one leaf of `service`.
+  std::size_t ConnectionShare(const Service& service) const;
+
+ private:
+  const base::Clock& clock_;
+  LeafDirectory& directory_;
+  ColdCallLimit& cold_;
+  std::size_t hosts_ = 1;
+};
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/cold_call_limit.cc
@@ -0,0 +1,69 @@
+// Shares of the calls of cold leaves.
+#include "berylreach/forward/cold_call_limit.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "berylreach/base/rendezvous.h"
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Part of the bound that is used, so that calls delayed on their way do not
+/// meet later ones.
+constexpr double kUsableShare = 0.8;
+
+/// Spacing of hosts that may send one call per second.
+constexpr milliseconds kSlowestSpacing{1200};
+
+}  // namespace
+
+ColdCallLimit::ColdCallLimit(const base::Clock& clock, ColdCallLimits limits)
+    : clock_(clock), limits_(limits) {}
+
+void ColdCallLimit::SetHosts(std::string self, std::vector<std::string> hosts) {
+  self_ = std::move(self);
+  hosts_ = std::move(hosts);
+}
+
+base::Duration ColdCallLimit::Spacing(const std::string& leaf,
+                                      double rate) const {
+  const double bound = kUsableShare * (rate * limits_.overage + limits_.slack);
+  const double share = std::floor(bound / static_cast<double>(hosts_.size()));
+  if (share >= 1) {
+    return std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(1.0 / share));
+  }
+  // Too few calls for all hosts: those with the highest weights get one each.
+  const std::uint64_t own = base::RendezvousWeight(leaf, self_);
+  const auto ahead = std::count_if(
+      hosts_.begin(), hosts_.end(), [&leaf, own](const std::string& host) {
+        return base::RendezvousWeight(leaf, host) > own;
+      });
+  if (static_cast<double>(ahead + 1) > bound) return base::Duration::max();
+  return kSlowestSpacing;
+}
+
+bool ColdCallLimit::MayCall(const std::string& leaf, double rate) const {
+  if (hosts_.empty()) return false;
+  const base::Duration spacing = Spacing(leaf, rate);
+  if (spacing == base::Duration::max()) return false;
+  const auto found = last_call_.find(leaf);
+  return found == last_call_.end() || clock_.Now() - found->second >= spacing;
+}
+
+void ColdCallLimit::OnCall(const std::string& leaf) {
+  last_call_[leaf] = clock_.Now();
+}
+
+void ColdCallLimit::Tick() {
+  const base::TimePoint oldest = clock_.Now() - 2 * kSlowestSpacing;
+  std::erase_if(last_call_,
+                [oldest](const auto& entry) { return entry.second < oldest; });
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/extra_call_budget.cc
@@ -0,0 +1,74 @@
+// Sliding windows of requests and extra calls.
+#include "berylreach/forward/extra_call_budget.h"
+
+#include <algorithm>
+
+namespace berylreach::forward {
+namespace {
+
+/// Slices of a window; the window slides by one slice at a time.
+constexpr int kSlices = 20;
+
+/// Share of the budget that hedges may use.
+constexpr double kHedgeShare = 0.7;
+
+/// Share of the allowance that is used at all. The rest covers calls that
+/// arrive at the leaves in another window than they were counted in here.
+constexpr double kUsableShare = 0.9;
+
+}  // namespace
+
+ExtraCallBudget::ExtraCallBudget(const base::Clock& clock,
+                                 ExtraCallLimits limits)
+    : clock_(clock), limits_(limits) {}
+
+void ExtraCallBudget::SetHosts(std::size_t hosts) {
+  hosts_ = std::max<std::size_t>(1, hosts);
+}
+
+void ExtraCallBudget::OnRequest(const std::string& service) {
+  Window& window = Current(service);
+  ++window.requests;
+  ++window.slices.back().requests;
+}
+
+bool ExtraCallBudget::TrySpend(const std::string& service, ExtraCall kind) {
+  Window& window = Current(service);
+  const double share = kind == ExtraCall::kHedge ? kHedgeShare : 1.0;
+  if (static_cast<double>(window.extra + 1) > share * Allowed(window))
+    return false;
+  ++window.extra;
+  ++window.slices.back().extra;
+  return true;
+}
+
+double ExtraCallBudget::Level(const std::string& service) {
+  const Window& window = Current(service);
+  const double allowed = Allowed(window);
+  if (allowed <= 0) return 0;
+  return std::max(0.0, 1 - static_cast<double>(window.extra) / allowed);
+}
+
+ExtraCallBudget::Window& ExtraCallBudget::Current(const std::string& service) {
+  Window& window = windows_[service];
+  const base::TimePoint now = clock_.Now();
+  const base::Duration slice = base::Duration(limits_.window) / kSlices;
+  // One slice more than the window is kept, since the oldest one is only
+  // partly in it.
+  while (!window.slices.empty() &&
+         window.slices.front().begin + limits_.window + slice <= now) {
+    window.requests -= window.slices.front().requests;
+    window.extra -= window.slices.front().extra;
+    window.slices.pop_front();
+  }
+  if (window.slices.empty() || window.slices.back().begin + slice <= now)
+    window.slices.push_back({now});
+  return window;
+}
+
+double ExtraCallBudget::Allowed(const Window& window) const {
+  return kUsableShare * (limits_.ratio * static_cast<double>(window.requests) +
+                         limits_.slack / static_cast<double>(hosts_));
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/leaf_directory.cc
@@ -0,0 +1,112 @@
+// Records of leaves by id and by service.
+#include "berylreach/forward/leaf_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylreach::forward {
+
+LeafDirectory::LeafDirectory(const base::Clock& clock, Location location)
+    : clock_(clock), location_(std::move(location)) {}
+
+void LeafDirectory::Put(LeafEntry entry) {
+  lapsed_.erase(entry.id);
+  const auto found = leaves_.find(entry.id);
+  if (found != leaves_.end()) {
+    const LeafEntry& known = found->second->entry();
+    if (known.service == entry.service && known.address == entry.address &&
+        known.zone == entry.zone) {
+      found->second->Update(std::move(entry), clock_.Now());
+      return;
+    }
+    Erase(entry.id);
+  }
+  auto record = std::make_shared<LeafRecord>(
+      entry, DistanceOf(entry.zone), RegionOf(entry.zone), clock_.Now());
+  by_service_[entry.service].push_back(record);
+  leaves_.emplace(entry.id, std::move(record));
+}
+
+void LeafDirectory::Remove(const std::string& id) {
+  if (!leaves_.contains(id)) return;
+  if (InGrace()) {
+    lapsed_.insert(id);
+    return;
+  }
+  Erase(id);
+}
+
+void LeafDirectory::Replace(std::vector<LeafEntry> entries) {
+  std::set<std::string> listed;
+  for (LeafEntry& entry : entries) {
+    listed.insert(entry.id);
+    Put(std::move(entry));
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, record] : leaves_)
+    if (!listed.contains(id)) missing.push_back(id);
+  for (const std::string& id : missing) Remove(id);
+}
+
+void LeafDirectory::SetEvacuatedZones(std::set<std::string> zones) {
+  evacuated_ = std::move(zones);
+}
+
+void LeafDirectory::OnStoreLost() { store_lost_ = true; }
+
+void LeafDirectory::OnStoreRegained() {
+  if (!store_lost_) return;
+  store_lost_ = false;
+  grace_until_ = clock_.Now() + kReturnGrace;
+}
+
+void LeafDirectory::Tick() {
+  if (InGrace() || lapsed_.empty()) return;
+  for (const std::string& id : std::exchange(lapsed_, {})) Erase(id);
+}
+
+bool LeafDirectory::InGrace() const {
+  return store_lost_ || clock_.Now() < grace_until_;
+}
+
+void LeafDirectory::Erase(const std::string& id) {
+  const auto found = leaves_.find(id);
+  if (found == leaves_.end()) return;
+  const std::shared_ptr<LeafRecord> record = found->second;
+  leaves_.erase(found);
+  record->MarkGone();
+  std::erase(by_service_[record->entry().service], record);
+}
+
+std::vector<std::shared_ptr<LeafRecord>> LeafDirectory::Usable(
+    const std::string& service) const {
+  std::vector<std::shared_ptr<LeafRecord>> usable;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return usable;
+  for (const std::shared_ptr<LeafRecord>& leaf : found->second) {
+    if (leaf->gone() || leaf->entry().draining) continue;
+    if (evacuated_.contains(leaf->entry().zone)) continue;
+    usable.push_back(leaf);
+  }
+  return usable;
+}
+
+std::shared_ptr<LeafRecord> LeafDirectory::Find(const std::string& id) const {
+  const auto found = leaves_.find(id);
+  return found == leaves_.end() ? nullptr : found->second;
+}
+
+Distance LeafDirectory::DistanceOf(const std::string& zone) const {
+  if (zone == location_.zone) return Distance::kSameZone;
+  const std::string region = RegionOf(zone);
+  if (!region.empty() && region == location_.region)
+    return Distance::kSameRegion;
+  return Distance::kOtherRegion;
+}
+
+std::string LeafDirectory::RegionOf(const std::string& zone) const {
+  const auto found = location_.region_of_zone.find(zone);
+  return found == location_.region_of_zone.end() ? "" : found->second;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/leaf_record.cc
@@ -0,0 +1,163 @@
+// Estimates of latency and health of one leaf.
+#include "berylreach/forward/leaf_record.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Weights of a new sample in the mean and in the deviation (RFC 6298).
+constexpr int kMeanShare = 8;
+constexpr int kDeviationShare = 4;
+
+/// Deviations above the mean at which an answer is overdue.
+constexpr int kOverdueDeviations = 3;
+constexpr milliseconds kLeastHedgeDelay{8};
+/// Added to the hedge delay for the granularity of timers.
+constexpr milliseconds kTimerMargin{4};
+
+/// Time in which an estimate without new samples returns to the prior, so that
+/// a leaf that was slow is tried again.
+constexpr milliseconds kEstimateLifetime{6000};
+
+/// Time constant in which the failure rate of an unused leaf fades.
+constexpr double kFailureFadeSeconds = 2.0;
+constexpr double kFailureShare = 0.15;
+
+/// Expected delay that a certain failure adds to a request: a second call.
+constexpr milliseconds kFailureCost{150};
+/// A silent leaf is usually paused; pauses last some hundred milliseconds.
+constexpr milliseconds kSilenceCost{150};
+/// Cold leaves are slower and are used last.
+constexpr milliseconds kColdCost{60};
+
+/// Back-off after lost connections, doubled with each further one.
+constexpr milliseconds kFirstBackOff{100};
+constexpr std::uint32_t kMostDoublings = 4;
+/// Failures in a row that are no coincidence any more.
+constexpr std::uint32_t kFailuresBeforeBackOff = 3;
+
+double Seconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+LeafRecord::LeafRecord(LeafEntry entry, Distance distance, std::string region,
+                       base::TimePoint now)
+    : entry_(std::move(entry)),
+      distance_(distance),
+      region_(std::move(region)) {
+  SetColdFor(entry_.cold_left, now);
+}
+
+void LeafRecord::Update(LeafEntry entry, base::TimePoint now) {
+  if (entry.cold_left != entry_.cold_left) SetColdFor(entry.cold_left, now);
+  entry_ = std::move(entry);
+}
+
+void LeafRecord::SetColdFor(base::Duration left, base::TimePoint now) {
+  cold_until_ = now + left;
+}
+
+void LeafRecord::OnCallSent(base::TimePoint now) { sent_at_.push_back(now); }
+
+void LeafRecord::OnCallEnded(base::TimePoint sent, base::TimePoint now,
+                             CallOutcome outcome) {
+  const auto found = std::find(sent_at_.begin(), sent_at_.end(), sent);
+  if (found != sent_at_.end()) sent_at_.erase(found);
+  if (outcome == CallOutcome::kCancelled) return;
+  const double faded = failure_rate_ * std::exp(-Seconds(now - last_sample_) /
+                                                kFailureFadeSeconds);
+  const bool failed = outcome != CallOutcome::kAnswered;
+  failure_rate_ = faded + kFailureShare * ((failed ? 1.0 : 0.0) - faded);
+  if (outcome == CallOutcome::kAnswered || outcome == CallOutcome::kShed) {
+    last_answer_ = now;
+    failures_in_row_ = 0;
+    retry_at_ = {};
+  }
+  if (outcome == CallOutcome::kAnswered) {
+    base::Duration sample = now - sent;
+    if (mean_ == base::Duration::zero()) {
+      mean_ = sample;
+      deviation_ = sample / 2;
+    } else {
+      // One pause of a leaf must not pass for its usual speed.
+      sample = std::min(sample, 2 * mean_ + 4 * deviation_ + kTimerMargin);
+      const base::Duration error = sample - mean_;
+      mean_ += error / kMeanShare;
+      deviation_ +=
+          ((error < base::Duration::zero() ? -error : error) - deviation_) /
+          kDeviationShare;
+    }
+  }
+  last_sample_ = now;
+  if (outcome == CallOutcome::kFailed || outcome == CallOutcome::kUnreachable) {
+    ++failures_in_row_;
+    if (outcome == CallOutcome::kUnreachable ||
+        failures_in_row_ >= kFailuresBeforeBackOff) {
+      const auto doublings = std::min(failures_in_row_ - 1, kMostDoublings);
+      retry_at_ = now + kFirstBackOff * (1U << doublings);
+    }
+  }
+}
+
+base::Duration LeafRecord::Prior() const {
+  switch (distance_) {
+    case Distance::kSameZone:
+      return milliseconds(10);
+    case Distance::kSameRegion:
+      return milliseconds(12);
+    case Distance::kOtherRegion:
+      return milliseconds(50);
+  }
+  return milliseconds(50);
+}
+
+base::Duration LeafRecord::Mean(base::TimePoint now) const {
+  if (mean_ == base::Duration::zero()) return Prior();
+  if (mean_ <= Prior()) return mean_;
+  const double age =
+      std::min(1.0, Seconds(now - last_sample_) / Seconds(kEstimateLifetime));
+  return mean_ +
+         std::chrono::duration_cast<base::Duration>((Prior() - mean_) * age);
+}
+
+base::Duration LeafRecord::Cost(base::TimePoint now) const {
+  const base::Duration mean = Mean(now);
+  const auto slots =
+      static_cast<double>(std::max<std::size_t>(1, entry_.slots));
+  const auto running = static_cast<double>(sent_at_.size());
+  // Calls up to the slots still disturb each other somewhat; beyond them a
+  // call waits for a turn.
+  const double load =
+      1 + 0.2 * running / slots + std::max(0.0, running + 1 - slots) / slots;
+  auto cost = std::chrono::duration_cast<base::Duration>(mean * load);
+  const double rate = failure_rate_ * std::exp(-Seconds(now - last_sample_) /
+                                               kFailureFadeSeconds);
+  cost += std::chrono::duration_cast<base::Duration>(kFailureCost * rate);
+  if (IsSilent(now)) cost += kSilenceCost;
+  if (IsCold(now)) cost += kColdCost;
+  return cost;
+}
+
+base::Duration LeafRecord::HedgeDelay(base::TimePoint now) const {
+  if (mean_ == base::Duration::zero()) return 2 * Prior();
+  const base::Duration overdue =
+      Mean(now) + kOverdueDeviations * deviation_ + kTimerMargin;
+  return std::max<base::Duration>(overdue, kLeastHedgeDelay);
+}
+
+bool LeafRecord::IsSilent(base::TimePoint now) const {
+  const auto unanswered =
+      std::upper_bound(sent_at_.begin(), sent_at_.end(), last_answer_);
+  if (unanswered == sent_at_.end()) return false;
+  return now - *unanswered > HedgeDelay(now);
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/leaf_selector.cc
@@ -0,0 +1,90 @@
+// Choice by expected time to an answer.
+#include "berylreach/forward/leaf_selector.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+#include "berylreach/base/rendezvous.h"
+
+namespace berylreach::forward {
+namespace {
+
+/// Largest share of its cost by which a leaf may be preferred at random, so
+/// that hosts do not all choose the same of several equal leaves.
+constexpr double kJitter = 0.1;
+
+template <typename T>
+bool Contains(const std::vector<T>* values, const T& value) {
+  return values != nullptr &&
+         std::find(values->begin(), values->end(), value) != values->end();
+}
+
+bool AllowedRegion(const LeafQuery& query, const LeafRecord& leaf) {
+  return query.regions == nullptr || query.regions->empty() ||
+         Contains(query.regions, leaf.region());
+}
+
+double JitterOf(const LeafQuery& query, const LeafRecord& leaf) {
+  const std::uint64_t weight =
+      base::RendezvousWeight(query.seed, base::Hash64(leaf.entry().id));
+  return 1 + kJitter * static_cast<double>(weight) /
+                 static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+}  // namespace
+
+LeafSelector::LeafSelector(const base::Clock& clock, LeafDirectory& directory,
+                           ColdCallLimit& cold)
+    : clock_(clock), directory_(directory), cold_(cold) {}
+
+void LeafSelector::SetHosts(std::size_t hosts) {
+  hosts_ = std::max<std::size_t>(1, hosts);
+}
+
+std::shared_ptr<LeafRecord> LeafSelector::Choose(const LeafQuery& query) const {
+  const base::TimePoint now = clock_.Now();
+  const std::size_t connections = ConnectionShare(*query.service);
+  std::shared_ptr<LeafRecord> best;
+  auto best_cost = base::Duration::max();
+  for (std::shared_ptr<LeafRecord>& leaf :
+       directory_.Usable(query.service->name)) {
+    if (!AllowedRegion(query, *leaf)) continue;
+    if (Contains(query.tried, leaf->entry().id)) continue;
+    if (leaf->running() >= connections) continue;
+    const bool doubtful = leaf->IsBackedOff(now) || leaf->IsSilent(now);
+    if (doubtful && !query.any) continue;
+    if (leaf->IsCold(now) &&
+        !cold_.MayCall(leaf->entry().id, query.service->cold_rate))
+      continue;
+    auto cost = std::chrono::duration_cast<base::Duration>(
+        leaf->Cost(now) * JitterOf(query, *leaf));
+    if (leaf->IsBackedOff(now)) cost += std::chrono::seconds(1);
+    if (cost >= best_cost) continue;
+    best_cost = cost;
+    best = std::move(leaf);
+  }
+  return best;
+}
+
+void LeafSelector::OnSent(LeafRecord& leaf) const {
+  const base::TimePoint now = clock_.Now();
+  leaf.OnCallSent(now);
+  if (leaf.IsCold(now)) cold_.OnCall(leaf.entry().id);
+}
+
+bool LeafSelector::HasLeaf(const LeafQuery& query) const {
+  const auto usable = directory_.Usable(query.service->name);
+  return std::any_of(usable.begin(), usable.end(),
+                     [&query](const std::shared_ptr<LeafRecord>& leaf) {
+                       return AllowedRegion(query, *leaf) &&
+                              !Contains(query.tried, leaf->entry().id);
+                     });
+}
+
+std::size_t LeafSelector::ConnectionShare(const Service& service) const {
+  return std::max<std::size_t>(1, service.max_connections / hosts_);
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/route_table.cc
@@ -0,0 +1,46 @@
+// Longest-prefix lookup.
+#include "berylreach/forward/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace berylreach::forward {
+namespace {
+
+std::string HostKey(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  if (colon != std::string_view::npos) host = host.substr(0, colon);
+  std::string key(host);
+  for (char& c : key)
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  return key;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(Configuration configuration)
+    : configuration_(std::move(configuration)) {
+  const std::vector<Route>& routes = configuration_.routes;
+  for (std::size_t i = 0; i < routes.size(); ++i)
+    by_host_[HostKey(routes[i].host)].push_back(i);
+  for (auto& [host, positions] : by_host_) {
+    std::stable_sort(positions.begin(), positions.end(),
+                     [&routes](std::size_t a, std::size_t b) {
+                       return routes[a].prefix.size() > routes[b].prefix.size();
+                     });
+  }
+}
+
+const Route* RouteTable::Find(std::string_view host,
+                              std::string_view path) const {
+  const auto found = by_host_.find(HostKey(host));
+  if (found == by_host_.end()) return nullptr;
+  for (const std::size_t position : found->second) {
+    const Route& route = configuration_.routes[position];
+    if (path.starts_with(route.prefix)) return &route;
+  }
+  return nullptr;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/top_records.cc
@@ -0,0 +1,35 @@
+// Selection of the greatest records.
+#include "berylreach/forward/top_records.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace berylreach::forward {
+
+std::string TopRecords(const std::vector<std::string_view>& bodies,
+                       std::size_t record_bytes, std::size_t count) {
+  // A min-heap of the greatest records so far; its top is the first to go.
+  std::vector<std::string_view> best;
+  best.reserve(count + 1);
+  const std::greater<> greater;
+  for (const std::string_view body : bodies) {
+    for (std::size_t at = 0; at + record_bytes <= body.size();
+         at += record_bytes) {
+      const std::string_view record = body.substr(at, record_bytes);
+      if (best.size() == count) {
+        if (count == 0 || record <= best.front()) continue;
+        std::pop_heap(best.begin(), best.end(), greater);
+        best.pop_back();
+      }
+      best.push_back(record);
+      std::push_heap(best.begin(), best.end(), greater);
+    }
+  }
+  std::sort(best.begin(), best.end(), greater);
+  std::string merged;
+  merged.reserve(best.size() * record_bytes);
+  for (const std::string_view record : best) merged.append(record);
+  return merged;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -0,0 +1,121 @@
+// The host's request path on one event loop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "berylreach/base/wakeup_queue.h"
+#include "berylreach/forward/request_run.h"
+#include "berylreach/gateway/gateway_counters.h"
+#include "berylreach/gateway/gateway_settings.h"
+#include "berylreach/gateway/leaf_connections.h"
+#include "berylreach/gateway/server_connection.h"
+#include "berylreach/limits/admission.h"
+
+namespace berylreach::gateway {
+
+/// Accepts callers, runs their requests and answers them. All calls come from
+/// the event loop's thread.
+class Gateway : public ServerConnectionHandler {
+ public:
+  /// Throws boost::system::system_error if an address cannot be bound.
+  Gateway(boost::asio::io_context& io, const base::Clock& clock,
+          GatewaySettings settings);
+  ~Gateway() override;
+
+  /// Puts a configuration in force; an older version than the present one is
+  /// ignored.
+  void SetConfiguration(forward::Configuration configuration);
+  /// The hosts that share budgets and connections, this one among them.
+  void SetHosts(const std::vector<std::string>& hosts);
+  forward::LeafDirectory& directory() { return directory_; }
+  /// The first complete listing of the leaves has arrived.
+  void SetDirectoryLoaded() { directory_loaded_ = true; }
+
+  /// Begins a planned stop; `on_stopped` is called at its end.
+  void Stop(std::function<void()> on_stopped);
+
+  std::uint64_t configuration_version() const;
+
+ private:
+  struct RunningRequest {
+    std::unique_ptr<forward::RequestRun> run;
+    std::weak_ptr<ServerConnection> connection;
+    bool keep_alive = true;
+    bool head = false;
+  };
+  struct RunningCall {
+    std::uint64_t request = 0;
+    std::shared_ptr<forward::LeafRecord> leaf;
+    std::string request_id;
+    base::TimePoint sent{};
+  };
+  class HealthServer;
+
+  void Accept();
+  void OnRequest(ServerConnection& connection, HttpRequest request) override;
+  void OnClosed(ServerConnection& connection) override;
+  void StartRun(ServerConnection& connection, HttpRequest request,
+                const forward::Route& route);
+  const std::string& PickService(const forward::Route& route);
+  void Execute(std::uint64_t id, std::vector<forward::RunAction>& actions);
+  void SendCall(RunningRequest& request, std::uint64_t id,
+                forward::StartLeafCall& action);
+  void Finish(std::uint64_t id, forward::CallerReply reply);
+  void OnCallDone(forward::CallId call, LeafConnections::Result result);
+  forward::LeafReply ToLeafReply(HttpResponse response) const;
+  void RefuseAtOnce(ServerConnection& connection, const HttpRequest& request,
+                    int status, std::string_view cause,
+                    std::chrono::milliseconds retry_after);
+  void Respond(ServerConnection& connection, std::string head,
+               std::string_view body, bool keep_alive, bool head_request);
+  void ArmTimer();
+  void OnTimer();
+  void ScheduleSweep();
+  void Sweep();
+  bool Ready() const;
+  void ContinueStop();
+  std::string Metrics() const;
+
+  boost::asio::io_context& io_;
+  const base::Clock& clock_;
+  GatewaySettings settings_;
+  forward::LeafDirectory directory_;
+  forward::ColdCallLimit cold_;
+  forward::LeafSelector selector_;
+  forward::ExtraCallBudget budget_;
+  limits::Admission admission_;
+  forward::RunContext context_;
+  std::shared_ptr<const forward::RouteTable> table_;
+  bool directory_loaded_ = false;
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::unique_ptr<HealthServer> health_;
+  std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
+      connections_;
+  std::unordered_map<ServerConnection*, std::uint64_t> request_of_;
+  std::unordered_map<std::uint64_t, RunningRequest> requests_;
+  std::unordered_map<forward::CallId, RunningCall> calls_;
+  std::uint64_t next_id_ = 1;
+  /// Requests of each splitting route, by name; spreads them by weight.
+  std::unordered_map<std::string, std::uint64_t> split_counts_;
+  LeafConnections leaf_connections_;
+  base::WakeupQueue<std::uint64_t> wakeups_;
+  boost::asio::steady_timer timer_;
+  base::TimePoint timer_at_{};
+  boost::asio::steady_timer sweep_timer_;
+  GatewayCounters counters_;
+
+  std::function<void()> on_stopped_;
+  base::TimePoint stop_began_{};
+  bool stopping_ = false;
+};
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/address.h
@@ -0,0 +1,38 @@
+// Addresses as endpoints. Private to the package.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace berylreach::gateway {
+
+/// The endpoint of "IP:port"; nothing if the text is not one.
+inline std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  boost::system::error_code error;
+  const auto ip =
+      boost::asio::ip::make_address(address.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return boost::asio::ip::tcp::endpoint(ip, port);
+}
+
+/// Buffer into which the sockets of the event loop's thread are read; each read
+/// is consumed before the next one.
+struct ReadBuffer {
+  static constexpr std::size_t kBytes = 64 * 1024;
+  static char* Data() {
+    thread_local char data[kBytes];
+    return data;
+  }
+};
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/client_connection.cc
@@ -0,0 +1,252 @@
+// Exchanges over one HTTP/1.1 client connection.
+#include "berylreach/gateway/client_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <utility>
+
+#include "address.h"
+
+namespace berylreach::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Largest response body; the store's pages are the largest ones.
+constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+
+}  // namespace
+
+struct ClientConnection::Parser {
+  http::response_parser<http::string_body> http;
+};
+
+ClientConnection::ClientConnection(asio::io_context& io,
+                                   ClientConnectionHandler& handler,
+                                   const base::Clock& clock)
+    : socket_(io), handler_(handler), clock_(clock) {}
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::Open(const std::string& address, std::string bytes,
+                            bool head, base::TimePoint connect_by,
+                            base::TimePoint answer_by) {
+  connect_by_ = connect_by;
+  answer_by_ = answer_by;
+  head_ = head;
+  busy_ = true;
+  out_ = std::move(bytes);
+  written_ = 0;
+  const auto endpoint = ParseEndpoint(address);
+  const auto self = shared_from_this();
+  if (!endpoint) {
+    asio::post(socket_.get_executor(), [self] {
+      if (!self->closed_) self->Fail(ExchangeFailure::kNotSent);
+    });
+    return;
+  }
+  socket_.async_connect(*endpoint, [self](error_code error) {
+    if (self->closed_) return;
+    if (error) {
+      self->Fail(ExchangeFailure::kNotSent);
+      return;
+    }
+    self->OnConnected();
+  });
+}
+
+void ClientConnection::OnConnected() {
+  connected_ = true;
+  error_code ignored;
+  // Without this option a small request waits for the acknowledgement of the
+  // one before it.
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  parser_ = std::make_unique<Parser>();
+  parser_->http.eager(true);
+  parser_->http.body_limit(kMaxBodyBytes);
+  parser_->http.skip(head_);
+  Write();
+  if (!closed_) WaitRead();
+}
+
+void ClientConnection::Send(std::string bytes, bool head,
+                            base::TimePoint answer_by) {
+  answer_by_ = answer_by;
+  head_ = head;
+  busy_ = true;
+  out_ = std::move(bytes);
+  written_ = 0;
+  parser_ = std::make_unique<Parser>();
+  parser_->http.eager(true);
+  parser_->http.body_limit(kMaxBodyBytes);
+  parser_->http.skip(head);
+  // A failure must not reach the handler before Send has returned.
+  error_code error;
+  written_ = socket_.write_some(asio::buffer(out_), error);
+  if (error && error != asio::error::would_block) {
+    const auto self = shared_from_this();
+    asio::post(socket_.get_executor(), [self] {
+      if (!self->closed_ && self->busy_) self->Fail(ExchangeFailure::kBroken);
+    });
+    return;
+  }
+  if (written_ < out_.size()) Write();
+}
+
+void ClientConnection::Write() {
+  while (written_ < out_.size()) {
+    error_code error;
+    written_ += socket_.write_some(
+        asio::buffer(out_.data() + written_, out_.size() - written_), error);
+    if (!error) continue;
+    if (error != asio::error::would_block) {
+      Fail(ExchangeFailure::kBroken);
+      return;
+    }
+    writing_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                       [self = shared_from_this()](error_code failed) {
+                         self->writing_ = false;
+                         if (!self->closed_ && !failed) self->Write();
+                       });
+    return;
+  }
+}
+
+void ClientConnection::WaitRead() {
+  if (reading_) return;
+  reading_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->reading_ = false;
+                       if (!self->closed_ && !error) self->OnReadable();
+                     });
+}
+
+void ClientConnection::OnReadable() {
+  const auto self = shared_from_this();
+  while (!closed_) {
+    error_code error;
+    const std::size_t size = socket_.read_some(
+        asio::buffer(ReadBuffer::Data(), ReadBuffer::kBytes), error);
+    if (error == asio::error::would_block) break;
+    if (error) {
+      OnEnd(error == asio::error::eof);
+      return;
+    }
+    if (!busy_) {
+      // Bytes that no request asked for; the connection is out of step.
+      Close();
+      handler_.OnIdleClosed(*this);
+      return;
+    }
+    Consume(ReadBuffer::Data(), size);
+    if (size < ReadBuffer::kBytes) break;
+  }
+  if (!closed_) WaitRead();
+}
+
+void ClientConnection::Consume(const char* data, std::size_t size) {
+  if (!pending_.empty()) {
+    pending_.append(data, size);
+    data = pending_.data();
+    size = pending_.size();
+  }
+  auto& parser = parser_->http;
+  std::size_t used = 0;
+  while (used < size && !parser.is_done()) {
+    error_code error;
+    used += parser.put(asio::buffer(data + used, size - used), error);
+    if (error == http::error::need_more) break;
+    if (error) {
+      Fail(ExchangeFailure::kBroken);
+      return;
+    }
+    if (parser.is_done() && parser.get().result_int() < 200) {
+      // An interim response; the final one follows.
+      parser_ = std::make_unique<Parser>();
+      parser_->http.eager(true);
+      parser_->http.body_limit(kMaxBodyBytes);
+      parser_->http.skip(head_);
+      pending_ = std::string(data + used, size - used);
+      if (!pending_.empty()) {
+        const std::string rest = std::exchange(pending_, {});
+        Consume(rest.data(), rest.size());
+      }
+      return;
+    }
+  }
+  if (parser.is_done()) {
+    // A connection with bytes beyond the response cannot be used again, nor
+    // one whose request is not yet written.
+    const bool extra = used < size;
+    pending_.clear();
+    FinishResponse(!extra && written_ == out_.size() && parser.keep_alive());
+    return;
+  }
+  pending_ = std::string(data + used, size - used);
+}
+
+void ClientConnection::OnEnd(bool clean) {
+  if (!busy_) {
+    Close();
+    handler_.OnIdleClosed(*this);
+    return;
+  }
+  error_code error;
+  if (clean && parser_->http.is_header_done()) parser_->http.put_eof(error);
+  if (clean && !error && parser_->http.is_done()) {
+    FinishResponse(false);
+    return;
+  }
+  Fail(ExchangeFailure::kBroken);
+}
+
+void ClientConnection::FinishResponse(bool reusable) {
+  auto message = parser_->http.release();
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  response.reason = std::string(message.reason());
+  for (const auto& field : message) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    response.fields.Add({name.data(), name.size()},
+                        {value.data(), value.size()});
+  }
+  response.body = std::move(message.body());
+  keep_alive_ = KeepAliveTimeout(response.fields);
+  busy_ = false;
+  idle_since_ = clock_.Now();
+  if (!reusable) Close();
+  handler_.OnResponse(*this, std::move(response), reusable);
+}
+
+void ClientConnection::Fail(ExchangeFailure failure) {
+  const auto self = shared_from_this();
+  Close();
+  busy_ = false;
+  handler_.OnExchangeFailed(*this, failure);
+}
+
+void ClientConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void ClientConnection::CheckTimeouts(base::TimePoint now) {
+  if (closed_ || !busy_) return;
+  if (!connected_ && now >= connect_by_) {
+    Fail(ExchangeFailure::kNotSent);
+  } else if (now >= answer_by_) {
+    Fail(ExchangeFailure::kTimedOut);
+  }
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/health_server.cc
@@ -0,0 +1,63 @@
+// Serves readiness and metrics.
+#include "health_server.h"
+
+#include <utility>
+#include <vector>
+
+#include "address.h"
+#include "response_bytes.h"
+
+namespace berylreach::gateway {
+
+Gateway::HealthServer::HealthServer(boost::asio::io_context& io,
+                                    const base::Clock& clock,
+                                    const std::string& address,
+                                    std::function<bool()> ready,
+                                    std::function<std::string()> metrics)
+    : acceptor_(io, ParseEndpoint(address).value()),
+      clock_(clock),
+      ready_(std::move(ready)),
+      metrics_(std::move(metrics)) {
+  Accept();
+}
+
+void Gateway::HealthServer::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code error,
+                                boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (!error) {
+      auto connection = std::make_shared<ServerConnection>(
+          std::move(socket), *this, clock_, forward::CallerLimits{});
+      connections_[connection.get()] = connection;
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void Gateway::HealthServer::OnRequest(ServerConnection& connection,
+                                      HttpRequest request) {
+  const bool keep_alive = request.keep_alive;
+  if (request.target == "/metrics") {
+    connection.Respond(
+        ResponseBytes(200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
+                      metrics_(), keep_alive),
+        keep_alive);
+    return;
+  }
+  const int status = request.target != "/readyz" ? 404 : (ready_() ? 200 : 503);
+  connection.Respond(
+      ResponseBytes(status, ReasonOf(status), "", "", keep_alive), keep_alive);
+}
+
+void Gateway::HealthServer::OnClosed(ServerConnection& connection) {
+  connections_.erase(&connection);
+}
+
+void Gateway::HealthServer::CheckTimeouts(base::TimePoint now) {
+  std::vector<std::shared_ptr<ServerConnection>> all;
+  for (const auto& [key, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->CheckTimeouts(now);
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/health_server.h
@@ -0,0 +1,36 @@
+// Readiness checks and metrics. Private to the package.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "berylreach/gateway/gateway.h"
+
+namespace berylreach::gateway {
+
+/// Answers GET /readyz with 200 or 503, and GET /metrics.
+class Gateway::HealthServer : public ServerConnectionHandler {
+ public:
+  HealthServer(boost::asio::io_context& io, const base::Clock& clock,
+               const std::string& address, std::function<bool()> ready,
+               std::function<std::string()> metrics);
+
+  void CheckTimeouts(base::TimePoint now);
+
+ private:
+  void Accept();
+  void OnRequest(ServerConnection& connection, HttpRequest request) override;
+  void OnClosed(ServerConnection& connection) override;
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const base::Clock& clock_;
+  std::function<bool()> ready_;
+  std::function<std::string()> metrics_;
+  std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
+      connections_;
+};
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/http_message.cc
@@ -0,0 +1,75 @@
+// Header fields and hop-by-hop rules of HTTP/1.1.
+#include "berylreach/gateway/http_message.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+
+namespace berylreach::gateway {
+namespace {
+
+namespace beast = boost::beast;
+
+/// Fields that concern one connection (RFC 9110, section 7.6.1), and those
+/// that are written anew for each message.
+constexpr std::array<std::string_view, 11> kPerConnection = {
+    "connection",          "keep-alive", "proxy-connection",
+    "proxy-authenticate",  "te",         "trailer",
+    "transfer-encoding",   "upgrade",    "content-length",
+    "proxy-authorization", "expect"};
+
+bool Same(std::string_view a, std::string_view b) {
+  return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+}  // namespace
+
+void HttpFields::Add(std::string_view name, std::string_view value) {
+  fields_.emplace_back(name, value);
+}
+
+std::string_view HttpFields::Find(std::string_view name) const {
+  for (const auto& [key, value] : fields_)
+    if (Same(key, name)) return value;
+  return {};
+}
+
+bool HttpFields::Has(std::string_view name) const {
+  return std::any_of(fields_.begin(), fields_.end(), [name](const auto& field) {
+    return Same(field.first, name);
+  });
+}
+
+std::string HttpFields::ForwardedLines(
+    const std::vector<std::string_view>& without) const {
+  const std::string_view connection = Find("connection");
+  beast::http::token_list named({connection.data(), connection.size()});
+  std::string lines;
+  for (const auto& [name, value] : fields_) {
+    const auto is_name = [&key = name](std::string_view other) {
+      return Same(key, other);
+    };
+    if (std::any_of(kPerConnection.begin(), kPerConnection.end(), is_name) ||
+        std::any_of(without.begin(), without.end(), is_name))
+      continue;
+    if (!connection.empty() && named.exists({name.data(), name.size()}))
+      continue;
+    lines.append(name).append(": ").append(value).append("\r\n");
+  }
+  return lines;
+}
+
+std::chrono::seconds KeepAliveTimeout(const HttpFields& fields) {
+  constexpr std::string_view kKey = "timeout=";
+  const std::string_view value = fields.Find("keep-alive");
+  const std::size_t at = value.find(kKey);
+  if (at == std::string_view::npos) return std::chrono::seconds(0);
+  int seconds = 0;
+  std::from_chars(value.data() + at + kKey.size(), value.data() + value.size(),
+                  seconds);
+  return std::chrono::seconds(std::max(0, seconds));
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/leaf_connections.cc
@@ -0,0 +1,190 @@
+// Pools of leaf connections.
+#include "berylreach/gateway/leaf_connections.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace berylreach::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time to open a connection. Twice the round trip between regions and some
+/// slots of a busy leaf fit in.
+constexpr milliseconds kConnectTimeout{300};
+
+/// Added to a call's time before it is given up, so that the leaf's own answer
+/// at the deadline is still read.
+constexpr milliseconds kAnswerMargin{100};
+
+/// Age up to which an idle connection may carry a call that must not be lost.
+constexpr milliseconds kFreshAge{500};
+
+/// Idle connections without a word from the leaf are closed after this time.
+constexpr milliseconds kDefaultIdle{4000};
+/// Part of the leaf's own limit for idle connections that is used.
+constexpr double kIdleShare = 0.7;
+
+base::Duration IdleLimit(const ClientConnection& connection) {
+  if (connection.keep_alive().count() == 0) return kDefaultIdle;
+  return std::chrono::duration_cast<base::Duration>(connection.keep_alive() *
+                                                    kIdleShare);
+}
+
+forward::CallFailure ToCallFailure(ExchangeFailure failure) {
+  switch (failure) {
+    case ExchangeFailure::kNotSent:
+      return forward::CallFailure::kNotSent;
+    case ExchangeFailure::kTimedOut:
+      return forward::CallFailure::kTimedOut;
+    case ExchangeFailure::kBroken:
+      break;
+  }
+  return forward::CallFailure::kMayHaveRun;
+}
+
+}  // namespace
+
+LeafConnections::LeafConnections(boost::asio::io_context& io,
+                                 const base::Clock& clock, OnDone on_done)
+    : io_(io), clock_(clock), on_done_(std::move(on_done)) {}
+
+LeafConnections::~LeafConnections() {
+  for (auto& [key, slot] : slots_) slot.connection->Close();
+}
+
+void LeafConnections::Start(const forward::LeafRecord& leaf, LeafCall call) {
+  const std::string& id = leaf.entry().id;
+  Pool& pool = pools_[id];
+  const base::TimePoint answer_by = call.deadline + kAnswerMargin;
+  if (auto connection = TakeIdle(pool, call)) {
+    slots_[connection.get()].call = call.id;
+    by_call_[call.id] = connection.get();
+    connection->Send(std::move(call.bytes), call.head, answer_by);
+    return;
+  }
+  if (pool.open >= call.connections) {
+    boost::asio::post(io_, [this, failed = call.id] {
+      on_done_(failed, forward::CallFailure::kNotSent);
+    });
+    return;
+  }
+  auto connection = std::make_shared<ClientConnection>(io_, *this, clock_);
+  slots_[connection.get()] = {connection, id, call.id};
+  by_call_[call.id] = connection.get();
+  ++pool.open;
+  ++counters_.opened;
+  connection->Open(leaf.entry().address, std::move(call.bytes), call.head,
+                   clock_.Now() + kConnectTimeout, answer_by);
+}
+
+std::shared_ptr<ClientConnection> LeafConnections::TakeIdle(
+    Pool& pool, const LeafCall& call) {
+  const base::TimePoint now = clock_.Now();
+  while (!pool.idle.empty()) {
+    auto connection = std::move(pool.idle.back());
+    pool.idle.pop_back();
+    const base::Duration age = now - connection->idle_since();
+    const base::Duration limit =
+        call.needs_fresh_connection
+            ? std::min<base::Duration>(kFreshAge, IdleLimit(*connection))
+            : IdleLimit(*connection);
+    if (!connection->closed() && age < limit) return connection;
+    connection->Close();
+    Drop(*connection);
+  }
+  return nullptr;
+}
+
+void LeafConnections::Cancel(forward::CallId call) {
+  const auto found = by_call_.find(call);
+  if (found == by_call_.end()) return;
+  const auto connection = found->second->shared_from_this();
+  connection->Close();
+  Drop(*connection);
+}
+
+void LeafConnections::CheckTimeouts() {
+  const base::TimePoint now = clock_.Now();
+  std::vector<std::shared_ptr<ClientConnection>> busy;
+  std::vector<std::shared_ptr<ClientConnection>> old;
+  for (const auto& [key, slot] : slots_) {
+    if (slot.connection->busy()) {
+      busy.push_back(slot.connection);
+    } else if (now - slot.connection->idle_since() >=
+               IdleLimit(*slot.connection)) {
+      old.push_back(slot.connection);
+    }
+  }
+  for (const auto& connection : busy) connection->CheckTimeouts(now);
+  for (const auto& connection : old) {
+    connection->Close();
+    Drop(*connection);
+  }
+}
+
+void LeafConnections::CloseIdle(
+    const std::function<bool(const std::string&)>& keep) {
+  std::vector<std::string> gone;
+  for (const auto& [leaf, pool] : pools_)
+    if (!keep(leaf)) gone.push_back(leaf);
+  for (const std::string& leaf : gone) {
+    CloseIdleOf(leaf);
+    if (pools_[leaf].open == 0) pools_.erase(leaf);
+  }
+}
+
+void LeafConnections::CloseIdleOf(const std::string& leaf) {
+  for (const auto& connection : std::exchange(pools_[leaf].idle, {})) {
+    connection->Close();
+    Drop(*connection);
+  }
+}
+
+void LeafConnections::Drop(ClientConnection& connection) {
+  const auto found = slots_.find(&connection);
+  if (found == slots_.end()) return;
+  Pool& pool = pools_[found->second.leaf];
+  std::erase_if(pool.idle, [&connection](const auto& idle) {
+    return idle.get() == &connection;
+  });
+  --pool.open;
+  by_call_.erase(found->second.call);
+  slots_.erase(found);
+}
+
+void LeafConnections::OnResponse(ClientConnection& connection,
+                                 HttpResponse response, bool reusable) {
+  const auto keep = connection.shared_from_this();
+  Slot& slot = slots_.at(&connection);
+  const forward::CallId call = std::exchange(slot.call, 0);
+  by_call_.erase(call);
+  if (reusable) {
+    pools_[slot.leaf].idle.push_back(keep);
+  } else {
+    Drop(connection);
+  }
+  on_done_(call, std::move(response));
+}
+
+void LeafConnections::OnExchangeFailed(ClientConnection& connection,
+                                       ExchangeFailure failure) {
+  const auto keep = connection.shared_from_this();
+  const auto found = slots_.find(&connection);
+  if (found == slots_.end()) return;
+  const forward::CallId call = found->second.call;
+  const std::string leaf = found->second.leaf;
+  ++counters_.broken;
+  Drop(connection);
+  // Other connections to a leaf that fell silent may have gone silent too.
+  if (failure == ExchangeFailure::kTimedOut) CloseIdleOf(leaf);
+  on_done_(call, ToCallFailure(failure));
+}
+
+void LeafConnections::OnIdleClosed(ClientConnection& connection) {
+  const auto keep = connection.shared_from_this();
+  Drop(connection);
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/server_connection.cc
@@ -0,0 +1,228 @@
+// Requests and answers over one HTTP/1.1 server connection.
+#include "berylreach/gateway/server_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+#include "address.h"
+
+namespace berylreach::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Bytes kept of requests that the caller sent before its answer came.
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+
+/// Time in which a peer may still read the answer to a broken request.
+constexpr std::chrono::milliseconds kLinger{500};
+
+}  // namespace
+
+struct ServerConnection::Parser {
+  http::request_parser<http::string_body> http;
+};
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
+                                   ServerConnectionHandler& handler,
+                                   const base::Clock& clock,
+                                   forward::CallerLimits limits)
+    : socket_(std::move(socket)),
+      handler_(handler),
+      clock_(clock),
+      limits_(limits),
+      waiting_since_(clock.Now()) {}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::Start() {
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  WaitRead();
+}
+
+void ServerConnection::WaitRead() {
+  if (reading_ || closed_) return;
+  reading_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->reading_ = false;
+                       if (!self->closed_ && !error) self->OnReadable();
+                     });
+}
+
+void ServerConnection::OnReadable() {
+  const auto self = shared_from_this();
+  while (!closed_) {
+    error_code error;
+    const std::size_t size = socket_.read_some(
+        asio::buffer(ReadBuffer::Data(), ReadBuffer::kBytes), error);
+    if (error == asio::error::would_block) break;
+    if (error) {
+      PeerLeft();
+      return;
+    }
+    if (lingering_) continue;
+    if (pending_.empty() && parser_ == nullptr && !answering_)
+      waiting_since_ = clock_.Now();
+    pending_.append(ReadBuffer::Data(), size);
+    if (!answering_ && !writing_) Parse();
+    // A peer that sends on and on is read no further until it is answered.
+    if (answering_ && pending_.size() > kMaxPipelinedBytes) return;
+    if (size < ReadBuffer::kBytes) break;
+  }
+  WaitRead();
+}
+
+void ServerConnection::Parse() {
+  // The answer to one request may be written at once, which asks for the next
+  // one; that is read by the loop and not by recursion.
+  if (in_parse_) return;
+  in_parse_ = true;
+  while (!closed_ && !answering_ && !writing_ && !lingering_ &&
+         !pending_.empty()) {
+    if (parser_ == nullptr) {
+      parser_ = std::make_unique<Parser>();
+      parser_->http.eager(true);
+      parser_->http.header_limit(
+          static_cast<std::uint32_t>(limits_.max_header_bytes));
+      parser_->http.body_limit(limits_.max_body_bytes);
+    }
+    error_code error;
+    const std::size_t used = parser_->http.put(asio::buffer(pending_), error);
+    pending_.erase(0, used);
+    if (error == http::error::need_more) break;
+    if (error == http::error::header_limit) {
+      Reject(431, "Request Header Fields Too Large");
+    } else if (error == http::error::body_limit) {
+      Reject(413, "Content Too Large");
+    } else if (error) {
+      Reject(400, "Bad Request");
+    } else if (parser_->http.is_done()) {
+      Deliver();
+    }
+  }
+  in_parse_ = false;
+}
+
+void ServerConnection::Deliver() {
+  auto message = parser_->http.release();
+  parser_.reset();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.keep_alive = message.keep_alive();
+  for (const auto& field : message) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    request.fields.Add({name.data(), name.size()},
+                       {value.data(), value.size()});
+  }
+  request.body = std::move(message.body());
+  answering_ = true;
+  close_after_ = !request.keep_alive;
+  handler_.OnRequest(*this, std::move(request));
+}
+
+void ServerConnection::Reject(int status, const char* reason) {
+  answering_ = true;
+  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " " + reason +
+                      "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  Respond(std::move(bytes), false);
+}
+
+void ServerConnection::Respond(std::string bytes, bool keep_alive) {
+  if (closed_) return;
+  answering_ = false;
+  writing_ = true;
+  close_after_ = close_after_ || !keep_alive;
+  out_ = std::move(bytes);
+  written_ = 0;
+  Write();
+}
+
+void ServerConnection::Write() {
+  const auto self = shared_from_this();
+  while (written_ < out_.size()) {
+    error_code error;
+    written_ += socket_.write_some(
+        asio::buffer(out_.data() + written_, out_.size() - written_), error);
+    if (!error) continue;
+    if (error != asio::error::would_block) {
+      PeerLeft();
+      return;
+    }
+    socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                       [self](error_code failed) {
+                         if (!self->closed_ && !failed) self->Write();
+                       });
+    return;
+  }
+  OnWritten();
+}
+
+void ServerConnection::OnWritten() {
+  writing_ = false;
+  out_.clear();
+  waiting_since_ = clock_.Now();
+  if (close_after_) {
+    // Unread bytes would reset the connection and lose the answer, so the peer
+    // closes first.
+    error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    lingering_ = true;
+    pending_.clear();
+    WaitRead();
+    return;
+  }
+  Parse();
+  WaitRead();
+}
+
+void ServerConnection::PeerLeft() {
+  const auto self = shared_from_this();
+  Close();
+  handler_.OnClosed(*this);
+}
+
+void ServerConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void ServerConnection::CheckTimeouts(base::TimePoint now) {
+  if (closed_ || answering_) return;
+  const auto waited = now - waiting_since_;
+  if (lingering_) {
+    if (waited >= kLinger) PeerLeft();
+    return;
+  }
+  if (writing_) {
+    if (waited >= limits_.idle_timeout) PeerLeft();
+    return;
+  }
+  const bool idle = parser_ == nullptr && pending_.empty();
+  if (idle) {
+    if (waited >= limits_.idle_timeout) PeerLeft();
+    return;
+  }
+  const bool header_done = parser_ != nullptr && parser_->http.is_header_done();
+  const auto limit =
+      header_done ? limits_.idle_timeout : limits_.header_timeout;
+  if (waited >= limit) Reject(408, "Request Timeout");
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (closed_ || answering_ || writing_ || lingering_) return;
+  if (parser_ != nullptr || !pending_.empty()) return;
+  PeerLeft();
+}
+
+}  // namespace berylreach::gateway
--- a/host/include/berylreach/host/log.h
+++ b/host/include/berylreach/host/log.h
@@ -1,13 +1,42 @@
-// Structured logging of changes of state.
+// Structured logging of changes of state and of requests.
 #pragma once
 
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <iosfwd>
 #include <string>
 
 namespace berylreach::host {
 
-/// Configures logging to standard error as one JSON object a line, labelled
-/// with the host's name. Call once, before any other thread starts.
+/// What is logged of a request that was refused, failed, late or partial.
+struct RequestLine {
+  std::string id;
+  /// Name of the route, or the target of a request without one.
+  std::string route;
+  /// HTTP status of the answer; 0 if the caller left.
+  int status = 0;
+  /// What decided the outcome.
+  std::string cause;
+  std::chrono::nanoseconds took{0};
+  std::size_t answered = 0;
+  std::size_t parts = 0;
+  std::size_t calls = 0;
+  /// Version of the configuration in force.
+  std::uint64_t version = 0;
+};
+
+/// Configures logging as one JSON object a line, labelled with the host's name,
+/// to standard error. Call once, before any other thread starts.
 void StartLog(const std::string& host);
+/// The same to `stream`, which must outlive the log.
+void StartLog(const std::string& host, std::ostream& stream);
+
+/// Writes one line for the outcome of a request.
+void LogRequest(const RequestLine& line);
+
+/// Lines that were dropped because the queue was full.
+std::uint64_t DroppedLogLines();
 
 /// Writes one line for a change of state. Counters cover everything else.
 void LogStateChange(const std::string& type, const std::string& subject,
--- a/host/lib/log.cc
+++ b/host/lib/log.cc
@@ -8,12 +8,12 @@
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/shared_ptr.hpp>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <iostream>
@@ -25,10 +25,22 @@
 
 constexpr std::size_t kMaxQueuedLines = 1024;
 
+std::atomic<std::uint64_t> dropped_lines = 0;
+
+// Counts and drops lines that find the queue full.
+struct CountDrops {
+  template <typename Lock>
+  static bool on_overflow(const logging::record_view&, Lock&) {
+    dropped_lines.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
 using Sink = logging::sinks::asynchronous_sink<
     logging::sinks::text_ostream_backend,
-    logging::sinks::bounded_fifo_queue<kMaxQueuedLines,
-                                       logging::sinks::drop_on_overflow>>;
+    logging::sinks::bounded_fifo_queue<kMaxQueuedLines, CountDrops>>;
 
 struct LogState {
   std::string host;
@@ -40,15 +52,32 @@
   return *state;
 }
 
+boost::json::object NewLine(const char* event) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  boost::json::object line;
+  line["at_unix_us"] =
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  line["host"] = State().host;
+  line["event"] = event;
+  return line;
+}
+
+void Write(const boost::json::object& line) {
+  logging::sources::logger_mt logger;
+  BOOST_LOG(logger) << boost::json::serialize(line);
+}
+
 }  // namespace
 
-void StartLog(const std::string& host) {
+void StartLog(const std::string& host) { StartLog(host, std::clog); }
+
+void StartLog(const std::string& host, std::ostream& stream) {
   LogState& state = State();
   state.host = host;
   auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
   // The stream outlives the sink, hence the empty deleter.
   backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+      boost::shared_ptr<std::ostream>(&stream, [](std::ostream*) {}));
   backend->auto_flush(true);
   state.sink = boost::make_shared<Sink>(backend);
   logging::core::get()->add_sink(state.sink);
@@ -56,16 +85,30 @@
 
 void LogStateChange(const std::string& type, const std::string& subject,
                     const std::string& detail) {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  boost::json::object line;
-  line["at_unix_us"] =
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-  line["host"] = State().host;
-  line["event"] = type;
+  boost::json::object line = NewLine(type.c_str());
   line["subject"] = subject;
   line["detail"] = detail;
-  logging::sources::logger_mt logger;
-  BOOST_LOG(logger) << boost::json::serialize(line);
+  Write(line);
+}
+
+void LogRequest(const RequestLine& request) {
+  boost::json::object line = NewLine("request");
+  line["id"] = request.id;
+  line["route"] = request.route;
+  line["status"] = request.status;
+  line["cause"] = request.cause;
+  line["took_us"] =
+      std::chrono::duration_cast<std::chrono::microseconds>(request.took)
+          .count();
+  line["answered"] = request.answered;
+  line["parts"] = request.parts;
+  line["calls"] = request.calls;
+  line["configuration"] = request.version;
+  Write(line);
+}
+
+std::uint64_t DroppedLogLines() {
+  return dropped_lines.load(std::memory_order_relaxed);
 }
 
 void StopLog() {
--- a/tools/berylreachd/main.cc
+++ b/tools/berylreachd/main.cc
@@ -17,11 +17,14 @@
 #include "berylreach/config/host_settings.h"
 #include "berylreach/host/host_process.h"
 #include "berylreach/host/log.h"
+#include "berylreach/platform/run_host.h"
 
 DEFINE_string(settings, "", "path of the settings file (JSON)");
 DEFINE_string(http_listen, "", "overrides http_listen of the settings");
 DEFINE_string(rpc_listen, "", "overrides rpc_listen of the settings");
 DEFINE_bool(check, false, "check the settings and exit");
+DEFINE_bool(platform, false,
+            "run on the platform, whose settings the environment names");
 
 namespace {
 
@@ -35,6 +38,7 @@
     R"(berylreachd runs one berylreach entry host.
 
 usage: berylreachd --settings=FILE [FLAGS]
+       berylreachd --platform
 
 Prints the bound addresses as one JSON line when ready to accept connections.
 SIGTERM begins a planned stop; a second signal ends it at once.
@@ -44,6 +48,7 @@
   --http_listen=IP:PORT  overrides http_listen of the settings
   --rpc_listen=IP:PORT   overrides rpc_listen of the settings
   --check                check the settings and exit
+  --platform             run as a gateway on the platform (docs/platform.md)
   --help, --version
 
 exit codes
@@ -166,6 +171,8 @@
     std::cout << "berylreachd " BERYLREACH_VERSION "\n";
     return EXIT_SUCCESS;
   }
+  if (FLAGS_platform && positional.empty() && FLAGS_settings.empty())
+    return berylreach::platform::RunHost();
   if (!positional.empty() || FLAGS_settings.empty()) {
     std::cerr << "usage: berylreachd --settings=FILE (see --help)\n";
     return kUsageError;
