Free a leaf's call under the time it was counted with

Cause: the gateway read the clock again when it noted a call, so the leaf's record did not find the call's end and its running calls only grew; after 6 of them no leaf was chosen. The run now hands over the time it counted.

--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -38,8 +38,8 @@
   /// The best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
 
-  /// A call to the leaf was sent.
-  void OnSent(LeafRecord& leaf) const;
+  /// A call to the leaf is sent at `now`.
+  void OnSent(LeafRecord& leaf, base::TimePoint now) const;
 
   /// Whether the service has a leaf that may be called at some time.
   bool HasLeaf(const LeafQuery& query) const;
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -24,6 +24,8 @@
   std::shared_ptr<LeafRecord> leaf;
   /// Connections that this host may hold to the leaf.
   std::size_t connections = 1;
+  /// When the call counts as sent in the leaf's record.
+  base::TimePoint sent{};
   /// The leaf is told that the call ends then.
   base::TimePoint deadline{};
 };
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -68,8 +68,7 @@
   return best;
 }
 
-void LeafSelector::OnSent(LeafRecord& leaf) const {
-  const base::TimePoint now = clock_.Now();
+void LeafSelector::OnSent(LeafRecord& leaf, base::TimePoint now) const {
   leaf.OnCallSent(now);
   if (leaf.IsCold(now)) cold_.OnCall(leaf.entry().id);
 }
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -227,8 +227,8 @@
   ++calls_sent_;
   const std::size_t connections =
       context_.selector.ConnectionShare(*part.service);
-  context_.selector.OnSent(*leaf);
-  actions.push_back(StartLeafCall{id, std::move(leaf), connections, deadline_});
+  context_.selector.OnSent(*leaf, now);
+  actions.push_back(StartLeafCall{id, std::move(leaf), connections, now, deadline_});
   return true;
 }
 
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -263,7 +263,7 @@
     bytes.append(std::to_string(caller.body.size())).append("\r\n");
   }
   bytes.append("\r\n").append(caller.body);
-  calls_[action.call] = {id, action.leaf, caller.id, now};
+  calls_[action.call] = {id, action.leaf, caller.id, action.sent};
   leaf_connections_.Start(*action.leaf, std::move(call));
 }
 
