--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -52,6 +52,9 @@
   /// by `answer_by`; both are checked in CheckTimeouts.
   void Open(const std::string& address, std::string bytes, bool head,
             base::TimePoint connect_by, base::TimePoint answer_by);
+  /// Probes the peer while the connection is quiet, so that a connection that
+  /// has gone silent fails within seconds. Takes effect when it opens.
+  void KeepProbing() { probing_ = true; }
   /// Sends a further request on an idle connection.
   void Send(std::string bytes, bool head, base::TimePoint answer_by);
   /// Closes without a call to the handler.
@@ -70,6 +73,7 @@
   struct Parser;
 
   void OnConnected();
+  void StartProbing();
   void Write();
   void WaitRead();
   void OnReadable();
@@ -86,6 +90,7 @@
   std::string out_;
   std::size_t written_ = 0;
   bool head_ = false;
+  bool probing_ = false;
   bool connected_ = false;
   bool busy_ = false;
   bool closed_ = false;
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -1,6 +1,8 @@
 // Exchanges over one HTTP/1.1 client connection.
 #include "berylreach/gateway/client_connection.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -19,6 +21,15 @@
 /// Largest response body; the store's pages are the largest ones.
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 
+/// Quiet time before the first probe, time between probes, and probes without
+/// an answer after which a connection has gone silent: 2 s in all.
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 1;
+
+template <int kName>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
+
 }  // namespace
 
 struct ClientConnection::Parser {
@@ -66,6 +77,7 @@
   // one before it.
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
+  if (probing_) StartProbing();
   parser_ = std::make_unique<Parser>();
   parser_->http.eager(true);
   parser_->http.body_limit(kMaxBodyBytes);
@@ -74,6 +86,14 @@
   if (!closed_) WaitRead();
 }
 
+void ClientConnection::StartProbing() {
+  error_code ignored;
+  socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket_.set_option(TcpOption<TCP_KEEPIDLE>(kProbeIdleSeconds), ignored);
+  socket_.set_option(TcpOption<TCP_KEEPINTVL>(kProbeIntervalSeconds), ignored);
+  socket_.set_option(TcpOption<TCP_KEEPCNT>(kProbes), ignored);
+}
+
 void ClientConnection::Send(std::string bytes, bool head,
                             base::TimePoint answer_by) {
   answer_by_ = answer_by;
