Run scattering requests of large fleets at few hosts of each region

Where a host would hold fewer than two connections a leaf, it relays the request to one of the hosts that make up a quarter of its region's processors; a region without the leaves relays to one that has them.

--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -1,6 +1,7 @@
 // The leaves of all services, as discovery lists them.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -18,6 +19,10 @@
   std::string zone;
   std::string region;
   std::unordered_map<std::string, std::string> region_of_zone;
+
+  /// The region of a zone; empty if it is not known.
+  std::string RegionOf(const std::string& other_zone) const;
+  Distance DistanceOf(const std::string& other_zone) const;
 };
 
 /// Keeps one record for each leaf incarnation. Entries that vanish while the
@@ -50,13 +55,14 @@
 
   std::shared_ptr<LeafRecord> Find(const std::string& id) const;
   std::size_t size() const { return leaves_.size(); }
+  std::size_t CountInZone(const std::string& zone) const;
+  /// Changes whenever the set of usable leaves does.
+  std::uint64_t generation() const { return generation_; }
   const std::set<std::string>& evacuated_zones() const { return evacuated_; }
 
  private:
   bool InGrace() const;
   void Erase(const std::string& id);
-  Distance DistanceOf(const std::string& zone) const;
-  std::string RegionOf(const std::string& zone) const;
 
   const base::Clock& clock_;
   Location location_;
@@ -66,6 +72,7 @@
   std::set<std::string> evacuated_;
   /// Ids that the store no longer lists but that may only have lapsed.
   std::set<std::string> lapsed_;
+  std::uint64_t generation_ = 0;
   bool store_lost_ = false;
   base::TimePoint grace_until_{};
 };
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -25,6 +25,11 @@
   bool any = true;
 };
 
+/// Expected time to an answer of `leaf`, raised by a small part that depends on
+/// `seed`, so that hosts do not all choose the same of several equal leaves.
+base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
+                            base::TimePoint now);
+
 /// Chooses by expected time to an answer among the leaves that may be called.
 class LeafSelector {
  public:
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -58,6 +58,10 @@
              const Route& route, const std::string& single_service,
              CallerRequest request);
 
+  /// A partial answer is sent from `time` on. Call before Start.
+  void SetPartialAt(base::TimePoint time) { partial_at_ = time; }
+  base::TimePoint partial_at() const { return partial_at_; }
+
   void Start(std::vector<RunAction>& actions);
   void OnReply(CallId call, LeafReply reply, std::vector<RunAction>& actions);
   void OnFailure(CallId call, CallFailure failure,
@@ -68,6 +72,7 @@
 
   bool finished() const { return finished_; }
   const CallerRequest& request() const { return request_; }
+  std::uint64_t seed() const { return seed_; }
   const Route& route() const { return route_; }
   /// Parts answered and parts in all, for the log.
   std::size_t answered() const { return answered_; }
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -6,6 +6,19 @@
 
 namespace berylreach::forward {
 
+std::string Location::RegionOf(const std::string& other_zone) const {
+  const auto found = region_of_zone.find(other_zone);
+  return found == region_of_zone.end() ? "" : found->second;
+}
+
+Distance Location::DistanceOf(const std::string& other_zone) const {
+  if (other_zone == zone) return Distance::kSameZone;
+  const std::string other_region = RegionOf(other_zone);
+  if (!other_region.empty() && other_region == region)
+    return Distance::kSameRegion;
+  return Distance::kOtherRegion;
+}
+
 LeafDirectory::LeafDirectory(const base::Clock& clock, Location location)
     : clock_(clock), location_(std::move(location)) {}
 
@@ -16,13 +29,16 @@
     const LeafEntry& known = found->second->entry();
     if (known.service == entry.service && known.address == entry.address &&
         known.zone == entry.zone) {
+      if (known.draining != entry.draining) ++generation_;
       found->second->Update(std::move(entry), clock_.Now());
       return;
     }
     Erase(entry.id);
   }
   auto record = std::make_shared<LeafRecord>(
-      entry, DistanceOf(entry.zone), RegionOf(entry.zone), clock_.Now());
+      entry, location_.DistanceOf(entry.zone), location_.RegionOf(entry.zone),
+      clock_.Now());
+  ++generation_;
   by_service_[entry.service].push_back(record);
   leaves_.emplace(entry.id, std::move(record));
 }
@@ -49,6 +65,7 @@
 }
 
 void LeafDirectory::SetEvacuatedZones(std::set<std::string> zones) {
+  if (evacuated_ != zones) ++generation_;
   evacuated_ = std::move(zones);
 }
 
@@ -74,6 +91,7 @@
   if (found == leaves_.end()) return;
   const std::shared_ptr<LeafRecord> record = found->second;
   leaves_.erase(found);
+  ++generation_;
   record->MarkGone();
   std::erase(by_service_[record->entry().service], record);
 }
@@ -96,17 +114,10 @@
   return found == leaves_.end() ? nullptr : found->second;
 }
 
-Distance LeafDirectory::DistanceOf(const std::string& zone) const {
-  if (zone == location_.zone) return Distance::kSameZone;
-  const std::string region = RegionOf(zone);
-  if (!region.empty() && region == location_.region)
-    return Distance::kSameRegion;
-  return Distance::kOtherRegion;
-}
-
-std::string LeafDirectory::RegionOf(const std::string& zone) const {
-  const auto found = location_.region_of_zone.find(zone);
-  return found == location_.region_of_zone.end() ? "" : found->second;
+std::size_t LeafDirectory::CountInZone(const std::string& zone) const {
+  return static_cast<std::size_t>(std::count_if(
+      leaves_.begin(), leaves_.end(),
+      [&zone](const auto& leaf) { return leaf.second->entry().zone == zone; }));
 }
 
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -11,8 +11,7 @@
 namespace berylreach::forward {
 namespace {
 
-/// Largest share of its cost by which a leaf may be preferred at random, so
-/// that hosts do not all choose the same of several equal leaves.
+/// Largest share of its cost by which a leaf may be preferred at random.
 constexpr double kJitter = 0.1;
 
 template <typename T>
@@ -26,15 +25,19 @@
          Contains(query.regions, leaf.region());
 }
 
-double JitterOf(const LeafQuery& query, const LeafRecord& leaf) {
+}  // namespace
+
+base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
+                            base::TimePoint now) {
   const std::uint64_t weight =
-      base::RendezvousWeight(query.seed, base::Hash64(leaf.entry().id));
-  return 1 + kJitter * static_cast<double>(weight) /
-                 static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+      base::RendezvousWeight(seed, base::Hash64(leaf.entry().id));
+  const double jitter =
+      kJitter * static_cast<double>(weight) /
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return std::chrono::duration_cast<base::Duration>(leaf.Cost(now) *
+                                                    (1 + jitter));
 }
 
-}  // namespace
-
 LeafSelector::LeafSelector(const base::Clock& clock, LeafDirectory& directory,
                            ColdCallLimit& cold)
     : clock_(clock), directory_(directory), cold_(cold) {}
@@ -58,8 +61,7 @@
     if (leaf->IsCold(now) &&
         !cold_.MayCall(leaf->entry().id, query.service->cold_rate))
       continue;
-    auto cost = std::chrono::duration_cast<base::Duration>(
-        leaf->Cost(now) * JitterOf(query, *leaf));
+    base::Duration cost = JitteredCost(*leaf, query.seed, now);
     if (leaf->IsBackedOff(now)) cost += std::chrono::seconds(1);
     if (cost >= best_cost) continue;
     best_cost = cost;
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -228,7 +228,8 @@
   const std::size_t connections =
       context_.selector.ConnectionShare(*part.service);
   context_.selector.OnSent(*leaf, now);
-  actions.push_back(StartLeafCall{id, std::move(leaf), connections, now, deadline_});
+  actions.push_back(
+      StartLeafCall{id, std::move(leaf), connections, now, deadline_});
   return true;
 }
 
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "berylreach/base/wakeup_queue.h"
+#include "berylreach/forward/relay_planner.h"
 #include "berylreach/forward/request_run.h"
 #include "berylreach/gateway/gateway_counters.h"
 #include "berylreach/gateway/gateway_settings.h"
@@ -34,7 +35,7 @@
   /// ignored.
   void SetConfiguration(forward::Configuration configuration);
   /// The hosts that share budgets and connections, this one among them.
-  void SetHosts(const std::vector<std::string>& hosts);
+  void SetHosts(std::vector<forward::HostEntry> hosts);
   forward::LeafDirectory& directory() { return directory_; }
   /// The first complete listing of the leaves has arrived.
   void SetDirectoryLoaded() { directory_loaded_ = true; }
@@ -50,6 +51,8 @@
     std::weak_ptr<ServerConnection> connection;
     bool keep_alive = true;
     bool head = false;
+    /// The call to the host that runs the request; 0 if this host does.
+    forward::CallId relay = 0;
   };
   struct RunningCall {
     std::uint64_t request = 0;
@@ -58,13 +61,35 @@
     base::TimePoint sent{};
   };
   class HealthServer;
+  class PeerServer;
+
+  /// What another host says of a request that it relays.
+  struct RelayedRequest {
+    /// Version of the configuration at the sender.
+    std::uint64_t version = 0;
+    /// From then on a partial answer is to be sent.
+    base::TimePoint partial_at{};
+  };
 
   void Accept();
+  void OnPeerRequest(ServerConnection& connection, HttpRequest request);
+  void Handle(ServerConnection& connection, HttpRequest request,
+              const RelayedRequest* relayed);
   void OnRequest(ServerConnection& connection, HttpRequest request) override;
   void OnClosed(ServerConnection& connection) override;
   void StartRun(ServerConnection& connection, HttpRequest request,
-                const forward::Route& route);
+                const forward::Route& route, const RelayedRequest* relayed);
+  bool TryRelay(std::uint64_t id, RunningRequest& request);
+  void OnRelayDone(std::uint64_t id, LeafConnections::Result result);
+  void RunHere(std::uint64_t id);
+  void RefuseLostRelay(std::uint64_t id, std::string cause);
   const std::string& PickService(const forward::Route& route);
+  /// The request as a message that names how long the sender waits.
+  std::string CallBytes(const forward::CallerRequest& caller,
+                        base::TimePoint deadline,
+                        std::string_view extra_fields) const;
+  void GiveUpRelay(std::uint64_t id, RunningRequest& request);
+  void CancelCall(forward::CallId call);
   void Execute(std::uint64_t id, std::vector<forward::RunAction>& actions);
   void SendCall(RunningRequest& request, std::uint64_t id,
                 forward::StartLeafCall& action);
@@ -81,6 +106,7 @@
   void ScheduleSweep();
   void Sweep();
   bool Ready() const;
+  forward::CallerLimits Limits() const;
   void ContinueStop();
   std::string Metrics() const;
 
@@ -92,12 +118,14 @@
   forward::LeafSelector selector_;
   forward::ExtraCallBudget budget_;
   limits::Admission admission_;
+  forward::RelayPlanner relays_;
   forward::RunContext context_;
   std::shared_ptr<const forward::RouteTable> table_;
   bool directory_loaded_ = false;
 
   boost::asio::ip::tcp::acceptor acceptor_;
   std::unique_ptr<HealthServer> health_;
+  std::unique_ptr<PeerServer> peers_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
       connections_;
   std::unordered_map<ServerConnection*, std::uint64_t> request_of_;
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -14,6 +14,8 @@
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
   std::uint64_t abandoned = 0;
+  std::uint64_t relayed = 0;
+  std::uint64_t relay_failures = 0;
   std::uint64_t leaf_calls = 0;
   std::uint64_t leaf_answers = 0;
   std::uint64_t leaf_sheds = 0;
--- a/gateway/include/berylreach/gateway/gateway_settings.h
+++ b/gateway/include/berylreach/gateway/gateway_settings.h
@@ -18,6 +18,8 @@
   std::string caller_address;
   /// "IP:port" for readiness checks and metrics.
   std::string health_address;
+  /// "IP:port" for requests of other hosts; empty for a host that takes none.
+  std::string peer_address;
   forward::Location location;
   forward::ExtraCallLimits extra_calls;
   forward::ColdCallLimits cold_calls;
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -11,6 +11,7 @@
 #include "berylreach/base/hash.h"
 #include "berylreach/host/log.h"
 #include "health_server.h"
+#include "peer_server.h"
 #include "response_bytes.h"
 
 namespace berylreach::gateway {
@@ -42,6 +43,15 @@
 constexpr double kRequestsPerCore = 256;
 constexpr double kLeafCallsPerCore = 6144;
 
+/// Field of a relayed request: the sender's configuration version and the
+/// milliseconds until a partial answer is to be sent.
+constexpr std::string_view kRelayField = "Berylreach-Relay";
+
+/// A relayed request without an answer after this many objectives is given up.
+/// Before, the other host may still collect the least coverage.
+constexpr int kRelayObjectives = 2;
+constexpr milliseconds kLostRelayRetryAfter{20};
+
 limits::AdmissionOptions AdmissionFor(double cores) {
   return {
       .max_requests =
@@ -50,6 +60,13 @@
           static_cast<std::size_t>(std::max(512.0, kLeafCallsPerCore * cores))};
 }
 
+forward::CallOutcome RelayOutcome(const LeafConnections::Result& result) {
+  const auto* response = std::get_if<HttpResponse>(&result);
+  if (response == nullptr) return forward::CallOutcome::kUnreachable;
+  return response->status == 503 ? forward::CallOutcome::kShed
+                                 : forward::CallOutcome::kAnswered;
+}
+
 std::string Seconds(milliseconds span) {
   char text[32];
   std::snprintf(text, sizeof(text), "%.3f",
@@ -77,6 +94,7 @@
       selector_(clock, directory_, cold_),
       budget_(clock, settings_.extra_calls),
       admission_(clock, AdmissionFor(settings_.cores)),
+      relays_(clock, settings_.host, settings_.location, directory_, selector_),
       context_{clock, selector_, budget_, settings_.record_bytes,
                [this] { return next_id_++; }},
       acceptor_(io, ParseEndpoint(settings_.caller_address).value()),
@@ -90,6 +108,8 @@
   health_ = std::make_unique<HealthServer>(
       io, clock, settings_.health_address, [this] { return Ready(); },
       [this] { return Metrics(); });
+  if (!settings_.peer_address.empty())
+    peers_ = std::make_unique<PeerServer>(io, settings_.peer_address, *this);
   Accept();
   ScheduleSweep();
 }
@@ -106,11 +126,14 @@
   table_ = std::make_shared<forward::RouteTable>(std::move(configuration));
 }
 
-void Gateway::SetHosts(const std::vector<std::string>& hosts) {
-  cold_.SetHosts(settings_.host, hosts);
+void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
+  std::vector<std::string> names;
+  for (const forward::HostEntry& host : hosts) names.push_back(host.name);
+  cold_.SetHosts(settings_.host, std::move(names));
   selector_.SetHosts(hosts.size());
   budget_.SetHosts(hosts.size());
   host::LogStateChange("hosts", std::to_string(hosts.size()), "");
+  relays_.SetHosts(std::move(hosts));
 }
 
 std::uint64_t Gateway::configuration_version() const {
@@ -126,10 +149,8 @@
                                 boost::asio::ip::tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     if (!error) {
-      const forward::CallerLimits limits =
-          table_ ? table_->configuration().limits : forward::CallerLimits{};
       auto connection = std::make_shared<ServerConnection>(
-          std::move(socket), *this, clock_, limits);
+          std::move(socket), *this, clock_, Limits());
       connections_[connection.get()] = connection;
       connection->Start();
     }
@@ -137,8 +158,36 @@
   });
 }
 
+forward::CallerLimits Gateway::Limits() const {
+  return table_ ? table_->configuration().limits : forward::CallerLimits{};
+}
+
 void Gateway::OnRequest(ServerConnection& connection, HttpRequest request) {
   ++counters_.requests;
+  Handle(connection, std::move(request), nullptr);
+}
+
+void Gateway::OnPeerRequest(ServerConnection& connection, HttpRequest request) {
+  RelayedRequest relayed;
+  const std::string_view field = request.fields.Find(kRelayField);
+  const char* end = field.data() + field.size();
+  std::int64_t left = 0;
+  const auto version = std::from_chars(field.data(), end, relayed.version);
+  const bool valid =
+      version.ec == std::errc() && version.ptr != end &&
+      std::from_chars(version.ptr + 1, end, left).ec == std::errc();
+  relayed.partial_at = clock_.Now() + milliseconds(left);
+  if (!valid || stopping_ || relayed.version > configuration_version()) {
+    // The sender runs the request itself.
+    RefuseAtOnce(connection, request, 503, "cannot run for another host",
+                 milliseconds(0));
+    return;
+  }
+  Handle(connection, std::move(request), &relayed);
+}
+
+void Gateway::Handle(ServerConnection& connection, HttpRequest request,
+                     const RelayedRequest* relayed) {
   if (!table_ || !directory_loaded_) {
     RefuseAtOnce(connection, request, 503, "no configuration yet",
                  kStartingRetryAfter);
@@ -162,7 +211,7 @@
     RefuseAtOnce(connection, request, 503, "stopping", milliseconds(50));
     return;
   }
-  StartRun(connection, std::move(request), *route);
+  StartRun(connection, std::move(request), *route, relayed);
 }
 
 const std::string& Gateway::PickService(const forward::Route& route) {
@@ -185,7 +234,8 @@
 }
 
 void Gateway::StartRun(ServerConnection& connection, HttpRequest request,
-                       const forward::Route& route) {
+                       const forward::Route& route,
+                       const RelayedRequest* relayed) {
   const std::size_t calls = route.scatters() ? route.shards.size() : 1;
   const limits::AdmissionDecision decision =
       admission_.Admit(route.priority, calls);
@@ -197,7 +247,7 @@
   forward::CallerRequest caller;
   caller.id = std::string(request.fields.Find(settings_.names.request_id));
   caller.fields = request.fields.ForwardedLines(
-      {settings_.names.patience, settings_.names.expected_leaf});
+      {settings_.names.patience, settings_.names.expected_leaf, kRelayField});
   caller.method = std::move(request.method);
   caller.target = std::move(request.target);
   caller.body = std::move(request.body);
@@ -213,11 +263,106 @@
   running.run = std::make_unique<forward::RequestRun>(
       context_, table_, route, PickService(route), std::move(caller));
   request_of_[&connection] = id;
+  if (relayed != nullptr) {
+    running.run->SetPartialAt(relayed->partial_at);
+  } else if (TryRelay(id, running)) {
+    return;
+  }
+  RunHere(id);
+}
+
+void Gateway::RunHere(std::uint64_t id) {
   std::vector<forward::RunAction> actions;
-  running.run->Start(actions);
+  requests_.at(id).run->Start(actions);
   Execute(id, actions);
 }
 
+bool Gateway::TryRelay(std::uint64_t id, RunningRequest& request) {
+  forward::RequestRun& run = *request.run;
+  const auto host = relays_.Choose(*table_, run.route(), run.seed());
+  if (host == nullptr) return false;
+  const base::TimePoint now = clock_.Now();
+  const milliseconds transit = forward::RelayPlanner::Transit(*host);
+  const auto partial = std::chrono::duration_cast<milliseconds>(
+      run.partial_at() - now - 2 * transit);
+  if (partial <= milliseconds(0)) return false;
+  const forward::CallId call = next_id_++;
+  request.relay = call;
+  ++counters_.relayed;
+  host->OnCallSent(now);
+  calls_[call] = {id, host, run.request().id, now};
+  LeafCall message;
+  message.id = call;
+  message.head = request.head;
+  message.connections = host->entry().slots;
+  message.deadline = run.deadline();
+  message.bytes = CallBytes(run.request(), run.deadline(),
+                            std::string(kRelayField) + ": " +
+                                std::to_string(configuration_version()) + " " +
+                                std::to_string(partial.count()) + "\r\n");
+  leaf_connections_.Start(*host, std::move(message));
+  wakeups_.Set(id, std::min(run.deadline(),
+                            run.request().received +
+                                kRelayObjectives * run.route().objective));
+  ArmTimer();
+  return true;
+}
+
+void Gateway::OnRelayDone(std::uint64_t id, LeafConnections::Result result) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  auto* response = std::get_if<HttpResponse>(&result);
+  // A host that cannot run the request says 503, and then nothing has run.
+  if (response != nullptr && response->status != 503) {
+    forward::CallerReply reply;
+    reply.reply = ToLeafReply(std::move(*response));
+    Finish(id, std::move(reply));
+    return;
+  }
+  ++counters_.relay_failures;
+  found->second.relay = 0;
+  const bool sent =
+      response == nullptr &&
+      std::get<forward::CallFailure>(result) != forward::CallFailure::kNotSent;
+  if (sent) {
+    RefuseLostRelay(id, "lost the host that ran the request");
+  } else {
+    RunHere(id);
+  }
+}
+
+void Gateway::RefuseLostRelay(std::uint64_t id, std::string cause) {
+  // The other host may have used all attempts that the route allows, so a
+  // second run is the caller's to ask for.
+  forward::CallerReply reply;
+  reply.refusal = forward::Refusal::kMayHaveRun;
+  reply.cause = std::move(cause);
+  reply.retry_after = kLostRelayRetryAfter;
+  Finish(id, std::move(reply));
+}
+
+std::string Gateway::CallBytes(const forward::CallerRequest& caller,
+                               base::TimePoint deadline,
+                               std::string_view extra_fields) const {
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      std::max(base::Duration::zero(), deadline - clock_.Now()));
+  std::string bytes;
+  bytes.reserve(caller.fields.size() + caller.target.size() +
+                caller.body.size() + 160);
+  bytes.append(caller.method).append(" ").append(caller.target);
+  bytes.append(" HTTP/1.1\r\n").append(caller.fields);
+  bytes.append(settings_.names.patience).append(": ");
+  bytes.append(std::to_string(left.count())).append("\r\n");
+  bytes.append(extra_fields);
+  if (!caller.body.empty() || caller.method == "POST" ||
+      caller.method == "PUT") {
+    bytes.append("Content-Length: ");
+    bytes.append(std::to_string(caller.body.size())).append("\r\n");
+  }
+  bytes.append("\r\n").append(caller.body);
+  return bytes;
+}
+
 void Gateway::Execute(std::uint64_t id,
                       std::vector<forward::RunAction>& actions) {
   const auto found = requests_.find(id);
@@ -238,31 +383,15 @@
                        forward::StartLeafCall& action) {
   ++counters_.leaf_calls;
   const forward::CallerRequest& caller = request.run->request();
-  const base::TimePoint now = clock_.Now();
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      std::max(base::Duration::zero(), action.deadline - now));
-  const WireNames& names = settings_.names;
   LeafCall call;
   call.id = action.call;
   call.head = request.head;
   call.needs_fresh_connection = !request.run->route().idempotent;
   call.connections = action.connections;
   call.deadline = action.deadline;
-  std::string& bytes = call.bytes;
-  bytes.reserve(caller.fields.size() + caller.target.size() +
-                caller.body.size() + 160);
-  bytes.append(caller.method).append(" ").append(caller.target);
-  bytes.append(" HTTP/1.1\r\n").append(caller.fields);
-  bytes.append(names.patience).append(": ");
-  bytes.append(std::to_string(left.count())).append("\r\n");
-  bytes.append(names.expected_leaf).append(": ");
-  bytes.append(action.leaf->entry().id).append("\r\n");
-  if (!caller.body.empty() || caller.method == "POST" ||
-      caller.method == "PUT") {
-    bytes.append("Content-Length: ");
-    bytes.append(std::to_string(caller.body.size())).append("\r\n");
-  }
-  bytes.append("\r\n").append(caller.body);
+  call.bytes = CallBytes(
+      caller, action.deadline,
+      settings_.names.expected_leaf + ": " + action.leaf->entry().id + "\r\n");
   calls_[action.call] = {id, action.leaf, caller.id, action.sent};
   leaf_connections_.Start(*action.leaf, std::move(call));
 }
@@ -289,6 +418,11 @@
   forward::LeafRecord& leaf = *running.leaf;
   std::vector<forward::RunAction> actions;
   const auto request = requests_.find(running.request);
+  if (request != requests_.end() && request->second.relay == call) {
+    leaf.OnCallEnded(running.sent, now, RelayOutcome(result));
+    OnRelayDone(running.request, std::move(result));
+    return;
+  }
   auto* response = std::get_if<HttpResponse>(&result);
   if (response != nullptr) {
     const std::string_view echoed =
@@ -423,13 +557,7 @@
     std::vector<forward::CallId> cancelled;
     for (const auto& [call, running] : calls_)
       if (running.request == id) cancelled.push_back(call);
-    for (const forward::CallId call : cancelled) {
-      leaf_connections_.Cancel(call);
-      const RunningCall running = std::move(calls_.at(call));
-      calls_.erase(call);
-      running.leaf->OnCallEnded(running.sent, clock_.Now(),
-                                forward::CallOutcome::kCancelled);
-    }
+    for (const forward::CallId call : cancelled) CancelCall(call);
   }
   connections_.erase(&connection);
 }
@@ -453,6 +581,10 @@
   while (const auto id = wakeups_.PopDue(now + kTimerSlack)) {
     const auto found = requests_.find(*id);
     if (found == requests_.end()) continue;
+    if (found->second.relay != 0) {
+      GiveUpRelay(*id, found->second);
+      continue;
+    }
     std::vector<forward::RunAction> actions;
     found->second.run->Tick(actions);
     Execute(*id, actions);
@@ -460,6 +592,23 @@
   ArmTimer();
 }
 
+void Gateway::GiveUpRelay(std::uint64_t id, RunningRequest& request) {
+  const forward::CallId call = std::exchange(request.relay, 0);
+  ++counters_.relay_failures;
+  CancelCall(call);
+  RefuseLostRelay(id, "the host that runs the request is silent");
+}
+
+void Gateway::CancelCall(forward::CallId call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  const RunningCall running = std::move(found->second);
+  calls_.erase(found);
+  leaf_connections_.Cancel(call);
+  running.leaf->OnCallEnded(running.sent, clock_.Now(),
+                            forward::CallOutcome::kCancelled);
+}
+
 void Gateway::ScheduleSweep() {
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](boost::system::error_code error) {
@@ -475,6 +624,7 @@
   cold_.Tick();
   leaf_connections_.CheckTimeouts();
   leaf_connections_.CloseIdle([this](const std::string& leaf) {
+    if (relays_.Knows(leaf)) return true;
     const auto record = directory_.Find(leaf);
     return record != nullptr && !record->gone();
   });
@@ -523,6 +673,8 @@
   add("refused_total", counters_.refused);
   add("failed_total", counters_.failed);
   add("abandoned_total", counters_.abandoned);
+  add("relayed_total", counters_.relayed);
+  add("relay_failures_total", counters_.relay_failures);
   add("leaf_calls_total", counters_.leaf_calls);
   add("leaf_answers_total", counters_.leaf_answers);
   add("leaf_sheds_total", counters_.leaf_sheds);
