--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -34,6 +34,8 @@
   /// The running exchange failed and the connection is closed.
   virtual void OnExchangeFailed(ClientConnection& connection,
                                 ExchangeFailure failure) = 0;
+  /// A connection that was opened without a request is idle.
+  virtual void OnOpened(ClientConnection& connection) = 0;
   /// An idle connection was closed by the peer.
   virtual void OnIdleClosed(ClientConnection& connection) = 0;
 };
@@ -47,9 +49,10 @@
                    ClientConnectionHandler& handler, const base::Clock& clock);
   ~ClientConnection();
 
-  /// Opens the connection to `address` ("IP:port") and sends `bytes`. The
-  /// exchange fails if it is not connected by `connect_by` or has no response
-  /// by `answer_by`; both are checked in CheckTimeouts.
+  /// Opens the connection to `address` ("IP:port") and sends `bytes`, or leaves
+  /// it idle if there are none. The exchange fails if it is not connected by
+  /// `connect_by` or has no response by `answer_by`; both are checked in
+  /// CheckTimeouts.
   void Open(const std::string& address, std::string bytes, bool head,
             base::TimePoint connect_by, base::TimePoint answer_by);
   /// Probes the peer while the connection is quiet, so that a connection that
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -105,6 +105,7 @@
   void OnTimer();
   void ScheduleSweep();
   void Sweep();
+  void WarmConnections();
   bool Ready() const;
   forward::CallerLimits Limits() const;
   void ContinueStop();
@@ -134,6 +135,9 @@
   std::uint64_t next_id_ = 1;
   /// Requests of each splitting route, by name; spreads them by weight.
   std::unordered_map<std::string, std::uint64_t> split_counts_;
+  /// When this host last ran a request of a scattering route, by name.
+  std::unordered_map<std::string, base::TimePoint> last_run_;
+  base::TimePoint warmed_at_{};
   LeafConnections leaf_connections_;
   base::WakeupQueue<std::uint64_t> wakeups_;
   boost::asio::steady_timer timer_;
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -47,6 +47,8 @@
   ~LeafConnections() override;
 
   void Start(const forward::LeafRecord& leaf, LeafCall call);
+  /// Opens a connection to a leaf that has none, for a later call.
+  void Warm(const forward::LeafRecord& leaf);
   /// Closes the connection of a running call; its result is not reported.
   void Cancel(forward::CallId call);
   /// Ends calls whose time is over and closes old idle connections.
@@ -65,13 +67,18 @@
   struct Pool {
     std::vector<std::shared_ptr<ClientConnection>> idle;
     std::size_t open = 0;
+    /// No connection is opened ahead of a call before.
+    base::TimePoint warm_after{};
   };
 
   void OnResponse(ClientConnection& connection, HttpResponse response,
                   bool reusable) override;
   void OnExchangeFailed(ClientConnection& connection,
                         ExchangeFailure failure) override;
+  void OnOpened(ClientConnection& connection) override;
   void OnIdleClosed(ClientConnection& connection) override;
+  void Open(const forward::LeafRecord& leaf, Pool& pool, forward::CallId call,
+            std::string bytes, bool head, base::TimePoint answer_by);
   std::shared_ptr<ClientConnection> TakeIdle(Pool& pool, const LeafCall& call);
   void Drop(ClientConnection& connection);
   void CloseIdleOf(const std::string& leaf);
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -82,6 +82,13 @@
   parser_->http.eager(true);
   parser_->http.body_limit(kMaxBodyBytes);
   parser_->http.skip(head_);
+  if (out_.empty()) {
+    busy_ = false;
+    idle_since_ = clock_.Now();
+    WaitRead();
+    handler_.OnOpened(*this);
+    return;
+  }
   Write();
   if (!closed_) WaitRead();
 }
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <unordered_set>
 #include <utility>
 
 #include "address.h"
@@ -26,6 +27,12 @@
 /// system call costs more than the precision is worth.
 constexpr milliseconds kTimerSlack{1};
 
+/// A hedge to a leaf in another region that must first open a connection comes
+/// too late for the usual objectives, so hosts that run scattering requests
+/// keep a connection to each leaf of their shards.
+constexpr milliseconds kWarmInterval{500};
+constexpr std::chrono::seconds kWarmAfterRun{10};
+
 /// Patience of a caller that states none.
 constexpr milliseconds kDefaultPatience{10000};
 
@@ -272,6 +279,8 @@
 }
 
 void Gateway::RunHere(std::uint64_t id) {
+  const forward::Route& route = requests_.at(id).run->route();
+  if (route.scatters()) last_run_[route.name] = clock_.Now();
   std::vector<forward::RunAction> actions;
   requests_.at(id).run->Start(actions);
   Execute(id, actions);
@@ -633,9 +642,26 @@
   for (const auto& [key, connection] : connections_) all.push_back(connection);
   for (const auto& connection : all) connection->CheckTimeouts(now);
   health_->CheckTimeouts(now);
+  if (now - warmed_at_ >= kWarmInterval) WarmConnections();
   if (stopping_) ContinueStop();
 }
 
+void Gateway::WarmConnections() {
+  const base::TimePoint now = clock_.Now();
+  warmed_at_ = now;
+  if (!table_ || stopping_) return;
+  std::unordered_set<std::string> shards;
+  for (const forward::Route& route : table_->configuration().routes) {
+    const auto run = last_run_.find(route.name);
+    if (run == last_run_.end() || now - run->second > kWarmAfterRun) continue;
+    shards.insert(route.shards.begin(), route.shards.end());
+  }
+  for (const std::string& shard : shards) {
+    for (const auto& leaf : directory_.Usable(shard))
+      if (!leaf->IsBackedOff(now)) leaf_connections_.Warm(*leaf);
+  }
+}
+
 void Gateway::Stop(std::function<void()> on_stopped) {
   if (stopping_) return;
   stopping_ = true;
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -21,8 +21,12 @@
 /// Age up to which an idle connection may carry a call that must not be lost.
 constexpr milliseconds kFreshAge{500};
 
+/// Least time between two connections that are opened ahead of a call. Longer
+/// than a short outage of a leaf, so that it is not met with connections.
+constexpr milliseconds kWarmPause{2000};
+
 /// Idle connections without a word from the leaf are closed after this time.
-constexpr milliseconds kDefaultIdle{4000};
+constexpr milliseconds kDefaultIdle{5000};
 /// Part of the leaf's own limit for idle connections that is used.
 constexpr double kIdleShare = 0.7;
 
@@ -70,15 +74,35 @@
     });
     return;
   }
+  Open(leaf, pool, call.id, std::move(call.bytes), call.head, answer_by);
+}
+
+void LeafConnections::Open(const forward::LeafRecord& leaf, Pool& pool,
+                           forward::CallId call, std::string bytes, bool head,
+                           base::TimePoint answer_by) {
   auto connection = std::make_shared<ClientConnection>(io_, *this, clock_);
-  slots_[connection.get()] = {connection, id, call.id};
-  by_call_[call.id] = connection.get();
+  slots_[connection.get()] = {connection, leaf.entry().id, call};
+  if (call != 0) by_call_[call] = connection.get();
   ++pool.open;
   ++counters_.opened;
-  connection->Open(leaf.entry().address, std::move(call.bytes), call.head,
+  connection->Open(leaf.entry().address, std::move(bytes), head,
                    clock_.Now() + kConnectTimeout, answer_by);
 }
 
+void LeafConnections::Warm(const forward::LeafRecord& leaf) {
+  Pool& pool = pools_[leaf.entry().id];
+  const base::TimePoint now = clock_.Now();
+  if (pool.open > 0 || now < pool.warm_after) return;
+  pool.warm_after = now + kWarmPause;
+  Open(leaf, pool, 0, "", false, now + kConnectTimeout);
+}
+
+void LeafConnections::OnOpened(ClientConnection& connection) {
+  const auto found = slots_.find(&connection);
+  if (found == slots_.end()) return;
+  pools_[found->second.leaf].idle.push_back(found->second.connection);
+}
+
 std::shared_ptr<ClientConnection> LeafConnections::TakeIdle(
     Pool& pool, const LeafCall& call) {
   const base::TimePoint now = clock_.Now();
@@ -179,6 +203,7 @@
   Drop(connection);
   // Other connections to a leaf that fell silent may have gone silent too.
   if (failure == ExchangeFailure::kTimedOut) CloseIdleOf(leaf);
+  if (call == 0) return;
   on_done_(call, ToCallFailure(failure));
 }
 
