Let few hosts of a large zone read the store and the others follow them

Two hosts of each zone with more than 4 read the store; the others ask them for changes after a revision and go to the store themselves when no reader has a fresh view.

--- /dev/null
+++ b/forward/lib/change_log.cc
@@ -0,0 +1,56 @@
+// Records with a bounded tail of changes.
+#include "berylreach/forward/change_log.h"
+
+#include <utility>
+
+namespace berylreach::forward {
+namespace {
+
+/// Changes kept for followers. More than a repartition of hundreds of shards
+/// makes; a follower that is further behind gets all records.
+constexpr std::size_t kKeptChanges = 4096;
+
+}  // namespace
+
+void ChangeLog::Reset(std::map<std::string, std::string> records,
+                      std::uint64_t revision) {
+  records_ = std::move(records);
+  recent_.clear();
+  forgotten_ = revision;
+  revision_ = revision;
+}
+
+void ChangeLog::Append(const std::vector<RecordChange>& changes,
+                       std::uint64_t revision) {
+  for (const RecordChange& change : changes) {
+    if (change.value) {
+      records_[change.key] = *change.value;
+    } else {
+      records_.erase(change.key);
+    }
+    recent_.push_back({revision, change});
+  }
+  revision_ = revision;
+  while (recent_.size() > kKeptChanges) {
+    forgotten_ = recent_.front().revision;
+    recent_.pop_front();
+  }
+}
+
+std::optional<ChangeSet> ChangeLog::Since(std::uint64_t revision) const {
+  if (revision_ == 0 || revision >= revision_) return std::nullopt;
+  ChangeSet set{.revision = revision_};
+  if (revision < forgotten_) {
+    set.whole = true;
+    for (const auto& [key, value] : records_)
+      set.changes.push_back({key, value});
+    return set;
+  }
+  for (const Entry& entry : recent_)
+    if (entry.revision > revision) set.changes.push_back(entry.change);
+  // A revision that changed nothing of interest is no news.
+  if (set.changes.empty()) return std::nullopt;
+  return set;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/gateway/include/berylreach/gateway/feed_codec.h
@@ -0,0 +1,20 @@
+// Changes of records between hosts as JSON.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "berylreach/forward/change_log.h"
+
+namespace berylreach::gateway {
+
+std::string FormatChangeSet(const forward::ChangeSet& set);
+
+/// Nothing if the text is malformed.
+std::optional<forward::ChangeSet> ParseChangeSet(std::string_view text);
+
+/// Base64 of RFC 4648 with padding.
+std::string EncodeBase64(std::string_view bytes);
+
+}  // namespace berylreach::gateway
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "berylreach/base/wakeup_queue.h"
 #include "berylreach/forward/relay_planner.h"
 #include "berylreach/forward/request_run.h"
+#include "berylreach/gateway/feed_server.h"
 #include "berylreach/gateway/gateway_counters.h"
 #include "berylreach/gateway/gateway_settings.h"
 #include "berylreach/gateway/leaf_connections.h"
@@ -37,6 +38,8 @@
   /// The hosts that share budgets and connections, this one among them.
   void SetHosts(std::vector<forward::HostEntry> hosts);
   forward::LeafDirectory& directory() { return directory_; }
+  /// What hosts that follow this one learn.
+  FeedServer& feed() { return feed_; }
   /// The first complete listing of the leaves has arrived.
   void SetDirectoryLoaded() { directory_loaded_ = true; }
 
@@ -115,6 +118,7 @@
   const base::Clock& clock_;
   GatewaySettings settings_;
   forward::LeafDirectory directory_;
+  FeedServer feed_;
   forward::ColdCallLimit cold_;
   forward::LeafSelector selector_;
   forward::ExtraCallBudget budget_;
--- /dev/null
+++ b/gateway/include/berylreach/gateway/http_caller.h
@@ -0,0 +1,58 @@
+// Requests of the host's own to one server.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "berylreach/gateway/client_connection.h"
+
+namespace berylreach::gateway {
+
+/// Outcome of one request: the status and body of the response, or status 0 if
+/// there was none. A request without a response may still take effect.
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+
+  friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
+};
+
+/// One connection with one request at a time, probed while it waits. All calls
+/// come from the event loop's thread.
+class HttpCaller : public ClientConnectionHandler {
+ public:
+  using OnAnswer = std::function<void(HttpAnswer)>;
+
+  HttpCaller(boost::asio::io_context& io, const base::Clock& clock);
+  ~HttpCaller() override;
+
+  /// Sends a request to `address`. `body` is JSON and goes out with all methods
+  /// but GET. A request that is still running is dropped.
+  void Call(const std::string& address, const std::string& method,
+            const std::string& target, const std::string& body,
+            std::chrono::milliseconds limit, OnAnswer on_answer);
+
+  bool busy() const { return static_cast<bool>(on_answer_); }
+  /// Ends a request whose time is over.
+  void CheckTimeouts();
+
+ private:
+  void OnResponse(ClientConnection& connection, HttpResponse response,
+                  bool reusable) override;
+  void OnExchangeFailed(ClientConnection& connection,
+                        ExchangeFailure failure) override;
+  void OnOpened(ClientConnection&) override {}
+  void OnIdleClosed(ClientConnection& connection) override;
+  void Answer(HttpAnswer answer);
+
+  boost::asio::io_context& io_;
+  const base::Clock& clock_;
+  std::string address_;
+  std::shared_ptr<ClientConnection> connection_;
+  OnAnswer on_answer_;
+};
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/feed_codec.cc
@@ -0,0 +1,65 @@
+// Encoding of change sets. Values may be any bytes, hence base64.
+#include "berylreach/gateway/feed_codec.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "berylreach/config/base64.h"
+
+namespace berylreach::gateway {
+
+std::string EncodeBase64(std::string_view bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::string FormatChangeSet(const forward::ChangeSet& set) {
+  boost::json::array changes;
+  for (const forward::RecordChange& change : set.changes) {
+    boost::json::object row;
+    row["key"] = change.key;
+    if (change.value) row["value"] = EncodeBase64(*change.value);
+    changes.push_back(std::move(row));
+  }
+  boost::json::object root;
+  root["revision"] = set.revision;
+  root["whole"] = set.whole;
+  root["changes"] = std::move(changes);
+  return boost::json::serialize(root);
+}
+
+std::optional<forward::ChangeSet> ParseChangeSet(std::string_view text) {
+  boost::json::error_code error;
+  const auto root = boost::json::parse({text.data(), text.size()}, error);
+  if (error || !root.is_object()) return std::nullopt;
+  const auto& object = root.get_object();
+  const auto* revision = object.if_contains("revision");
+  const auto* whole = object.if_contains("whole");
+  const auto* changes = object.if_contains("changes");
+  if (revision == nullptr || !revision->is_number() || whole == nullptr ||
+      !whole->is_bool() || changes == nullptr || !changes->is_array())
+    return std::nullopt;
+  forward::ChangeSet set;
+  set.revision = revision->to_number<std::uint64_t>(error);
+  if (error) return std::nullopt;
+  set.whole = whole->get_bool();
+  for (const auto& row : changes->get_array()) {
+    const auto* fields = row.if_object();
+    const auto* key = fields == nullptr ? nullptr : fields->if_contains("key");
+    if (key == nullptr || !key->is_string()) return std::nullopt;
+    forward::RecordChange change{.key = std::string(key->get_string())};
+    if (const auto* value = fields->if_contains("value")) {
+      if (!value->is_string()) return std::nullopt;
+      change.value = config::DecodeBase64(
+          {value->get_string().data(), value->get_string().size()});
+      if (!change.value) return std::nullopt;
+    }
+    set.changes.push_back(std::move(change));
+  }
+  return set;
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/feed_server.cc
@@ -0,0 +1,80 @@
+// Long polls of followers.
+#include "berylreach/gateway/feed_server.h"
+
+#include <charconv>
+#include <utility>
+
+#include "berylreach/gateway/feed_codec.h"
+#include "response_bytes.h"
+
+namespace berylreach::gateway {
+namespace {
+
+/// Longest wait of a follower. It is answered then, so that it may choose
+/// another host.
+constexpr std::chrono::seconds kLongestWait{10};
+
+void Respond(ServerConnection& connection, int status, std::string_view body) {
+  connection.Respond(ResponseBytes(status, ReasonOf(status), "", body, true),
+                     true);
+}
+
+}  // namespace
+
+void FeedServer::OnRequest(ServerConnection& connection,
+                           std::string_view target) {
+  constexpr std::string_view kAfter = "after=";
+  std::uint64_t revision = 0;
+  const std::size_t at = target.find(kAfter);
+  if (at != std::string_view::npos) {
+    const char* begin = target.data() + at + kAfter.size();
+    std::from_chars(begin, target.data() + target.size(), revision);
+  }
+  if (!fresh_) {
+    Respond(connection, 503, "");
+    return;
+  }
+  if (Answer(connection, revision)) return;
+  waiting_.push_back(
+      {connection.weak_from_this(), revision, clock_.Now() + kLongestWait});
+}
+
+bool FeedServer::Answer(ServerConnection& connection, std::uint64_t revision) {
+  const auto set = log_.Since(revision);
+  if (!set) return false;
+  Respond(connection, 200, FormatChangeSet(*set));
+  return true;
+}
+
+void FeedServer::Publish() {
+  for (Waiting& waiting : std::exchange(waiting_, {})) {
+    const auto connection = waiting.connection.lock();
+    if (!connection || connection->closed()) continue;
+    if (!Answer(*connection, waiting.revision))
+      waiting_.push_back(std::move(waiting));
+  }
+}
+
+void FeedServer::SetFresh(bool fresh) {
+  if (std::exchange(fresh_, fresh) == fresh || fresh) return;
+  for (const Waiting& waiting : std::exchange(waiting_, {})) {
+    const auto connection = waiting.connection.lock();
+    if (connection && !connection->closed()) Respond(*connection, 503, "");
+  }
+}
+
+void FeedServer::CheckTimeouts() {
+  const base::TimePoint now = clock_.Now();
+  for (Waiting& waiting : std::exchange(waiting_, {})) {
+    const auto connection = waiting.connection.lock();
+    if (!connection || connection->closed()) continue;
+    if (now >= waiting.until) {
+      const forward::ChangeSet none{.revision = waiting.revision};
+      Respond(*connection, 200, FormatChangeSet(none));
+    } else {
+      waiting_.push_back(std::move(waiting));
+    }
+  }
+}
+
+}  // namespace berylreach::gateway
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -97,6 +97,7 @@
       clock_(clock),
       settings_(std::move(settings)),
       directory_(clock, settings_.location),
+      feed_(clock),
       cold_(clock, settings_.cold_calls),
       selector_(clock, directory_, cold_),
       budget_(clock, settings_.extra_calls),
@@ -175,6 +176,10 @@
 }
 
 void Gateway::OnPeerRequest(ServerConnection& connection, HttpRequest request) {
+  if (request.target.starts_with(kFeedPath)) {
+    feed_.OnRequest(connection, request.target);
+    return;
+  }
   RelayedRequest relayed;
   const std::string_view field = request.fields.Find(kRelayField);
   const char* end = field.data() + field.size();
@@ -642,6 +647,7 @@
   for (const auto& [key, connection] : connections_) all.push_back(connection);
   for (const auto& connection : all) connection->CheckTimeouts(now);
   health_->CheckTimeouts(now);
+  feed_.CheckTimeouts();
   if (now - warmed_at_ >= kWarmInterval) WarmConnections();
   if (stopping_) ContinueStop();
 }
@@ -667,6 +673,7 @@
   stopping_ = true;
   stop_began_ = clock_.Now();
   on_stopped_ = std::move(on_stopped);
+  feed_.SetFresh(false);
   host::LogStateChange("stopping", settings_.host,
                        std::to_string(requests_.size()) + " requests running");
 }
--- /dev/null
+++ b/gateway/lib/http_caller.cc
@@ -0,0 +1,66 @@
+// One connection, opened anew after each failure.
+#include "berylreach/gateway/http_caller.h"
+
+#include <utility>
+
+namespace berylreach::gateway {
+namespace {
+
+constexpr std::chrono::milliseconds kConnectLimit{1000};
+
+}  // namespace
+
+HttpCaller::HttpCaller(boost::asio::io_context& io, const base::Clock& clock)
+    : io_(io), clock_(clock) {}
+
+HttpCaller::~HttpCaller() {
+  if (connection_) connection_->Close();
+}
+
+void HttpCaller::Call(const std::string& address, const std::string& method,
+                      const std::string& target, const std::string& body,
+                      std::chrono::milliseconds limit, OnAnswer on_answer) {
+  std::string bytes =
+      method + " " + target + " HTTP/1.1\r\nHost: " + address + "\r\n";
+  if (method != "GET") {
+    bytes += "Content-Type: application/json\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n";
+  }
+  bytes += "\r\n" + body;
+  const base::TimePoint now = clock_.Now();
+  const bool reusable = connection_ && !connection_->closed() &&
+                        !connection_->busy() && address == address_;
+  on_answer_ = std::move(on_answer);
+  if (reusable) {
+    connection_->Send(std::move(bytes), false, now + limit);
+    return;
+  }
+  if (connection_) connection_->Close();
+  address_ = address;
+  connection_ = std::make_shared<ClientConnection>(io_, *this, clock_);
+  connection_->KeepProbing();
+  connection_->Open(address_, std::move(bytes), false, now + kConnectLimit,
+                    now + limit);
+}
+
+void HttpCaller::CheckTimeouts() {
+  const auto connection = connection_;
+  if (connection) connection->CheckTimeouts(clock_.Now());
+}
+
+void HttpCaller::OnResponse(ClientConnection&, HttpResponse response, bool) {
+  Answer({response.status, std::move(response.body)});
+}
+
+void HttpCaller::OnExchangeFailed(ClientConnection&, ExchangeFailure) {
+  connection_.reset();
+  Answer({});
+}
+
+void HttpCaller::OnIdleClosed(ClientConnection&) { connection_.reset(); }
+
+void HttpCaller::Answer(HttpAnswer answer) {
+  if (on_answer_) std::exchange(on_answer_, nullptr)(std::move(answer));
+}
+
+}  // namespace berylreach::gateway
