--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -24,6 +24,8 @@
   void OnRequest(ServerConnection& connection, std::string_view target);
 
   forward::ChangeLog& log() { return log_; }
+  /// Whether other hosts have asked for changes lately.
+  bool HasFollowers() const;
   /// Tells waiting followers of changes in the log.
   void Publish();
   /// Whether this host's view of the store is fresh. Waiting followers are sent
@@ -44,6 +46,7 @@
   const base::Clock& clock_;
   forward::ChangeLog log_;
   bool fresh_ = false;
+  base::TimePoint last_request_{};
   std::vector<Waiting> waiting_;
 };
 
--- a/gateway/include/berylreach/gateway/http_caller.h
+++ b/gateway/include/berylreach/gateway/http_caller.h
@@ -36,6 +36,8 @@
             std::chrono::milliseconds limit, OnAnswer on_answer);
 
   bool busy() const { return static_cast<bool>(on_answer_); }
+  /// Drops a running request; its answer is not reported.
+  void Cancel();
   /// Ends a request whose time is over.
   void CheckTimeouts();
 
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -10,9 +10,12 @@
 namespace berylreach::gateway {
 namespace {
 
-/// Longest wait of a follower. It is answered then, so that it may choose
-/// another host.
-constexpr std::chrono::seconds kLongestWait{10};
+/// Longest wait of a follower. Without an answer by then it takes this host for
+/// dead or frozen, and it must still learn of changes within seconds.
+constexpr std::chrono::seconds kLongestWait{2};
+
+/// A follower asks again at once, so one that has not for this time is gone.
+constexpr std::chrono::seconds kFollowerLifetime{6};
 
 void Respond(ServerConnection& connection, int status, std::string_view body) {
   connection.Respond(ResponseBytes(status, ReasonOf(status), "", body, true),
@@ -24,6 +27,7 @@
 void FeedServer::OnRequest(ServerConnection& connection,
                            std::string_view target) {
   constexpr std::string_view kAfter = "after=";
+  last_request_ = clock_.Now();
   std::uint64_t revision = 0;
   const std::size_t at = target.find(kAfter);
   if (at != std::string_view::npos) {
@@ -46,6 +50,11 @@
   return true;
 }
 
+bool FeedServer::HasFollowers() const {
+  return last_request_ != base::TimePoint() &&
+         clock_.Now() - last_request_ < kFollowerLifetime;
+}
+
 void FeedServer::Publish() {
   for (Waiting& waiting : std::exchange(waiting_, {})) {
     const auto connection = waiting.connection.lock();
--- a/gateway/lib/http_caller.cc
+++ b/gateway/lib/http_caller.cc
@@ -43,6 +43,13 @@
                     now + limit);
 }
 
+void HttpCaller::Cancel() {
+  if (!on_answer_) return;
+  on_answer_ = nullptr;
+  if (connection_) connection_->Close();
+  connection_.reset();
+}
+
 void HttpCaller::CheckTimeouts() {
   const auto connection = connection_;
   if (connection) connection->CheckTimeouts(clock_.Now());
