--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -155,7 +155,7 @@
 
 bool LeafRecord::IsSilent(base::TimePoint now) const {
   const auto unanswered =
-      std::upper_bound(sent_at_.begin(), sent_at_.end(), last_answer_);
+      std::lower_bound(sent_at_.begin(), sent_at_.end(), last_answer_);
   if (unanswered == sent_at_.end()) return false;
   return now - *unanswered > HedgeDelay(now);
 }
--- /dev/null
+++ b/forward/unittests/choose_feed_test.cc
@@ -0,0 +1,60 @@
+// Which hosts read the store.
+#include "berylreach/forward/choose_feed.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace berylreach::forward {
+namespace {
+
+std::vector<HostEntry> Zone(std::size_t size) {
+  std::vector<HostEntry> hosts;
+  for (std::size_t i = 0; i < size; ++i)
+    hosts.push_back({"h" + std::to_string(i), "1:1", "z", 0.1});
+  return hosts;
+}
+
+bool NoneFailed(const std::string&) { return false; }
+
+TEST(ChooseFeedTest, SmallZonesReadTheStore) {
+  for (const HostEntry& host : Zone(4))
+    EXPECT_EQ(ChooseFeed(host, Zone(4), NoneFailed), std::nullopt);
+}
+
+// Guards against calls to the store that grow with the fleet.
+TEST(ChooseFeedTest, TwoHostsOfALargeZoneReadTheStore) {
+  for (const std::size_t size : {5U, 30U, 300U}) {
+    const std::vector<HostEntry> hosts = Zone(size);
+    std::size_t readers = 0;
+    std::set<std::string> followed;
+    for (const HostEntry& host : hosts) {
+      const auto feed = ChooseFeed(host, hosts, NoneFailed);
+      if (feed) {
+        followed.insert(feed->name);
+      } else {
+        ++readers;
+      }
+    }
+    EXPECT_EQ(readers, 2U) << size;
+    EXPECT_LE(followed.size(), 2U) << size;
+  }
+}
+
+TEST(ChooseFeedTest, FollowerTurnsToTheOtherReaderThenToTheStore) {
+  const std::vector<HostEntry> hosts = Zone(10);
+  for (const HostEntry& host : hosts) {
+    const auto first = ChooseFeed(host, hosts, NoneFailed);
+    if (!first) continue;
+    const auto second = ChooseFeed(host, hosts, [&](const std::string& name) {
+      return name == first->name;
+    });
+    ASSERT_TRUE(second);
+    EXPECT_NE(second->name, first->name);
+    EXPECT_EQ(ChooseFeed(host, hosts, [](const std::string&) { return true; }),
+              std::nullopt);
+  }
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/extra_call_budget_test.cc
@@ -0,0 +1,85 @@
+// Retries and hedges within the bound of all hosts.
+#include "berylreach/forward/extra_call_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include "berylreach/base/manual_clock.h"
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr ExtraCallLimits kLimits{.ratio = 0.2, .slack = 50};
+
+TEST(ExtraCallBudgetTest, DividesTheSlackAmongHosts) {
+  base::ManualClock clock;
+  ExtraCallBudget budget(clock, kLimits);
+  budget.SetHosts(10);
+  int spent = 0;
+  while (budget.TrySpend("s", ExtraCall::kRetry)) ++spent;
+  EXPECT_LE(spent, 5);
+  EXPECT_GE(spent, 4);
+}
+
+TEST(ExtraCallBudgetTest, HedgesLeavePartOfTheBudgetToRetries) {
+  base::ManualClock clock;
+  ExtraCallBudget budget(clock, kLimits);
+  while (budget.TrySpend("s", ExtraCall::kHedge)) {
+  }
+  EXPECT_TRUE(budget.TrySpend("s", ExtraCall::kRetry));
+}
+
+TEST(ExtraCallBudgetTest, ServicesDoNotShare) {
+  base::ManualClock clock;
+  ExtraCallBudget budget(clock, kLimits);
+  while (budget.TrySpend("s", ExtraCall::kRetry)) {
+  }
+  EXPECT_EQ(budget.Level("s") < 0.1, true);
+  EXPECT_TRUE(budget.TrySpend("t", ExtraCall::kRetry));
+}
+
+// Guards against windows of any position with more extra calls than the bound,
+// whatever the load does (seed 7).
+TEST(ExtraCallBudgetTest, NoWindowExceedsTheBoundOfAllHosts) {
+  base::ManualClock clock;
+  constexpr int kHosts = 3;
+  std::vector<ExtraCallBudget> hosts(kHosts, ExtraCallBudget(clock, kLimits));
+  for (auto& host : hosts) host.SetHosts(kHosts);
+  std::mt19937 random(7);
+  std::vector<std::pair<base::TimePoint, bool>> events;
+  for (int step = 0; step < 6000; ++step) {
+    clock.Advance(milliseconds(random() % 12));
+    ExtraCallBudget& host = hosts[random() % kHosts];
+    const bool busy = (step / 1500) % 2 == 0;
+    if (busy) {
+      host.OnRequest("s");
+      events.emplace_back(clock.Now(), false);
+    }
+    if (host.TrySpend("s", ExtraCall::kRetry))
+      events.emplace_back(clock.Now(), true);
+  }
+  for (std::size_t end = 0; end < events.size(); ++end) {
+    const base::TimePoint begin = events[end].first - kLimits.window;
+    std::size_t extra = 0;
+    std::size_t requests = 0;
+    std::size_t before = 0;
+    for (std::size_t i = 0; i <= end; ++i) {
+      const auto [at, is_extra] = events[i];
+      if (at > begin) {
+        ++(is_extra ? extra : requests);
+      } else if (at > begin - kLimits.window && !is_extra) {
+        ++before;
+      }
+    }
+    ASSERT_LE(static_cast<double>(extra),
+              0.2 * static_cast<double>(std::max(requests, before)) + 50);
+  }
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/leaf_record_test.cc
@@ -0,0 +1,105 @@
+// Observations of one leaf.
+#include "berylreach/forward/leaf_record.h"
+
+#include <gtest/gtest.h>
+
+#include "berylreach/base/manual_clock.h"
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+class LeafRecordTest : public testing::Test {
+ protected:
+  LeafRecordTest()
+      : leaf_({.id = "l", .service = "s", .slots = 2}, Distance::kSameZone, "r",
+              clock_.Now()) {
+    clock_.Advance(std::chrono::hours(1));
+  }
+
+  void Exchange(milliseconds latency,
+                CallOutcome outcome = CallOutcome::kAnswered) {
+    const base::TimePoint sent = clock_.Now();
+    leaf_.OnCallSent(sent);
+    clock_.Advance(latency);
+    leaf_.OnCallEnded(sent, clock_.Now(), outcome);
+  }
+
+  base::ManualClock clock_;
+  LeafRecord leaf_;
+};
+
+// Guards against calls that are never taken off the running ones: the time
+// given at their end must be that of their start.
+TEST_F(LeafRecordTest, EndedCallsDoNotCountAsRunning) {
+  Exchange(milliseconds(5));
+  EXPECT_EQ(leaf_.running(), 0U);
+  leaf_.OnCallSent(clock_.Now());
+  EXPECT_EQ(leaf_.running(), 1U);
+}
+
+TEST_F(LeafRecordTest, OnePauseChangesTheEstimateLittle) {
+  for (int i = 0; i < 50; ++i) Exchange(milliseconds(8));
+  Exchange(milliseconds(200));
+  EXPECT_LT(leaf_.Cost(clock_.Now()), milliseconds(14));
+}
+
+TEST_F(LeafRecordTest, EstimateFollowsLastingSlowness) {
+  for (int i = 0; i < 20; ++i) Exchange(milliseconds(8));
+  for (int i = 0; i < 40; ++i) Exchange(milliseconds(70));
+  EXPECT_GT(leaf_.Cost(clock_.Now()), milliseconds(50));
+}
+
+// Guards against a leaf that was slow once and is never tried again.
+TEST_F(LeafRecordTest, SlownessIsForgottenWithoutCalls) {
+  for (int i = 0; i < 40; ++i) Exchange(milliseconds(300));
+  clock_.Advance(std::chrono::seconds(10));
+  EXPECT_LT(leaf_.Cost(clock_.Now()), milliseconds(15));
+}
+
+TEST_F(LeafRecordTest, IsSilentWhileACallIsOverdue) {
+  for (int i = 0; i < 20; ++i) Exchange(milliseconds(8));
+  leaf_.OnCallSent(clock_.Now());
+  EXPECT_FALSE(leaf_.IsSilent(clock_.Now()));
+  clock_.Advance(milliseconds(60));
+  EXPECT_TRUE(leaf_.IsSilent(clock_.Now()));
+}
+
+// Guards against one lost connection that makes a sound leaf pass for silent.
+TEST_F(LeafRecordTest, IsNotSilentIfALaterCallWasAnswered) {
+  for (int i = 0; i < 20; ++i) Exchange(milliseconds(8));
+  leaf_.OnCallSent(clock_.Now());
+  clock_.Advance(milliseconds(5));
+  Exchange(milliseconds(60));
+  EXPECT_FALSE(leaf_.IsSilent(clock_.Now()));
+}
+
+TEST_F(LeafRecordTest, UnreachableLeafIsBackedOffForLongerEachTime) {
+  Exchange(milliseconds(1), CallOutcome::kUnreachable);
+  EXPECT_TRUE(leaf_.IsBackedOff(clock_.Now()));
+  clock_.Advance(milliseconds(150));
+  EXPECT_FALSE(leaf_.IsBackedOff(clock_.Now()));
+  Exchange(milliseconds(1), CallOutcome::kUnreachable);
+  clock_.Advance(milliseconds(150));
+  EXPECT_TRUE(leaf_.IsBackedOff(clock_.Now()));
+  Exchange(milliseconds(8));
+  EXPECT_FALSE(leaf_.IsBackedOff(clock_.Now()));
+}
+
+TEST_F(LeafRecordTest, CancelledCallsSayNothing) {
+  Exchange(milliseconds(500), CallOutcome::kCancelled);
+  EXPECT_EQ(leaf_.failure_rate(), 0);
+  EXPECT_EQ(leaf_.running(), 0U);
+}
+
+TEST_F(LeafRecordTest, ColdUntilTheEntrySaysOtherwise) {
+  leaf_.Update({.id = "l", .service = "s", .cold_left = milliseconds(3000)},
+               clock_.Now());
+  EXPECT_TRUE(leaf_.IsCold(clock_.Now()));
+  clock_.Advance(milliseconds(3000));
+  EXPECT_FALSE(leaf_.IsCold(clock_.Now()));
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/request_run_test.cc
@@ -0,0 +1,188 @@
+// The life of one request.
+#include "berylreach/forward/request_run.h"
+
+#include <gmock/gmock.h>
+
+#include "run_fixture.h"
+
+namespace berylreach::forward {
+namespace {
+
+using RequestRunTest = RunFixture;
+
+const std::string kLow(16, 'a');
+const std::string kMid(16, 'b');
+const std::string kHigh(16, 'c');
+
+TEST_F(RequestRunTest, MergesTheGreatestRecordsOfAllShards) {
+  Begin(route_);
+  ASSERT_EQ(started_.size(), 4U);
+  Reply(started_[0], Success(kMid));
+  Reply(started_[1], Success(kLow));
+  Reply(started_[2], Success(kHigh));
+  EXPECT_FALSE(reply_);
+  Reply(started_[3], Success(kLow));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->reply.body, kHigh + kMid);
+  EXPECT_EQ(reply_->missing, 0U);
+  EXPECT_EQ(reply_->signatures.size(), 4U);
+}
+
+// Guards against a straggling shard that makes a sufficient answer late.
+TEST_F(RequestRunTest, SendsPartialAnswerBeforeObjective) {
+  route_.attempts = 1;
+  Begin(route_);
+  for (int i = 0; i < 3; ++i) Reply(started_[i], Success(kLow));
+  AdvanceTo(milliseconds(130));
+  EXPECT_FALSE(reply_);
+  AdvanceTo(milliseconds(140));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 1U);
+  EXPECT_EQ(reply_->refusal, Refusal::kNone);
+}
+
+// Guards against an answer below the least coverage.
+TEST_F(RequestRunTest, WaitsForLeastCoverageBeyondObjective) {
+  route_.attempts = 1;
+  Begin(route_);
+  Reply(started_[0], Success(kLow));
+  Reply(started_[1], Success(kLow));
+  AdvanceTo(milliseconds(400));
+  EXPECT_FALSE(reply_);
+  Reply(started_[2], Success(kLow));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 1U);
+}
+
+TEST_F(RequestRunTest, RefusesAtOnceWhenCoverageIsOutOfReach) {
+  route_.attempts = 1;
+  Begin(route_);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  EXPECT_FALSE(reply_);
+  Fail(started_[1], CallFailure::kMayHaveRun);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_GT(reply_->retry_after.count(), 0);
+}
+
+// Guards against requests that wait for shards without any leaf.
+TEST_F(RequestRunTest, RefusesUnservableRequestWithoutCalls) {
+  for (const char* shard : {"s0", "s1"}) {
+    directory_.Remove(std::string(shard) + "-a");
+    directory_.Remove(std::string(shard) + "-b");
+  }
+  Begin(route_);
+  EXPECT_TRUE(started_.empty());
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
+}
+
+TEST_F(RequestRunTest, HedgesOverdueCallAtAnotherLeaf) {
+  Begin(route_);
+  for (int i = 0; i < 3; ++i) Reply(started_[i], Success(kLow));
+  AdvanceTo(milliseconds(60));
+  ASSERT_EQ(started_.size(), 5U);
+  EXPECT_NE(started_[4].leaf->entry().id, started_[3].leaf->entry().id);
+  Reply(started_[4], Success(kHigh));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 0U);
+  EXPECT_EQ(reply_->reply.body.substr(0, 16), kHigh);
+}
+
+// Guards against more leaves than the route's attempts, with hedges and
+// retries together.
+TEST_F(RequestRunTest, UsesNoMoreLeavesThanAttempts) {
+  PutLeaf("s3-c", "s3", "b");
+  Begin(route_);
+  for (int i = 0; i < 3; ++i) Reply(started_[i], Success(kLow));
+  AdvanceTo(milliseconds(60));
+  ASSERT_EQ(started_.size(), 5U);
+  Fail(started_[3], CallFailure::kMayHaveRun);
+  Fail(started_[4], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 5U);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 1U);
+}
+
+TEST_F(RequestRunTest, SuccessWithoutSignatureIsNoPart) {
+  route_.attempts = 1;
+  Begin(route_);
+  for (int i = 0; i < 3; ++i) Reply(started_[i], Success(kLow));
+  Reply(started_[3], {.status = 200, .body = kHigh});
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 1U);
+  EXPECT_EQ(reply_->reply.body, kLow + kLow);
+}
+
+TEST_F(RequestRunTest, PassesSingleAnswerThrough) {
+  Begin(single_);
+  ASSERT_EQ(started_.size(), 1U);
+  Reply(started_[0], Success("whole"));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->reply.body, "whole");
+  EXPECT_EQ(reply_->reply.signature, "sig-whole");
+}
+
+// Guards against a second run of a request that must run once at most.
+TEST_F(RequestRunTest, NeverRepeatsNonIdempotentRequestThatMayHaveRun) {
+  Begin(single_);
+  AdvanceTo(milliseconds(500));
+  EXPECT_EQ(started_.size(), 1U) << "no hedge";
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 1U);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+}
+
+TEST_F(RequestRunTest, RepeatsNonIdempotentRequestThatDidNotRun) {
+  Begin(single_);
+  Reply(started_[0], Failure(503, /*not_run=*/true));
+  ASSERT_EQ(started_.size(), 2U);
+  EXPECT_NE(started_[1].leaf->entry().id, started_[0].leaf->entry().id);
+  Fail(started_[1], CallFailure::kNotSent);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
+}
+
+// Guards against a leaf's 503 that is taken for a promise that nothing ran.
+TEST_F(RequestRunTest, DoesNotPassOnPromiseOfLeafThatRan) {
+  Begin(single_);
+  Reply(started_[0], Failure(503, /*not_run=*/false));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+}
+
+TEST_F(RequestRunTest, PassesFailureOfLeafThrough) {
+  Begin(single_);
+  Reply(started_[0], Failure(500, /*not_run=*/false));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNone);
+  EXPECT_EQ(reply_->reply.status, 500);
+  EXPECT_EQ(reply_->reply.signature, "sig-f");
+}
+
+TEST_F(RequestRunTest, AnswersBeforeTimeoutOfRoute) {
+  Begin(single_, milliseconds(10000));
+  AdvanceTo(milliseconds(3000));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kTimedOut);
+}
+
+TEST_F(RequestRunTest, LateRepliesAfterTheEndChangeNothing) {
+  Begin(single_, milliseconds(100));
+  AdvanceTo(milliseconds(100));
+  ASSERT_TRUE(reply_);
+  Reply(started_[0], Success("late"));
+  EXPECT_EQ(reply_->refusal, Refusal::kTimedOut);
+}
+
+TEST_F(RequestRunTest, RestrictedRouteUsesItsRegionsOnly) {
+  route_.regions = {"rb"};
+  Begin(route_);
+  ASSERT_EQ(started_.size(), 4U);
+  for (const StartLeafCall& call : started_)
+    EXPECT_EQ(call.leaf->region(), "rb");
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- /dev/null
+++ b/gateway/unittests/gateway_test.cc
@@ -0,0 +1,307 @@
+// Gateways between callers and leaves, over loopback sockets.
+#include "berylreach/gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+#include "berylreach/base/system_clock.h"
+#include "loopback.h"
+
+namespace berylreach::gateway {
+namespace {
+
+const std::string kLow(16, 'a');
+const std::string kHigh(16, 'b');
+
+std::string Response(int status, const std::string& fields,
+                     const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class GatewayTest : public testing::Test {
+ protected:
+  struct Leaf {
+    std::unique_ptr<TestServer> server;
+    std::vector<HttpRequest> requests;
+    /// Empty: the leaf stays silent.
+    std::string response;
+  };
+
+  GatewayTest() {
+    forward::Route search;
+    search.name = "search";
+    search.host = "h";
+    search.prefix = "/s/";
+    search.idempotent = true;
+    search.timeout = milliseconds(10000);
+    search.objective = milliseconds(5000);
+    search.attempts = 2;
+    search.shards = {"s0", "s1"};
+    search.top_records = 2;
+    search.least_coverage = 1;
+    forward::Route order;
+    order.name = "order";
+    order.host = "h";
+    order.prefix = "/o/";
+    order.timeout = milliseconds(10000);
+    order.objective = milliseconds(5000);
+    order.attempts = 2;
+    order.services = {{"o", 1}};
+    configuration_.version = 3;
+    configuration_.routes = {search, order};
+    for (const char* name : {"s0", "s1", "o"})
+      configuration_.services.push_back({.name = name, .max_connections = 20});
+    AddLeaf("s0", Response(200, "X-Sig: sig0\r\n", kLow));
+    AddLeaf("s1", Response(200, "X-Sig: sig1\r\n", kHigh));
+    AddLeaf("o", Response(200, "X-Sig: sigo\r\nX-Own: 1\r\n", "done"));
+  }
+
+  void AddLeaf(const std::string& service, std::string response) {
+    Leaf& leaf = leaves_[service];
+    leaf.response = std::move(response);
+    leaf.server = std::make_unique<TestServer>(
+        io_, clock_,
+        [&leaf](ServerConnection& connection, HttpRequest request) {
+          leaf.requests.push_back(std::move(request));
+          if (!leaf.response.empty()) connection.Respond(leaf.response, true);
+        });
+  }
+
+  std::unique_ptr<Gateway> MakeGateway(const std::string& name,
+                                       const std::string& zone) {
+    GatewaySettings settings;
+    settings.host = name;
+    settings.caller_address = FreeAddress(io_);
+    settings.health_address = FreeAddress(io_);
+    settings.peer_address = FreeAddress(io_);
+    settings.location = {.zone = zone,
+                         .region = "r" + zone,
+                         .region_of_zone = {{"a", "ra"}, {"b", "rb"}}};
+    settings.cores = 1;
+    settings.record_bytes = 16;
+    settings.names = {.request_id = "X-Id",
+                      .patience = "X-Wait",
+                      .expected_leaf = "X-Leaf",
+                      .signature = "X-Sig",
+                      .not_run = "X-Not",
+                      .part_signatures = "X-Sigs",
+                      .missing_parts = "X-Missing"};
+    hosts_.push_back({name, settings.peer_address, zone, 1});
+    callers_[name] = settings.caller_address;
+    health_[name] = settings.health_address;
+    return std::make_unique<Gateway>(io_, clock_, settings);
+  }
+
+  void Load(Gateway& gateway) {
+    gateway.SetConfiguration(configuration_);
+    for (auto& [service, leaf] : leaves_) {
+      gateway.directory().Put({.id = "leaf-" + service,
+                               .service = service,
+                               .address = leaf.server->address(),
+                               .zone = "a",
+                               .slots = 2});
+    }
+    gateway.SetHosts(hosts_);
+    gateway.SetDirectoryLoaded();
+  }
+
+  static std::string Request(const std::string& path) {
+    return "GET " + path +
+           " HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Wait: 9000\r\n\r\n";
+  }
+
+  base::SystemClock clock_;
+  asio::io_context io_;
+  forward::Configuration configuration_;
+  std::map<std::string, Leaf> leaves_;
+  std::vector<forward::HostEntry> hosts_;
+  std::map<std::string, std::string> callers_;
+  std::map<std::string, std::string> health_;
+};
+
+TEST_F(GatewayTest, RefusesUntilConfigured) {
+  const auto gateway = MakeGateway("g", "a");
+  RawClient health(io_, health_["g"]);
+  health.Send("GET /readyz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(health.Expect("HTTP/1.1 503"));
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 503"));
+  EXPECT_TRUE(client.Expect("Retry-After: "));
+  Load(*gateway);
+  RawClient later(io_, health_["g"]);
+  later.Send("GET /readyz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(later.Expect("HTTP/1.1 200"));
+}
+
+TEST_F(GatewayTest, MergesAnswersOfShards) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(client.Expect("X-Sigs: sig0, sig1"));
+  EXPECT_TRUE(client.Expect("X-Missing: 0"));
+  ASSERT_EQ(leaves_["s0"].requests.size(), 1U);
+  const HttpFields& fields = leaves_["s0"].requests[0].fields;
+  EXPECT_EQ(fields.Find("X-Id"), "r1");
+  EXPECT_EQ(fields.Find("X-Leaf"), "leaf-s0");
+  EXPECT_LE(std::stoi(std::string(fields.Find("X-Wait"))), 9000);
+}
+
+TEST_F(GatewayTest, PassesAnswerOfOneLeafThrough) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(
+      "POST /o/1?x=2 HTTP/1.1\r\nHost: h\r\nX-Id: r2\r\n"
+      "Content-Length: 4\r\n\r\nbody");
+  EXPECT_TRUE(client.Expect("\r\n\r\ndone"));
+  EXPECT_TRUE(client.Expect("X-Sig: sigo"));
+  EXPECT_TRUE(client.Expect("X-Own: 1"));
+  ASSERT_EQ(leaves_["o"].requests.size(), 1U);
+  EXPECT_EQ(leaves_["o"].requests[0].target, "/o/1?x=2");
+  EXPECT_EQ(leaves_["o"].requests[0].body, "body");
+}
+
+TEST_F(GatewayTest, UnknownRouteGets404AndRequestWithoutId400) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/x/1"));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 404"));
+  client.Send("GET /s/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(client.Expect("HTTP/1.1 400"));
+}
+
+// Guards against an answer to another request that is passed on.
+TEST_F(GatewayTest, AnswerWithAnotherIdIsNotPassedOn) {
+  leaves_["o"].response = Response(200, "X-Sig: s\r\nX-Id: other\r\n", "wrong");
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/o/1"));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 502"));
+  EXPECT_EQ(client.received().find("wrong"), std::string::npos);
+}
+
+// Guards against leaves that work on for a caller that has left.
+TEST_F(GatewayTest, CallerThatLeavesCancelsItsCalls) {
+  leaves_["s0"].response.clear();
+  leaves_["s1"].response.clear();
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/s/1"));
+  ASSERT_TRUE(RunUntil(io_, [this] {
+    return !leaves_["s0"].requests.empty() && !leaves_["s1"].requests.empty();
+  }));
+  EXPECT_EQ(leaves_["s0"].server->open(), 1U);
+  client.Close();
+  EXPECT_TRUE(RunUntil(io_, [this] {
+    return leaves_["s0"].server->open() + leaves_["s1"].server->open() == 0;
+  }));
+}
+
+TEST_F(GatewayTest, OtherIncarnationIsNotCalledAgain) {
+  leaves_["o"].response = Response(421, "", "");
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/o/1"));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 503"));
+  client.received().clear();
+  client.Send(Request("/o/2"));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 503"));
+  EXPECT_EQ(leaves_["o"].requests.size(), 1U);
+}
+
+TEST_F(GatewayTest, RegionWithoutLeavesRelaysToAnotherHost) {
+  const auto near = MakeGateway("near", "a");
+  const auto far = MakeGateway("far", "b");
+  Load(*near);
+  Load(*far);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(client.Expect("X-Sigs: sig0, sig1"));
+  EXPECT_EQ(leaves_["s0"].requests.size(), 1U);
+  RawClient metrics(io_, health_["near"]);
+  metrics.Send("GET /metrics HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(metrics.Expect("berylreach_leaf_calls_total 2"));
+}
+
+// Guards against a relayed request that an older configuration decides.
+TEST_F(GatewayTest, HostWithOlderConfigurationRunsNothingForOthers) {
+  const auto near = MakeGateway("near", "a");
+  const auto far = MakeGateway("far", "b");
+  Load(*near);
+  configuration_.version = 4;
+  Load(*far);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  RawClient metrics(io_, health_["near"]);
+  metrics.Send("GET /metrics HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(metrics.Expect("berylreach_leaf_calls_total 0"));
+}
+
+// Guards against a second run, beyond the route's attempts, after the host
+// that ran a request was lost.
+TEST_F(GatewayTest, LostRelayIsNotRepeatedHere) {
+  leaves_["s0"].response.clear();
+  auto near = MakeGateway("near", "a");
+  const auto far = MakeGateway("far", "b");
+  Load(*near);
+  Load(*far);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  ASSERT_TRUE(
+      RunUntil(io_, [this] { return !leaves_["s0"].requests.empty(); }));
+  near.reset();
+  EXPECT_TRUE(client.Expect("HTTP/1.1 502"));
+  EXPECT_EQ(leaves_["s0"].requests.size(), 1U);
+}
+
+TEST_F(GatewayTest, SplitRouteFollowsTheWeights) {
+  AddLeaf("p", Response(200, "X-Sig: sigp\r\n", "other"));
+  configuration_.services.push_back({.name = "p", .max_connections = 20});
+  configuration_.routes[1].services = {{"o", 1}, {"p", 3}};
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  for (int i = 0; i < 40; ++i) {
+    client.received().clear();
+    client.Send(Request("/o/1"));
+    ASSERT_TRUE(client.Expect("X-Sig: "));
+  }
+  EXPECT_NEAR(static_cast<double>(leaves_["o"].requests.size()), 10, 2);
+  EXPECT_NEAR(static_cast<double>(leaves_["p"].requests.size()), 30, 2);
+}
+
+TEST_F(GatewayTest, PlannedStopAnswersRunningRequests) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  leaves_["o"].response.clear();
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/o/1"));
+  ASSERT_TRUE(RunUntil(io_, [this] { return !leaves_["o"].requests.empty(); }));
+  bool stopped = false;
+  gateway->Stop([&stopped] { stopped = true; });
+  RawClient health(io_, health_["g"]);
+  health.Send("GET /readyz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(health.Expect("HTTP/1.1 503"));
+  // New callers are served until the balancer has noticed.
+  leaves_["o"].response = Response(200, "X-Sig: sigo\r\n", "done");
+  RawClient other(io_, callers_["g"]);
+  other.Send(Request("/s/1"));
+  EXPECT_TRUE(other.Expect("Connection: close"));
+  EXPECT_FALSE(stopped);
+  EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
+}
+
+}  // namespace
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/unittests/loopback.h
@@ -0,0 +1,165 @@
+// Servers and clients on loopback for tests of the gateway.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "berylreach/gateway/server_connection.h"
+
+namespace berylreach::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Limit of all waits on conditions.
+inline constexpr std::chrono::seconds kWaitLimit{20};
+
+/// Runs the loop until `done` holds; false after kWaitLimit.
+inline bool RunUntil(asio::io_context& io, const std::function<bool()>& done) {
+  const auto end = std::chrono::steady_clock::now() + kWaitLimit;
+  while (!done()) {
+    if (std::chrono::steady_clock::now() >= end) return false;
+    io.restart();
+    io.run_one_for(milliseconds(20));
+  }
+  return true;
+}
+
+inline tcp::acceptor Listen(asio::io_context& io) {
+  return tcp::acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+}
+
+inline std::string AddressOf(const tcp::acceptor& acceptor) {
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// An address of loopback that nothing listens on at the moment.
+inline std::string FreeAddress(asio::io_context& io) {
+  return AddressOf(Listen(io));
+}
+
+/// A server whose requests go to a function.
+class TestServer : public ServerConnectionHandler {
+ public:
+  using OnHttpRequest = std::function<void(ServerConnection&, HttpRequest)>;
+
+  TestServer(asio::io_context& io, const base::Clock& clock,
+             OnHttpRequest on_request)
+      : acceptor_(Listen(io)),
+        clock_(clock),
+        on_request_(std::move(on_request)) {
+    Accept();
+  }
+
+  ~TestServer() override { Stop(); }
+
+  std::string address() const { return AddressOf(acceptor_); }
+  std::size_t accepted() const { return accepted_; }
+  std::size_t open() const { return connections_.size(); }
+
+  /// Resets all connections.
+  void CloseConnections() {
+    for (const auto& connection : std::exchange(connections_, {}))
+      connection->Close();
+  }
+
+  void Stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    CloseConnections();
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket) {
+          if (error) return;
+          ++accepted_;
+          auto connection = std::make_shared<ServerConnection>(
+              std::move(socket), *this, clock_, forward::CallerLimits{});
+          connections_.push_back(connection);
+          connection->Start();
+          Accept();
+        });
+  }
+
+  void OnRequest(ServerConnection& connection, HttpRequest request) override {
+    on_request_(connection, std::move(request));
+  }
+  void OnClosed(ServerConnection& connection) override {
+    std::erase_if(connections_, [&connection](const auto& other) {
+      return other.get() == &connection;
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  const base::Clock& clock_;
+  OnHttpRequest on_request_;
+  std::vector<std::shared_ptr<ServerConnection>> connections_;
+  std::size_t accepted_ = 0;
+};
+
+/// A client that sends bytes and collects what comes back.
+class RawClient {
+ public:
+  RawClient(asio::io_context& io, const std::string& address)
+      : io_(io), socket_(io) {
+    const std::size_t colon = address.rfind(':');
+    socket_.connect(
+        {asio::ip::make_address(address.substr(0, colon)),
+         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    Read();
+  }
+
+  void Send(const std::string& bytes) {
+    asio::write(socket_, asio::buffer(bytes));
+  }
+  void Close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  /// Waits for text in what was received.
+  bool Expect(const std::string& text) {
+    return RunUntil(io_,
+                    [&] { return received_.find(text) != std::string::npos; });
+  }
+  bool ExpectEnd() {
+    return RunUntil(io_, [&] { return ended_; });
+  }
+  std::string& received() { return received_; }
+
+ private:
+  void Read() {
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [this](boost::system::error_code error, std::size_t size) {
+          received_.append(buffer_.data(), size);
+          if (error) {
+            ended_ = true;
+            return;
+          }
+          Read();
+        });
+  }
+
+  asio::io_context& io_;
+  tcp::socket socket_;
+  std::array<char, 4096> buffer_{};
+  std::string received_;
+  bool ended_ = false;
+};
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/unittests/server_connection_test.cc
@@ -0,0 +1,103 @@
+// Requests of well and badly behaved callers.
+#include "berylreach/gateway/server_connection.h"
+
+#include <gtest/gtest.h>
+
+#include "berylreach/base/system_clock.h"
+#include "loopback.h"
+
+namespace berylreach::gateway {
+namespace {
+
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+class ServerConnectionTest : public testing::Test {
+ protected:
+  ServerConnectionTest()
+      : server_(io_, clock_,
+                [this](ServerConnection& connection, HttpRequest request) {
+                  requests_.push_back(std::move(request));
+                  if (answers_) connection.Respond(kOk, true);
+                }),
+        client_(io_, server_.address()) {}
+
+  bool Requests(std::size_t count) {
+    return RunUntil(io_, [this, count] { return requests_.size() >= count; });
+  }
+
+  base::SystemClock clock_;
+  asio::io_context io_;
+  std::vector<HttpRequest> requests_;
+  bool answers_ = true;
+  TestServer server_;
+  RawClient client_;
+};
+
+TEST_F(ServerConnectionTest, ReadsBodyWithLengthAndInChunks) {
+  client_.Send("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+  ASSERT_TRUE(Requests(1));
+  client_.Send(
+      "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
+  ASSERT_TRUE(Requests(2));
+  EXPECT_EQ(requests_[0].body, "abc");
+  EXPECT_EQ(requests_[1].body, "def");
+}
+
+TEST_F(ServerConnectionTest, DeliversPipelinedRequestsInTurn) {
+  client_.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(Requests(2));
+  EXPECT_EQ(requests_[0].target, "/1");
+  EXPECT_EQ(requests_[1].target, "/2");
+}
+
+TEST_F(ServerConnectionTest, HoldsTheNextRequestUntilTheAnswer) {
+  answers_ = false;
+  client_.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(Requests(1));
+  io_.poll();
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+TEST_F(ServerConnectionTest, MalformedRequestGets400) {
+  client_.Send("not a request\r\n\r\n");
+  EXPECT_TRUE(client_.Expect("HTTP/1.1 400"));
+  EXPECT_TRUE(client_.ExpectEnd());
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(ServerConnectionTest, LargeHeaderGets431AndLargeBody413) {
+  client_.Send("GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n");
+  EXPECT_TRUE(client_.Expect("HTTP/1.1 431"));
+  RawClient other(io_, server_.address());
+  other.Send("POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n");
+  EXPECT_TRUE(other.Expect("HTTP/1.1 413"));
+  EXPECT_TRUE(requests_.empty());
+}
+
+// Guards against a second request inside the first.
+TEST_F(ServerConnectionTest, LengthAndChunksTogetherAreRefused) {
+  client_.Send(
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n");
+  EXPECT_TRUE(client_.Expect("HTTP/1.1 400"));
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(ServerConnectionTest, ClosesAfterTheAnswerIfAsked) {
+  client_.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_TRUE(client_.Expect("HTTP/1.1 200"));
+  EXPECT_TRUE(client_.ExpectEnd());
+}
+
+TEST_F(ServerConnectionTest, ReportsPeerThatLeavesBeforeTheAnswer) {
+  answers_ = false;
+  client_.Send("GET / HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(Requests(1));
+  EXPECT_EQ(server_.open(), 1U);
+  client_.Close();
+  EXPECT_TRUE(RunUntil(io_, [this] { return server_.open() == 0; }));
+}
+
+}  // namespace
+}  // namespace berylreach::gateway
