Say in the log which leaves left a request incomplete

A line of a failed, late or partial request now names up to four parts without an answer, the leaves that were called and how long ago; marks of leaves as backed off or replaced and failed relays are lines of their own.

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -78,6 +78,9 @@
   std::size_t answered() const { return answered_; }
   std::size_t parts() const { return parts_.size(); }
   std::size_t calls_sent() const { return calls_sent_; }
+  /// The first few parts without an answer and what became of their calls, for
+  /// the log: "shard: leaf state age", with ages in milliseconds.
+  std::string DescribeUnanswered() const;
   /// When the last caller-visible deadline of the run ends.
   base::TimePoint deadline() const { return deadline_; }
 
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -28,6 +28,9 @@
 /// Most calls of one part that leaves reject without running them.
 constexpr std::size_t kMostRejections = 3;
 
+/// Parts described in one log line.
+constexpr std::size_t kDescribedParts = 4;
+
 /// Wait advised after a refusal; the time in which a leaf usually returns.
 constexpr milliseconds kRetryAfter{400};
 
@@ -268,6 +271,28 @@
   ++failed_;
 }
 
+std::string RequestRun::DescribeUnanswered() const {
+  const base::TimePoint now = context_.clock.Now();
+  std::string text;
+  std::size_t described = 0;
+  for (const Part& part : parts_) {
+    if (part.state == PartState::kAnswered) continue;
+    if (++described > kDescribedParts) break;
+    if (!text.empty()) text += "; ";
+    text += part.service == nullptr ? "unknown service" : part.service->name;
+    text += ":";
+    if (part.calls.empty()) text += " no leaf";
+    for (const Call& call : part.calls) {
+      const auto age =
+          std::chrono::duration_cast<milliseconds>(now - call.sent).count();
+      text += " " + call.leaf->entry().id;
+      text += call.running ? " unanswered " : " failed ";
+      text += std::to_string(age);
+    }
+  }
+  return text;
+}
+
 double RequestRun::Coverage() const {
   return static_cast<double>(answered_) / static_cast<double>(parts_.size());
 }
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -56,6 +56,8 @@
     bool head = false;
     /// The call to the host that runs the request; 0 if this host does.
     forward::CallId relay = 0;
+    /// Name of that host, for the log.
+    std::string relayed_to;
   };
   struct RunningCall {
     std::uint64_t request = 0;
@@ -98,6 +100,8 @@
                 forward::StartLeafCall& action);
   void Finish(std::uint64_t id, forward::CallerReply reply);
   void OnCallDone(forward::CallId call, LeafConnections::Result result);
+  void LogBackOff(const forward::LeafRecord& leaf, bool before,
+                  const std::string& request) const;
   forward::LeafReply ToLeafReply(HttpResponse response) const;
   void RefuseAtOnce(ServerConnection& connection, const HttpRequest& request,
                     int status, std::string_view cause,
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -302,6 +302,7 @@
   if (partial <= milliseconds(0)) return false;
   const forward::CallId call = next_id_++;
   request.relay = call;
+  request.relayed_to = host->entry().id;
   ++counters_.relayed;
   host->OnCallSent(now);
   calls_[call] = {id, host, run.request().id, now};
@@ -335,6 +336,9 @@
   }
   ++counters_.relay_failures;
   found->second.relay = 0;
+  host::LogStateChange("relay_failed", found->second.relayed_to,
+                       found->second.run->request().id);
+  found->second.relayed_to.clear();
   const bool sent =
       response == nullptr &&
       std::get<forward::CallFailure>(result) != forward::CallFailure::kNotSent;
@@ -430,6 +434,7 @@
   calls_.erase(found);
   const base::TimePoint now = clock_.Now();
   forward::LeafRecord& leaf = *running.leaf;
+  const bool backed_off = leaf.IsBackedOff(now);
   std::vector<forward::RunAction> actions;
   const auto request = requests_.find(running.request);
   if (request != requests_.end() && request->second.relay == call) {
@@ -453,6 +458,9 @@
     if (reply.other_leaf) {
       outcome = forward::CallOutcome::kReplaced;
       leaf.MarkGone();
+      host::LogStateChange("leaf_replaced",
+                           leaf.entry().service + " " + leaf.entry().id,
+                           running.request_id);
     } else if (reply.not_run) {
       outcome = forward::CallOutcome::kShed;
       ++counters_.leaf_sheds;
@@ -463,6 +471,7 @@
       ++counters_.leaf_failures;
     }
     leaf.OnCallEnded(running.sent, now, outcome);
+    LogBackOff(leaf, backed_off, running.request_id);
     if (request == requests_.end()) return;
     request->second.run->OnReply(call, std::move(reply), actions);
   } else {
@@ -472,12 +481,20 @@
                      failure == forward::CallFailure::kMayHaveRun
                          ? forward::CallOutcome::kFailed
                          : forward::CallOutcome::kUnreachable);
+    LogBackOff(leaf, backed_off, running.request_id);
     if (request == requests_.end()) return;
     request->second.run->OnFailure(call, failure, actions);
   }
   Execute(running.request, actions);
 }
 
+void Gateway::LogBackOff(const forward::LeafRecord& leaf, bool before,
+                         const std::string& request) const {
+  if (before || !leaf.IsBackedOff(clock_.Now())) return;
+  host::LogStateChange("leaf_backed_off",
+                       leaf.entry().service + " " + leaf.entry().id, request);
+}
+
 void Gateway::Finish(std::uint64_t id, forward::CallerReply reply) {
   const auto found = requests_.find(id);
   const RunningRequest request = std::move(found->second);
@@ -524,6 +541,8 @@
                       .answered = run.answered(),
                       .parts = run.parts(),
                       .calls = run.calls_sent(),
+                      .unanswered = run.DescribeUnanswered(),
+                      .relayed_to = request.relayed_to,
                       .version = configuration_version()});
   }
   if (!connection || connection->closed()) return;
--- a/host/include/berylreach/host/log.h
+++ b/host/include/berylreach/host/log.h
@@ -22,6 +22,10 @@
   std::size_t answered = 0;
   std::size_t parts = 0;
   std::size_t calls = 0;
+  /// Parts without an answer, and why.
+  std::string unanswered;
+  /// Host that ran the request for this one; empty if it ran here.
+  std::string relayed_to;
   /// Version of the configuration in force.
   std::uint64_t version = 0;
 };
--- a/host/lib/log.cc
+++ b/host/lib/log.cc
@@ -3,6 +3,7 @@
 // dropped.
 #include "berylreach/host/log.h"
 
+#include <atomic>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
@@ -13,7 +14,6 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/shared_ptr.hpp>
-#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <iostream>
@@ -104,6 +104,8 @@
   line["parts"] = request.parts;
   line["calls"] = request.calls;
   line["configuration"] = request.version;
+  if (!request.unanswered.empty()) line["unanswered"] = request.unanswered;
+  if (!request.relayed_to.empty()) line["relayed_to"] = request.relayed_to;
   Write(line);
 }
 
