--- a/gateway/unittests/loopback.h
+++ b/gateway/testing/loopback.h
@@ -1,8 +1,7 @@
 // Servers and clients on loopback for tests of the gateway.
 #pragma once
 
-#include <gtest/gtest.h>
-
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -115,51 +114,57 @@
 class RawClient {
  public:
   RawClient(asio::io_context& io, const std::string& address)
-      : io_(io), socket_(io) {
+      : io_(io), state_(std::make_shared<State>(io)) {
     const std::size_t colon = address.rfind(':');
-    socket_.connect(
+    state_->socket.connect(
         {asio::ip::make_address(address.substr(0, colon)),
          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
-    Read();
+    Read(state_);
   }
+  ~RawClient() { Close(); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
 
   void Send(const std::string& bytes) {
-    asio::write(socket_, asio::buffer(bytes));
+    asio::write(state_->socket, asio::buffer(bytes));
   }
   void Close() {
     boost::system::error_code ignored;
-    socket_.close(ignored);
+    state_->socket.close(ignored);
   }
 
   /// Waits for text in what was received.
   bool Expect(const std::string& text) {
-    return RunUntil(io_,
-                    [&] { return received_.find(text) != std::string::npos; });
+    return RunUntil(
+        io_, [&] { return state_->received.find(text) != std::string::npos; });
   }
   bool ExpectEnd() {
-    return RunUntil(io_, [&] { return ended_; });
+    return RunUntil(io_, [&] { return state_->ended; });
   }
-  std::string& received() { return received_; }
+  std::string& received() { return state_->received; }
 
  private:
-  void Read() {
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [this](boost::system::error_code error, std::size_t size) {
-          received_.append(buffer_.data(), size);
-          if (error) {
-            ended_ = true;
-            return;
-          }
-          Read();
+  /// Outlives the client until its last read has ended.
+  struct State {
+    explicit State(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    std::array<char, 4096> buffer{};
+    std::string received;
+    bool ended = false;
+  };
+
+  static void Read(const std::shared_ptr<State>& state) {
+    state->socket.async_read_some(
+        asio::buffer(state->buffer),
+        [state](boost::system::error_code error, std::size_t size) {
+          state->received.append(state->buffer.data(), size);
+          state->ended = static_cast<bool>(error);
+          if (!error) Read(state);
         });
   }
 
   asio::io_context& io_;
-  tcp::socket socket_;
-  std::array<char, 4096> buffer_{};
-  std::string received_;
-  bool ended_ = false;
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace berylreach::gateway
--- /dev/null
+++ b/soak/callers.cc
@@ -0,0 +1,184 @@
+// Requests and the checks of their answers.
+#include "callers.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace berylreach::soak {
+namespace {
+
+using gateway::ClientConnection;
+using gateway::ExchangeFailure;
+using gateway::HttpResponse;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPatience{2000};
+constexpr milliseconds kPause{15};
+constexpr double kLeastCoverage = 0.6;
+
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+/// One caller with at most one connection.
+class Callers::Caller : public gateway::ClientConnectionHandler {
+ public:
+  explicit Caller(Callers& all) : all_(all), timer_(all.io_) {}
+  ~Caller() override {
+    if (connection_) connection_->Close();
+  }
+
+  bool busy() const { return !id_.empty(); }
+  void CheckTimeouts(base::TimePoint now) {
+    const auto connection = connection_;
+    if (connection) connection->CheckTimeouts(now);
+  }
+
+  void Next() {
+    timer_.expires_after(kPause);
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (!error && !all_.stopped_) Send();
+    });
+  }
+
+ private:
+  void Send() {
+    if (!connection_ || connection_->closed()) {
+      connection_.reset();
+      host_ = all_.hosts_[all_.random_() % all_.hosts_.size()].get();
+    }
+    id_ = "q" + std::to_string(all_.next_id_++);
+    order_ = all_.random_() % 3 == 0;
+    kills_ = host_->kills();
+    if (order_) all_.orders_.insert(id_);
+    ++all_.counts_.requests;
+    std::string bytes = order_ ? "POST /o/1" : "GET /s/1";
+    bytes += " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id_ +
+             "\r\nX-Deadline-Ms: " + std::to_string(kPatience.count()) + "\r\n";
+    if (order_) bytes += "Content-Length: 3\r\n";
+    bytes += order_ ? "\r\nabc" : "\r\n";
+    const base::TimePoint end = all_.clock_.Now() + kPatience;
+    if (connection_) {
+      connection_->Send(std::move(bytes), false, end);
+      return;
+    }
+    connection_ =
+        std::make_shared<ClientConnection>(all_.io_, *this, all_.clock_);
+    connection_->Open(host_->address(), std::move(bytes), false, end, end);
+  }
+
+  void OnResponse(ClientConnection&, HttpResponse answer, bool) override {
+    const std::string id = std::exchange(id_, "");
+    CallerCounts& counts = all_.counts_;
+    if (answer.status == 200) {
+      ++counts.answered;
+      if (!answer.fields.Find("X-Missing-Parts").empty() &&
+          answer.fields.Find("X-Missing-Parts") != "0")
+        ++counts.partial;
+      if (!order_) {
+        all_.CheckSearch(id, answer);
+      } else if (answer.fields.Find("X-Reply-Stamp") !=
+                 SignatureOf("orders", id)) {
+        all_.Violation("order " + id + " got another answer");
+      }
+    } else if (PromisesNotRun(answer.status)) {
+      ++counts.refused;
+      if (order_) all_.refused_orders_.insert(id);
+    } else {
+      ++counts.failed;
+    }
+    Next();
+  }
+
+  void OnExchangeFailed(ClientConnection&, ExchangeFailure failure) override {
+    connection_.reset();
+    const std::string id = std::exchange(id_, "");
+    ++all_.counts_.unanswered;
+    // A host that was not killed may close a connection on which a request is
+    // on its way, but never one whose request it has passed on.
+    if (failure == ExchangeFailure::kBroken && host_->kills() == kills_ &&
+        all_.leaves_.Seen(id))
+      all_.Violation("request " + id + " was passed on by " + host_->name() +
+                     " and got no answer");
+    Next();
+  }
+
+  void OnOpened(ClientConnection&) override {}
+  void OnIdleClosed(ClientConnection&) override { connection_.reset(); }
+
+  Callers& all_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<ClientConnection> connection_;
+  HostProgram* host_ = nullptr;
+  std::string id_;
+  bool order_ = false;
+  int kills_ = 0;
+};
+
+Callers::Callers(boost::asio::io_context& io, const base::Clock& clock,
+                 Leaves& leaves,
+                 std::vector<std::unique_ptr<HostProgram>>& hosts,
+                 unsigned seed)
+    : io_(io), clock_(clock), leaves_(leaves), hosts_(hosts), random_(seed) {}
+
+Callers::~Callers() = default;
+
+void Callers::Start(std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    callers_.push_back(std::make_unique<Caller>(*this));
+    callers_.back()->Next();
+  }
+}
+
+bool Callers::idle() const {
+  const base::TimePoint now = clock_.Now();
+  for (const auto& caller : callers_) caller->CheckTimeouts(now);
+  return std::none_of(callers_.begin(), callers_.end(),
+                      [](const auto& caller) { return caller->busy(); });
+}
+
+void Callers::Violation(const std::string& text) {
+  violations_.push_back(text);
+}
+
+void Callers::CheckSearch(const std::string& id,
+                          const gateway::HttpResponse& answer) {
+  std::istringstream list{std::string(answer.fields.Find("X-Part-Stamps"))};
+  std::set<std::string> shards;
+  std::vector<std::string> records;
+  std::string signature;
+  while (std::getline(list, signature, ',')) {
+    signature.erase(0, signature.find_first_not_of(' '));
+    const std::string shard = signature.substr(0, signature.find('.'));
+    if (signature != SignatureOf(shard, id) || !shards.insert(shard).second) {
+      Violation("search " + id + " names the part " + signature);
+      return;
+    }
+    for (std::string& record : RecordsOf(shard, id))
+      records.push_back(std::move(record));
+  }
+  const std::string missing(answer.fields.Find("X-Missing-Parts"));
+  const std::size_t stated = missing.empty() ? 0 : std::stoul(missing);
+  if (shards.size() + stated != kShards ||
+      static_cast<double>(shards.size()) < kLeastCoverage * kShards)
+    Violation("search " + id + " misstates its coverage");
+  std::sort(records.rbegin(), records.rend());
+  std::string body;
+  for (std::size_t i = 0; i < std::min(kTopRecords, records.size()); ++i)
+    body += records[i];
+  if (answer.body != body) Violation("search " + id + " has a wrong body");
+}
+
+void Callers::CheckOrders() {
+  for (const std::string& order : orders_)
+    if (leaves_.OrderRuns(order) > 1)
+      Violation("order " + order + " ran more than once");
+  for (const std::string& order : refused_orders_)
+    if (leaves_.OrderRuns(order) > 0)
+      Violation("order " + order + " was refused as not run and has run");
+}
+
+}  // namespace berylreach::soak
--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,68 @@
+// Callers that send requests without pause and check every answer.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "berylreach/gateway/client_connection.h"
+#include "host_program.h"
+#include "leaves.h"
+
+namespace berylreach::soak {
+
+/// What callers have seen.
+struct CallerCounts {
+  std::size_t requests = 0;
+  std::size_t answered = 0;
+  std::size_t partial = 0;
+  std::size_t refused = 0;
+  std::size_t failed = 0;
+  std::size_t unanswered = 0;
+};
+
+/// Keeps connections open and uses them until the host closes them. Broken
+/// promises are collected.
+class Callers {
+ public:
+  Callers(boost::asio::io_context& io, const base::Clock& clock, Leaves& leaves,
+          std::vector<std::unique_ptr<HostProgram>>& hosts, unsigned seed);
+  ~Callers();
+
+  void Start(std::size_t count);
+  void Stop() { stopped_ = true; }
+  /// Whether no caller waits for an answer.
+  bool idle() const;
+  /// Promises that hold only after everything has settled.
+  void CheckOrders();
+
+  const CallerCounts& counts() const { return counts_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  class Caller;
+
+  void Violation(const std::string& text);
+  void CheckSearch(const std::string& id, const gateway::HttpResponse& answer);
+
+  boost::asio::io_context& io_;
+  const base::Clock& clock_;
+  Leaves& leaves_;
+  std::vector<std::unique_ptr<HostProgram>>& hosts_;
+  std::mt19937 random_;
+  bool stopped_ = false;
+  std::uint64_t next_id_ = 1;
+  CallerCounts counts_;
+  std::set<std::string> orders_;
+  /// Orders of which a host said that they have not run and never will.
+  std::set<std::string> refused_orders_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace berylreach::soak
--- /dev/null
+++ b/soak/faults.h
@@ -0,0 +1,54 @@
+// Random faults of hosts, paths, leaves and the store.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "host_program.h"
+#include "leaves.h"
+
+namespace berylreach::soak {
+
+/// Begins faults at random times; they overlap and come in series.
+class Faults {
+ public:
+  Faults(boost::asio::io_context& io, platform::FakeStore& store,
+         Leaves& leaves, std::vector<std::unique_ptr<HostProgram>>& hosts,
+         unsigned seed);
+
+  void Start();
+  /// Ends all faults and starts all hosts that are down.
+  void Heal();
+  /// Hosts whose planned stop ended with another status than 0.
+  const std::vector<std::string>& failed_stops() const { return failed_stops_; }
+  std::size_t count() const { return count_; }
+
+ private:
+  void Next();
+  void Begin();
+  void BeginHostFault(HostProgram& host);
+  void BeginLeafFault(Leaf& leaf);
+  void BeginStoreFault();
+  void After(std::chrono::milliseconds delay, std::function<void()> action);
+  void Watch();
+  std::chrono::milliseconds Span();
+
+  boost::asio::io_context& io_;
+  platform::FakeStore& store_;
+  Leaves& leaves_;
+  std::vector<std::unique_ptr<HostProgram>>& hosts_;
+  std::mt19937 random_;
+  boost::asio::steady_timer next_;
+  boost::asio::steady_timer watch_;
+  int version_ = 1;
+  bool healed_ = false;
+  std::size_t count_ = 0;
+  std::vector<std::string> failed_stops_;
+};
+
+}  // namespace berylreach::soak
--- /dev/null
+++ b/soak/leaves.cc
@@ -0,0 +1,166 @@
+// Leaves with scripted behaviour.
+#include "leaves.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+
+namespace berylreach::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWork{3};
+constexpr milliseconds kSlowWork{150};
+constexpr char kOrders[] = "orders";
+
+std::string Response(int status, const std::string& fields,
+                     const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+std::vector<std::string> RecordsOf(const std::string& shard,
+                                   const std::string& request) {
+  std::vector<std::string> records;
+  for (std::size_t i = 0; i < kRecordsPerShard; ++i)
+    records.push_back(
+        base::ContentHash(shard + request + std::to_string(i)).substr(0, 16));
+  return records;
+}
+
+std::string SignatureOf(const std::string& service,
+                        const std::string& request) {
+  return service + "." + request;
+}
+
+Leaf::Leaf(boost::asio::io_context& io, const base::Clock& clock,
+           std::string id, std::string service, std::string zone)
+    : io_(io),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      zone_(std::move(zone)),
+      server_(io, clock,
+              [this](gateway::ServerConnection& connection,
+                     const gateway::HttpRequest& request) {
+                OnRequest(connection, request);
+              }),
+      proxy_(std::make_unique<Proxy>(io, server_.address())) {}
+
+void Leaf::Register(platform::FakeStore& store, bool draining) const {
+  boost::json::object entry = {
+      {"service", service_}, {"addr", proxy_->address()},
+      {"zone", zone_},       {"version", "v1"},
+      {"slots", 4},          {"state", draining ? "draining" : "ready"},
+      {"cold_left_ms", 0},   {"seq", 1}};
+  store.Put("servers/" + id_, boost::json::serialize(entry));
+}
+
+void Leaf::OnRequest(gateway::ServerConnection& connection,
+                     const gateway::HttpRequest& request) {
+  const std::string id(request.fields.Find("X-Request-Id"));
+  if (request.fields.Find("X-Expect-Instance") != id_) {
+    connection.Respond(Response(421, "X-Not-Run: 1\r\n", ""), true);
+    return;
+  }
+  if (mode_ == LeafMode::kShedding) {
+    connection.Respond(Response(503, "X-Not-Run: 1\r\n", ""), true);
+    return;
+  }
+  ++runs_[id];
+  if (mode_ == LeafMode::kSilent) return;
+  const std::string fields = "X-Request-Id: " + id +
+                             "\r\nX-Reply-Stamp: " + SignatureOf(service_, id) +
+                             "\r\n";
+  std::string response = Response(500, fields, "failed");
+  if (mode_ != LeafMode::kFailing) {
+    std::string body;
+    for (const std::string& record : RecordsOf(service_, id)) body += record;
+    response = Response(200, fields, body);
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      io_, mode_ == LeafMode::kSlow ? kSlowWork : kWork);
+  timer->async_wait([timer, response, weak = connection.weak_from_this()](
+                        boost::system::error_code) {
+    if (const auto open = weak.lock()) open->Respond(response, true);
+  });
+}
+
+Leaves::Leaves(boost::asio::io_context& io, const base::Clock& clock) {
+  const char* zones[] = {"za", "zb", "zc"};
+  for (int shard = 0; shard < kShards; ++shard) {
+    for (int copy = 0; copy < 2; ++copy) {
+      const std::string service = "s" + std::to_string(shard);
+      leaves_.push_back(std::make_unique<Leaf>(
+          io, clock, service + "-" + std::to_string(copy), service,
+          zones[(shard + copy) % 3]));
+    }
+  }
+  for (const char* zone : zones)
+    leaves_.push_back(std::make_unique<Leaf>(
+        io, clock, std::string("o-") + zone, kOrders, zone));
+}
+
+void Leaves::Register(platform::FakeStore& store) const {
+  for (const auto& leaf : leaves_) leaf->Register(store);
+}
+
+int Leaves::OrderRuns(const std::string& request) const {
+  int runs = 0;
+  for (const auto& leaf : leaves_) {
+    const auto found = leaf->runs().find(request);
+    if (found != leaf->runs().end()) runs += found->second;
+  }
+  return runs;
+}
+
+bool Leaves::Seen(const std::string& request) const {
+  return OrderRuns(request) > 0;
+}
+
+std::string ConfigurationText(int version) {
+  boost::json::array shards;
+  boost::json::array services;
+  const auto add = [&services](const std::string& name) {
+    services.push_back({{"name", name},
+                        {"health_path", "/healthz"},
+                        {"max_conns", 60},
+                        {"cold_start_s", 0},
+                        {"cold_per_s", 100}});
+  };
+  for (int shard = 0; shard < kShards; ++shard) {
+    const std::string name = "s" + std::to_string(shard);
+    shards.push_back(boost::json::value(name));
+    add(name);
+  }
+  add(kOrders);
+  const boost::json::array routes = {{{"name", "search"},
+                                      {"host", "h"},
+                                      {"prefix", "/s/"},
+                                      {"kind", "idempotent"},
+                                      {"timeout_ms", 1500},
+                                      {"goal_ms", 200},
+                                      {"priority", 1},
+                                      {"gather", shards},
+                                      {"attempts", 2},
+                                      {"top_k", kTopRecords},
+                                      {"min_coverage", 0.6}},
+                                     {{"name", "order"},
+                                      {"host", "h"},
+                                      {"prefix", "/o/"},
+                                      {"kind", "non_idempotent"},
+                                      {"timeout_ms", 1500},
+                                      {"goal_ms", 300},
+                                      {"priority", 0},
+                                      {"service", kOrders},
+                                      {"attempts", 2}}};
+  return boost::json::serialize(boost::json::object{
+      {"version", version}, {"routes", routes}, {"services", services}});
+}
+
+}  // namespace berylreach::soak
--- /dev/null
+++ b/soak/leaves.h
@@ -0,0 +1,75 @@
+// The leaves of the soak's deployment and what they have seen.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_store.h"
+#include "proxy.h"
+
+namespace berylreach::soak {
+
+inline constexpr int kShards = 6;
+inline constexpr std::size_t kTopRecords = 4;
+inline constexpr std::size_t kRecordsPerShard = 3;
+
+/// How a leaf treats requests.
+enum class LeafMode { kSound, kSlow, kShedding, kFailing, kSilent };
+
+/// The records of a shard for a request, each of 16 bytes.
+std::vector<std::string> RecordsOf(const std::string& shard,
+                                   const std::string& request);
+/// A leaf's signature of an answer.
+std::string SignatureOf(const std::string& service, const std::string& request);
+
+/// One leaf behind a proxy of its own.
+class Leaf {
+ public:
+  Leaf(boost::asio::io_context& io, const base::Clock& clock, std::string id,
+       std::string service, std::string zone);
+
+  const std::string& id() const { return id_; }
+  Proxy& proxy() { return *proxy_; }
+  void SetMode(LeafMode mode) { mode_ = mode; }
+  void Register(platform::FakeStore& store, bool draining = false) const;
+  /// Runs of requests by id.
+  const std::map<std::string, int>& runs() const { return runs_; }
+
+ private:
+  void OnRequest(gateway::ServerConnection& connection,
+                 const gateway::HttpRequest& request);
+
+  boost::asio::io_context& io_;
+  std::string id_;
+  std::string service_;
+  std::string zone_;
+  LeafMode mode_ = LeafMode::kSound;
+  std::map<std::string, int> runs_;
+  gateway::TestServer server_;
+  std::unique_ptr<Proxy> proxy_;
+};
+
+/// All leaves: two of each shard and three of the order service.
+class Leaves {
+ public:
+  Leaves(boost::asio::io_context& io, const base::Clock& clock);
+
+  void Register(platform::FakeStore& store) const;
+  std::vector<std::unique_ptr<Leaf>>& all() { return leaves_; }
+  /// Runs of a request at all leaves of the order service.
+  int OrderRuns(const std::string& request) const;
+  /// Whether any leaf has run the request.
+  bool Seen(const std::string& request) const;
+
+ private:
+  std::vector<std::unique_ptr<Leaf>> leaves_;
+};
+
+/// The operators' configuration of the deployment.
+std::string ConfigurationText(int version);
+
+}  // namespace berylreach::soak
--- /dev/null
+++ b/soak/main.cc
@@ -0,0 +1,169 @@
+// A randomized soak: real host processes under faults from outside, with the
+// promises to callers checked while it runs.
+#include <gflags/gflags.h>
+#include <signal.h>  // NOLINT(modernize-deprecated-headers): SIGPIPE is POSIX only.
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "berylreach/base/system_clock.h"
+#include "berylreach/command_line/parse.h"
+#include "callers.h"
+#include "faults.h"
+#include "host_program.h"
+#include "leaves.h"
+
+DEFINE_uint32(seed, 1, "decides the faults and the requests");
+DEFINE_uint32(seconds, 30, "time with faults");
+DEFINE_uint32(hosts, 6, "host processes");
+DEFINE_uint32(callers, 24, "callers");
+DEFINE_string(program, "", "path of berylreachd");
+
+namespace berylreach::soak {
+namespace {
+
+using gateway::RunUntil;
+
+/// Time in which all hosts must serve again after the last fault. It holds the
+/// longest planned stop, a restart and the longest pause of a back-off.
+constexpr std::chrono::seconds kRecovery{15};
+/// Share of requests that must be answered after the recovery.
+constexpr double kServedShare = 0.95;
+
+class Soak {
+ public:
+  explicit Soak(const std::filesystem::path& folder) {
+    store_.Put("op/config", ConfigurationText(1));
+    leaves_.Register(store_);
+    const char* zones[] = {"za", "zb", "zc"};
+    for (unsigned i = 0; i < FLAGS_hosts; ++i) {
+      hosts_.push_back(std::make_unique<HostProgram>(
+          io_, FLAGS_program, folder.string(), "host-" + std::to_string(i),
+          zones[i % 3], store_.address()));
+      hosts_.back()->Start();
+    }
+  }
+
+  bool Run() {
+    if (!AllReady()) return Fail("hosts did not start");
+    callers_.Start(FLAGS_callers);
+    faults_.Start();
+    RunFor(std::chrono::seconds(FLAGS_seconds));
+    faults_.Heal();
+    RunFor(kRecovery);
+    if (!AllReady()) return Fail("hosts did not recover");
+    const CallerCounts before = callers_.counts();
+    RunFor(std::chrono::seconds(3));
+    const CallerCounts after = callers_.counts();
+    callers_.Stop();
+    if (!RunUntil(io_, [this] { return callers_.idle(); }))
+      return Fail("callers wait for answers");
+    callers_.CheckOrders();
+    Report(before, after);
+    return Verdict(before, after);
+  }
+
+ private:
+  void RunFor(std::chrono::seconds span) {
+    const auto end = clock_.Now() + span;
+    while (clock_.Now() < end) {
+      io_.restart();
+      io_.run_for(std::chrono::milliseconds(50));
+      callers_.idle();
+    }
+  }
+
+  bool Ready(const HostProgram& host) {
+    try {
+      gateway::RawClient client(io_, host.health_address());
+      client.Send("GET /readyz HTTP/1.1\r\nConnection: close\r\n\r\n");
+      return client.Expect("HTTP/1.1 ") &&
+             client.received().starts_with("HTTP/1.1 200");
+    } catch (const boost::system::system_error&) {
+      return false;  // Not listening yet.
+    }
+  }
+
+  bool AllReady() {
+    for (const auto& host : hosts_) {
+      const auto end = clock_.Now() + kRecovery;
+      while (!Ready(*host)) {
+        if (clock_.Now() >= end) return false;
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(50));
+      }
+    }
+    return true;
+  }
+
+  static bool Fail(const std::string& text) {
+    std::cout << "seed " << FLAGS_seed << ": " << text << "\n";
+    return false;
+  }
+
+  void Report(const CallerCounts& before, const CallerCounts& after) const {
+    std::cout << "seed " << FLAGS_seed << ": " << faults_.count() << " faults, "
+              << after.requests << " requests, " << after.answered
+              << " answered (" << after.partial << " partial), "
+              << after.refused << " refused, " << after.failed << " failed, "
+              << after.unanswered << " without an answer; "
+              << after.answered - before.answered << " of "
+              << after.requests - before.requests
+              << " answered after the faults\n";
+  }
+
+  bool Verdict(const CallerCounts& before, const CallerCounts& after) const {
+    bool passed = true;
+    for (const std::string& violation : callers_.violations())
+      passed = Fail(violation);
+    for (const std::string& host : faults_.failed_stops())
+      passed = Fail("planned stop of " + host + " failed");
+    const auto served = static_cast<double>(after.answered - before.answered);
+    const auto asked = static_cast<double>(after.requests - before.requests);
+    if (served < kServedShare * asked) passed = Fail("service did not return");
+    return passed;
+  }
+
+  base::SystemClock clock_;
+  boost::asio::io_context io_;
+  platform::FakeStore store_{io_, clock_};
+  Leaves leaves_{io_, clock_};
+  std::vector<std::unique_ptr<HostProgram>> hosts_;
+  Callers callers_{io_, clock_, leaves_, hosts_, FLAGS_seed};
+  Faults faults_{io_, store_, leaves_, hosts_, FLAGS_seed + 1};
+};
+
+int Main() {
+  const auto folder = std::filesystem::temp_directory_path() /
+                      ("berylreach-soak-" + std::to_string(FLAGS_seed) + "-" +
+                       std::to_string(getpid()));
+  std::filesystem::create_directories(folder);
+  const bool passed = Soak(folder).Run();
+  if (passed) {
+    std::filesystem::remove_all(folder);
+    return EXIT_SUCCESS;
+  }
+  std::cout << "logs of the hosts: " << folder.string() << "\n";
+  return EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace berylreach::soak
+
+int main(int argc, char** argv) {
+  std::vector<std::string> positional;
+  const auto wrong = berylreach::command_line::Parse(argc, argv, positional);
+  if (wrong || FLAGS_program.empty()) {
+    std::cerr << "usage: berylreach-soak --program=PATH [--seed=N] "
+                 "[--seconds=N] [--hosts=N] [--callers=N]\n";
+    return 2;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  return berylreach::soak::Main();
+}
--- /dev/null
+++ b/soak/proxy.cc
@@ -0,0 +1,115 @@
+// Pumps bytes between two sockets.
+#include "proxy.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "loopback.h"
+
+namespace berylreach::soak {
+
+struct Proxy::Link {
+  explicit Link(boost::asio::io_context& io)
+      : client(io), server(io), timers{Timer(io), Timer(io)} {}
+
+  using Timer = boost::asio::steady_timer;
+  Socket client;
+  Socket server;
+  std::array<Timer, 2> timers;
+  std::array<std::array<char, 16384>, 2> buffers{};
+};
+
+namespace {
+
+void Close(boost::asio::ip::tcp::socket& socket, bool reset) {
+  boost::system::error_code ignored;
+  if (reset)
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+}  // namespace
+
+Proxy::Proxy(boost::asio::io_context& io, std::string target)
+    : io_(io), target_(std::move(target)), acceptor_(gateway::Listen(io)) {
+  Accept();
+}
+
+Proxy::~Proxy() { Reset(); }
+
+std::string Proxy::address() const { return gateway::AddressOf(acceptor_); }
+
+void Proxy::Reset() {
+  for (const auto& weak : std::exchange(links_, {})) {
+    const auto link = weak.lock();
+    if (!link) continue;
+    Close(link->client, true);
+    Close(link->server, true);
+  }
+}
+
+void Proxy::Accept() {
+  auto link = std::make_shared<Link>(io_);
+  acceptor_.async_accept(
+      link->client, [this, link](boost::system::error_code error) {
+        if (error) return;
+        std::erase_if(links_, [](const auto& weak) { return weak.expired(); });
+        links_.push_back(link);
+        const std::size_t colon = target_.rfind(':');
+        const boost::asio::ip::tcp::endpoint endpoint(
+            boost::asio::ip::make_address(target_.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(target_.substr(colon + 1))));
+        link->server.async_connect(
+            endpoint, [this, link](boost::system::error_code failed) {
+              if (failed) {
+                Close(link->client, true);
+                return;
+              }
+              Pump(link, true);
+              Pump(link, false);
+            });
+        Accept();
+      });
+}
+
+void Proxy::Pump(const std::shared_ptr<Link>& link, bool to_server) {
+  Socket& from = to_server ? link->client : link->server;
+  Socket& to = to_server ? link->server : link->client;
+  auto& buffer = link->buffers[to_server ? 1 : 0];
+  auto& timer = link->timers[to_server ? 1 : 0];
+  from.async_read_some(
+      boost::asio::buffer(buffer),
+      [this, link, to_server, &to, &from, &buffer, &timer](
+          boost::system::error_code error, std::size_t size) {
+        if (error) {
+          const bool reset = error != boost::asio::error::eof;
+          Close(to, reset);
+          Close(from, reset);
+          return;
+        }
+        const bool dropped = mode_ == ProxyMode::kSilent ||
+                             mode_ == (to_server ? ProxyMode::kDropToServer
+                                                 : ProxyMode::kDropToClient);
+        if (dropped) {
+          Pump(link, to_server);
+          return;
+        }
+        timer.expires_after(mode_ == ProxyMode::kDelay
+                                ? kProxyDelay
+                                : std::chrono::milliseconds(0));
+        timer.async_wait([this, link, to_server, &to, &buffer,
+                          size](boost::system::error_code) {
+          boost::asio::async_write(
+              to, boost::asio::buffer(buffer.data(), size),
+              [this, link, to_server](boost::system::error_code failed,
+                                      std::size_t) {
+                if (!failed) Pump(link, to_server);
+              });
+        });
+      });
+}
+
+}  // namespace berylreach::soak
--- /dev/null
+++ b/soak/proxy.h
@@ -0,0 +1,54 @@
+// A loopback proxy that harms the connections which pass through it.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylreach::soak {
+
+/// What the proxy does with bytes.
+enum class ProxyMode {
+  kPass,
+  /// Each piece waits for kProxyDelay.
+  kDelay,
+  /// Bytes to the server are dropped.
+  kDropToServer,
+  /// Bytes from the server are dropped.
+  kDropToClient,
+  /// Bytes of both ways are dropped.
+  kSilent,
+};
+
+inline constexpr std::chrono::milliseconds kProxyDelay{80};
+
+/// Passes connections on to one server. The mode holds for present and for new
+/// connections; bytes that were dropped are lost, so a connection that was
+/// silenced stays useless.
+class Proxy {
+ public:
+  Proxy(boost::asio::io_context& io, std::string target);
+  ~Proxy();
+
+  std::string address() const;
+  void SetMode(ProxyMode mode) { mode_ = mode; }
+  /// Resets all connections.
+  void Reset();
+
+ private:
+  struct Link;
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Accept();
+  void Pump(const std::shared_ptr<Link>& link, bool to_server);
+
+  boost::asio::io_context& io_;
+  std::string target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  ProxyMode mode_ = ProxyMode::kPass;
+  std::vector<std::weak_ptr<Link>> links_;
+};
+
+}  // namespace berylreach::soak
