Refuse at once while too many shards are known not to answer

Cause: a request whose shards had only leaves that were silent for long or out of reach was held until its deadline. Its caller could have come back, also through a host that reaches the leaves. Silence beyond 500 ms counts, since pauses are shorter; the calls that still wait show a leaf's return. Test that failed first: RefusesAtOnceWhileTooManyShardsDoNotAnswer.

--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -4,7 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <memory>
+#include <optional>
+#include <string>
 
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/leaf_entry.h"
@@ -69,6 +70,11 @@
   /// heard since it was sent.
   bool IsSilent(base::TimePoint now) const;
 
+  /// The leaf has been silent for longer than leaves pause, or its connections
+  /// could not be opened a moment ago. A call that is still unanswered, or one
+  /// after the back-off, shows its return.
+  bool IsUnresponsive(base::TimePoint now) const;
+
   /// Recent failures: the leaf is left out until a trial call is due.
   bool IsBackedOff(base::TimePoint now) const { return now < retry_at_; }
 
@@ -76,6 +82,9 @@
   double failure_rate() const { return failure_rate_; }
 
  private:
+  /// When the oldest call was sent that nothing was heard since; nothing if
+  /// the leaf owes no answer.
+  std::optional<base::TimePoint> UnansweredSince() const;
   base::Duration Prior() const;
   base::Duration Mean(base::TimePoint now) const;
 
@@ -93,6 +102,8 @@
   double failure_rate_ = 0;
   std::uint32_t failures_in_row_ = 0;
   base::TimePoint retry_at_{};
+  /// As retry_at_, for a leaf that could not be reached.
+  base::TimePoint unreachable_until_{};
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -49,10 +49,16 @@
   /// Whether the service has a leaf that may be called at some time.
   bool HasLeaf(const LeafQuery& query) const;
 
+  /// Whether the service has a leaf that is not known to be unresponsive.
+  bool HasResponsiveLeaf(const LeafQuery& query) const;
+
   /// Connections of this host to one leaf of `service`.
   std::size_t ConnectionShare(const Service& service) const;
 
  private:
+  template <typename Condition>
+  bool AnyLeaf(const LeafQuery& query, Condition condition) const;
+
   const base::Clock& clock_;
   LeafDirectory& directory_;
   ColdCallLimit& cold_;
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -124,8 +124,8 @@
   void Hedge(Part& part, std::vector<RunAction>& actions);
   void FailPart(Part& part);
   void Settle(std::vector<RunAction>& actions);
-  double Coverage() const;
-  bool CanReachCoverage() const;
+  /// Whether answers of so many parts make a success.
+  bool IsEnough(std::size_t parts) const;
   void FinishMerged(std::vector<RunAction>& actions);
   void FinishSingle(std::vector<RunAction>& actions);
   void Refuse(Refusal refusal, std::string cause,
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -33,6 +33,8 @@
 constexpr milliseconds kFailureCost{150};
 /// A silent leaf is usually paused; pauses last some hundred milliseconds.
 constexpr milliseconds kSilenceCost{150};
+/// Silence after which a leaf is taken for hung; its pauses are shorter.
+constexpr milliseconds kUnresponsiveAfter{500};
 /// Cold leaves are slower and are used last.
 constexpr milliseconds kColdCost{60};
 
@@ -80,6 +82,7 @@
     last_answer_ = now;
     failures_in_row_ = 0;
     retry_at_ = {};
+    unreachable_until_ = {};
   }
   if (outcome == CallOutcome::kAnswered) {
     base::Duration sample = now - sent;
@@ -103,6 +106,7 @@
         failures_in_row_ >= kFailuresBeforeBackOff) {
       const auto doublings = std::min(failures_in_row_ - 1, kMostDoublings);
       retry_at_ = now + kFirstBackOff * (1U << doublings);
+      if (outcome == CallOutcome::kUnreachable) unreachable_until_ = retry_at_;
     }
   }
 }
@@ -153,11 +157,23 @@
   return std::max<base::Duration>(overdue, kLeastHedgeDelay);
 }
 
-bool LeafRecord::IsSilent(base::TimePoint now) const {
+std::optional<base::TimePoint> LeafRecord::UnansweredSince() const {
   const auto unanswered =
       std::lower_bound(sent_at_.begin(), sent_at_.end(), last_answer_);
-  if (unanswered == sent_at_.end()) return false;
-  return now - *unanswered > HedgeDelay(now);
+  if (unanswered == sent_at_.end()) return std::nullopt;
+  return *unanswered;
+}
+
+bool LeafRecord::IsSilent(base::TimePoint now) const {
+  const auto since = UnansweredSince();
+  return since && now - *since > HedgeDelay(now);
+}
+
+bool LeafRecord::IsUnresponsive(base::TimePoint now) const {
+  if (now < unreachable_until_) return true;
+  const auto since = UnansweredSince();
+  return since && now - *since > std::max<base::Duration>(kUnresponsiveAfter,
+                                                          2 * HedgeDelay(now));
 }
 
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -76,11 +76,24 @@
 }
 
 bool LeafSelector::HasLeaf(const LeafQuery& query) const {
+  return AnyLeaf(query, [](const LeafRecord&) { return true; });
+}
+
+bool LeafSelector::HasResponsiveLeaf(const LeafQuery& query) const {
+  const base::TimePoint now = clock_.Now();
+  return AnyLeaf(query, [now](const LeafRecord& leaf) {
+    return !leaf.IsUnresponsive(now);
+  });
+}
+
+template <typename Condition>
+bool LeafSelector::AnyLeaf(const LeafQuery& query, Condition condition) const {
   const auto usable = directory_.Usable(query.service->name);
   return std::any_of(usable.begin(), usable.end(),
-                     [&query](const std::shared_ptr<LeafRecord>& leaf) {
+                     [&](const std::shared_ptr<LeafRecord>& leaf) {
                        return AllowedRegion(query, *leaf) &&
-                              !Contains(query.tried, leaf->entry().id);
+                              !Contains(query.tried, leaf->entry().id) &&
+                              condition(*leaf);
                      });
 }
 
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -80,17 +80,23 @@
 
 void RequestRun::Start(std::vector<RunAction>& actions) {
   std::size_t servable = 0;
+  std::size_t responsive = 0;
   for (Part& part : parts_) {
     if (part.service == nullptr) continue;
     context_.budget.OnRequest(part.service->name);
-    if (context_.selector.HasLeaf(QueryFor(part, true))) ++servable;
+    const LeafQuery query = QueryFor(part, true);
+    if (context_.selector.HasLeaf(query)) ++servable;
+    if (context_.selector.HasResponsiveLeaf(query)) ++responsive;
   }
-  const double share =
-      static_cast<double>(servable) / static_cast<double>(parts_.size());
-  if (servable == 0 || share < route_.least_coverage) {
+  if (!IsEnough(servable)) {
     Refuse(Refusal::kNotRun, "no leaf serves the request", actions);
     return;
   }
+  // The calls that wait for the silent leaves show their return.
+  if (!IsEnough(responsive)) {
+    Refuse(Refusal::kNotRun, "the leaves do not answer", actions);
+    return;
+  }
   for (Part& part : parts_) {
     if (part.service == nullptr ||
         !context_.selector.HasLeaf(QueryFor(part, true))) {
@@ -150,8 +156,7 @@
   if (finished_) return;
   const base::TimePoint now = context_.clock.Now();
   if (now >= deadline_) {
-    if (route_.scatters() && answered_ > 0 &&
-        Coverage() >= route_.least_coverage) {
+    if (route_.scatters() && IsEnough(answered_)) {
       FinishMerged(actions);
     } else {
       Refuse(RefusalNow() == Refusal::kNotRun ? Refusal::kNotRun
@@ -293,14 +298,10 @@
   return text;
 }
 
-double RequestRun::Coverage() const {
-  return static_cast<double>(answered_) / static_cast<double>(parts_.size());
-}
-
-bool RequestRun::CanReachCoverage() const {
-  const std::size_t possible = parts_.size() - failed_;
-  return possible > 0 &&
-         static_cast<double>(possible) / static_cast<double>(parts_.size()) >=
+bool RequestRun::IsEnough(std::size_t parts) const {
+  if (!route_.scatters()) return parts > 0;
+  return parts > 0 &&
+         static_cast<double>(parts) / static_cast<double>(parts_.size()) >=
              route_.least_coverage;
 }
 
@@ -310,13 +311,12 @@
     if (parts_[0].state != PartState::kWaiting) FinishSingle(actions);
     return;
   }
-  if (!CanReachCoverage()) {
+  if (!IsEnough(parts_.size() - failed_)) {
     Refuse(RefusalNow(), "too few shards can answer", actions);
     return;
   }
   const bool whole = answered_ + failed_ == parts_.size();
-  const bool enough = answered_ > 0 && Coverage() >= route_.least_coverage;
-  if (whole || (enough && context_.clock.Now() >= partial_at_))
+  if (whole || (IsEnough(answered_) && context_.clock.Now() >= partial_at_))
     FinishMerged(actions);
 }
 
--- a/forward/unittests/request_run_test.cc
+++ b/forward/unittests/request_run_test.cc
@@ -77,6 +77,28 @@
   EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
 }
 
+// Guards against requests that are held for leaves which are known to be
+// silent.
+TEST_F(RequestRunTest, RefusesAtOnceWhileTooManyShardsDoNotAnswer) {
+  Begin(route_);
+  for (int i = 0; i < 2; ++i) Reply(started_[i], Success(kLow));
+  AdvanceTo(milliseconds(700));
+  EXPECT_FALSE(reply_) << "leaves may still answer the first request";
+  const std::vector<StartLeafCall> first = started_;
+  started_.clear();
+  Begin(route_);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
+  EXPECT_TRUE(started_.empty());
+  // An answer to an old call shows that a leaf is back.
+  first[2].leaf->OnCallEnded(first[2].sent, clock_.Now(),
+                             CallOutcome::kAnswered);
+  reply_.reset();
+  Begin(route_);
+  EXPECT_FALSE(reply_);
+  EXPECT_EQ(started_.size(), 4U);
+}
+
 TEST_F(RequestRunTest, HedgesOverdueCallAtAnotherLeaf) {
   Begin(route_);
   for (int i = 0; i < 3; ++i) Reply(started_[i], Success(kLow));
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -19,7 +19,7 @@
 using boost::system::error_code;
 
 /// Largest response body; the store's pages are the largest ones.
-constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{16} * 1024 * 1024;
 
 /// Quiet time before the first probe, time between probes, and probes without
 /// an answer after which a connection has gone silent: 2 s in all.
