Leave half of a leaf's connections free

Each host now keeps half of its share; in a large fleet the coordinators share, since the others relay. Ruled out: too many hosts in the count; it was 6. Test that failed first: HostsTogetherKeepHalfOfTheConnectionsFree.

--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -37,8 +37,9 @@
   LeafSelector(const base::Clock& clock, LeafDirectory& directory,
                ColdCallLimit& cold);
 
-  /// Hosts that share the connections of a leaf; at least 1.
-  void SetHosts(std::size_t hosts);
+  /// `hosts` share the connections of a leaf; where there are too few for all
+  /// of them, only `coordinators` do. Both are at least 1.
+  void SetHosts(std::size_t hosts, std::size_t coordinators);
 
   /// The best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
@@ -52,7 +53,13 @@
   /// Whether the service has a leaf that is not known to be unresponsive.
   bool HasResponsiveLeaf(const LeafQuery& query) const;
 
-  /// Connections of this host to one leaf of `service`.
+  /// Whether a leaf of `service` accepts too few connections for all hosts to
+  /// keep some open.
+  bool FewConnections(const Service& service) const;
+
+  /// Connections of this host to one leaf of `service`. Half of what the leaf
+  /// accepts is left free: those of a host that lost power count at the leaf
+  /// until they time out, and the host that follows needs new ones at once.
   std::size_t ConnectionShare(const Service& service) const;
 
  private:
@@ -63,6 +70,7 @@
   LeafDirectory& directory_;
   ColdCallLimit& cold_;
   std::size_t hosts_ = 1;
+  std::size_t coordinators_ = 1;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/relay_planner.h
+++ b/forward/include/berylreach/forward/relay_planner.h
@@ -41,6 +41,8 @@
   /// Whether `host` is another host of the deployment.
   bool Knows(const std::string& host) const { return records_.contains(host); }
 
+  /// Coordinators of all regions.
+  std::size_t CountCoordinators() const;
   /// Hosts of a region that run requests, best first.
   std::vector<std::string> Coordinators(const std::string& region) const;
 
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -14,6 +14,10 @@
 /// Largest share of its cost by which a leaf may be preferred at random.
 constexpr double kJitter = 0.1;
 
+/// Connections of one host to a leaf below which most calls would need a new
+/// connection.
+constexpr std::size_t kUsefulConnections = 2;
+
 template <typename T>
 bool Contains(const std::vector<T>* values, const T& value) {
   return values != nullptr &&
@@ -42,8 +46,9 @@
                            ColdCallLimit& cold)
     : clock_(clock), directory_(directory), cold_(cold) {}
 
-void LeafSelector::SetHosts(std::size_t hosts) {
+void LeafSelector::SetHosts(std::size_t hosts, std::size_t coordinators) {
   hosts_ = std::max<std::size_t>(1, hosts);
+  coordinators_ = std::max<std::size_t>(1, coordinators);
 }
 
 std::shared_ptr<LeafRecord> LeafSelector::Choose(const LeafQuery& query) const {
@@ -97,8 +102,13 @@
                      });
 }
 
+bool LeafSelector::FewConnections(const Service& service) const {
+  return service.max_connections / hosts_ < kUsefulConnections;
+}
+
 std::size_t LeafSelector::ConnectionShare(const Service& service) const {
-  return std::max<std::size_t>(1, service.max_connections / hosts_);
+  const std::size_t callers = FewConnections(service) ? coordinators_ : hosts_;
+  return std::max<std::size_t>(1, service.max_connections / (2 * callers));
 }
 
 }  // namespace berylreach::forward
--- a/forward/lib/relay_planner.cc
+++ b/forward/lib/relay_planner.cc
@@ -20,10 +20,6 @@
 /// Coordinators of a region, so that the loss of one leaves another.
 constexpr std::size_t kLeastCoordinators = 2;
 
-/// Connections of one host to a leaf below which most calls would need a new
-/// connection.
-constexpr std::size_t kUsefulConnections = 2;
-
 /// Requests that a host runs at the same time without delay.
 constexpr std::size_t kHostSlots = 16;
 
@@ -138,11 +134,21 @@
                                   const Route& route) const {
   for (const Service& service : table.configuration().services) {
     if (service.name == route.shards.front())
-      return selector_.ConnectionShare(service) < kUsefulConnections;
+      return selector_.FewConnections(service);
   }
   return false;
 }
 
+std::size_t RelayPlanner::CountCoordinators() const {
+  std::set<std::string> regions;
+  for (const HostEntry& host : hosts_)
+    regions.insert(location_.RegionOf(host.zone));
+  std::size_t count = 0;
+  for (const std::string& region : regions)
+    count += Coordinators(region).size();
+  return count;
+}
+
 std::vector<std::string> RelayPlanner::Coordinators(
     const std::string& region) const {
   std::vector<const HostEntry*> hosts;
--- a/forward/unittests/relay_planner_test.cc
+++ b/forward/unittests/relay_planner_test.cc
@@ -44,8 +44,8 @@
   }
 
   void SetHosts(const std::vector<HostEntry>& hosts) {
-    selector_.SetHosts(hosts.size());
     planner_.SetHosts(hosts);
+    selector_.SetHosts(hosts.size(), planner_.CountCoordinators());
   }
 
   std::shared_ptr<LeafRecord> Choose(std::uint64_t seed = 1) {
@@ -100,6 +100,20 @@
     EXPECT_TRUE(name == "c-2" || name == "c-3") << name;
 }
 
+// Guards against leaves that reset the connections of restarted hosts, because
+// those of their former processes still count.
+TEST_F(RelayPlannerTest, HostsTogetherKeepHalfOfTheConnectionsFree) {
+  const Service service{.name = "s", .max_connections = 25};
+  EXPECT_EQ(selector_.ConnectionShare(service), 3U) << "4 hosts";
+  std::vector<HostEntry> hosts;
+  for (int i = 0; i < 30; ++i)
+    hosts.push_back({"c-" + std::to_string(i), "2:1", "c", 0.1});
+  SetHosts(hosts);
+  const std::size_t coordinators = planner_.CountCoordinators();
+  EXPECT_LE(coordinators * selector_.ConnectionShare(service), 13U);
+  EXPECT_GE(selector_.ConnectionShare(service), 1U);
+}
+
 TEST_F(RelayPlannerTest, RestrictedRouteStaysWhereItIs) {
   route_.regions = {"ra"};
   EXPECT_EQ(Choose(), nullptr);
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -138,10 +138,11 @@
   std::vector<std::string> names;
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
   cold_.SetHosts(settings_.host, std::move(names));
-  selector_.SetHosts(hosts.size());
-  budget_.SetHosts(hosts.size());
+  const std::size_t count = hosts.size();
+  budget_.SetHosts(count);
   host::LogStateChange("hosts", std::to_string(hosts.size()), "");
   relays_.SetHosts(std::move(hosts));
+  selector_.SetHosts(count, relays_.CountCoordinators());
 }
 
 std::uint64_t Gateway::configuration_version() const {
