--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the libFuzzer targets of config/fuzz in build-fuzz/ and runs each for a bounded number of
+# Builds the libFuzzer targets of config/fuzz and platform/fuzz in build-fuzz/ and runs each for a bounded number of
 # inputs and seconds with a fixed seed. The normal build is not touched.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -11,11 +11,13 @@
 mkdir -p "$out"
 
 flags=(-std=c++20 -O1 -g1 -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined
-  -Iconfig/include -Imodel/include -Ibase/include)
+  -Iconfig/include -Imodel/include -Ibase/include
+  -Ilimits/include -Iforward/include -Igateway/include -Iplatform/include)
 compiler=(clang++)
 if command -v ccache >/dev/null; then compiler=(ccache clang++); fi
 
-for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc; do
+for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/feed_codec.cc \
+  platform/lib/{codec,platform_settings,store_item}.cc forward/lib/{leaf_directory,leaf_record}.cc; do
   object="$out/$(echo "$source" | tr / -).o"
   echo "$source $object"
 done >"$out/sources.txt"
@@ -23,8 +25,8 @@
 mapfile -t objects < <(cut -d ' ' -f 2 "$out/sources.txt")
 
 run() {
-  local name=$1 seeds=$2
-  clang++ "${flags[@]}" -fsanitize=fuzzer "config/fuzz/${name}_fuzzer.cc" "${objects[@]}" \
+  local package=$1 name=$2 seeds=$3
+  clang++ "${flags[@]}" -fsanitize=fuzzer "$package/fuzz/${name}_fuzzer.cc" "${objects[@]}" \
     -lboost_json -lxxhash -o "$out/${name}_fuzzer"
   rm -rf "$out/$name-corpus"
   mkdir "$out/$name-corpus"
@@ -39,7 +41,7 @@
 }
 
 seeds() {
-  mkdir -p "$out/seeds/caller_request" "$out/seeds/document"
+  mkdir -p "$out/seeds/caller_request" "$out/seeds/document" "$out/seeds/platform_values"
   printf '0{"service":"order-desk","payload":{"batch":[1,"H7"]},"deadline_ms":250,"least_coverage":0.5}' \
     >"$out/seeds/caller_request/query"
   printf '1{"service":"buckle-screen","key":"order-7","deadline_ms":250}' >"$out/seeds/caller_request/lookup"
@@ -51,9 +53,18 @@
     >"$out/seeds/document/head"
   printf '{"records":[{"service":"s","key":"k","payload_hash":"0000000000000001","issued_at":1,"claimer":"h","claimer_incarnation":"0000000000000002","nonce":"0000000000000003","state":"done","outcome":"{}","version":4}]}' \
     >"$out/seeds/document/journal"
+  local values=$out/seeds/platform_values
+  printf '0{"version":7,"routes":[{"name":"g","host":"h","prefix":"/a/","kind":"idempotent","timeout_ms":1200,"gather":["s"],"top_k":5,"min_coverage":0.75},{"name":"p","host":"h","prefix":"/b/","kind":"x","timeout_ms":1,"split":[{"service":"s","weight":1}]}],"services":[{"name":"s","max_conns":2}]}' \
+    >"$values/configuration"
+  printf '1{"service":"s","addr":"10.0.0.1:80","zone":"z","slots":2,"state":"ready","cold_left_ms":0}' >"$values/leaf"
+  printf '2{"events":[{"key":"a","value":"aGk="},{"key":"b","deleted":true}],"current_rev":3}' >"$values/events"
+  printf '3{"node_name":"n","zone":"z","region":"r","listen":{"front":"1.1.1.1:1","ready":"1.1.1.1:2"},"port_range":[1],"platform":{"addr":"a"}}' >"$values/settings"
+  printf '4{"address":"1.1.1.1:1","zone":"z","cores":1}' >"$values/host"
+  printf '5{"revision":1,"whole":true,"changes":[{"key":"a","value":"aGk="}]}' >"$values/feed"
 }
 
 seeds
-run caller_request "$out/seeds/caller_request"
-run document "$out/seeds/document"
+run config caller_request "$out/seeds/caller_request"
+run config document "$out/seeds/document"
+run platform platform_values "$out/seeds/platform_values"
 echo "fuzz: passed"
