Relay requests of many parts from small hosts to large ones

A host now relays when its own processor would take up a tenth of the objective. Test that failed first: SmallHostRelaysRequestsOfManyParts.

--- a/forward/include/berylreach/forward/relay_planner.h
+++ b/forward/include/berylreach/forward/relay_planner.h
@@ -20,8 +20,9 @@
 /// A scattering request is run by a host near the leaves if the caller's host
 /// is in a region without them, because one merged answer then crosses regions
 /// instead of one answer a shard. In a large fleet few hosts of each region run
-/// the requests, because the leaves accept too few connections for all hosts.
-/// Not thread-safe.
+/// the requests, because the leaves accept too few connections for all hosts or
+/// because small hosts would take too long over the many parts. Not
+/// thread-safe.
 class RelayPlanner {
  public:
   /// The arguments must outlive the planner.
@@ -57,6 +58,7 @@
   Plan MakePlan(const RouteTable& table, const Route& route) const;
   std::vector<std::string> TargetRegions(const Route& route) const;
   bool FewConnections(const RouteTable& table, const Route& route) const;
+  bool IsSlowHere(const Route& route) const;
 
   const base::Clock& clock_;
   std::string self_;
--- a/forward/lib/relay_planner.cc
+++ b/forward/lib/relay_planner.cc
@@ -20,6 +20,11 @@
 /// Coordinators of a region, so that the loss of one leaves another.
 constexpr std::size_t kLeastCoordinators = 2;
 
+/// Processor time of one leaf call (docs/MEASUREMENTS.md).
+constexpr std::chrono::duration<double, std::micro> kCallProcessorTime{50};
+/// Part of the objective that a host's own processor may take up.
+constexpr double kProcessorShare = 0.1;
+
 /// Requests that a host runs at the same time without delay.
 constexpr std::size_t kHostSlots = 16;
 
@@ -101,7 +106,7 @@
   const std::vector<std::string> regions = TargetRegions(route);
   const bool own = std::find(regions.begin(), regions.end(),
                              location_.region) != regions.end();
-  if (own && !FewConnections(table, route)) return plan;
+  if (own && !FewConnections(table, route) && !IsSlowHere(route)) return plan;
   for (const std::string& region : regions) {
     if (own && region != location_.region) continue;
     for (const std::string& name : Coordinators(region)) {
@@ -139,6 +144,16 @@
   return false;
 }
 
+bool RelayPlanner::IsSlowHere(const Route& route) const {
+  const auto self = std::find_if(
+      hosts_.begin(), hosts_.end(),
+      [this](const HostEntry& host) { return host.name == self_; });
+  if (self == hosts_.end() || self->cores <= 0) return false;
+  const auto calls = static_cast<double>(route.shards.size());
+  return calls * kCallProcessorTime / self->cores >
+         route.objective * kProcessorShare;
+}
+
 std::size_t RelayPlanner::CountCoordinators() const {
   std::set<std::string> regions;
   for (const HostEntry& host : hosts_)
--- a/forward/unittests/relay_planner_test.cc
+++ b/forward/unittests/relay_planner_test.cc
@@ -90,6 +90,25 @@
   }
 }
 
+// Guards against requests of hundreds of parts that small hosts run too slowly
+// while large ones are idle.
+TEST_F(RelayPlannerTest, SmallHostRelaysRequestsOfManyParts) {
+  route_.objective = milliseconds(150);
+  for (int i = 4; i < 100; ++i) {
+    const std::string shard = "s" + std::to_string(i);
+    route_.shards.push_back(shard);
+    services_.push_back({.name = shard, .max_connections = 25});
+  }
+  for (const std::string& shard : route_.shards) PutLeaf(shard, "c");
+  SetHosts({{"c-big-1", "1:1", "c", 0.5},
+            {"c-big-2", "1:2", "c", 0.5},
+            {"c-1", "1:3", "c", 0.1},
+            {"c-2", "1:4", "c", 0.1}});
+  const auto host = Choose();
+  ASSERT_NE(host, nullptr);
+  EXPECT_TRUE(host->entry().id.starts_with("c-big")) << host->entry().id;
+}
+
 TEST_F(RelayPlannerTest, CoordinatorsAreTheLargestHosts) {
   SetHosts({{"c-1", "1:1", "c", 0.1},
             {"c-2", "1:2", "c", 0.5},
