--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -57,9 +57,10 @@
   /// keep some open.
   bool FewConnections(const Service& service) const;
 
-  /// Connections of this host to one leaf of `service`. Half of what the leaf
-  /// accepts is left free: those of a host that lost power count at the leaf
-  /// until they time out, and the host that follows needs new ones at once.
+  /// Connections of this host to one leaf of `service`. A quarter of what the
+  /// leaf accepts is left free: those of a host that lost power count at the
+  /// leaf until they time out, and the host that follows needs new ones at
+  /// once.
   std::size_t ConnectionShare(const Service& service) const;
 
  private:
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -18,6 +18,9 @@
 /// connection.
 constexpr std::size_t kUsefulConnections = 2;
 
+/// Quarters of a leaf's connections that hosts use.
+constexpr std::size_t kUsedQuarters = 3;
+
 template <typename T>
 bool Contains(const std::vector<T>* values, const T& value) {
   return values != nullptr &&
@@ -108,7 +111,8 @@
 
 std::size_t LeafSelector::ConnectionShare(const Service& service) const {
   const std::size_t callers = FewConnections(service) ? coordinators_ : hosts_;
-  return std::max<std::size_t>(1, service.max_connections / (2 * callers));
+  return std::max<std::size_t>(
+      1, service.max_connections * kUsedQuarters / (4 * callers));
 }
 
 }  // namespace berylreach::forward
