Mend the linter's findings in the new packages

Names of local constants, three conversions and one cast; a test body is built by resize. No change of behaviour.

--- a/forward/unittests/extra_call_budget_test.cc
+++ b/forward/unittests/extra_call_budget_test.cc
@@ -47,14 +47,15 @@
 // whatever the load does (seed 7).
 TEST(ExtraCallBudgetTest, NoWindowExceedsTheBoundOfAllHosts) {
   base::ManualClock clock;
-  constexpr int kHosts = 3;
-  std::vector<ExtraCallBudget> hosts(kHosts, ExtraCallBudget(clock, kLimits));
-  for (auto& host : hosts) host.SetHosts(kHosts);
+  constexpr int host_count = 3;
+  std::vector<ExtraCallBudget> hosts(host_count,
+                                     ExtraCallBudget(clock, kLimits));
+  for (auto& host : hosts) host.SetHosts(host_count);
   std::mt19937 random(7);
   std::vector<std::pair<base::TimePoint, bool>> events;
   for (int step = 0; step < 6000; ++step) {
     clock.Advance(milliseconds(random() % 12));
-    ExtraCallBudget& host = hosts[random() % kHosts];
+    ExtraCallBudget& host = hosts[random() % host_count];
     const bool busy = (step / 1500) % 2 == 0;
     if (busy) {
       host.OnRequest("s");
--- a/gateway/lib/address.h
+++ b/gateway/lib/address.h
@@ -28,7 +28,7 @@
 /// Buffer into which the sockets of the event loop's thread are read; each read
 /// is consumed before the next one.
 struct ReadBuffer {
-  static constexpr std::size_t kBytes = 64 * 1024;
+  static constexpr std::size_t kBytes = std::size_t{64} * 1024;
   static char* Data() {
     thread_local char data[kBytes];
     return data;
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -26,12 +26,12 @@
 
 void FeedServer::OnRequest(ServerConnection& connection,
                            std::string_view target) {
-  constexpr std::string_view kAfter = "after=";
+  constexpr std::string_view parameter = "after=";
   last_request_ = clock_.Now();
   std::uint64_t revision = 0;
-  const std::size_t at = target.find(kAfter);
+  const std::size_t at = target.find(parameter);
   if (at != std::string_view::npos) {
-    const char* begin = target.data() + at + kAfter.size();
+    const char* begin = target.data() + at + parameter.size();
     std::from_chars(begin, target.data() + target.size(), revision);
   }
   if (!fresh_) {
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -212,9 +212,8 @@
                  milliseconds(0));
     return;
   }
-  const std::string_view path =
-      std::string_view(request.target)
-          .substr(0, request.target.find_first_of("?#"));
+  const std::string_view target = request.target;
+  const std::string_view path = target.substr(0, target.find_first_of("?#"));
   const forward::Route* route = table_->Find(request.fields.Find("host"), path);
   if (route == nullptr) {
     RefuseAtOnce(connection, request, 404, "no route", milliseconds(0));
@@ -228,16 +227,16 @@
 }
 
 const std::string& Gateway::PickService(const forward::Route& route) {
-  static const std::string kNone;
-  if (route.services.empty()) return kNone;
+  static const std::string none;
+  if (route.services.empty()) return none;
   if (route.services.size() == 1) return route.services[0].service;
   double total = 0;
   for (const auto& service : route.services) total += service.weight;
   // Multiples of the golden ratio are spread evenly over the unit interval, so
   // that the shares hold over short runs of requests.
-  constexpr double kGoldenRatio = 0.6180339887498949;
+  constexpr double golden_ratio = 0.6180339887498949;
   const auto count = static_cast<double>(split_counts_[route.name]++);
-  const double product = count * kGoldenRatio;
+  const double product = count * golden_ratio;
   double point = (product - std::floor(product)) * total;
   for (const auto& service : route.services) {
     point -= service.weight;
--- a/gateway/lib/http_message.cc
+++ b/gateway/lib/http_message.cc
@@ -62,13 +62,13 @@
 }
 
 std::chrono::seconds KeepAliveTimeout(const HttpFields& fields) {
-  constexpr std::string_view kKey = "timeout=";
+  constexpr std::string_view timeout_key = "timeout=";
   const std::string_view value = fields.Find("keep-alive");
-  const std::size_t at = value.find(kKey);
+  const std::size_t at = value.find(timeout_key);
   if (at == std::string_view::npos) return std::chrono::seconds(0);
   int seconds = 0;
-  std::from_chars(value.data() + at + kKey.size(), value.data() + value.size(),
-                  seconds);
+  std::from_chars(value.data() + at + timeout_key.size(),
+                  value.data() + value.size(), seconds);
   return std::chrono::seconds(std::max(0, seconds));
 }
 
--- a/gateway/lib/server_connection.cc
+++ b/gateway/lib/server_connection.cc
@@ -16,7 +16,7 @@
 using boost::system::error_code;
 
 /// Bytes kept of requests that the caller sent before its answer came.
-constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 
 /// Time in which a peer may still read the answer to a broken request.
 constexpr std::chrono::milliseconds kLinger{500};
--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -166,8 +166,11 @@
 // Guards against the rest of a long body on a connection that carries another
 // request already.
 TEST_F(ClientConnectionTest, ResponseBeforeTheBodyIsWrittenEndsTheConnection) {
-  Open("POST / HTTP/1.1\r\nContent-Length: 30000000\r\n\r\n" +
-       std::string(30000000, 'x'));
+  // More than both sockets buffer.
+  std::string body;
+  body.resize(std::size_t{32} * 1024 * 1024, 'x');
+  Open("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+       "\r\n\r\n" + body);
   PeerSends("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
   ASSERT_TRUE(Answered());
   EXPECT_EQ(recorder_.response->status, 413);
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -13,9 +13,9 @@
 constexpr milliseconds kWatchInterval{50};
 
 ProxyMode RandomMode(std::mt19937& random) {
-  constexpr ProxyMode kModes[] = {ProxyMode::kDelay, ProxyMode::kDropToServer,
-                                  ProxyMode::kDropToClient, ProxyMode::kSilent};
-  return kModes[random() % 4];
+  constexpr ProxyMode modes[] = {ProxyMode::kDelay, ProxyMode::kDropToServer,
+                                 ProxyMode::kDropToClient, ProxyMode::kSilent};
+  return modes[random() % 4];
 }
 
 }  // namespace
@@ -110,8 +110,8 @@
 }
 
 void Faults::BeginLeafFault(Leaf& leaf) {
-  constexpr LeafMode kModes[] = {LeafMode::kSlow, LeafMode::kShedding,
-                                 LeafMode::kFailing, LeafMode::kSilent};
+  constexpr LeafMode modes[] = {LeafMode::kSlow, LeafMode::kShedding,
+                                LeafMode::kFailing, LeafMode::kSilent};
   switch (random_() % 4) {
     case 0:
       leaf.proxy().Reset();
@@ -128,7 +128,7 @@
       After(Span(), [this, &leaf] { leaf.Register(store_); });
       break;
     default:
-      leaf.SetMode(kModes[random_() % 4]);
+      leaf.SetMode(modes[random_() % 4]);
       After(Span(), [&leaf] { leaf.SetMode(LeafMode::kSound); });
   }
 }
