Set up the response parser in one place

ClientConnection built its parser three times with the same four lines, kept a flag that nothing read, and Gateway declared a Respond that nothing defined.

--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -76,6 +76,7 @@
   struct Parser;
 
   void OnConnected();
+  void StartParser();
   void StartProbing();
   void Write();
   void WaitRead();
@@ -98,7 +99,6 @@
   bool busy_ = false;
   bool closed_ = false;
   bool reading_ = false;
-  bool writing_ = false;
   base::TimePoint connect_by_{};
   base::TimePoint answer_by_{};
   base::TimePoint idle_since_{};
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -106,8 +106,6 @@
   void RefuseAtOnce(ServerConnection& connection, const HttpRequest& request,
                     int status, std::string_view cause,
                     std::chrono::milliseconds retry_after);
-  void Respond(ServerConnection& connection, std::string head,
-               std::string_view body, bool keep_alive, bool head_request);
   void ArmTimer();
   void OnTimer();
   void ScheduleSweep();
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -78,10 +78,7 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
   if (probing_) StartProbing();
-  parser_ = std::make_unique<Parser>();
-  parser_->http.eager(true);
-  parser_->http.body_limit(kMaxBodyBytes);
-  parser_->http.skip(head_);
+  StartParser();
   if (out_.empty()) {
     busy_ = false;
     idle_since_ = clock_.Now();
@@ -93,6 +90,13 @@
   if (!closed_) WaitRead();
 }
 
+void ClientConnection::StartParser() {
+  parser_ = std::make_unique<Parser>();
+  parser_->http.eager(true);
+  parser_->http.body_limit(kMaxBodyBytes);
+  parser_->http.skip(head_);
+}
+
 void ClientConnection::StartProbing() {
   error_code ignored;
   socket_.set_option(asio::socket_base::keep_alive(true), ignored);
@@ -108,10 +112,7 @@
   busy_ = true;
   out_ = std::move(bytes);
   written_ = 0;
-  parser_ = std::make_unique<Parser>();
-  parser_->http.eager(true);
-  parser_->http.body_limit(kMaxBodyBytes);
-  parser_->http.skip(head);
+  StartParser();
   // A failure must not reach the handler before Send has returned.
   error_code error;
   written_ = socket_.write_some(asio::buffer(out_), error);
@@ -135,10 +136,8 @@
       Fail(ExchangeFailure::kBroken);
       return;
     }
-    writing_ = true;
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
                        [self = shared_from_this()](error_code failed) {
-                         self->writing_ = false;
                          if (!self->closed_ && !failed) self->Write();
                        });
     return;
@@ -196,10 +195,7 @@
     }
     if (parser.is_done() && parser.get().result_int() < 200) {
       // An interim response; the final one follows.
-      parser_ = std::make_unique<Parser>();
-      parser_->http.eager(true);
-      parser_->http.body_limit(kMaxBodyBytes);
-      parser_->http.skip(head_);
+      StartParser();
       pending_ = std::string(data + used, size - used);
       if (!pending_.empty()) {
         const std::string rest = std::exchange(pending_, {});
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include "address.h"
-#include "berylreach/base/hash.h"
 #include "berylreach/host/log.h"
 #include "health_server.h"
 #include "peer_server.h"
