Keep the base64 encoder beside its decoder

It stood in the codec of the change feed, where the store's client had to borrow it. The store stand-in keeps its own on purpose. No change of behaviour; unit tests of config, transport, gateway, platform and standins pass.

--- a/config/lib/base64.cc
+++ b/config/lib/base64.cc
@@ -1,9 +1,10 @@
-// Base64 decoding by the iterators of Boost.Serialization.
+// Base64 decoding by the iterators of Boost.Serialization, encoding by Beast.
 #include "berylreach/config/base64.h"
 
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/dataflow_exception.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
+#include <boost/beast/core/detail/base64.hpp>
 
 namespace berylreach::config {
 namespace {
@@ -40,4 +41,11 @@
   }
 }
 
+std::string EncodeBase64(std::string_view bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
 }  // namespace berylreach::config
--- a/gateway/include/berylreach/gateway/feed_codec.h
+++ b/gateway/include/berylreach/gateway/feed_codec.h
@@ -14,7 +14,4 @@
 /// Nothing if the text is malformed.
 std::optional<forward::ChangeSet> ParseChangeSet(std::string_view text);
 
-/// Base64 of RFC 4648 with padding.
-std::string EncodeBase64(std::string_view bytes);
-
 }  // namespace berylreach::gateway
--- a/gateway/lib/feed_codec.cc
+++ b/gateway/lib/feed_codec.cc
@@ -1,7 +1,6 @@
 // Encoding of change sets. Values may be any bytes, hence base64.
 #include "berylreach/gateway/feed_codec.h"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -9,19 +8,12 @@
 
 namespace berylreach::gateway {
 
-std::string EncodeBase64(std::string_view bytes) {
-  namespace base64 = boost::beast::detail::base64;
-  std::string text(base64::encoded_size(bytes.size()), '\0');
-  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-  return text;
-}
-
 std::string FormatChangeSet(const forward::ChangeSet& set) {
   boost::json::array changes;
   for (const forward::RecordChange& change : set.changes) {
     boost::json::object row;
     row["key"] = change.key;
-    if (change.value) row["value"] = EncodeBase64(*change.value);
+    if (change.value) row["value"] = config::EncodeBase64(*change.value);
     changes.push_back(std::move(row));
   }
   boost::json::object root;
