Explain a request from the logs of all hosts

Cause: the way from a request's id to its cause was a search by hand over the logs of all hosts, whose clocks differ. Change: berylctl explain ID FILE... prints the lines of the request and the last state that its hosts logged of the leaves, hosts and configuration that it names, hosts that ran parts first and the one that answered the caller last. No change on the request path.

--- a/tools/berylctl/include/berylreach/berylctl/commands.h
+++ b/tools/berylctl/include/berylreach/berylctl/commands.h
@@ -33,4 +33,8 @@
 /// with kHostsLag, after the output, if not all hosts answered.
 Result<void> Timeline(const Options& options, Runtime& runtime);
 
+/// Prints the lines of the hosts' log files that explain one request, in the
+/// order of their causes. Fails with kFindings if there are none.
+Result<void> Explain(const Options& options, Runtime& runtime);
+
 }  // namespace berylreach::berylctl
--- /dev/null
+++ b/tools/berylctl/lib/explain_command.cc
@@ -0,0 +1,81 @@
+// The subcommand `explain`.
+#include <chrono>
+#include <fstream>
+
+#include "arguments.h"
+#include "berylreach/berylctl/commands.h"
+#include "log_story.h"
+#include "report.h"
+
+namespace berylreach::berylctl {
+namespace {
+
+template <typename OnLine>
+Result<void> ReadLines(const std::string& path, OnLine on_line) {
+  std::ifstream stream(path);
+  if (!stream.is_open())
+    return Failure{ExitCode::kUsage, "cannot read file " + path};
+  std::string line;
+  while (std::getline(stream, line))
+    if (!line.empty()) on_line(line);
+  return Success();
+}
+
+void Print(const json::object& line, std::ostream& out) {
+  json::object rest = line;
+  std::chrono::system_clock::time_point at{};
+  if (const auto* time = line.if_contains("at_unix_us");
+      time != nullptr && time->is_int64())
+    at += std::chrono::microseconds(time->get_int64());
+  const auto take = [&rest](const char* name) {
+    const auto* value = rest.if_contains(name);
+    std::string text = value != nullptr && value->is_string()
+                           ? std::string(value->get_string())
+                           : std::string();
+    rest.erase(name);
+    return text;
+  };
+  rest.erase("at_unix_us");
+  const std::string host = take("host");
+  const std::string event = take("event");
+  out << FormatTime(at) << "  " << Printable(host) << "  " << Printable(event)
+      << "  " << Printable(json::serialize(rest)) << '\n';
+}
+
+}  // namespace
+
+Result<void> Explain(const Options& options, Runtime& runtime) {
+  constexpr std::size_t most_files = 10'000;
+  BOOST_OUTCOME_TRY(RequireArguments(options, 2, most_files));
+  LogStory story(options.arguments[0]);
+  const std::vector<std::string> paths(options.arguments.begin() + 1,
+                                       options.arguments.end());
+  for (const std::string& path : paths) {
+    BOOST_OUTCOME_TRY(ReadLines(
+        path, [&story](const std::string& line) { story.Look(line); }));
+  }
+  for (const std::string& path : paths) {
+    BOOST_OUTCOME_TRY(ReadLines(
+        path, [&story](const std::string& line) { story.Collect(line); }));
+  }
+  if (!story.found()) {
+    return Failure{ExitCode::kFindings,
+                   "no line on the outcome of request " + options.arguments[0] +
+                       "; requests that were answered whole and in time have "
+                       "none"};
+  }
+  json::array list;
+  for (const json::object& line : story.Lines()) {
+    if (options.json) {
+      list.push_back(line);
+    } else {
+      Print(line, runtime.out);
+    }
+  }
+  if (options.json) PrintJson({{"lines", std::move(list)}}, runtime.out);
+  if (story.unreadable() > 0)
+    runtime.err << story.unreadable() << " lines could not be read\n";
+  return Success();
+}
+
+}  // namespace berylreach::berylctl
--- a/tools/berylctl/lib/run.cc
+++ b/tools/berylctl/lib/run.cc
@@ -21,14 +21,15 @@
   bool reports_before_failure = false;
 };
 
-constexpr std::array<Command, 8> kCommands{{{"check", Check},
+constexpr std::array<Command, 9> kCommands{{{"check", Check},
                                             {"submit", Submit},
                                             {"promote", Promote},
                                             {"diff", Diff},
                                             {"show", Show},
                                             {"history", History},
                                             {"status", Status, true},
-                                            {"timeline", Timeline, true}}};
+                                            {"timeline", Timeline, true},
+                                            {"explain", Explain}}};
 
 const Command* Find(std::string_view name) {
   for (const Command& command : kCommands) {
@@ -82,6 +83,8 @@
   history         accepted documents, newest first (--environment)
   status          hosts with document, lease and readiness (--environment)
   timeline        events of all hosts by time (--environment)
+  explain ID FILE...
+                  what the logs of the hosts say of one request
 
 flags
   --store=IP:PORT        platform store (default 127.0.0.1:8500)
