--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -53,15 +53,26 @@
   std::vector<std::shared_ptr<LeafRecord>> Usable(
       const std::string& service) const;
 
+  /// Calls `visit` with each of these leaves.
+  template <typename Visit>
+  void ForEachUsable(const std::string& service, Visit visit) const {
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end()) return;
+    for (const std::shared_ptr<LeafRecord>& leaf : found->second)
+      if (IsUsable(*leaf)) visit(leaf);
+  }
+
   std::shared_ptr<LeafRecord> Find(const std::string& id) const;
   std::size_t size() const { return leaves_.size(); }
-  std::size_t CountInZone(const std::string& zone) const;
+  /// Number of listed leaves of each zone.
+  std::unordered_map<std::string, std::size_t> CountByZone() const;
   /// Changes whenever the set of usable leaves does.
   std::uint64_t generation() const { return generation_; }
   const std::set<std::string>& evacuated_zones() const { return evacuated_; }
 
  private:
   bool InGrace() const;
+  bool IsUsable(const LeafRecord& leaf) const;
   void Erase(const std::string& id);
 
   const base::Clock& clock_;
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -15,6 +15,8 @@
 #include "berylreach/forward/leaf_selector.h"
 #include "berylreach/forward/message.h"
 #include "berylreach/forward/route_table.h"
+#include "berylreach/forward/shard_group.h"
+#include "berylreach/forward/shard_part.h"
 
 namespace berylreach::forward {
 
@@ -30,12 +32,28 @@
   base::TimePoint deadline{};
 };
 
+/// Have another host run a group of the request's shards.
+struct StartGroupCall {
+  CallId call = 0;
+  std::shared_ptr<LeafRecord> host;
+  ShardSubset subset;
+  /// When the call counts as sent in the host's record.
+  base::TimePoint sent{};
+  base::TimePoint deadline{};
+};
+
+/// Give up a group call; the host counts as unreachable.
+struct AbandonGroupCall {
+  CallId call = 0;
+};
+
 /// Answer the caller. Always the last action of a run.
 struct FinishRequest {
   CallerReply reply;
 };
 
-using RunAction = std::variant<StartLeafCall, FinishRequest>;
+using RunAction = std::variant<StartLeafCall, StartGroupCall, AbandonGroupCall,
+                               FinishRequest>;
 
 /// What all runs of a host share.
 struct RunContext {
@@ -50,7 +68,8 @@
 
 /// Drives one request. A route to one leaf is a run of one part whose answer
 /// is passed through whole; a scattering route has a part for each shard and
-/// merges. Events append to `actions`. Not thread-safe.
+/// merges. Groups of shards may be run by other hosts, whose merged answers
+/// are merged again. Events append to `actions`. Not thread-safe.
 class RequestRun {
  public:
   /// `route` must belong to `table`, whose version serves the whole run.
@@ -58,74 +77,65 @@
              const Route& route, const std::string& single_service,
              CallerRequest request);
 
-  /// A partial answer is sent from `time` on. Call before Start.
-  void SetPartialAt(base::TimePoint time) { partial_at_ = time; }
-  base::TimePoint partial_at() const { return partial_at_; }
+  /// Leaves the shards of `groups` to other hosts. Call before Start.
+  void Delegate(const std::vector<ShardGroup>& groups);
+  /// Runs only these shards, for another host. Call before Start.
+  void Narrow(const ShardSubset& subset);
 
   void Start(std::vector<RunAction>& actions);
   void OnReply(CallId call, LeafReply reply, std::vector<RunAction>& actions);
   void OnFailure(CallId call, CallFailure failure,
                  std::vector<RunAction>& actions);
+  void OnGroupReply(CallId call, GroupReply reply,
+                    std::vector<RunAction>& actions);
+  void OnGroupFailure(CallId call, GroupFailure failure,
+                      std::vector<RunAction>& actions);
   void Tick(std::vector<RunAction>& actions);
   /// When Tick is due next.
   base::TimePoint NextWakeup() const;
 
   bool finished() const { return finished_; }
   const CallerRequest& request() const { return request_; }
-  std::uint64_t seed() const { return seed_; }
   const Route& route() const { return route_; }
   /// Parts answered and parts in all, for the log.
   std::size_t answered() const { return answered_; }
-  std::size_t parts() const { return parts_.size(); }
+  std::size_t parts() const { return total_; }
   std::size_t calls_sent() const { return calls_sent_; }
   /// The first few parts without an answer and what became of their calls, for
-  /// the log: "shard: leaf state age", with ages in milliseconds.
+  /// the log.
   std::string DescribeUnanswered() const;
-  /// When the last caller-visible deadline of the run ends.
-  base::TimePoint deadline() const { return deadline_; }
+  /// Names of the hosts that run groups, for the log.
+  std::string DescribeHosts() const;
 
  private:
-  struct Call {
-    CallId id = 0;
-    std::shared_ptr<LeafRecord> leaf;
+  struct RemoteGroup {
+    CallId call = 0;
+    std::shared_ptr<LeafRecord> host;
     base::TimePoint sent{};
-    base::TimePoint hedge_at{};
     bool running = true;
+    /// The shards, which are called from here if the host declines.
+    std::vector<ShardPart> parts;
+    GroupReply reply;
   };
-  enum class PartState { kWaiting, kAnswered, kFailed };
-  struct Part {
-    const Service* service = nullptr;
-    PartState state = PartState::kWaiting;
-    /// Calls that ran or may have run.
-    std::size_t attempts_used = 0;
-    /// Calls that were rejected or not sent.
-    std::size_t rejected = 0;
-    std::vector<Call> calls;
-    std::vector<std::string> tried;
-    std::optional<LeafReply> reply;
-    /// A leaf's own failure, passed through if nothing better comes.
-    std::optional<LeafReply> failure;
-    bool hedge_refused = false;
-    /// When a call that found no leaf is tried again.
-    std::optional<base::TimePoint> retry_at;
-  };
-
   struct Located {
-    Part* part = nullptr;
-    Call* call = nullptr;
+    ShardPart* part = nullptr;
+    PartCall* call = nullptr;
   };
 
   Located Locate(CallId call);
-  bool HasRunningCall(const Part& part) const;
-  bool MayCallAgain(const Part& part) const;
-  LeafQuery QueryFor(const Part& part, bool any) const;
-  bool SendCall(Part& part, bool any, std::vector<RunAction>& actions);
-  void Retry(Part& part, std::vector<RunAction>& actions);
-  void Hedge(Part& part, std::vector<RunAction>& actions);
-  void FailPart(Part& part);
+  RemoteGroup* FindGroup(CallId call);
+  LeafQuery QueryFor(const ShardPart& part, bool any) const;
+  void StartGroups(std::vector<RunAction>& actions);
+  void StartPart(ShardPart& part, std::vector<RunAction>& actions);
+  bool SendCall(ShardPart& part, bool any, std::vector<RunAction>& actions);
+  void Retry(ShardPart& part, std::vector<RunAction>& actions);
+  void Hedge(ShardPart& part, std::vector<RunAction>& actions);
+  void FailPart(ShardPart& part);
+  void RunDeclined(RemoteGroup& group, std::vector<RunAction>& actions);
+  void AbandonLostGroups(std::vector<RunAction>& actions);
   void Settle(std::vector<RunAction>& actions);
   /// Whether answers of so many parts make a success.
-  bool IsEnough(std::size_t parts) const;
+  bool IsEnough(std::size_t parts) const { return parts >= least_parts_; }
   void FinishMerged(std::vector<RunAction>& actions);
   void FinishSingle(std::vector<RunAction>& actions);
   void Refuse(Refusal refusal, std::string cause,
@@ -137,11 +147,16 @@
   const Route& route_;
   CallerRequest request_;
   std::uint64_t seed_;
-  std::vector<Part> parts_;
+  std::vector<ShardPart> parts_;
+  std::vector<RemoteGroup> groups_;
+  /// Parts of this host and of all groups.
+  std::size_t total_ = 0;
+  std::size_t least_parts_ = 1;
   std::size_t answered_ = 0;
   std::size_t failed_ = 0;
   std::size_t calls_sent_ = 0;
   bool any_may_have_run_ = false;
+  bool lost_group_ = false;
   bool finished_ = false;
   /// End of the run: the caller's patience or the route's timeout.
   base::TimePoint deadline_{};
--- a/forward/include/berylreach/forward/route_table.h
+++ b/forward/include/berylreach/forward/route_table.h
@@ -21,6 +21,9 @@
   /// if there is none. `host` is compared without case and without a port.
   const Route* Find(std::string_view host, std::string_view path) const;
 
+  /// Null if the configuration does not have the service.
+  const Service* FindService(const std::string& name) const;
+
   const Configuration& configuration() const { return configuration_; }
 
  private:
@@ -28,6 +31,8 @@
   /// Positions in configuration_.routes by lower-case host, longest prefix
   /// first.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
+  /// Positions in configuration_.services.
+  std::unordered_map<std::string, std::size_t> by_service_;
 };
 
 }  // namespace berylreach::forward
--- /dev/null
+++ b/forward/include/berylreach/forward/shard_group.h
@@ -0,0 +1,56 @@
+// Groups of shards that hosts run for each other.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/forward/leaf_record.h"
+
+namespace berylreach::forward {
+
+/// Shards of a request that another host runs.
+struct ShardGroup {
+  std::shared_ptr<LeafRecord> host;
+  /// Positions in Route::shards.
+  std::vector<std::size_t> shards;
+};
+
+/// What a host runs of a request for another one.
+struct ShardSubset {
+  /// Positions in Route::shards.
+  std::vector<std::size_t> shards;
+  /// Shards that its answer may lack from `partial_at` on.
+  std::size_t allowed_missing = 0;
+  base::TimePoint partial_at{};
+
+  friend bool operator==(const ShardSubset&, const ShardSubset&) = default;
+};
+
+/// The answer of a host that ran a group of shards.
+struct GroupReply {
+  /// One signature for each shard that answered.
+  std::vector<std::string> signatures;
+  /// The greatest records of these shards.
+  std::string records;
+
+  friend bool operator==(const GroupReply&, const GroupReply&) = default;
+};
+
+/// Why a group has no answer.
+enum class GroupFailure {
+  /// The host runs nothing for this one, so the shards may be called from here.
+  kDeclined,
+  /// The host ran nothing, because it is full or too few leaves answer.
+  kRefused,
+  /// Leaves may have run calls of the group.
+  kLost,
+};
+
+/// Expected time of a message to a host at this distance.
+std::chrono::milliseconds TransitTime(Distance distance);
+
+}  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -1,7 +1,6 @@
-// Decides which host fans a request out.
+// Decides which hosts run which shards of a request.
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -14,30 +13,31 @@
 #include "berylreach/forward/leaf_directory.h"
 #include "berylreach/forward/leaf_selector.h"
 #include "berylreach/forward/route_table.h"
+#include "berylreach/forward/shard_group.h"
 
 namespace berylreach::forward {
 
-/// A scattering request is run by a host near the leaves if the caller's host
-/// is in a region without them, because one merged answer then crosses regions
-/// instead of one answer a shard. In a large fleet few hosts of each region run
-/// the requests, because the leaves accept too few connections for all hosts or
-/// because small hosts would take too long over the many parts. Not
-/// thread-safe.
-class RelayPlanner {
+/// Divides the shards of scattering requests among hosts. Shards without a
+/// leaf in this region are run by a host of a region that has them, because one
+/// merged answer then crosses regions instead of one answer a shard. In a large
+/// fleet a few hosts of each region, its coordinators, run slices of the
+/// shards, because the leaves accept too few connections for all hosts, or
+/// because small hosts would take too long over the many parts. A shard is
+/// always in the slice of the same hosts, so that their connections to its
+/// leaves are in use. Not thread-safe.
+class ShardPlanner {
  public:
   /// The arguments must outlive the planner.
-  RelayPlanner(const base::Clock& clock, std::string self, Location location,
+  ShardPlanner(const base::Clock& clock, std::string self, Location location,
                const LeafDirectory& directory, const LeafSelector& selector);
 
   /// All hosts of the deployment.
   void SetHosts(std::vector<HostEntry> hosts);
 
-  /// The host that runs the request; null if it is this one.
-  std::shared_ptr<LeafRecord> Choose(const RouteTable& table,
-                                     const Route& route, std::uint64_t seed);
-
-  /// Expected time of a message to the host.
-  static std::chrono::milliseconds Transit(const LeafRecord& host);
+  /// The groups that other hosts run; this host runs the shards that are in
+  /// none of them. `seed` spreads requests over equal hosts.
+  std::vector<ShardGroup> Divide(const RouteTable& table, const Route& route,
+                                 std::uint64_t seed);
 
   /// Whether `host` is another host of the deployment.
   bool Knows(const std::string& host) const { return records_.contains(host); }
@@ -48,17 +48,30 @@
   std::vector<std::string> Coordinators(const std::string& region) const;
 
  private:
+  using HostRecords = std::vector<std::shared_ptr<LeafRecord>>;
+
+  /// Shards that go to one of some hosts.
+  struct Slice {
+    std::vector<std::size_t> shards;
+    HostRecords hosts;
+    /// Used while none of `hosts` answers: the region's other coordinators.
+    HostRecords others;
+  };
   struct Plan {
     std::uint64_t generation = 0;
     std::uint64_t version = 0;
-    /// Hosts among which to choose; empty if this host runs the route.
-    std::vector<std::shared_ptr<LeafRecord>> hosts;
+    std::vector<Slice> slices;
   };
 
   Plan MakePlan(const RouteTable& table, const Route& route) const;
-  std::vector<std::string> TargetRegions(const Route& route) const;
+  std::map<std::string, std::vector<std::size_t>> ShardsByRegion(
+      const Route& route) const;
+  void AddSlices(const std::string& region,
+                 const std::vector<std::size_t>& shards, Plan& plan) const;
+  std::shared_ptr<LeafRecord> Best(const HostRecords& hosts,
+                                   std::uint64_t seed) const;
   bool FewConnections(const RouteTable& table, const Route& route) const;
-  bool IsSlowHere(const Route& route) const;
+  bool IsSlowHere(const Route& route, std::size_t shards) const;
 
   const base::Clock& clock_;
   std::string self_;
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -96,16 +96,16 @@
   std::erase(by_service_[record->entry().service], record);
 }
 
+bool LeafDirectory::IsUsable(const LeafRecord& leaf) const {
+  return !leaf.gone() && !leaf.entry().draining &&
+         !evacuated_.contains(leaf.entry().zone);
+}
+
 std::vector<std::shared_ptr<LeafRecord>> LeafDirectory::Usable(
     const std::string& service) const {
   std::vector<std::shared_ptr<LeafRecord>> usable;
-  const auto found = by_service_.find(service);
-  if (found == by_service_.end()) return usable;
-  for (const std::shared_ptr<LeafRecord>& leaf : found->second) {
-    if (leaf->gone() || leaf->entry().draining) continue;
-    if (evacuated_.contains(leaf->entry().zone)) continue;
-    usable.push_back(leaf);
-  }
+  ForEachUsable(service,
+                [&usable](const auto& leaf) { usable.push_back(leaf); });
   return usable;
 }
 
@@ -114,10 +114,11 @@
   return found == leaves_.end() ? nullptr : found->second;
 }
 
-std::size_t LeafDirectory::CountInZone(const std::string& zone) const {
-  return static_cast<std::size_t>(std::count_if(
-      leaves_.begin(), leaves_.end(),
-      [&zone](const auto& leaf) { return leaf.second->entry().zone == zone; }));
+std::unordered_map<std::string, std::size_t> LeafDirectory::CountByZone()
+    const {
+  std::unordered_map<std::string, std::size_t> counts;
+  for (const auto& [id, leaf] : leaves_) ++counts[leaf->entry().zone];
+  return counts;
 }
 
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -59,22 +59,22 @@
   const std::size_t connections = ConnectionShare(*query.service);
   std::shared_ptr<LeafRecord> best;
   auto best_cost = base::Duration::max();
-  for (std::shared_ptr<LeafRecord>& leaf :
-       directory_.Usable(query.service->name)) {
-    if (!AllowedRegion(query, *leaf)) continue;
-    if (Contains(query.tried, leaf->entry().id)) continue;
-    if (leaf->running() >= connections) continue;
+  const auto consider = [&](const std::shared_ptr<LeafRecord>& leaf) {
+    if (!AllowedRegion(query, *leaf)) return;
+    if (Contains(query.tried, leaf->entry().id)) return;
+    if (leaf->running() >= connections) return;
     const bool doubtful = leaf->IsBackedOff(now) || leaf->IsSilent(now);
-    if (doubtful && !query.any) continue;
+    if (doubtful && !query.any) return;
     if (leaf->IsCold(now) &&
         !cold_.MayCall(leaf->entry().id, query.service->cold_rate))
-      continue;
+      return;
     base::Duration cost = JitteredCost(*leaf, query.seed, now);
     if (leaf->IsBackedOff(now)) cost += std::chrono::seconds(1);
-    if (cost >= best_cost) continue;
+    if (cost >= best_cost) return;
     best_cost = cost;
-    best = std::move(leaf);
-  }
+    best = leaf;
+  };
+  directory_.ForEachUsable(query.service->name, consider);
   return best;
 }
 
@@ -96,13 +96,14 @@
 
 template <typename Condition>
 bool LeafSelector::AnyLeaf(const LeafQuery& query, Condition condition) const {
-  const auto usable = directory_.Usable(query.service->name);
-  return std::any_of(usable.begin(), usable.end(),
-                     [&](const std::shared_ptr<LeafRecord>& leaf) {
-                       return AllowedRegion(query, *leaf) &&
-                              !Contains(query.tried, leaf->entry().id) &&
-                              condition(*leaf);
-                     });
+  bool any = false;
+  directory_.ForEachUsable(
+      query.service->name, [&](const std::shared_ptr<LeafRecord>& leaf) {
+        any = any ||
+              (AllowedRegion(query, *leaf) &&
+               !Contains(query.tried, leaf->entry().id) && condition(*leaf));
+      });
+  return any;
 }
 
 bool LeafSelector::FewConnections(const Service& service) const {
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using PartState = ShardPart::State;
 
 /// Share of a request's time after which its final answer is sent, so that it
 /// reaches the caller before the time is over.
@@ -25,14 +26,21 @@
 /// Pause before a hedge that found no leaf or budget is tried again.
 constexpr milliseconds kHedgePause{20};
 
-/// Most calls of one part that leaves reject without running them.
-constexpr std::size_t kMostRejections = 3;
-
 /// Parts described in one log line.
 constexpr std::size_t kDescribedParts = 4;
 
 /// Wait advised after a refusal; the time in which a leaf usually returns.
 constexpr milliseconds kRetryAfter{400};
+/// Wait advised after the loss of a host, which the next attempt avoids.
+constexpr milliseconds kLostGroupRetryAfter{20};
+
+/// A group without an answer after this many objectives is given up. Before,
+/// its host may still collect the least coverage.
+constexpr int kGroupObjectives = 2;
+/// Time that two hosts need for a group beside that of its messages.
+constexpr milliseconds kGroupMargin{6};
+/// Hosts named in one log line.
+constexpr std::size_t kDescribedHosts = 4;
 
 base::Duration Share(milliseconds span, double share) {
   return std::chrono::duration_cast<base::Duration>(span * share);
@@ -42,13 +50,13 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-const Service* FindService(const Configuration& configuration,
-                           const std::string& name) {
-  const auto& services = configuration.services;
-  const auto found =
-      std::find_if(services.begin(), services.end(),
-                   [&name](const Service& s) { return s.name == name; });
-  return found == services.end() ? nullptr : &*found;
+/// The smallest number of at least one part whose share is the least coverage.
+std::size_t LeastParts(std::size_t total, double coverage) {
+  for (std::size_t parts = 1; parts < total; ++parts) {
+    if (static_cast<double>(parts) / static_cast<double>(total) >= coverage)
+      return parts;
+  }
+  return total;
 }
 
 }  // namespace
@@ -62,15 +70,15 @@
       route_(route),
       request_(std::move(request)),
       seed_(base::Hash64(request_.id)) {
-  const Configuration& configuration = table_->configuration();
-  if (route_.scatters()) {
-    parts_.resize(route_.shards.size());
-    for (std::size_t i = 0; i < parts_.size(); ++i)
-      parts_[i].service = FindService(configuration, route_.shards[i]);
-  } else {
-    parts_.resize(1);
-    parts_[0].service = FindService(configuration, single_service);
+  total_ = route_.scatters() ? route_.shards.size() : 1;
+  parts_.resize(total_);
+  for (std::size_t i = 0; i < total_; ++i) {
+    parts_[i].shard = i;
+    parts_[i].service = table_->FindService(route_.scatters() ? route_.shards[i]
+                                                              : single_service);
   }
+  if (route_.scatters())
+    least_parts_ = LeastParts(total_, route_.least_coverage);
   const milliseconds span =
       std::min(request_.patience,
                route_.timeout.count() > 0 ? route_.timeout : request_.patience);
@@ -78,10 +86,39 @@
   partial_at_ = request_.received + Share(route_.objective, kPartialShare);
 }
 
+void RequestRun::Delegate(const std::vector<ShardGroup>& groups) {
+  const base::TimePoint now = context_.clock.Now();
+  for (const ShardGroup& group : groups) {
+    const milliseconds travel = 2 * TransitTime(group.host->distance());
+    if (partial_at_ <= now + travel + kGroupMargin) continue;
+    RemoteGroup remote{.call = context_.next_call(), .host = group.host};
+    for (const std::size_t shard : group.shards) {
+      const auto found = std::find_if(
+          parts_.begin(), parts_.end(),
+          [shard](const ShardPart& part) { return part.shard == shard; });
+      if (found == parts_.end()) continue;
+      remote.parts.push_back(std::move(*found));
+      parts_.erase(found);
+    }
+    groups_.push_back(std::move(remote));
+  }
+}
+
+void RequestRun::Narrow(const ShardSubset& subset) {
+  std::erase_if(parts_, [&subset](const ShardPart& part) {
+    return std::find(subset.shards.begin(), subset.shards.end(), part.shard) ==
+           subset.shards.end();
+  });
+  total_ = parts_.size();
+  least_parts_ = total_ - std::min(total_, subset.allowed_missing);
+  partial_at_ = subset.partial_at;
+}
+
 void RequestRun::Start(std::vector<RunAction>& actions) {
-  std::size_t servable = 0;
-  std::size_t responsive = 0;
-  for (Part& part : parts_) {
+  // Groups are refused by their hosts, which know the leaves better.
+  std::size_t servable = total_ - parts_.size();
+  std::size_t responsive = servable;
+  for (ShardPart& part : parts_) {
     if (part.service == nullptr) continue;
     context_.budget.OnRequest(part.service->name);
     const LeafQuery query = QueryFor(part, true);
@@ -97,17 +134,39 @@
     Refuse(Refusal::kNotRun, "the leaves do not answer", actions);
     return;
   }
-  for (Part& part : parts_) {
-    if (part.service == nullptr ||
-        !context_.selector.HasLeaf(QueryFor(part, true))) {
-      FailPart(part);
-      continue;
-    }
-    SendCall(part, true, actions);
-  }
+  StartGroups(actions);
+  for (ShardPart& part : parts_) StartPart(part, actions);
   Settle(actions);
 }
 
+void RequestRun::StartGroups(std::vector<RunAction>& actions) {
+  const base::TimePoint now = context_.clock.Now();
+  for (RemoteGroup& group : groups_) {
+    group.sent = now;
+    group.host->OnCallSent(now);
+    ++calls_sent_;
+    StartGroupCall action{.call = group.call,
+                          .host = group.host,
+                          .sent = now,
+                          .deadline = deadline_};
+    for (const ShardPart& part : group.parts)
+      action.subset.shards.push_back(part.shard);
+    action.subset.allowed_missing = total_ - least_parts_;
+    action.subset.partial_at =
+        partial_at_ - 2 * TransitTime(group.host->distance()) - kGroupMargin;
+    actions.push_back(std::move(action));
+  }
+}
+
+void RequestRun::StartPart(ShardPart& part, std::vector<RunAction>& actions) {
+  if (part.service == nullptr ||
+      !context_.selector.HasLeaf(QueryFor(part, true))) {
+    FailPart(part);
+    return;
+  }
+  SendCall(part, true, actions);
+}
+
 void RequestRun::OnReply(CallId call, LeafReply reply,
                          std::vector<RunAction>& actions) {
   const auto [part, entry] = Locate(call);
@@ -152,6 +211,63 @@
   Settle(actions);
 }
 
+void RequestRun::OnGroupReply(CallId call, GroupReply reply,
+                              std::vector<RunAction>& actions) {
+  RemoteGroup* group = FindGroup(call);
+  if (group == nullptr || finished_ || !group->running) return;
+  const std::size_t answers = reply.signatures.size();
+  if (answers > group->parts.size()) {
+    OnGroupFailure(call, GroupFailure::kLost, actions);
+    return;
+  }
+  group->running = false;
+  any_may_have_run_ = true;
+  answered_ += answers;
+  failed_ += group->parts.size() - answers;
+  group->reply = std::move(reply);
+  Settle(actions);
+}
+
+void RequestRun::OnGroupFailure(CallId call, GroupFailure failure,
+                                std::vector<RunAction>& actions) {
+  RemoteGroup* group = FindGroup(call);
+  if (group == nullptr || finished_ || !group->running) return;
+  group->running = false;
+  if (failure == GroupFailure::kDeclined) {
+    RunDeclined(*group, actions);
+  } else {
+    failed_ += group->parts.size();
+    if (failure == GroupFailure::kLost) {
+      any_may_have_run_ = true;
+      lost_group_ = true;
+    }
+  }
+  Settle(actions);
+}
+
+void RequestRun::RunDeclined(RemoteGroup& group,
+                             std::vector<RunAction>& actions) {
+  for (ShardPart& declined : std::exchange(group.parts, {})) {
+    ShardPart& part = parts_.emplace_back(std::move(declined));
+    if (part.service != nullptr) context_.budget.OnRequest(part.service->name);
+    StartPart(part, actions);
+  }
+}
+
+void RequestRun::AbandonLostGroups(std::vector<RunAction>& actions) {
+  const base::TimePoint lost_at =
+      request_.received + kGroupObjectives * route_.objective;
+  if (context_.clock.Now() < lost_at) return;
+  for (RemoteGroup& group : groups_) {
+    if (!group.running) continue;
+    actions.push_back(AbandonGroupCall{group.call});
+    group.running = false;
+    failed_ += group.parts.size();
+    any_may_have_run_ = true;
+    lost_group_ = true;
+  }
+}
+
 void RequestRun::Tick(std::vector<RunAction>& actions) {
   if (finished_) return;
   const base::TimePoint now = context_.clock.Now();
@@ -165,7 +281,8 @@
     }
     return;
   }
-  for (Part& part : parts_) {
+  AbandonLostGroups(actions);
+  for (ShardPart& part : parts_) {
     if (part.state != PartState::kWaiting) continue;
     if (part.retry_at && *part.retry_at <= now) {
       part.retry_at.reset();
@@ -182,12 +299,19 @@
   const base::TimePoint now = context_.clock.Now();
   if (route_.scatters() && partial_at_ > now)
     next = std::min(next, partial_at_);
+  const bool waits_for_group =
+      std::any_of(groups_.begin(), groups_.end(),
+                  [](const RemoteGroup& group) { return group.running; });
+  if (waits_for_group) {
+    next =
+        std::min(next, request_.received + kGroupObjectives * route_.objective);
+  }
   const bool hedges = route_.idempotent && route_.attempts > 1;
-  for (const Part& part : parts_) {
+  for (const ShardPart& part : parts_) {
     if (part.state != PartState::kWaiting) continue;
     if (part.retry_at) next = std::min(next, *part.retry_at);
     if (!hedges || part.calls.empty()) continue;
-    const Call& last = part.calls.back();
+    const PartCall& last = part.calls.back();
     if (last.running && part.attempts_used + 1 < route_.attempts)
       next = std::min(next, last.hedge_at);
   }
@@ -195,24 +319,20 @@
 }
 
 RequestRun::Located RequestRun::Locate(CallId call) {
-  for (Part& part : parts_)
-    for (Call& entry : part.calls)
+  for (ShardPart& part : parts_)
+    for (PartCall& entry : part.calls)
       if (entry.id == call) return {&part, &entry};
   return {};
 }
 
-bool RequestRun::HasRunningCall(const Part& part) const {
-  return std::any_of(part.calls.begin(), part.calls.end(),
-                     [](const Call& call) { return call.running; });
+RequestRun::RemoteGroup* RequestRun::FindGroup(CallId call) {
+  const auto found = std::find_if(
+      groups_.begin(), groups_.end(),
+      [call](const RemoteGroup& group) { return group.call == call; });
+  return found == groups_.end() ? nullptr : &*found;
 }
 
-bool RequestRun::MayCallAgain(const Part& part) const {
-  if (part.rejected > kMostRejections) return false;
-  if (!route_.idempotent) return part.attempts_used == 0;
-  return part.attempts_used < route_.attempts;
-}
-
-LeafQuery RequestRun::QueryFor(const Part& part, bool any) const {
+LeafQuery RequestRun::QueryFor(const ShardPart& part, bool any) const {
   return {.service = part.service,
           .regions = &route_.regions,
           .tried = &part.tried,
@@ -220,12 +340,12 @@
           .any = any};
 }
 
-bool RequestRun::SendCall(Part& part, bool any,
+bool RequestRun::SendCall(ShardPart& part, bool any,
                           std::vector<RunAction>& actions) {
   const base::TimePoint now = context_.clock.Now();
   auto leaf = context_.selector.Choose(QueryFor(part, any));
   if (leaf == nullptr) {
-    if (!HasRunningCall(part)) part.retry_at = now + kNoLeafPause;
+    if (part.CountRunningCalls() == 0) part.retry_at = now + kNoLeafPause;
     return false;
   }
   part.tried.push_back(leaf->entry().id);
@@ -241,10 +361,11 @@
   return true;
 }
 
-void RequestRun::Retry(Part& part, std::vector<RunAction>& actions) {
-  if (HasRunningCall(part)) return;
+void RequestRun::Retry(ShardPart& part, std::vector<RunAction>& actions) {
+  if (part.CountRunningCalls() > 0) return;
   const bool again =
-      MayCallAgain(part) && context_.selector.HasLeaf(QueryFor(part, true)) &&
+      part.MayCallAgain(route_) &&
+      context_.selector.HasLeaf(QueryFor(part, true)) &&
       context_.budget.TrySpend(part.service->name, ExtraCall::kRetry);
   if (!again) {
     FailPart(part);
@@ -253,14 +374,12 @@
   SendCall(part, true, actions);
 }
 
-void RequestRun::Hedge(Part& part, std::vector<RunAction>& actions) {
+void RequestRun::Hedge(ShardPart& part, std::vector<RunAction>& actions) {
   if (!route_.idempotent || part.calls.empty()) return;
-  Call& last = part.calls.back();
+  PartCall& last = part.calls.back();
   const base::TimePoint now = context_.clock.Now();
   if (!last.running || now < last.hedge_at) return;
-  std::size_t running = 0;
-  for (const Call& call : part.calls) running += call.running ? 1 : 0;
-  if (part.attempts_used + running >= route_.attempts) {
+  if (part.attempts_used + part.CountRunningCalls() >= route_.attempts) {
     last.hedge_at = deadline_;
     return;
   }
@@ -271,7 +390,7 @@
   SendCall(part, false, actions);
 }
 
-void RequestRun::FailPart(Part& part) {
+void RequestRun::FailPart(ShardPart& part) {
   part.state = PartState::kFailed;
   ++failed_;
 }
@@ -280,29 +399,30 @@
   const base::TimePoint now = context_.clock.Now();
   std::string text;
   std::size_t described = 0;
-  for (const Part& part : parts_) {
-    if (part.state == PartState::kAnswered) continue;
-    if (++described > kDescribedParts) break;
+  const auto add = [&text, &described](const std::string& description) {
+    if (++described > kDescribedParts) return;
     if (!text.empty()) text += "; ";
-    text += part.service == nullptr ? "unknown service" : part.service->name;
-    text += ":";
-    if (part.calls.empty()) text += " no leaf";
-    for (const Call& call : part.calls) {
-      const auto age =
-          std::chrono::duration_cast<milliseconds>(now - call.sent).count();
-      text += " " + call.leaf->entry().id;
-      text += call.running ? " unanswered " : " failed ";
-      text += std::to_string(age);
-    }
+    text += description;
+  };
+  for (const RemoteGroup& group : groups_) {
+    const std::size_t missing =
+        group.parts.size() - group.reply.signatures.size();
+    if (missing == 0) continue;
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - group.sent).count();
+    add(group.host->entry().id + ": " + std::to_string(missing) + " shards " +
+        (group.running ? "unanswered " : "failed ") + std::to_string(age));
   }
+  for (const ShardPart& part : parts_)
+    if (part.state != PartState::kAnswered) add(part.Describe(now));
   return text;
 }
 
-bool RequestRun::IsEnough(std::size_t parts) const {
-  if (!route_.scatters()) return parts > 0;
-  return parts > 0 &&
-         static_cast<double>(parts) / static_cast<double>(parts_.size()) >=
-             route_.least_coverage;
+std::string RequestRun::DescribeHosts() const {
+  std::string text;
+  for (std::size_t i = 0; i < groups_.size() && i < kDescribedHosts; ++i)
+    text += (i == 0 ? "" : " ") + groups_[i].host->entry().id;
+  return text;
 }
 
 void RequestRun::Settle(std::vector<RunAction>& actions) {
@@ -311,11 +431,11 @@
     if (parts_[0].state != PartState::kWaiting) FinishSingle(actions);
     return;
   }
-  if (!IsEnough(parts_.size() - failed_)) {
+  if (!IsEnough(total_ - failed_)) {
     Refuse(RefusalNow(), "too few shards can answer", actions);
     return;
   }
-  const bool whole = answered_ + failed_ == parts_.size();
+  const bool whole = answered_ + failed_ == total_;
   if (whole || (IsEnough(answered_) && context_.clock.Now() >= partial_at_))
     FinishMerged(actions);
 }
@@ -326,19 +446,25 @@
   reply.reply.status = 200;
   reply.reply.reason = "OK";
   std::vector<std::string_view> bodies;
-  for (const Part& part : parts_) {
+  for (const RemoteGroup& group : groups_) {
+    bodies.push_back(group.reply.records);
+    reply.signatures.insert(reply.signatures.end(),
+                            group.reply.signatures.begin(),
+                            group.reply.signatures.end());
+  }
+  for (const ShardPart& part : parts_) {
     if (part.state != PartState::kAnswered) continue;
     bodies.push_back(part.reply->body);
     reply.signatures.push_back(part.reply->signature);
   }
-  reply.missing = parts_.size() - reply.signatures.size();
+  reply.missing = total_ - reply.signatures.size();
   reply.reply.body =
       TopRecords(bodies, context_.record_bytes, route_.top_records);
   actions.push_back(FinishRequest{std::move(reply)});
 }
 
 void RequestRun::FinishSingle(std::vector<RunAction>& actions) {
-  Part& part = parts_[0];
+  ShardPart& part = parts_[0];
   std::optional<LeafReply>& reply =
       part.state == PartState::kAnswered ? part.reply : part.failure;
   if (!reply) {
@@ -364,14 +490,17 @@
   // back together.
   const auto spread = static_cast<std::int64_t>(
       seed_ % static_cast<std::uint64_t>(kRetryAfter.count()));
-  reply.retry_after = kRetryAfter / 2 + milliseconds(spread);
+  reply.retry_after = lost_group_ ? kLostGroupRetryAfter
+                                  : kRetryAfter / 2 + milliseconds(spread);
   actions.push_back(FinishRequest{std::move(reply)});
 }
 
 Refusal RequestRun::RefusalNow() const {
   if (any_may_have_run_) return Refusal::kMayHaveRun;
-  for (const Part& part : parts_)
-    if (HasRunningCall(part)) return Refusal::kMayHaveRun;
+  for (const ShardPart& part : parts_)
+    if (part.CountRunningCalls() > 0) return Refusal::kMayHaveRun;
+  for (const RemoteGroup& group : groups_)
+    if (group.running) return Refusal::kMayHaveRun;
   return Refusal::kNotRun;
 }
 
--- a/forward/lib/route_table.cc
+++ b/forward/lib/route_table.cc
@@ -24,6 +24,8 @@
   const std::vector<Route>& routes = configuration_.routes;
   for (std::size_t i = 0; i < routes.size(); ++i)
     by_host_[HostKey(routes[i].host)].push_back(i);
+  for (std::size_t i = 0; i < configuration_.services.size(); ++i)
+    by_service_.emplace(configuration_.services[i].name, i);
   for (auto& [host, positions] : by_host_) {
     std::stable_sort(positions.begin(), positions.end(),
                      [&routes](std::size_t a, std::size_t b) {
@@ -43,4 +45,10 @@
   return nullptr;
 }
 
+const Service* RouteTable::FindService(const std::string& name) const {
+  const auto found = by_service_.find(name);
+  return found == by_service_.end() ? nullptr
+                                    : &configuration_.services[found->second];
+}
+
 }  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/shard_part.cc
@@ -0,0 +1,41 @@
+// Calls of one shard.
+#include "berylreach/forward/shard_part.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace berylreach::forward {
+namespace {
+
+/// Most calls of one part that leaves reject without running them.
+constexpr std::size_t kMostRejections = 3;
+
+}  // namespace
+
+std::size_t ShardPart::CountRunningCalls() const {
+  return static_cast<std::size_t>(
+      std::count_if(calls.begin(), calls.end(),
+                    [](const PartCall& call) { return call.running; }));
+}
+
+bool ShardPart::MayCallAgain(const Route& route) const {
+  if (rejected > kMostRejections) return false;
+  if (!route.idempotent) return attempts_used == 0;
+  return attempts_used < route.attempts;
+}
+
+std::string ShardPart::Describe(base::TimePoint now) const {
+  std::string text = service == nullptr ? "unknown service" : service->name;
+  text += ":";
+  if (calls.empty()) text += " no leaf";
+  for (const PartCall& call : calls) {
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - call.sent);
+    text += " " + call.leaf->entry().id;
+    text += call.running ? " unanswered " : " failed ";
+    text += std::to_string(age.count());
+  }
+  return text;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/request_groups_test.cc
@@ -0,0 +1,184 @@
+// Groups of shards that other hosts run for a request, and requests that are
+// one group of another host's.
+#include <gtest/gtest.h>
+
+#include "run_fixture.h"
+
+namespace berylreach::forward {
+namespace {
+
+class RequestGroupsTest : public RunFixture {
+ protected:
+  RequestGroupsTest() : RunFixture(8) {
+    host_ = std::make_shared<LeafRecord>(
+        LeafEntry{.id = "b-1", .address = "1:1", .zone = "b", .slots = 16},
+        Distance::kOtherRegion, "rb", clock_.Now());
+  }
+
+  /// A request whose shards 4 to 7 are run by host b-1.
+  void BeginDelegated() {
+    Make(route_);
+    run_->Delegate({{.host = host_, .shards = {4, 5, 6, 7}}});
+    run_->Start(actions_);
+    Collect();
+  }
+
+  void BeginNarrowed(std::size_t allowed_missing) {
+    Make(route_);
+    run_->Narrow({.shards = {4, 5, 6, 7},
+                  .allowed_missing = allowed_missing,
+                  .partial_at = clock_.Now() + milliseconds(80)});
+    run_->Start(actions_);
+    Collect();
+  }
+
+  void GroupReplies(const std::vector<std::string>& signatures,
+                    const std::string& records) {
+    run_->OnGroupReply(groups_.at(0).call,
+                       {.signatures = signatures, .records = records},
+                       actions_);
+    Collect();
+  }
+
+  void GroupFails(GroupFailure failure) {
+    run_->OnGroupFailure(groups_.at(0).call, failure, actions_);
+    Collect();
+  }
+
+  static std::string Record(char c) { return std::string(16, c); }
+
+  std::shared_ptr<LeafRecord> host_;
+};
+
+TEST_F(RequestGroupsTest, MergesGroupWithItsOwnShards) {
+  BeginDelegated();
+  ASSERT_EQ(started_.size(), 4U);
+  ASSERT_EQ(groups_.size(), 1U);
+  EXPECT_EQ(groups_[0].subset.shards, (std::vector<std::size_t>{4, 5, 6, 7}));
+  EXPECT_EQ(groups_[0].subset.allowed_missing, 2U);
+  EXPECT_LT(groups_[0].subset.partial_at,
+            clock_.Now() + route_.objective - milliseconds(44));
+  for (char c = 'a'; c < 'e'; ++c)
+    Reply(started_[static_cast<std::size_t>(c - 'a')], Success(Record(c)));
+  EXPECT_FALSE(reply_);
+  GroupReplies({"g1", "g2", "g3", "g4"}, Record('z') + Record('b'));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNone);
+  EXPECT_EQ(reply_->reply.body, Record('z') + Record('d'));
+  EXPECT_EQ(reply_->signatures.size(), 8U);
+  EXPECT_EQ(reply_->missing, 0U);
+}
+
+TEST_F(RequestGroupsTest, StatesShardsThatTheGroupLacks) {
+  BeginDelegated();
+  for (const StartLeafCall& call : started_) Reply(call, Success(Record('a')));
+  GroupReplies({"g1", "g2"}, Record('z'));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->signatures.size(), 6U);
+  EXPECT_EQ(reply_->missing, 2U);
+}
+
+// Guards against shards that nobody calls because a host is stopping or has
+// another configuration.
+TEST_F(RequestGroupsTest, CallsTheShardsOfHostThatDeclines) {
+  BeginDelegated();
+  GroupFails(GroupFailure::kDeclined);
+  ASSERT_EQ(started_.size(), 8U);
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 0U);
+}
+
+// Guards against a third leaf of a shard, beyond the route's attempts, after
+// the host that ran it was lost.
+TEST_F(RequestGroupsTest, DoesNotRepeatTheShardsOfLostHost) {
+  BeginDelegated();
+  GroupFails(GroupFailure::kLost);
+  EXPECT_EQ(started_.size(), 4U);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_LE(reply_->retry_after, milliseconds(20));
+}
+
+// Guards against callers who are told that a request has run when it has not.
+TEST_F(RequestGroupsTest, RefusalOfHostThatRanNothingIsNoRun) {
+  Make(route_);
+  run_->Delegate({{.host = host_, .shards = {0, 1, 2, 3, 4, 5, 6, 7}}});
+  run_->Start(actions_);
+  Collect();
+  GroupFails(GroupFailure::kRefused);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
+  EXPECT_TRUE(started_.empty());
+}
+
+TEST_F(RequestGroupsTest, AnswersInTimeWithoutSmallSilentGroup) {
+  route_.least_coverage = 0.5;
+  BeginDelegated();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  EXPECT_FALSE(reply_);
+  AdvanceTo(milliseconds(140));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 4U);
+}
+
+// Guards against callers who wait for a host that has frozen until their own
+// time is over.
+TEST_F(RequestGroupsTest, GivesSilentGroupUpAndSaysSoAtOnce) {
+  BeginDelegated();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  AdvanceTo(milliseconds(301));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_EQ(abandoned_, 1U);
+}
+
+TEST_F(RequestGroupsTest, KeepsShardsThatCannotTravelInTime) {
+  route_.objective = milliseconds(40);
+  BeginDelegated();
+  EXPECT_TRUE(groups_.empty());
+  EXPECT_EQ(started_.size(), 8U);
+}
+
+TEST_F(RequestGroupsTest, RunsOnlyTheShardsOfTheGroup) {
+  BeginNarrowed(2);
+  ASSERT_EQ(started_.size(), 4U);
+  EXPECT_EQ(started_[0].leaf->entry().service, "s4");
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->signatures.size(), 4U);
+  EXPECT_EQ(reply_->missing, 0U);
+}
+
+// Guards against a group that holds the whole answer up for shards that it may
+// lack.
+TEST_F(RequestGroupsTest, GroupAnswersInTimeWithoutTheShardsThatMayLack) {
+  BeginNarrowed(2);
+  Reply(started_[0], Success(Record('a')));
+  Reply(started_[1], Success(Record('b')));
+  AdvanceTo(milliseconds(79));
+  EXPECT_FALSE(reply_);
+  AdvanceTo(milliseconds(81));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 2U);
+}
+
+// Guards against an answer below the least coverage that a little patience
+// would have made good.
+TEST_F(RequestGroupsTest, GroupWaitsOnForShardsThatMustNotLack) {
+  BeginNarrowed(1);
+  Reply(started_[0], Success(Record('a')));
+  Reply(started_[1], Success(Record('b')));
+  AdvanceTo(milliseconds(100));
+  EXPECT_FALSE(reply_);
+  Reply(started_[2], Success(Record('c')));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 1U);
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- a/forward/unittests/run_fixture.h
+++ b/forward/unittests/run_fixture.h
@@ -67,6 +67,13 @@
   }
 
   void Begin(const Route& route, milliseconds patience = milliseconds(1000)) {
+    Make(route, patience);
+    run_->Start(actions_);
+    Collect();
+  }
+
+  /// A run that has not started.
+  void Make(const Route& route, milliseconds patience = milliseconds(1000)) {
     auto table = std::make_shared<RouteTable>(
         Configuration{.version = 1, .routes = {route}, .services = services_});
     const Route& held = table->configuration().routes[0];
@@ -79,15 +86,17 @@
                                                    .target = "/s/1",
                                                    .received = clock_.Now(),
                                                    .patience = patience});
-    run_->Start(actions_);
-    Collect();
   }
 
-  /// Moves new actions to started_ and reply_.
+  /// Moves new actions to started_, groups_ and reply_.
   void Collect() {
     for (RunAction& action : actions_) {
       if (auto* call = std::get_if<StartLeafCall>(&action)) {
         started_.push_back(std::move(*call));
+      } else if (auto* group = std::get_if<StartGroupCall>(&action)) {
+        groups_.push_back(std::move(*group));
+      } else if (std::holds_alternative<AbandonGroupCall>(action)) {
+        ++abandoned_;
       } else {
         ASSERT_FALSE(reply_) << "a second final answer";
         reply_ = std::move(std::get<FinishRequest>(action).reply);
@@ -142,6 +151,8 @@
   std::unique_ptr<RequestRun> run_;
   std::vector<RunAction> actions_;
   std::vector<StartLeafCall> started_;
+  std::vector<StartGroupCall> groups_;
+  std::size_t abandoned_ = 0;
   std::optional<CallerReply> reply_;
 };
 
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -1,5 +1,5 @@
-// Which host fans a request out.
-#include "berylreach/forward/relay_planner.h"
+// Which hosts run which shards of a request.
+#include "berylreach/forward/shard_planner.h"
 
 #include <gtest/gtest.h>
 
@@ -12,9 +12,9 @@
 
 using std::chrono::milliseconds;
 
-class RelayPlannerTest : public testing::Test {
+class ShardPlannerTest : public testing::Test {
  protected:
-  explicit RelayPlannerTest(std::string zone = "c")
+  explicit ShardPlannerTest(std::string zone = "c")
       : location_{.zone = zone,
                   .region = "r" + zone,
                   .region_of_zone = {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}},
@@ -48,10 +48,20 @@
     selector_.SetHosts(hosts.size(), planner_.CountCoordinators());
   }
 
-  std::shared_ptr<LeafRecord> Choose(std::uint64_t seed = 1) {
+  std::vector<ShardGroup> Divide(std::uint64_t seed = 1) {
     const RouteTable table(
         Configuration{.version = 1, .routes = {route_}, .services = services_});
-    return planner_.Choose(table, table.configuration().routes[0], seed);
+    return planner_.Divide(table, table.configuration().routes[0], seed);
+  }
+
+  /// Adds shards up to this number, each with a leaf in the zone.
+  void GrowTo(std::size_t shards, const std::string& zone) {
+    for (std::size_t i = route_.shards.size(); i < shards; ++i) {
+      const std::string shard = "s" + std::to_string(i);
+      route_.shards.push_back(shard);
+      services_.push_back({.name = shard, .max_connections = 25});
+    }
+    for (const std::string& shard : route_.shards) PutLeaf(shard, zone);
   }
 
   base::ManualClock clock_;
@@ -59,57 +69,110 @@
   LeafDirectory directory_;
   ColdCallLimit cold_;
   LeafSelector selector_;
-  RelayPlanner planner_;
+  ShardPlanner planner_;
   Route route_;
   std::vector<Service> services_;
 };
 
-TEST_F(RelayPlannerTest, RegionWithoutLeavesRelaysToOneThatHasThem) {
-  const auto host = Choose();
-  ASSERT_NE(host, nullptr);
-  EXPECT_EQ(host->region(), "ra");
+TEST_F(ShardPlannerTest, RegionWithoutLeavesLeavesAllShardsToOneThatHasThem) {
+  const auto groups = Divide();
+  ASSERT_EQ(groups.size(), 1U);
+  EXPECT_EQ(groups[0].host->region(), "ra");
+  EXPECT_EQ(groups[0].shards.size(), 4U);
+}
+
+TEST_F(ShardPlannerTest, SmallFleetWithLeavesNearbyRunsRequestsItself) {
+  GrowTo(4, "c");
+  EXPECT_TRUE(Divide().empty());
+}
+
+// Guards against one answer a shard that crosses regions where one message
+// would do.
+TEST_F(ShardPlannerTest, ShardsOfAnotherRegionMakeOneGroup) {
+  PutLeaf("s0", "c");
+  const auto groups = Divide();
+  ASSERT_EQ(groups.size(), 1U);
+  EXPECT_EQ(groups[0].host->region(), "ra");
+  EXPECT_EQ(groups[0].shards, (std::vector<std::size_t>{1, 2, 3}));
 }
 
-TEST_F(RelayPlannerTest, SmallFleetWithLeavesNearbyRunsRequestsItself) {
-  for (const std::string& shard : route_.shards) PutLeaf(shard, "c");
-  EXPECT_EQ(Choose(), nullptr);
+TEST_F(ShardPlannerTest, SingleShardOfAnotherRegionIsCalledDirectly) {
+  for (const char* shard : {"s0", "s1", "s2"}) PutLeaf(shard, "c");
+  EXPECT_TRUE(Divide().empty());
+}
+
+TEST_F(ShardPlannerTest, AsFewRegionsAsPossibleAreAsked) {
+  for (const std::string& shard : route_.shards) PutLeaf(shard, "b");
+  EXPECT_EQ(Divide().size(), 1U);
 }
 
 // Guards against hosts that share too few connections to reuse them.
-TEST_F(RelayPlannerTest, LargeFleetRelaysWithinTheRegion) {
-  for (const std::string& shard : route_.shards) PutLeaf(shard, "c");
+TEST_F(ShardPlannerTest, LargeFleetLeavesShardsToLargeHosts) {
+  GrowTo(4, "c");
   std::vector<HostEntry> hosts = {{"c-big-1", "1:1", "c", 0.5},
                                   {"c-big-2", "1:2", "c", 0.5}};
   for (int i = 1; i <= 20; ++i)
     hosts.push_back({"c-" + std::to_string(i), "2:1", "c", 0.1});
   SetHosts(hosts);
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
-    const auto host = Choose(seed);
-    ASSERT_NE(host, nullptr);
-    EXPECT_TRUE(host->entry().id.starts_with("c-big")) << host->entry().id;
+    const auto groups = Divide(seed);
+    ASSERT_EQ(groups.size(), 1U);
+    EXPECT_TRUE(groups[0].host->entry().id.starts_with("c-big"));
   }
 }
 
 // Guards against requests of hundreds of parts that small hosts run too slowly
 // while large ones are idle.
-TEST_F(RelayPlannerTest, SmallHostRelaysRequestsOfManyParts) {
+TEST_F(ShardPlannerTest, SmallHostDividesRequestsOfManyParts) {
   route_.objective = milliseconds(150);
-  for (int i = 4; i < 100; ++i) {
-    const std::string shard = "s" + std::to_string(i);
-    route_.shards.push_back(shard);
-    services_.push_back({.name = shard, .max_connections = 25});
+  GrowTo(100, "c");
+  SetHosts({{"c-big-1", "1:1", "c", 0.5},
+            {"c-big-2", "1:2", "c", 0.5},
+            {"c-1", "1:3", "c", 0.1},
+            {"c-2", "1:4", "c", 0.1}});
+  const auto groups = Divide();
+  ASSERT_EQ(groups.size(), 2U);
+  EXPECT_EQ(groups[0].shards.size(), 50U);
+  EXPECT_EQ(groups[1].shards.size(), 50U);
+  EXPECT_NE(groups[0].host, groups[1].host);
+}
+
+// Guards against connections that are opened anew for each call, since each of
+// many hosts calls each leaf seldom.
+TEST_F(ShardPlannerTest, ShardIsAlwaysRunByTheSameHosts) {
+  route_.objective = milliseconds(150);
+  GrowTo(100, "c");
+  SetHosts({{"c-big-1", "1:1", "c", 0.5},
+            {"c-big-2", "1:2", "c", 0.5},
+            {"c-1", "1:3", "c", 0.1},
+            {"c-2", "1:4", "c", 0.1}});
+  const auto first = Divide(0);
+  for (std::uint64_t seed = 1; seed < 20; ++seed) {
+    const auto groups = Divide(seed);
+    ASSERT_EQ(groups.size(), first.size());
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+      EXPECT_EQ(groups[i].host, first[i].host);
+      EXPECT_EQ(groups[i].shards, first[i].shards);
+    }
   }
-  for (const std::string& shard : route_.shards) PutLeaf(shard, "c");
+}
+
+// Guards against shards that nobody runs while a coordinator is away.
+TEST_F(ShardPlannerTest, OtherCoordinatorTakesTheSliceOfSilentOne) {
+  route_.objective = milliseconds(150);
+  GrowTo(100, "c");
   SetHosts({{"c-big-1", "1:1", "c", 0.5},
             {"c-big-2", "1:2", "c", 0.5},
             {"c-1", "1:3", "c", 0.1},
             {"c-2", "1:4", "c", 0.1}});
-  const auto host = Choose();
-  ASSERT_NE(host, nullptr);
-  EXPECT_TRUE(host->entry().id.starts_with("c-big")) << host->entry().id;
+  const auto lost = Divide()[0].host;
+  lost->OnCallEnded(clock_.Now(), clock_.Now(), CallOutcome::kUnreachable);
+  const auto groups = Divide();
+  ASSERT_EQ(groups.size(), 2U);
+  for (const ShardGroup& group : groups) EXPECT_NE(group.host, lost);
 }
 
-TEST_F(RelayPlannerTest, CoordinatorsAreTheLargestHosts) {
+TEST_F(ShardPlannerTest, CoordinatorsAreTheLargestHosts) {
   SetHosts({{"c-1", "1:1", "c", 0.1},
             {"c-2", "1:2", "c", 0.5},
             {"c-3", "1:3", "c", 0.5},
@@ -121,7 +184,7 @@
 
 // Guards against leaves that reset the connections of restarted hosts, because
 // those of their former processes still count.
-TEST_F(RelayPlannerTest, HostsTogetherKeepSomeConnectionsFree) {
+TEST_F(ShardPlannerTest, HostsTogetherKeepSomeConnectionsFree) {
   const Service service{.name = "s", .max_connections = 25};
   EXPECT_EQ(selector_.ConnectionShare(service), 4U) << "4 hosts";
   std::vector<HostEntry> hosts;
@@ -133,23 +196,21 @@
   EXPECT_GE(selector_.ConnectionShare(service), 1U);
 }
 
-TEST_F(RelayPlannerTest, RestrictedRouteStaysWhereItIs) {
+TEST_F(ShardPlannerTest, RestrictedRouteStaysWhereItIs) {
   route_.regions = {"ra"};
-  EXPECT_EQ(Choose(), nullptr);
+  EXPECT_TRUE(Divide().empty());
 }
 
 // Guards against requests that follow each other to a frozen host.
-TEST_F(RelayPlannerTest, SilentHostIsPassedOver) {
-  const auto first = Choose();
-  ASSERT_NE(first, nullptr);
+TEST_F(ShardPlannerTest, SilentHostIsPassedOver) {
+  const auto first = Divide()[0].host;
   first->OnCallSent(clock_.Now());
   clock_.Advance(milliseconds(200));
-  const auto second = Choose();
-  ASSERT_NE(second, nullptr);
-  EXPECT_NE(second->entry().id, first->entry().id);
+  const auto second = Divide()[0].host;
+  EXPECT_NE(second, first);
   second->OnCallSent(clock_.Now());
   clock_.Advance(milliseconds(200));
-  EXPECT_EQ(Choose(), nullptr) << "runs the request itself";
+  EXPECT_TRUE(Divide().empty()) << "runs the request itself";
 }
 
 }  // namespace
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -12,12 +12,13 @@
 #include <vector>
 
 #include "berylreach/base/wakeup_queue.h"
-#include "berylreach/forward/relay_planner.h"
 #include "berylreach/forward/request_run.h"
+#include "berylreach/forward/shard_planner.h"
 #include "berylreach/gateway/feed_server.h"
 #include "berylreach/gateway/gateway_counters.h"
 #include "berylreach/gateway/gateway_settings.h"
 #include "berylreach/gateway/leaf_connections.h"
+#include "berylreach/gateway/request_metrics.h"
 #include "berylreach/gateway/server_connection.h"
 #include "berylreach/limits/admission.h"
 
@@ -54,51 +55,51 @@
     std::weak_ptr<ServerConnection> connection;
     bool keep_alive = true;
     bool head = false;
-    /// The call to the host that runs the request; 0 if this host does.
-    forward::CallId relay = 0;
-    /// Name of that host, for the log.
-    std::string relayed_to;
+    /// Calls that the admission counts.
+    std::size_t admitted_calls = 0;
+    /// Digest of the route's shards, if other hosts run groups of them.
+    std::uint64_t shard_digest = 0;
   };
   struct RunningCall {
     std::uint64_t request = 0;
-    std::shared_ptr<forward::LeafRecord> leaf;
+    /// The leaf, or the host that runs a group of shards.
+    std::shared_ptr<forward::LeafRecord> callee;
+    bool is_group = false;
     std::string request_id;
     base::TimePoint sent{};
   };
   class HealthServer;
   class PeerServer;
 
-  /// What another host says of a request that it relays.
-  struct RelayedRequest {
-    /// Version of the configuration at the sender.
-    std::uint64_t version = 0;
-    /// From then on a partial answer is to be sent.
-    base::TimePoint partial_at{};
-  };
-
   void Accept();
   void OnPeerRequest(ServerConnection& connection, HttpRequest request);
-  void Handle(ServerConnection& connection, HttpRequest request,
-              const RelayedRequest* relayed);
+  void Handle(ServerConnection& connection, HttpRequest request);
+  /// The route of the request's target; null if there is none.
+  const forward::Route* FindRoute(const HttpRequest& request) const;
   void OnRequest(ServerConnection& connection, HttpRequest request) override;
   void OnClosed(ServerConnection& connection) override;
+  /// `subset` is what another host asks for; null for a caller's request.
   void StartRun(ServerConnection& connection, HttpRequest request,
-                const forward::Route& route, const RelayedRequest* relayed);
-  bool TryRelay(std::uint64_t id, RunningRequest& request);
-  void OnRelayDone(std::uint64_t id, LeafConnections::Result result);
-  void RunHere(std::uint64_t id);
-  void RefuseLostRelay(std::uint64_t id, std::string cause);
+                const forward::Route& route,
+                const forward::ShardSubset* subset);
   const std::string& PickService(const forward::Route& route);
   /// The request as a message that names how long the sender waits.
   std::string CallBytes(const forward::CallerRequest& caller,
                         base::TimePoint deadline,
                         std::string_view extra_fields) const;
-  void GiveUpRelay(std::uint64_t id, RunningRequest& request);
-  void CancelCall(forward::CallId call);
+  void CancelCall(forward::CallId call, forward::CallOutcome outcome);
   void Execute(std::uint64_t id, std::vector<forward::RunAction>& actions);
   void SendCall(RunningRequest& request, std::uint64_t id,
                 forward::StartLeafCall& action);
+  void SendGroupCall(const RunningRequest& request, std::uint64_t id,
+                     forward::StartGroupCall& action);
+  void OnGroupDone(const RunningCall& running, forward::CallId call,
+                   LeafConnections::Result result);
+  void OnLeafDone(const RunningCall& running, forward::CallId call,
+                  LeafConnections::Result result);
   void Finish(std::uint64_t id, forward::CallerReply reply);
+  void LogOutcome(const forward::RequestRun& run, int status,
+                  const forward::CallerReply& reply, base::Duration took) const;
   void OnCallDone(forward::CallId call, LeafConnections::Result result);
   void LogBackOff(const forward::LeafRecord& leaf, bool before,
                   const std::string& request) const;
@@ -125,7 +126,7 @@
   forward::LeafSelector selector_;
   forward::ExtraCallBudget budget_;
   limits::Admission admission_;
-  forward::RelayPlanner relays_;
+  forward::ShardPlanner planner_;
   forward::RunContext context_;
   std::shared_ptr<const forward::RouteTable> table_;
   bool directory_loaded_ = false;
@@ -141,8 +142,8 @@
   std::uint64_t next_id_ = 1;
   /// Requests of each splitting route, by name; spreads them by weight.
   std::unordered_map<std::string, std::uint64_t> split_counts_;
-  /// When this host last ran a request of a scattering route, by name.
-  std::unordered_map<std::string, base::TimePoint> last_run_;
+  /// When this host last called a leaf of a shard, by service.
+  std::unordered_map<std::string, base::TimePoint> shard_used_;
   base::TimePoint warmed_at_{};
   LeafConnections leaf_connections_;
   base::WakeupQueue<std::uint64_t> wakeups_;
@@ -150,6 +151,7 @@
   base::TimePoint timer_at_{};
   boost::asio::steady_timer sweep_timer_;
   GatewayCounters counters_;
+  RequestMetrics metrics_;
 
   std::function<void()> on_stopped_;
   base::TimePoint stop_began_{};
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -14,8 +14,11 @@
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
   std::uint64_t abandoned = 0;
-  std::uint64_t relayed = 0;
-  std::uint64_t relay_failures = 0;
+  /// Groups of shards that other hosts were asked to run, those without an
+  /// answer, and those that this host was asked to run.
+  std::uint64_t groups_sent = 0;
+  std::uint64_t group_failures = 0;
+  std::uint64_t groups_run = 0;
   std::uint64_t leaf_calls = 0;
   std::uint64_t leaf_answers = 0;
   std::uint64_t leaf_sheds = 0;
--- /dev/null
+++ b/gateway/lib/gateway_groups.cc
@@ -0,0 +1,120 @@
+// Groups of shards that hosts run for each other.
+#include <utility>
+
+#include "berylreach/gateway/gateway.h"
+#include "berylreach/gateway/group_codec.h"
+#include "berylreach/host/log.h"
+#include "group_field.h"
+
+namespace berylreach::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Status of a host that runs nothing for the sender, which may then call the
+/// leaves itself.
+constexpr int kDeclinedStatus = 421;
+/// Status of a host that ran nothing because it is full or leaves are away.
+constexpr int kRefusedStatus = 503;
+
+forward::GroupFailure ToGroupFailure(const LeafConnections::Result& result) {
+  const auto* response = std::get_if<HttpResponse>(&result);
+  if (response == nullptr) {
+    return std::get<forward::CallFailure>(result) ==
+                   forward::CallFailure::kNotSent
+               ? forward::GroupFailure::kDeclined
+               : forward::GroupFailure::kLost;
+  }
+  if (response->status == kDeclinedStatus)
+    return forward::GroupFailure::kDeclined;
+  return response->status == kRefusedStatus ? forward::GroupFailure::kRefused
+                                            : forward::GroupFailure::kLost;
+}
+
+/// What the end of a group call says of the host.
+forward::CallOutcome OutcomeOf(const LeafConnections::Result& result) {
+  const auto* response = std::get_if<HttpResponse>(&result);
+  // A host that declines is starting or stopping, or has another
+  // configuration; it is left out for a while.
+  if (response == nullptr || response->status == kDeclinedStatus)
+    return forward::CallOutcome::kUnreachable;
+  return response->status == kRefusedStatus ? forward::CallOutcome::kShed
+                                            : forward::CallOutcome::kAnswered;
+}
+
+}  // namespace
+
+void Gateway::OnPeerRequest(ServerConnection& connection, HttpRequest request) {
+  if (request.target.starts_with(kFeedPath)) {
+    feed_.OnRequest(connection, request.target);
+    return;
+  }
+  const auto header = ParseGroupHeader(request.fields.Find(kGroupField));
+  const bool able =
+      header && Ready() && header->version <= configuration_version();
+  const forward::Route* route = able ? FindRoute(request) : nullptr;
+  if (route == nullptr || ShardDigest(*route) != header->digest ||
+      header->shards.back() >= route->shards.size()) {
+    RefuseAtOnce(connection, request, kDeclinedStatus,
+                 "cannot run for another host", milliseconds(0));
+    return;
+  }
+  const forward::ShardSubset subset{
+      .shards = header->shards,
+      .allowed_missing = header->allowed_missing,
+      .partial_at = clock_.Now() + header->partial_in};
+  ++counters_.groups_run;
+  StartRun(connection, std::move(request), *route, &subset);
+}
+
+void Gateway::SendGroupCall(const RunningRequest& request, std::uint64_t id,
+                            forward::StartGroupCall& action) {
+  ++counters_.groups_sent;
+  const forward::RequestRun& run = *request.run;
+  const GroupHeader header{
+      .version = configuration_version(),
+      .digest = request.shard_digest,
+      .shards = std::move(action.subset.shards),
+      .allowed_missing = action.subset.allowed_missing,
+      .partial_in = std::chrono::duration_cast<milliseconds>(
+          action.subset.partial_at - clock_.Now())};
+  calls_[action.call] = {.request = id,
+                         .callee = action.host,
+                         .is_group = true,
+                         .request_id = run.request().id,
+                         .sent = action.sent};
+  LeafCall message;
+  message.id = action.call;
+  message.head = request.head;
+  message.connections = action.host->entry().slots;
+  message.deadline = action.deadline;
+  std::string field(kGroupField);
+  field.append(": ").append(FormatGroupHeader(header)).append("\r\n");
+  message.bytes = CallBytes(run.request(), action.deadline, field);
+  leaf_connections_.Start(*action.host, std::move(message));
+}
+
+void Gateway::OnGroupDone(const RunningCall& running, forward::CallId call,
+                          LeafConnections::Result result) {
+  running.callee->OnCallEnded(running.sent, clock_.Now(), OutcomeOf(result));
+  const auto request = requests_.find(running.request);
+  if (request == requests_.end()) return;
+  forward::RequestRun& run = *request->second.run;
+  std::vector<forward::RunAction> actions;
+  auto* response = std::get_if<HttpResponse>(&result);
+  if (response != nullptr && response->status == 200) {
+    run.OnGroupReply(call,
+                     {.signatures = SplitSignatures(response->fields.Find(
+                          settings_.names.part_signatures)),
+                      .records = std::move(response->body)},
+                     actions);
+  } else {
+    ++counters_.group_failures;
+    host::LogStateChange("group_failed", running.callee->entry().id,
+                         running.request_id);
+    run.OnGroupFailure(call, ToGroupFailure(result), actions);
+  }
+  Execute(running.request, actions);
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/gateway_requests.cc
@@ -0,0 +1,401 @@
+// Requests from the caller's connection to its final answer.
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+#include "berylreach/gateway/gateway.h"
+#include "berylreach/gateway/group_codec.h"
+#include "berylreach/host/log.h"
+#include "group_field.h"
+#include "response_bytes.h"
+
+namespace berylreach::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Patience of a caller that states none.
+constexpr milliseconds kDefaultPatience{10000};
+
+std::string Seconds(milliseconds span) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f",
+                std::chrono::duration<double>(span).count());
+  return text;
+}
+
+milliseconds ParsePatience(std::string_view text) {
+  std::int64_t value = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || value < 0) return kDefaultPatience;
+  return milliseconds(std::min<std::int64_t>(value, 3'600'000));
+}
+
+/// Status of a refusal.
+int StatusOf(forward::Refusal refusal) {
+  switch (refusal) {
+    case forward::Refusal::kNotRun:
+      return 503;
+    case forward::Refusal::kMayHaveRun:
+      return 502;
+    case forward::Refusal::kTimedOut:
+    case forward::Refusal::kNone:
+      break;
+  }
+  return 504;
+}
+
+RequestOutcome OutcomeOf(int status, std::size_t missing) {
+  if (status == 503) return RequestOutcome::kRefused;
+  if (status >= 400) return RequestOutcome::kFailed;
+  return missing > 0 ? RequestOutcome::kPartial : RequestOutcome::kWhole;
+}
+
+}  // namespace
+
+const forward::Route* Gateway::FindRoute(const HttpRequest& request) const {
+  const std::string_view target = request.target;
+  return table_->Find(request.fields.Find("host"),
+                      target.substr(0, target.find_first_of("?#")));
+}
+
+const std::string& Gateway::PickService(const forward::Route& route) {
+  static const std::string none;
+  if (route.services.empty()) return none;
+  if (route.services.size() == 1) return route.services[0].service;
+  double total = 0;
+  for (const auto& service : route.services) total += service.weight;
+  // Multiples of the golden ratio are spread evenly over the unit interval, so
+  // that the shares hold over short runs of requests.
+  constexpr double golden_ratio = 0.6180339887498949;
+  const auto count = static_cast<double>(split_counts_[route.name]++);
+  const double product = count * golden_ratio;
+  double point = (product - std::floor(product)) * total;
+  for (const auto& service : route.services) {
+    point -= service.weight;
+    if (point < 0) return service.service;
+  }
+  return route.services.back().service;
+}
+
+void Gateway::StartRun(ServerConnection& connection, HttpRequest request,
+                       const forward::Route& route,
+                       const forward::ShardSubset* subset) {
+  forward::CallerRequest caller;
+  caller.id = std::string(request.fields.Find(settings_.names.request_id));
+  std::vector<forward::ShardGroup> groups;
+  std::size_t calls = route.scatters() ? route.shards.size() : 1;
+  if (subset != nullptr) {
+    calls = subset->shards.size();
+  } else {
+    groups = planner_.Divide(*table_, route, base::Hash64(caller.id));
+    for (const forward::ShardGroup& group : groups)
+      calls -= group.shards.size() - 1;
+  }
+  const limits::AdmissionDecision decision =
+      admission_.Admit(route.priority, calls);
+  if (!decision.admitted) {
+    RefuseAtOnce(connection, request, 503, "host is full",
+                 decision.retry_after);
+    return;
+  }
+  caller.fields = request.fields.ForwardedLines(
+      {settings_.names.patience, settings_.names.expected_leaf, kGroupField});
+  caller.method = std::move(request.method);
+  caller.target = std::move(request.target);
+  caller.body = std::move(request.body);
+  caller.received = clock_.Now();
+  caller.patience =
+      ParsePatience(request.fields.Find(settings_.names.patience));
+
+  const std::uint64_t id = next_id_++;
+  RunningRequest& running = requests_[id];
+  running.connection = connection.weak_from_this();
+  running.keep_alive = request.keep_alive;
+  running.head = caller.method == "HEAD";
+  running.admitted_calls = calls;
+  if (!groups.empty()) running.shard_digest = ShardDigest(route);
+  running.run = std::make_unique<forward::RequestRun>(
+      context_, table_, route, PickService(route), std::move(caller));
+  request_of_[&connection] = id;
+  if (subset != nullptr) {
+    running.run->Narrow(*subset);
+  } else {
+    running.run->Delegate(groups);
+  }
+  std::vector<forward::RunAction> actions;
+  running.run->Start(actions);
+  Execute(id, actions);
+}
+
+std::string Gateway::CallBytes(const forward::CallerRequest& caller,
+                               base::TimePoint deadline,
+                               std::string_view extra_fields) const {
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      std::max(base::Duration::zero(), deadline - clock_.Now()));
+  std::string bytes;
+  bytes.reserve(caller.fields.size() + caller.target.size() +
+                caller.body.size() + 160);
+  bytes.append(caller.method).append(" ").append(caller.target);
+  bytes.append(" HTTP/1.1\r\n").append(caller.fields);
+  bytes.append(settings_.names.patience).append(": ");
+  bytes.append(std::to_string(left.count())).append("\r\n");
+  bytes.append(extra_fields);
+  if (!caller.body.empty() || caller.method == "POST" ||
+      caller.method == "PUT") {
+    bytes.append("Content-Length: ");
+    bytes.append(std::to_string(caller.body.size())).append("\r\n");
+  }
+  bytes.append("\r\n").append(caller.body);
+  return bytes;
+}
+
+void Gateway::Execute(std::uint64_t id,
+                      std::vector<forward::RunAction>& actions) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  RunningRequest& request = found->second;
+  for (forward::RunAction& action : actions) {
+    if (auto* call = std::get_if<forward::StartLeafCall>(&action)) {
+      SendCall(request, id, *call);
+    } else if (auto* group = std::get_if<forward::StartGroupCall>(&action)) {
+      SendGroupCall(request, id, *group);
+    } else if (const auto* lost =
+                   std::get_if<forward::AbandonGroupCall>(&action)) {
+      ++counters_.group_failures;
+      CancelCall(lost->call, forward::CallOutcome::kUnreachable);
+    } else {
+      Finish(id, std::move(std::get<forward::FinishRequest>(action).reply));
+      return;
+    }
+  }
+  wakeups_.Set(id, request.run->NextWakeup());
+  ArmTimer();
+}
+
+void Gateway::SendCall(RunningRequest& request, std::uint64_t id,
+                       forward::StartLeafCall& action) {
+  ++counters_.leaf_calls;
+  const forward::CallerRequest& caller = request.run->request();
+  LeafCall call;
+  call.id = action.call;
+  call.head = request.head;
+  call.needs_fresh_connection = !request.run->route().idempotent;
+  call.connections = action.connections;
+  call.deadline = action.deadline;
+  call.bytes = CallBytes(
+      caller, action.deadline,
+      settings_.names.expected_leaf + ": " + action.leaf->entry().id + "\r\n");
+  calls_[action.call] = {.request = id,
+                         .callee = action.leaf,
+                         .request_id = caller.id,
+                         .sent = action.sent};
+  if (request.run->route().scatters())
+    shard_used_[action.leaf->entry().service] = action.sent;
+  leaf_connections_.Start(*action.leaf, std::move(call));
+}
+
+forward::LeafReply Gateway::ToLeafReply(HttpResponse response) const {
+  const WireNames& names = settings_.names;
+  forward::LeafReply reply;
+  reply.status = response.status;
+  reply.reason = std::move(response.reason);
+  reply.signature = std::string(response.fields.Find(names.signature));
+  reply.not_run = response.fields.Has(names.not_run);
+  reply.other_leaf = response.status == 421;
+  reply.fields = response.fields.ForwardedLines({});
+  reply.body = std::move(response.body);
+  return reply;
+}
+
+void Gateway::OnCallDone(forward::CallId call, LeafConnections::Result result) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  const RunningCall running = std::move(found->second);
+  calls_.erase(found);
+  if (running.is_group) {
+    OnGroupDone(running, call, std::move(result));
+  } else {
+    OnLeafDone(running, call, std::move(result));
+  }
+}
+
+void Gateway::OnLeafDone(const RunningCall& running, forward::CallId call,
+                         LeafConnections::Result result) {
+  const base::TimePoint now = clock_.Now();
+  forward::LeafRecord& leaf = *running.callee;
+  const bool backed_off = leaf.IsBackedOff(now);
+  std::vector<forward::RunAction> actions;
+  const auto request = requests_.find(running.request);
+  auto* response = std::get_if<HttpResponse>(&result);
+  if (response != nullptr) {
+    const std::string_view echoed =
+        response->fields.Find(settings_.names.request_id);
+    // A response that belongs to an earlier call answers nothing.
+    if (!echoed.empty() && echoed != running.request_id) {
+      result = forward::CallFailure::kMayHaveRun;
+      response = nullptr;
+    }
+  }
+  if (response != nullptr) {
+    forward::LeafReply reply = ToLeafReply(std::move(*response));
+    forward::CallOutcome outcome = forward::CallOutcome::kFailed;
+    if (reply.other_leaf) {
+      outcome = forward::CallOutcome::kReplaced;
+      leaf.MarkGone();
+      host::LogStateChange("leaf_replaced",
+                           leaf.entry().service + " " + leaf.entry().id,
+                           running.request_id);
+    } else if (reply.not_run) {
+      outcome = forward::CallOutcome::kShed;
+      ++counters_.leaf_sheds;
+    } else if (reply.success() && !reply.signature.empty()) {
+      outcome = forward::CallOutcome::kAnswered;
+      ++counters_.leaf_answers;
+      metrics_.OnLeafAnswer(now - running.sent);
+    } else {
+      ++counters_.leaf_failures;
+    }
+    leaf.OnCallEnded(running.sent, now, outcome);
+    LogBackOff(leaf, backed_off, running.request_id);
+    if (request == requests_.end()) return;
+    request->second.run->OnReply(call, std::move(reply), actions);
+  } else {
+    const auto failure = std::get<forward::CallFailure>(result);
+    ++counters_.leaf_failures;
+    leaf.OnCallEnded(running.sent, now,
+                     failure == forward::CallFailure::kMayHaveRun
+                         ? forward::CallOutcome::kFailed
+                         : forward::CallOutcome::kUnreachable);
+    LogBackOff(leaf, backed_off, running.request_id);
+    if (request == requests_.end()) return;
+    request->second.run->OnFailure(call, failure, actions);
+  }
+  Execute(running.request, actions);
+}
+
+void Gateway::LogBackOff(const forward::LeafRecord& leaf, bool before,
+                         const std::string& request) const {
+  if (before || !leaf.IsBackedOff(clock_.Now())) return;
+  host::LogStateChange("leaf_backed_off",
+                       leaf.entry().service + " " + leaf.entry().id, request);
+}
+
+void Gateway::Finish(std::uint64_t id, forward::CallerReply reply) {
+  const auto found = requests_.find(id);
+  const RunningRequest request = std::move(found->second);
+  requests_.erase(found);
+  wakeups_.Set(id, std::nullopt);
+  admission_.OnRequestDone(request.admitted_calls);
+  const auto connection = request.connection.lock();
+  if (connection) request_of_.erase(connection.get());
+
+  const forward::RequestRun& run = *request.run;
+  const auto took = clock_.Now() - run.request().received;
+  std::string fields;
+  int status = reply.reply.status;
+  std::string_view reason = reply.reply.reason;
+  if (reply.refusal != forward::Refusal::kNone) {
+    status = StatusOf(reply.refusal);
+    reason = ReasonOf(status);
+    ++(status == 503 ? counters_.refused : counters_.failed);
+    if (reply.retry_after.count() > 0)
+      fields = "Retry-After: " + Seconds(reply.retry_after) + "\r\n";
+    reply.reply.body = reply.cause;
+  } else {
+    ++counters_.answered;
+    fields = std::move(reply.reply.fields);
+  }
+  if (!reply.signatures.empty()) {
+    if (reply.missing > 0) ++counters_.partial;
+    const WireNames& names = settings_.names;
+    fields.append(names.part_signatures).append(": ");
+    fields.append(JoinSignatures(reply.signatures)).append("\r\n");
+    fields.append(names.missing_parts).append(": ");
+    fields.append(std::to_string(reply.missing)).append("\r\n");
+  }
+  metrics_.OnRequest(run.route().name, OutcomeOf(status, reply.missing), took);
+  const bool late = took > run.route().objective;
+  if (late) ++counters_.late;
+  if (status >= 400 || late || reply.missing > 0)
+    LogOutcome(run, status, reply, took);
+  if (!connection || connection->closed()) return;
+  const bool keep_alive = request.keep_alive && !stopping_;
+  std::string bytes =
+      ResponseBytes(status, reason, fields, reply.reply.body, keep_alive);
+  if (request.head) bytes.resize(bytes.size() - reply.reply.body.size());
+  connection->Respond(std::move(bytes), keep_alive);
+}
+
+void Gateway::LogOutcome(const forward::RequestRun& run, int status,
+                         const forward::CallerReply& reply,
+                         base::Duration took) const {
+  host::LogRequest({.id = run.request().id,
+                    .route = run.route().name,
+                    .status = status,
+                    .cause = reply.cause,
+                    .took = took,
+                    .answered = run.answered(),
+                    .parts = run.parts(),
+                    .calls = run.calls_sent(),
+                    .unanswered = run.DescribeUnanswered(),
+                    .relayed_to = run.DescribeHosts(),
+                    .version = configuration_version()});
+}
+
+void Gateway::RefuseAtOnce(ServerConnection& connection,
+                           const HttpRequest& request, int status,
+                           std::string_view cause, milliseconds retry_after) {
+  ++counters_.refused;
+  host::LogRequest(
+      {.id = std::string(request.fields.Find(settings_.names.request_id)),
+       .route = request.target,
+       .status = status,
+       .cause = std::string(cause),
+       .version = configuration_version()});
+  std::string fields;
+  if (retry_after.count() > 0)
+    fields = "Retry-After: " + Seconds(retry_after) + "\r\n";
+  const bool keep_alive = request.keep_alive && !stopping_;
+  connection.Respond(
+      ResponseBytes(status, ReasonOf(status), fields,
+                    request.method == "HEAD" ? std::string_view() : cause,
+                    keep_alive),
+      keep_alive);
+}
+
+void Gateway::OnClosed(ServerConnection& connection) {
+  const auto found = request_of_.find(&connection);
+  if (found != request_of_.end()) {
+    const std::uint64_t id = found->second;
+    request_of_.erase(found);
+    ++counters_.abandoned;
+    const auto request = requests_.find(id);
+    if (request != requests_.end()) {
+      admission_.OnRequestDone(request->second.admitted_calls);
+      requests_.erase(request);
+    }
+    wakeups_.Set(id, std::nullopt);
+    // The caller wants no answer any more, so its leaves need not work on.
+    std::vector<forward::CallId> cancelled;
+    for (const auto& [call, running] : calls_)
+      if (running.request == id) cancelled.push_back(call);
+    for (const forward::CallId call : cancelled)
+      CancelCall(call, forward::CallOutcome::kCancelled);
+  }
+  connections_.erase(&connection);
+}
+
+void Gateway::CancelCall(forward::CallId call, forward::CallOutcome outcome) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  const RunningCall running = std::move(found->second);
+  calls_.erase(found);
+  leaf_connections_.Cancel(call);
+  running.callee->OnCallEnded(running.sent, clock_.Now(), outcome);
+}
+
+}  // namespace berylreach::gateway
--- /dev/null
+++ b/gateway/lib/request_metrics.cc
@@ -0,0 +1,73 @@
+// Latency summaries by route and outcome.
+#include "berylreach/gateway/request_metrics.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string_view>
+
+namespace berylreach::gateway {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+/// Pairs of a route and an outcome with a summary of their own.
+constexpr std::size_t kMostSummaries = 256;
+constexpr char kOtherRoutes[] = "other";
+
+std::string_view NameOf(RequestOutcome outcome) {
+  switch (outcome) {
+    case RequestOutcome::kWhole:
+      return "whole";
+    case RequestOutcome::kPartial:
+      return "partial";
+    case RequestOutcome::kRefused:
+      return "refused";
+    case RequestOutcome::kFailed:
+      break;
+  }
+  return "failed";
+}
+
+/// Route names come from the operators and may hold any character.
+std::string EscapeLabel(const std::string& value) {
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') escaped += '\\';
+    if (c == '\n') {
+      escaped += "\\n";
+    } else {
+      escaped += c;
+    }
+  }
+  return escaped;
+}
+
+}  // namespace
+
+void RequestMetrics::OnRequest(const std::string& route, RequestOutcome outcome,
+                               base::Duration took) {
+  auto found = requests_.find({route, outcome});
+  if (found == requests_.end()) {
+    const bool full = requests_.size() >= kMostSummaries;
+    found = requests_.try_emplace({full ? kOtherRoutes : route, outcome}).first;
+  }
+  found->second.Add(duration_cast<microseconds>(took));
+}
+
+void RequestMetrics::OnLeafAnswer(base::Duration took) {
+  leaf_answers_.Add(duration_cast<microseconds>(took));
+}
+
+void RequestMetrics::AppendTo(std::string& text) const {
+  text += "# TYPE berylreach_request_seconds summary\n";
+  for (const auto& [key, summary] : requests_) {
+    summary.AppendTo(text, "berylreach_request_seconds",
+                     "route=\"" + EscapeLabel(key.first) + "\",outcome=\"" +
+                         std::string(NameOf(key.second)) + "\"");
+  }
+  text += "# TYPE berylreach_leaf_answer_seconds summary\n";
+  leaf_answers_.AppendTo(text, "berylreach_leaf_answer_seconds", "");
+}
+
+}  // namespace berylreach::gateway
--- a/gateway/unittests/gateway_test.cc
+++ b/gateway/unittests/gateway_test.cc
@@ -219,7 +219,7 @@
   EXPECT_EQ(leaves_["o"].requests.size(), 1U);
 }
 
-TEST_F(GatewayTest, RegionWithoutLeavesRelaysToAnotherHost) {
+TEST_F(GatewayTest, RegionWithoutLeavesLeavesShardsToAnotherHost) {
   const auto near = MakeGateway("near", "a");
   const auto far = MakeGateway("far", "b");
   Load(*near);
@@ -234,7 +234,7 @@
   EXPECT_TRUE(metrics.Expect("berylreach_leaf_calls_total 2"));
 }
 
-// Guards against a relayed request that an older configuration decides.
+// Guards against a group that an older configuration decides.
 TEST_F(GatewayTest, HostWithOlderConfigurationRunsNothingForOthers) {
   const auto near = MakeGateway("near", "a");
   const auto far = MakeGateway("far", "b");
@@ -251,7 +251,7 @@
 
 // Guards against a second run, beyond the route's attempts, after the host
 // that ran a request was lost.
-TEST_F(GatewayTest, LostRelayIsNotRepeatedHere) {
+TEST_F(GatewayTest, ShardsOfLostHostAreNotCalledHere) {
   leaves_["s0"].response.clear();
   auto near = MakeGateway("near", "a");
   const auto far = MakeGateway("far", "b");
@@ -266,6 +266,39 @@
   EXPECT_EQ(leaves_["s0"].requests.size(), 1U);
 }
 
+// Guards against parts of other shards than those the sender means.
+TEST_F(GatewayTest, HostWithOtherShardsRunsNothingForOthers) {
+  const auto near = MakeGateway("near", "a");
+  const auto far = MakeGateway("far", "b");
+  Load(*far);
+  configuration_.version = 4;
+  configuration_.routes[0].shards = {"s1", "s0"};
+  Load(*near);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  RawClient metrics(io_, health_["near"]);
+  metrics.Send("GET /metrics HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(metrics.Expect("berylreach_leaf_calls_total 0"));
+}
+
+// Guards against leaves of another host's group that work on for a caller that
+// has left.
+TEST_F(GatewayTest, CallerThatLeavesCancelsTheCallsOfOtherHosts) {
+  leaves_["s0"].response.clear();
+  const auto near = MakeGateway("near", "a");
+  const auto far = MakeGateway("far", "b");
+  Load(*near);
+  Load(*far);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  ASSERT_TRUE(
+      RunUntil(io_, [this] { return !leaves_["s0"].requests.empty(); }));
+  client.Close();
+  EXPECT_TRUE(
+      RunUntil(io_, [this] { return leaves_["s0"].server->open() == 0; }));
+}
+
 TEST_F(GatewayTest, SplitRouteFollowsTheWeights) {
   AddLeaf("p", Response(200, "X-Sig: sigp\r\n", "other"));
   configuration_.services.push_back({.name = "p", .max_connections = 20});
--- /dev/null
+++ b/gateway/unittests/group_codec_test.cc
@@ -0,0 +1,47 @@
+// What hosts tell each other of groups of shards.
+#include "berylreach/gateway/group_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace berylreach::gateway {
+namespace {
+
+TEST(GroupCodecTest, HeaderIsReadBack) {
+  const GroupHeader header{.version = 7,
+                           .digest = 0xfedcba9876543210,
+                           .shards = {0, 3, 359},
+                           .allowed_missing = 2,
+                           .partial_in = std::chrono::milliseconds(86)};
+  EXPECT_EQ(ParseGroupHeader(FormatGroupHeader(header)), header);
+}
+
+// Guards against a group of no shards or of the same shard twice, whose answer
+// would misstate the coverage.
+TEST(GroupCodecTest, MalformedHeadersAreNotRead) {
+  const std::string head =
+      R"({"version":1,"digest":2,"allowed_missing":0,"partial_in_ms":5,)";
+  EXPECT_TRUE(ParseGroupHeader(head + R"("shards":[1,2]})"));
+  EXPECT_FALSE(ParseGroupHeader(""));
+  EXPECT_FALSE(ParseGroupHeader("7 100"));
+  EXPECT_FALSE(ParseGroupHeader(head + R"("shards":[]})"));
+  EXPECT_FALSE(ParseGroupHeader(head + R"("shards":[1,1]})"));
+  EXPECT_FALSE(ParseGroupHeader(head + R"("shards":[2,1]})"));
+  EXPECT_FALSE(ParseGroupHeader(head + R"("shards":[-1]})"));
+  EXPECT_FALSE(ParseGroupHeader(head + R"("shards":["1"]})"));
+  EXPECT_FALSE(ParseGroupHeader(R"({"version":1,"shards":[1]})"));
+}
+
+TEST(GroupCodecTest, DigestFollowsTheOrderOfShards) {
+  const forward::Route route{.name = "r", .shards = {"a", "b"}};
+  const forward::Route turned{.name = "r", .shards = {"b", "a"}};
+  EXPECT_NE(ShardDigest(route), ShardDigest(turned));
+}
+
+TEST(GroupCodecTest, SignaturesAreReadBack) {
+  const std::vector<std::string> signatures = {"3e1b.07", "77c0.09", "x"};
+  EXPECT_EQ(SplitSignatures(JoinSignatures(signatures)), signatures);
+  EXPECT_TRUE(SplitSignatures("").empty());
+}
+
+}  // namespace
+}  // namespace berylreach::gateway
