Report the progress of groups instead of ending them early

Cause: a host that ran a group answered for good when a partial answer was due. Ruled out: a stricter bound for each group, which makes whole requests wait for one group that alone has more stragglers than its share. Change: a group sends interim responses (103) with its answers so far from then on and goes on for the rest until the sender gives it up. The digest covers all that decides the answer of a group, and the versions need not be equal.

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -47,13 +47,18 @@
   CallId call = 0;
 };
 
+/// Tell the host for which this one runs a group what has been answered so far.
+struct ReportProgress {
+  GroupReply reply;
+};
+
 /// Answer the caller. Always the last action of a run.
 struct FinishRequest {
   CallerReply reply;
 };
 
 using RunAction = std::variant<StartLeafCall, StartGroupCall, AbandonGroupCall,
-                               FinishRequest>;
+                               ReportProgress, FinishRequest>;
 
 /// What all runs of a host share.
 struct RunContext {
@@ -79,7 +84,8 @@
 
   /// Leaves the shards of `groups` to other hosts. Call before Start.
   void Delegate(const std::vector<ShardGroup>& groups);
-  /// Runs only these shards, for another host. Call before Start.
+  /// Runs only these shards, for another host: reports what has been answered
+  /// from `subset.partial_at` on, and goes on for the rest. Call before Start.
   void Narrow(const ShardSubset& subset);
 
   void Start(std::vector<RunAction>& actions);
@@ -88,6 +94,9 @@
                  std::vector<RunAction>& actions);
   void OnGroupReply(CallId call, GroupReply reply,
                     std::vector<RunAction>& actions);
+  /// Answers so far of a group that is still running.
+  void OnGroupProgress(CallId call, GroupReply reply,
+                       std::vector<RunAction>& actions);
   void OnGroupFailure(CallId call, GroupFailure failure,
                       std::vector<RunAction>& actions);
   void Tick(std::vector<RunAction>& actions);
@@ -131,11 +140,16 @@
   void Retry(ShardPart& part, std::vector<RunAction>& actions);
   void Hedge(ShardPart& part, std::vector<RunAction>& actions);
   void FailPart(ShardPart& part);
+  bool TakeGroupReply(RemoteGroup& group, GroupReply reply);
+  void LoseGroup(RemoteGroup& group);
   void RunDeclined(RemoteGroup& group, std::vector<RunAction>& actions);
   void AbandonLostGroups(std::vector<RunAction>& actions);
   void Settle(std::vector<RunAction>& actions);
   /// Whether answers of so many parts make a success.
   bool IsEnough(std::size_t parts) const { return parts >= least_parts_; }
+  /// The merged answer of the parts so far.
+  CallerReply Merge() const;
+  void Report(std::vector<RunAction>& actions);
   void FinishMerged(std::vector<RunAction>& actions);
   void FinishSingle(std::vector<RunAction>& actions);
   void Refuse(Refusal refusal, std::string cause,
@@ -152,6 +166,10 @@
   /// Parts of this host and of all groups.
   std::size_t total_ = 0;
   std::size_t least_parts_ = 1;
+  /// This run is a group of another host's request.
+  bool narrowed_ = false;
+  /// Parts in the last report.
+  std::optional<std::size_t> reported_;
   std::size_t answered_ = 0;
   std::size_t failed_ = 0;
   std::size_t calls_sent_ = 0;
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -112,6 +112,10 @@
   total_ = parts_.size();
   least_parts_ = total_ - std::min(total_, subset.allowed_missing);
   partial_at_ = subset.partial_at;
+  narrowed_ = true;
+  // The other host gives the group up by then.
+  deadline_ = std::min(deadline_,
+                       request_.received + kGroupObjectives * route_.objective);
 }
 
 void RequestRun::Start(std::vector<RunAction>& actions) {
@@ -211,20 +215,41 @@
   Settle(actions);
 }
 
+bool RequestRun::TakeGroupReply(RemoteGroup& group, GroupReply reply) {
+  const std::size_t answers = reply.signatures.size();
+  const std::size_t before = group.reply.signatures.size();
+  if (answers > group.parts.size() || answers < before) return false;
+  any_may_have_run_ = true;
+  answered_ += answers - before;
+  group.reply = std::move(reply);
+  return true;
+}
+
+void RequestRun::LoseGroup(RemoteGroup& group) {
+  group.running = false;
+  failed_ += group.parts.size() - group.reply.signatures.size();
+  any_may_have_run_ = true;
+  lost_group_ = true;
+}
+
 void RequestRun::OnGroupReply(CallId call, GroupReply reply,
                               std::vector<RunAction>& actions) {
   RemoteGroup* group = FindGroup(call);
   if (group == nullptr || finished_ || !group->running) return;
-  const std::size_t answers = reply.signatures.size();
-  if (answers > group->parts.size()) {
-    OnGroupFailure(call, GroupFailure::kLost, actions);
-    return;
+  if (TakeGroupReply(*group, std::move(reply))) {
+    group->running = false;
+    failed_ += group->parts.size() - group->reply.signatures.size();
+  } else {
+    LoseGroup(*group);
   }
-  group->running = false;
-  any_may_have_run_ = true;
-  answered_ += answers;
-  failed_ += group->parts.size() - answers;
-  group->reply = std::move(reply);
+  Settle(actions);
+}
+
+void RequestRun::OnGroupProgress(CallId call, GroupReply reply,
+                                 std::vector<RunAction>& actions) {
+  RemoteGroup* group = FindGroup(call);
+  if (group == nullptr || finished_ || !group->running) return;
+  if (!TakeGroupReply(*group, std::move(reply))) LoseGroup(*group);
   Settle(actions);
 }
 
@@ -232,15 +257,18 @@
                                 std::vector<RunAction>& actions) {
   RemoteGroup* group = FindGroup(call);
   if (group == nullptr || finished_ || !group->running) return;
-  group->running = false;
-  if (failure == GroupFailure::kDeclined) {
-    RunDeclined(*group, actions);
-  } else {
-    failed_ += group->parts.size();
-    if (failure == GroupFailure::kLost) {
-      any_may_have_run_ = true;
-      lost_group_ = true;
-    }
+  switch (failure) {
+    case GroupFailure::kDeclined:
+      group->running = false;
+      RunDeclined(*group, actions);
+      break;
+    case GroupFailure::kRefused:
+      group->running = false;
+      failed_ += group->parts.size();
+      break;
+    case GroupFailure::kLost:
+      LoseGroup(*group);
+      break;
   }
   Settle(actions);
 }
@@ -261,10 +289,7 @@
   for (RemoteGroup& group : groups_) {
     if (!group.running) continue;
     actions.push_back(AbandonGroupCall{group.call});
-    group.running = false;
-    failed_ += group.parts.size();
-    any_may_have_run_ = true;
-    lost_group_ = true;
+    LoseGroup(group);
   }
 }
 
@@ -272,7 +297,7 @@
   if (finished_) return;
   const base::TimePoint now = context_.clock.Now();
   if (now >= deadline_) {
-    if (route_.scatters() && IsEnough(answered_)) {
+    if (route_.scatters() && (narrowed_ || IsEnough(answered_))) {
       FinishMerged(actions);
     } else {
       Refuse(RefusalNow() == Refusal::kNotRun ? Refusal::kNotRun
@@ -435,13 +460,16 @@
     Refuse(RefusalNow(), "too few shards can answer", actions);
     return;
   }
-  const bool whole = answered_ + failed_ == total_;
-  if (whole || (IsEnough(answered_) && context_.clock.Now() >= partial_at_))
+  const bool partial = context_.clock.Now() >= partial_at_;
+  if (answered_ + failed_ == total_ ||
+      (!narrowed_ && partial && IsEnough(answered_))) {
     FinishMerged(actions);
+  } else if (narrowed_ && partial) {
+    Report(actions);
+  }
 }
 
-void RequestRun::FinishMerged(std::vector<RunAction>& actions) {
-  finished_ = true;
+CallerReply RequestRun::Merge() const {
   CallerReply reply;
   reply.reply.status = 200;
   reply.reply.reason = "OK";
@@ -460,7 +488,20 @@
   reply.missing = total_ - reply.signatures.size();
   reply.reply.body =
       TopRecords(bodies, context_.record_bytes, route_.top_records);
-  actions.push_back(FinishRequest{std::move(reply)});
+  return reply;
+}
+
+void RequestRun::Report(std::vector<RunAction>& actions) {
+  if (reported_ == answered_) return;
+  reported_ = answered_;
+  CallerReply reply = Merge();
+  actions.push_back(ReportProgress{{.signatures = std::move(reply.signatures),
+                                    .records = std::move(reply.reply.body)}});
+}
+
+void RequestRun::FinishMerged(std::vector<RunAction>& actions) {
+  finished_ = true;
+  actions.push_back(FinishRequest{Merge()});
 }
 
 void RequestRun::FinishSingle(std::vector<RunAction>& actions) {
--- a/forward/unittests/run_fixture.h
+++ b/forward/unittests/run_fixture.h
@@ -88,7 +88,7 @@
                                                    .patience = patience});
   }
 
-  /// Moves new actions to started_, groups_ and reply_.
+  /// Moves new actions to started_, groups_, reports_ and reply_.
   void Collect() {
     for (RunAction& action : actions_) {
       if (auto* call = std::get_if<StartLeafCall>(&action)) {
@@ -97,6 +97,8 @@
         groups_.push_back(std::move(*group));
       } else if (std::holds_alternative<AbandonGroupCall>(action)) {
         ++abandoned_;
+      } else if (auto* report = std::get_if<ReportProgress>(&action)) {
+        reports_.push_back(std::move(report->reply));
       } else {
         ASSERT_FALSE(reply_) << "a second final answer";
         reply_ = std::move(std::get<FinishRequest>(action).reply);
@@ -153,6 +155,7 @@
   std::vector<StartLeafCall> started_;
   std::vector<StartGroupCall> groups_;
   std::size_t abandoned_ = 0;
+  std::vector<GroupReply> reports_;
   std::optional<CallerReply> reply_;
 };
 
--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -31,6 +31,9 @@
   /// if `reusable` is false.
   virtual void OnResponse(ClientConnection& connection, HttpResponse response,
                           bool reusable) = 0;
+  /// An interim response; the final one follows.
+  virtual void OnInterim(ClientConnection& /*connection*/,
+                         const HttpResponse& /*response*/) {}
   /// The running exchange failed and the connection is closed.
   virtual void OnExchangeFailed(ClientConnection& connection,
                                 ExchangeFailure failure) = 0;
@@ -83,6 +86,8 @@
   void OnReadable();
   void Consume(const char* data, std::size_t size);
   void OnEnd(bool clean);
+  /// The message that was parsed whole.
+  HttpResponse TakeResponse();
   void FinishResponse(bool reusable);
   void Fail(ExchangeFailure failure);
 
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -93,6 +93,9 @@
                 forward::StartLeafCall& action);
   void SendGroupCall(const RunningRequest& request, std::uint64_t id,
                      forward::StartGroupCall& action);
+  /// The host that runs a group says what it has so far.
+  void OnGroupProgress(forward::CallId call, const HttpResponse& response);
+  void Report(const RunningRequest& request, const forward::GroupReply& reply);
   void OnGroupDone(const RunningCall& running, forward::CallId call,
                    LeafConnections::Result result);
   void OnLeafDone(const RunningCall& running, forward::CallId call,
--- a/gateway/include/berylreach/gateway/group_codec.h
+++ b/gateway/include/berylreach/gateway/group_codec.h
@@ -15,7 +15,7 @@
 
 /// Goes along with the caller's request, as one header field.
 struct GroupHeader {
-  /// Version of the sender's configuration.
+  /// Version of the sender's configuration, for the log.
   std::uint64_t version = 0;
   /// Digest of the route's shards there; see ShardDigest.
   std::uint64_t digest = 0;
@@ -28,7 +28,8 @@
   friend bool operator==(const GroupHeader&, const GroupHeader&) = default;
 };
 
-/// Differs for routes that scatter over other shards or in another order.
+/// Differs for routes whose groups give other answers: other shards, another
+/// order of them, another number of records or of attempts.
 std::uint64_t ShardDigest(const forward::Route& route);
 
 std::string FormatGroupHeader(const GroupHeader& header);
@@ -36,6 +37,10 @@
 /// Nothing if the text is malformed.
 std::optional<GroupHeader> ParseGroupHeader(std::string_view text);
 
+/// Records as a header value, and back; nothing if the text is malformed.
+std::string FormatRecords(const std::string& records);
+std::optional<std::string> ParseRecords(std::string_view text);
+
 /// The signatures of a merged answer as one header value, and back.
 std::string JoinSignatures(const std::vector<std::string>& signatures);
 std::vector<std::string> SplitSignatures(std::string_view text);
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -41,9 +41,11 @@
   using Result = std::variant<HttpResponse, forward::CallFailure>;
   /// Receives the end of each call once.
   using OnDone = std::function<void(forward::CallId, Result)>;
+  /// Receives interim responses of running calls.
+  using OnProgress = std::function<void(forward::CallId, const HttpResponse&)>;
 
   LeafConnections(boost::asio::io_context& io, const base::Clock& clock,
-                  OnDone on_done);
+                  OnDone on_done, OnProgress on_progress = {});
   ~LeafConnections() override;
 
   void Start(const forward::LeafRecord& leaf, LeafCall call);
@@ -73,6 +75,8 @@
 
   void OnResponse(ClientConnection& connection, HttpResponse response,
                   bool reusable) override;
+  void OnInterim(ClientConnection& connection,
+                 const HttpResponse& response) override;
   void OnExchangeFailed(ClientConnection& connection,
                         ExchangeFailure failure) override;
   void OnOpened(ClientConnection& connection) override;
@@ -86,6 +90,7 @@
   boost::asio::io_context& io_;
   const base::Clock& clock_;
   OnDone on_done_;
+  OnProgress on_progress_;
   std::unordered_map<std::string, Pool> pools_;
   std::unordered_map<ClientConnection*, Slot> slots_;
   std::unordered_map<forward::CallId, ClientConnection*> by_call_;
--- a/gateway/include/berylreach/gateway/server_connection.h
+++ b/gateway/include/berylreach/gateway/server_connection.h
@@ -35,8 +35,10 @@
   ~ServerConnection();
 
   void Start();
+  /// Writes an interim response; the request keeps waiting for its answer.
+  void RespondInterim(const std::string& bytes);
   /// Writes a complete response. `keep_alive` false closes after it.
-  void Respond(std::string bytes, bool keep_alive);
+  void Respond(const std::string& bytes, bool keep_alive);
   /// Closes without a call to the handler.
   void Close();
   /// Closes an idle connection, or one whose peer is too slow, with an answer
@@ -57,6 +59,7 @@
   void Parse();
   void Deliver();
   void Reject(int status, const char* reason);
+  void Send(const std::string& bytes);
   void Write();
   void OnWritten();
   void PeerLeft();
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -194,13 +194,13 @@
       return;
     }
     if (parser.is_done() && parser.get().result_int() < 200) {
-      // An interim response; the final one follows.
+      // The handler may close the connection.
+      std::string rest(data + used, size - used);
+      const HttpResponse interim = TakeResponse();
       StartParser();
-      pending_ = std::string(data + used, size - used);
-      if (!pending_.empty()) {
-        const std::string rest = std::exchange(pending_, {});
-        Consume(rest.data(), rest.size());
-      }
+      pending_.clear();
+      handler_.OnInterim(*this, interim);
+      if (!closed_ && !rest.empty()) Consume(rest.data(), rest.size());
       return;
     }
   }
@@ -230,7 +230,7 @@
   Fail(ExchangeFailure::kBroken);
 }
 
-void ClientConnection::FinishResponse(bool reusable) {
+HttpResponse ClientConnection::TakeResponse() {
   auto message = parser_->http.release();
   HttpResponse response;
   response.status = static_cast<int>(message.result_int());
@@ -242,6 +242,11 @@
                         {value.data(), value.size()});
   }
   response.body = std::move(message.body());
+  return response;
+}
+
+void ClientConnection::FinishResponse(bool reusable) {
+  HttpResponse response = TakeResponse();
   keep_alive_ = KeepAliveTimeout(response.fields);
   busy_ = false;
   idle_since_ = clock_.Now();
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -72,6 +72,9 @@
           io, clock,
           [this](forward::CallId call, LeafConnections::Result result) {
             OnCallDone(call, std::move(result));
+          },
+          [this](forward::CallId call, const HttpResponse& response) {
+            OnGroupProgress(call, response);
           }),
       timer_(io),
       sweep_timer_(io) {
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -17,6 +17,11 @@
 /// Status of a host that ran nothing because it is full or leaves are away.
 constexpr int kRefusedStatus = 503;
 
+/// Status of an interim response with the answers so far.
+constexpr int kProgressStatus = 103;
+/// Field of an interim response, which has no body: the greatest records.
+constexpr std::string_view kRecordsField = "Berylreach-Records";
+
 forward::GroupFailure ToGroupFailure(const LeafConnections::Result& result) {
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr) {
@@ -50,9 +55,9 @@
     return;
   }
   const auto header = ParseGroupHeader(request.fields.Find(kGroupField));
-  const bool able =
-      header && Ready() && header->version <= configuration_version();
-  const forward::Route* route = able ? FindRoute(request) : nullptr;
+  // Another version will do if the digest shows the same shards.
+  const forward::Route* route =
+      header && Ready() ? FindRoute(request) : nullptr;
   if (route == nullptr || ShardDigest(*route) != header->digest ||
       header->shards.back() >= route->shards.size()) {
     RefuseAtOnce(connection, request, kDeclinedStatus,
@@ -94,6 +99,45 @@
   leaf_connections_.Start(*action.host, std::move(message));
 }
 
+void Gateway::Report(const RunningRequest& request,
+                     const forward::GroupReply& reply) {
+  const auto connection = request.connection.lock();
+  if (!connection) return;
+  std::string bytes =
+      "HTTP/1.1 " + std::to_string(kProgressStatus) + " Early Hints\r\n";
+  bytes.append(settings_.names.part_signatures).append(": ");
+  bytes.append(JoinSignatures(reply.signatures)).append("\r\n");
+  bytes.append(kRecordsField).append(": ");
+  bytes.append(FormatRecords(reply.records)).append("\r\n\r\n");
+  connection->RespondInterim(bytes);
+}
+
+void Gateway::OnGroupProgress(forward::CallId call,
+                              const HttpResponse& response) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end() || !found->second.is_group ||
+      response.status != kProgressStatus)
+    return;
+  const std::uint64_t id = found->second.request;
+  const auto request = requests_.find(id);
+  if (request == requests_.end()) return;
+  auto records = ParseRecords(response.fields.Find(kRecordsField));
+  if (!records) {
+    host::LogStateChange("group_progress_malformed",
+                         found->second.callee->entry().id,
+                         found->second.request_id);
+    return;
+  }
+  std::vector<forward::RunAction> actions;
+  request->second.run->OnGroupProgress(
+      call,
+      {.signatures = SplitSignatures(
+           response.fields.Find(settings_.names.part_signatures)),
+       .records = std::move(*records)},
+      actions);
+  Execute(id, actions);
+}
+
 void Gateway::OnGroupDone(const RunningCall& running, forward::CallId call,
                           LeafConnections::Result result) {
   running.callee->OnCallEnded(running.sent, clock_.Now(), OutcomeOf(result));
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -163,6 +163,9 @@
       SendCall(request, id, *call);
     } else if (auto* group = std::get_if<forward::StartGroupCall>(&action)) {
       SendGroupCall(request, id, *group);
+    } else if (const auto* progress =
+                   std::get_if<forward::ReportProgress>(&action)) {
+      Report(request, progress->reply);
     } else if (const auto* lost =
                    std::get_if<forward::AbandonGroupCall>(&action)) {
       ++counters_.group_failures;
--- a/gateway/lib/group_codec.cc
+++ b/gateway/lib/group_codec.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include "berylreach/base/hash.h"
+#include "berylreach/config/base64.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -35,7 +36,8 @@
 }  // namespace
 
 std::uint64_t ShardDigest(const forward::Route& route) {
-  std::string names = route.name;
+  std::string names = route.name + "\n" + std::to_string(route.top_records) +
+                      "\n" + std::to_string(route.attempts);
   for (const std::string& shard : route.shards) names.append("\n" + shard);
   return base::Hash64(names);
 }
@@ -70,6 +72,14 @@
   return header;
 }
 
+std::string FormatRecords(const std::string& records) {
+  return config::EncodeBase64(records);
+}
+
+std::optional<std::string> ParseRecords(std::string_view text) {
+  return config::DecodeBase64(text);
+}
+
 std::string JoinSignatures(const std::vector<std::string>& signatures) {
   std::string text;
   for (const std::string& signature : signatures) {
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -51,8 +51,12 @@
 }  // namespace
 
 LeafConnections::LeafConnections(boost::asio::io_context& io,
-                                 const base::Clock& clock, OnDone on_done)
-    : io_(io), clock_(clock), on_done_(std::move(on_done)) {}
+                                 const base::Clock& clock, OnDone on_done,
+                                 OnProgress on_progress)
+    : io_(io),
+      clock_(clock),
+      on_done_(std::move(on_done)),
+      on_progress_(std::move(on_progress)) {}
 
 LeafConnections::~LeafConnections() {
   for (auto& [key, slot] : slots_) slot.connection->Close();
@@ -192,6 +196,13 @@
   on_done_(call, std::move(response));
 }
 
+void LeafConnections::OnInterim(ClientConnection& connection,
+                                const HttpResponse& response) {
+  const auto found = slots_.find(&connection);
+  if (found == slots_.end() || found->second.call == 0 || !on_progress_) return;
+  on_progress_(found->second.call, response);
+}
+
 void LeafConnections::OnExchangeFailed(ClientConnection& connection,
                                        ExchangeFailure failure) {
   const auto keep = connection.shared_from_this();
--- a/gateway/lib/server_connection.cc
+++ b/gateway/lib/server_connection.cc
@@ -131,18 +131,27 @@
 
 void ServerConnection::Reject(int status, const char* reason) {
   answering_ = true;
-  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " " + reason +
-                      "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-  Respond(std::move(bytes), false);
+  const std::string bytes =
+      "HTTP/1.1 " + std::to_string(status) + " " + reason +
+      "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  Respond(bytes, false);
 }
 
-void ServerConnection::Respond(std::string bytes, bool keep_alive) {
+void ServerConnection::Respond(const std::string& bytes, bool keep_alive) {
   if (closed_) return;
   answering_ = false;
-  writing_ = true;
   close_after_ = close_after_ || !keep_alive;
-  out_ = std::move(bytes);
-  written_ = 0;
+  Send(bytes);
+}
+
+void ServerConnection::RespondInterim(const std::string& bytes) {
+  if (!closed_ && answering_) Send(bytes);
+}
+
+void ServerConnection::Send(const std::string& bytes) {
+  out_.append(bytes);
+  // A write that is under way goes on with the new bytes.
+  if (std::exchange(writing_, true)) return;
   Write();
 }
 
@@ -169,6 +178,8 @@
 void ServerConnection::OnWritten() {
   writing_ = false;
   out_.clear();
+  written_ = 0;
+  if (answering_) return;
   waiting_since_ = clock_.Now();
   if (close_after_) {
     // Unread bytes would reset the connection and lose the answer, so the peer
--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -19,6 +19,9 @@
     response = std::move(answer);
     reusable = can_be_reused;
   }
+  void OnInterim(ClientConnection&, const HttpResponse& answer) override {
+    interim.emplace_back(answer.fields.Find("X-Part"));
+  }
   void OnExchangeFailed(ClientConnection&, ExchangeFailure why) override {
     failure = why;
   }
@@ -26,6 +29,7 @@
   void OnIdleClosed(ClientConnection&) override { idle_closed = true; }
 
   std::optional<HttpResponse> response;
+  std::vector<std::string> interim;
   std::optional<ExchangeFailure> failure;
   bool reusable = false;
   bool opened = false;
@@ -165,6 +169,20 @@
 
 // Guards against the rest of a long body on a connection that carries another
 // request already.
+TEST_F(ClientConnectionTest, InterimResponsesAreReportedInTurn) {
+  Open();
+  PeerSends(
+      "HTTP/1.1 103 Early Hints\r\nX-Part: a\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nX-Part: b\r\n\r\nHTTP/1.1 200 OK\r\n");
+  ASSERT_TRUE(RunUntil(io_, [this] { return recorder_.interim.size() == 2; }));
+  EXPECT_FALSE(recorder_.response);
+  PeerSends("Content-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(Answered());
+  EXPECT_EQ(recorder_.interim, (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(recorder_.response->body, "ok");
+  EXPECT_TRUE(recorder_.reusable);
+}
+
 TEST_F(ClientConnectionTest, ResponseBeforeTheBodyIsWrittenEndsTheConnection) {
   // More than both sockets buffer.
   std::string body;
--- a/gateway/unittests/group_codec_test.cc
+++ b/gateway/unittests/group_codec_test.cc
@@ -37,6 +37,22 @@
   EXPECT_NE(ShardDigest(route), ShardDigest(turned));
 }
 
+TEST(GroupCodecTest, DigestFollowsWhatDecidesTheAnswer) {
+  const forward::Route route{.name = "r", .shards = {"a"}, .top_records = 5};
+  forward::Route fewer = route;
+  fewer.top_records = 4;
+  EXPECT_NE(ShardDigest(route), ShardDigest(fewer));
+  forward::Route once = route;
+  once.attempts = route.attempts + 1;
+  EXPECT_NE(ShardDigest(route), ShardDigest(once));
+}
+
+TEST(GroupCodecTest, RecordsOfAnyBytesAreReadBack) {
+  const std::string records("\0\r\n\xff", 4);
+  EXPECT_EQ(ParseRecords(FormatRecords(records)), records);
+  EXPECT_FALSE(ParseRecords("*"));
+}
+
 TEST(GroupCodecTest, SignaturesAreReadBack) {
   const std::vector<std::string> signatures = {"3e1b.07", "77c0.09", "x"};
   EXPECT_EQ(SplitSignatures(JoinSignatures(signatures)), signatures);
--- a/gateway/unittests/server_connection_test.cc
+++ b/gateway/unittests/server_connection_test.cc
@@ -11,12 +11,15 @@
 
 constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
+constexpr char kInterim[] = "HTTP/1.1 103 Early Hints\r\nX-Part: 1\r\n\r\n";
+
 class ServerConnectionTest : public testing::Test {
  protected:
   ServerConnectionTest()
       : server_(io_, clock_,
                 [this](ServerConnection& connection, HttpRequest request) {
                   requests_.push_back(std::move(request));
+                  if (interim_) connection.RespondInterim(kInterim);
                   if (answers_) connection.Respond(kOk, true);
                 }),
         client_(io_, server_.address()) {}
@@ -29,6 +32,7 @@
   asio::io_context io_;
   std::vector<HttpRequest> requests_;
   bool answers_ = true;
+  bool interim_ = false;
   TestServer server_;
   RawClient client_;
 };
@@ -59,6 +63,24 @@
   EXPECT_EQ(requests_.size(), 1U);
 }
 
+// Guards against an interim response that passes for the answer, after which
+// the next request is delivered too early.
+TEST_F(ServerConnectionTest, InterimResponseKeepsTheRequestWaiting) {
+  interim_ = true;
+  answers_ = false;
+  client_.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(client_.Expect("X-Part: 1"));
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+TEST_F(ServerConnectionTest, AnswerFollowsInterimResponse) {
+  interim_ = true;
+  client_.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(Requests(2));
+  const std::string one = std::string(kInterim) + kOk;
+  EXPECT_TRUE(client_.Expect(one + one));
+}
+
 TEST_F(ServerConnectionTest, MalformedRequestGets400) {
   client_.Send("not a request\r\n\r\n");
   EXPECT_TRUE(client_.Expect("HTTP/1.1 400"));
