Report a lost peer after the event that met it, and split RequestRun

Change: a failed write is reported from the event loop. Requests whose callers left get a line. Parts are dealt to groups in one pass, since moving them out one by one took quadratic time; RequestRun stands in three files (calls, groups, answer).

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -143,6 +143,8 @@
   bool TakeGroupReply(RemoteGroup& group, GroupReply reply);
   void LoseGroup(RemoteGroup& group);
   void RunDeclined(RemoteGroup& group, std::vector<RunAction>& actions);
+  /// Groups without an answer are given up then.
+  base::TimePoint GroupEnd() const;
   void AbandonLostGroups(std::vector<RunAction>& actions);
   void Settle(std::vector<RunAction>& actions);
   /// Whether answers of so many parts make a success.
--- /dev/null
+++ b/forward/lib/request_run_answer.cc
@@ -0,0 +1,138 @@
+// The final answer of a request.
+#include <algorithm>
+#include <utility>
+
+#include "berylreach/forward/request_run.h"
+#include "berylreach/forward/top_records.h"
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+using PartState = ShardPart::State;
+
+/// Wait advised after a refusal; the time in which a leaf usually returns.
+constexpr milliseconds kRetryAfter{400};
+/// Wait advised after the loss of a host, which the next attempt avoids.
+constexpr milliseconds kLostGroupRetryAfter{20};
+
+/// Parts described in one log line.
+constexpr std::size_t kDescribedParts = 4;
+
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+void RequestRun::Settle(std::vector<RunAction>& actions) {
+  if (finished_) return;
+  if (!route_.scatters()) {
+    if (parts_[0].state != PartState::kWaiting) FinishSingle(actions);
+    return;
+  }
+  if (!IsEnough(total_ - failed_)) {
+    Refuse(RefusalNow(), "too few shards can answer", actions);
+    return;
+  }
+  const bool partial = context_.clock.Now() >= partial_at_;
+  if (answered_ + failed_ == total_ ||
+      (!narrowed_ && partial && IsEnough(answered_))) {
+    FinishMerged(actions);
+  } else if (narrowed_ && partial) {
+    Report(actions);
+  }
+}
+
+CallerReply RequestRun::Merge() const {
+  CallerReply reply;
+  reply.reply.status = 200;
+  reply.reply.reason = "OK";
+  std::vector<std::string_view> bodies;
+  for (const RemoteGroup& group : groups_) {
+    bodies.push_back(group.reply.records);
+    reply.signatures.insert(reply.signatures.end(),
+                            group.reply.signatures.begin(),
+                            group.reply.signatures.end());
+  }
+  for (const ShardPart& part : parts_) {
+    if (part.state != PartState::kAnswered) continue;
+    bodies.push_back(part.reply->body);
+    reply.signatures.push_back(part.reply->signature);
+  }
+  reply.missing = total_ - reply.signatures.size();
+  reply.reply.body =
+      TopRecords(bodies, context_.record_bytes, route_.top_records);
+  return reply;
+}
+
+void RequestRun::FinishMerged(std::vector<RunAction>& actions) {
+  finished_ = true;
+  actions.push_back(FinishRequest{Merge()});
+}
+
+void RequestRun::FinishSingle(std::vector<RunAction>& actions) {
+  ShardPart& part = parts_[0];
+  std::optional<LeafReply>& reply =
+      part.state == PartState::kAnswered ? part.reply : part.failure;
+  if (!reply) {
+    Refuse(RefusalNow(), "no leaf answered", actions);
+    return;
+  }
+  // Callers take these statuses as a promise that nothing has run.
+  if (!route_.idempotent && PromisesNotRun(reply->status)) {
+    Refuse(Refusal::kMayHaveRun, "the leaf failed", actions);
+    return;
+  }
+  finished_ = true;
+  actions.push_back(FinishRequest{{.reply = std::move(*reply)}});
+}
+
+void RequestRun::Refuse(Refusal refusal, std::string cause,
+                        std::vector<RunAction>& actions) {
+  finished_ = true;
+  CallerReply reply;
+  reply.refusal = refusal;
+  reply.cause = std::move(cause);
+  // Spread by request, so that callers that were refused together do not come
+  // back together.
+  const auto spread = static_cast<std::int64_t>(
+      seed_ % static_cast<std::uint64_t>(kRetryAfter.count()));
+  reply.retry_after = lost_group_ ? kLostGroupRetryAfter
+                                  : kRetryAfter / 2 + milliseconds(spread);
+  actions.push_back(FinishRequest{std::move(reply)});
+}
+
+Refusal RequestRun::RefusalNow() const {
+  if (any_may_have_run_) return Refusal::kMayHaveRun;
+  for (const ShardPart& part : parts_)
+    if (part.CountRunningCalls() > 0) return Refusal::kMayHaveRun;
+  for (const RemoteGroup& group : groups_)
+    if (group.running) return Refusal::kMayHaveRun;
+  return Refusal::kNotRun;
+}
+
+std::string RequestRun::DescribeUnanswered() const {
+  const base::TimePoint now = context_.clock.Now();
+  std::string text;
+  std::size_t described = 0;
+  const auto add = [&text, &described](const std::string& description) {
+    if (++described > kDescribedParts) return;
+    if (!text.empty()) text += "; ";
+    text += description;
+  };
+  for (const RemoteGroup& group : groups_) {
+    const std::size_t missing =
+        group.parts.size() - group.reply.signatures.size();
+    if (missing == 0) continue;
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - group.sent).count();
+    add(group.host->entry().id + ": " + std::to_string(missing) + " shards " +
+        (group.running ? "unanswered " : "failed ") + std::to_string(age));
+  }
+  for (const ShardPart& part : parts_)
+    if (part.state != PartState::kAnswered) add(part.Describe(now));
+  return text;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/request_run_groups.cc
@@ -0,0 +1,180 @@
+// Groups of shards: those that other hosts run for a request, and a request
+// that is one group of another host's.
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "berylreach/forward/request_run.h"
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A group without an answer after this many objectives is given up. Before,
+/// its host may still collect the least coverage.
+constexpr int kGroupObjectives = 2;
+
+/// Time that two hosts need for a group beside that of its messages.
+constexpr milliseconds kGroupMargin{6};
+
+/// Hosts named in one log line.
+constexpr std::size_t kDescribedHosts = 4;
+
+}  // namespace
+
+base::TimePoint RequestRun::GroupEnd() const {
+  return request_.received + kGroupObjectives * route_.objective;
+}
+
+void RequestRun::Delegate(const std::vector<ShardGroup>& groups) {
+  const base::TimePoint now = context_.clock.Now();
+  // Position in groups_ of the group that has the shard.
+  std::vector<std::optional<std::size_t>> group_of(route_.shards.size());
+  for (const ShardGroup& group : groups) {
+    const milliseconds travel = 2 * TransitTime(group.host->distance());
+    if (partial_at_ <= now + travel + kGroupMargin) continue;
+    for (const std::size_t shard : group.shards)
+      group_of[shard] = groups_.size();
+    groups_.push_back({.call = context_.next_call(), .host = group.host});
+  }
+  if (groups_.empty()) return;
+  std::vector<ShardPart> own;
+  for (ShardPart& part : parts_) {
+    const std::optional<std::size_t> group = group_of[part.shard];
+    (group ? groups_[*group].parts : own).push_back(std::move(part));
+  }
+  parts_ = std::move(own);
+}
+
+void RequestRun::Narrow(const ShardSubset& subset) {
+  std::erase_if(parts_, [&subset](const ShardPart& part) {
+    return std::find(subset.shards.begin(), subset.shards.end(), part.shard) ==
+           subset.shards.end();
+  });
+  total_ = parts_.size();
+  least_parts_ = total_ - std::min(total_, subset.allowed_missing);
+  partial_at_ = subset.partial_at;
+  narrowed_ = true;
+  // The other host gives the group up by then.
+  deadline_ = std::min(deadline_, GroupEnd());
+}
+
+void RequestRun::StartGroups(std::vector<RunAction>& actions) {
+  const base::TimePoint now = context_.clock.Now();
+  for (RemoteGroup& group : groups_) {
+    group.sent = now;
+    group.host->OnCallSent(now);
+    ++calls_sent_;
+    StartGroupCall action{.call = group.call,
+                          .host = group.host,
+                          .sent = now,
+                          .deadline = deadline_};
+    for (const ShardPart& part : group.parts)
+      action.subset.shards.push_back(part.shard);
+    action.subset.allowed_missing = total_ - least_parts_;
+    action.subset.partial_at =
+        partial_at_ - 2 * TransitTime(group.host->distance()) - kGroupMargin;
+    actions.push_back(std::move(action));
+  }
+}
+
+RequestRun::RemoteGroup* RequestRun::FindGroup(CallId call) {
+  const auto found = std::find_if(
+      groups_.begin(), groups_.end(),
+      [call](const RemoteGroup& group) { return group.call == call; });
+  return found == groups_.end() ? nullptr : &*found;
+}
+
+void RequestRun::OnGroupReply(CallId call, GroupReply reply,
+                              std::vector<RunAction>& actions) {
+  RemoteGroup* group = FindGroup(call);
+  if (group == nullptr || finished_ || !group->running) return;
+  if (TakeGroupReply(*group, std::move(reply))) {
+    group->running = false;
+    failed_ += group->parts.size() - group->reply.signatures.size();
+  } else {
+    LoseGroup(*group);
+  }
+  Settle(actions);
+}
+
+void RequestRun::OnGroupProgress(CallId call, GroupReply reply,
+                                 std::vector<RunAction>& actions) {
+  RemoteGroup* group = FindGroup(call);
+  if (group == nullptr || finished_ || !group->running) return;
+  if (!TakeGroupReply(*group, std::move(reply))) LoseGroup(*group);
+  Settle(actions);
+}
+
+void RequestRun::OnGroupFailure(CallId call, GroupFailure failure,
+                                std::vector<RunAction>& actions) {
+  RemoteGroup* group = FindGroup(call);
+  if (group == nullptr || finished_ || !group->running) return;
+  switch (failure) {
+    case GroupFailure::kDeclined:
+      group->running = false;
+      RunDeclined(*group, actions);
+      break;
+    case GroupFailure::kRefused:
+      group->running = false;
+      failed_ += group->parts.size();
+      break;
+    case GroupFailure::kLost:
+      LoseGroup(*group);
+      break;
+  }
+  Settle(actions);
+}
+
+bool RequestRun::TakeGroupReply(RemoteGroup& group, GroupReply reply) {
+  const std::size_t answers = reply.signatures.size();
+  const std::size_t before = group.reply.signatures.size();
+  if (answers > group.parts.size() || answers < before) return false;
+  any_may_have_run_ = true;
+  answered_ += answers - before;
+  group.reply = std::move(reply);
+  return true;
+}
+
+void RequestRun::LoseGroup(RemoteGroup& group) {
+  group.running = false;
+  failed_ += group.parts.size() - group.reply.signatures.size();
+  any_may_have_run_ = true;
+  lost_group_ = true;
+}
+
+void RequestRun::RunDeclined(RemoteGroup& group,
+                             std::vector<RunAction>& actions) {
+  for (ShardPart& declined : std::exchange(group.parts, {})) {
+    ShardPart& part = parts_.emplace_back(std::move(declined));
+    if (part.service != nullptr) context_.budget.OnRequest(part.service->name);
+    StartPart(part, actions);
+  }
+}
+
+void RequestRun::AbandonLostGroups(std::vector<RunAction>& actions) {
+  if (context_.clock.Now() < GroupEnd()) return;
+  for (RemoteGroup& group : groups_) {
+    if (!group.running) continue;
+    actions.push_back(AbandonGroupCall{group.call});
+    LoseGroup(group);
+  }
+}
+
+void RequestRun::Report(std::vector<RunAction>& actions) {
+  if (reported_ == answered_) return;
+  reported_ = answered_;
+  CallerReply reply = Merge();
+  actions.push_back(ReportProgress{{.signatures = std::move(reply.signatures),
+                                    .records = std::move(reply.reply.body)}});
+}
+
+std::string RequestRun::DescribeHosts() const {
+  std::string text;
+  for (std::size_t i = 0; i < groups_.size() && i < kDescribedHosts; ++i)
+    text += (i == 0 ? "" : " ") + groups_[i].host->entry().id;
+  return text;
+}
+
+}  // namespace berylreach::forward
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -87,6 +87,8 @@
   std::string CallBytes(const forward::CallerRequest& caller,
                         base::TimePoint deadline,
                         std::string_view extra_fields) const;
+  /// The caller of a request has left.
+  void Abandon(std::uint64_t id);
   void CancelCall(forward::CallId call, forward::CallOutcome outcome);
   void Execute(std::uint64_t id, std::vector<forward::RunAction>& actions);
   void SendCall(RunningRequest& request, std::uint64_t id,
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -375,23 +375,29 @@
   if (found != request_of_.end()) {
     const std::uint64_t id = found->second;
     request_of_.erase(found);
-    ++counters_.abandoned;
-    const auto request = requests_.find(id);
-    if (request != requests_.end()) {
-      admission_.OnRequestDone(request->second.admitted_calls);
-      requests_.erase(request);
-    }
-    wakeups_.Set(id, std::nullopt);
-    // The caller wants no answer any more, so its leaves need not work on.
-    std::vector<forward::CallId> cancelled;
-    for (const auto& [call, running] : calls_)
-      if (running.request == id) cancelled.push_back(call);
-    for (const forward::CallId call : cancelled)
-      CancelCall(call, forward::CallOutcome::kCancelled);
+    Abandon(id);
   }
   connections_.erase(&connection);
 }
 
+void Gateway::Abandon(std::uint64_t id) {
+  const auto request = requests_.find(id);
+  if (request == requests_.end()) return;
+  ++counters_.abandoned;
+  const forward::RequestRun& run = *request->second.run;
+  LogOutcome(run, 0, {.cause = "the caller left"},
+             clock_.Now() - run.request().received);
+  admission_.OnRequestDone(request->second.admitted_calls);
+  requests_.erase(request);
+  wakeups_.Set(id, std::nullopt);
+  // The caller wants no answer any more, so its leaves need not work on.
+  std::vector<forward::CallId> cancelled;
+  for (const auto& [call, running] : calls_)
+    if (running.request == id) cancelled.push_back(call);
+  for (const forward::CallId call : cancelled)
+    CancelCall(call, forward::CallOutcome::kCancelled);
+}
+
 void Gateway::CancelCall(forward::CallId call, forward::CallOutcome outcome) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
--- a/gateway/lib/server_connection.cc
+++ b/gateway/lib/server_connection.cc
@@ -2,6 +2,7 @@
 #include "berylreach/gateway/server_connection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
@@ -163,7 +164,10 @@
         asio::buffer(out_.data() + written_, out_.size() - written_), error);
     if (!error) continue;
     if (error != asio::error::would_block) {
-      PeerLeft();
+      // The handler may be in the middle of the request's events.
+      asio::post(socket_.get_executor(), [self] {
+        if (!self->closed_) self->PeerLeft();
+      });
       return;
     }
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
--- a/gateway/unittests/server_connection_test.cc
+++ b/gateway/unittests/server_connection_test.cc
@@ -81,6 +81,30 @@
   EXPECT_TRUE(client_.Expect(one + one));
 }
 
+// Guards against a handler that is told of a lost connection, and forgets its
+// request, while it is still reporting on it.
+TEST_F(ServerConnectionTest, LostPeerIsNotReportedWithinTheInterimResponse) {
+  auto acceptor = Listen(io_);
+  tcp::socket peer(io_);
+  peer.connect(acceptor.local_endpoint());
+  struct Recorder : ServerConnectionHandler {
+    void OnRequest(ServerConnection&, HttpRequest) override { asked = true; }
+    void OnClosed(ServerConnection&) override { closed = true; }
+    bool asked = false;
+    bool closed = false;
+  } recorder;
+  auto connection = std::make_shared<ServerConnection>(
+      acceptor.accept(), recorder, clock_, forward::CallerLimits{});
+  connection->Start();
+  asio::write(peer, asio::buffer(std::string("GET /1 HTTP/1.1\r\n\r\n")));
+  ASSERT_TRUE(RunUntil(io_, [&] { return recorder.asked; }));
+  peer.set_option(asio::socket_base::linger(true, 0));
+  peer.close();
+  connection->RespondInterim(kInterim);
+  EXPECT_FALSE(recorder.closed);
+  EXPECT_TRUE(RunUntil(io_, [&] { return recorder.closed; }));
+}
+
 TEST_F(ServerConnectionTest, MalformedRequestGets400) {
   client_.Send("not a request\r\n\r\n");
   EXPECT_TRUE(client_.Expect("HTTP/1.1 400"));
