Name what the log says of groups, and read the caller's request in one place

Cause: found on reading the change: the log named hosts of groups relayed_to, and StartRun did three things. Change: group_hosts in the log and in berylctl explain; ToCallerRequest. Result: unit tests of gateway and berylctl pass with the address sanitizer; no change of behaviour.

--- a/forward/include/berylreach/forward/host_entry.h
+++ b/forward/include/berylreach/forward/host_entry.h
@@ -1,4 +1,4 @@
-// A host that other hosts may relay requests to.
+// A host that may run shards for other hosts.
 #pragma once
 
 #include <string>
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -83,6 +83,7 @@
                 const forward::Route& route,
                 const forward::ShardSubset* subset);
   const std::string& PickService(const forward::Route& route);
+  forward::CallerRequest ToCallerRequest(HttpRequest request) const;
   /// The request as a message that names how long the sender waits.
   std::string CallBytes(const forward::CallerRequest& caller,
                         base::TimePoint deadline,
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -84,14 +84,14 @@
 void Gateway::StartRun(ServerConnection& connection, HttpRequest request,
                        const forward::Route& route,
                        const forward::ShardSubset* subset) {
-  forward::CallerRequest caller;
-  caller.id = std::string(request.fields.Find(settings_.names.request_id));
+  const std::string_view caller_id =
+      request.fields.Find(settings_.names.request_id);
   std::vector<forward::ShardGroup> groups;
   std::size_t calls = route.scatters() ? route.shards.size() : 1;
   if (subset != nullptr) {
     calls = subset->shards.size();
   } else {
-    groups = planner_.Divide(*table_, route, base::Hash64(caller.id));
+    groups = planner_.Divide(*table_, route, base::Hash64(caller_id));
     for (const forward::ShardGroup& group : groups)
       calls -= group.shards.size() - 1;
   }
@@ -102,24 +102,16 @@
                  decision.retry_after);
     return;
   }
-  caller.fields = request.fields.ForwardedLines(
-      {settings_.names.patience, settings_.names.expected_leaf, kGroupField});
-  caller.method = std::move(request.method);
-  caller.target = std::move(request.target);
-  caller.body = std::move(request.body);
-  caller.received = clock_.Now();
-  caller.patience =
-      ParsePatience(request.fields.Find(settings_.names.patience));
-
   const std::uint64_t id = next_id_++;
   RunningRequest& running = requests_[id];
   running.connection = connection.weak_from_this();
   running.keep_alive = request.keep_alive;
-  running.head = caller.method == "HEAD";
+  running.head = request.method == "HEAD";
   running.admitted_calls = calls;
   if (!groups.empty()) running.shard_digest = ShardDigest(route);
   running.run = std::make_unique<forward::RequestRun>(
-      context_, table_, route, PickService(route), std::move(caller));
+      context_, table_, route, PickService(route),
+      ToCallerRequest(std::move(request)));
   request_of_[&connection] = id;
   if (subset != nullptr) {
     running.run->Narrow(*subset);
@@ -131,6 +123,20 @@
   Execute(id, actions);
 }
 
+forward::CallerRequest Gateway::ToCallerRequest(HttpRequest request) const {
+  const WireNames& names = settings_.names;
+  forward::CallerRequest caller;
+  caller.id = std::string(request.fields.Find(names.request_id));
+  caller.fields = request.fields.ForwardedLines(
+      {names.patience, names.expected_leaf, kGroupField});
+  caller.method = std::move(request.method);
+  caller.target = std::move(request.target);
+  caller.body = std::move(request.body);
+  caller.received = clock_.Now();
+  caller.patience = ParsePatience(request.fields.Find(names.patience));
+  return caller;
+}
+
 std::string Gateway::CallBytes(const forward::CallerRequest& caller,
                                base::TimePoint deadline,
                                std::string_view extra_fields) const {
@@ -345,7 +351,7 @@
                     .parts = run.parts(),
                     .calls = run.calls_sent(),
                     .unanswered = run.DescribeUnanswered(),
-                    .relayed_to = run.DescribeHosts(),
+                    .group_hosts = run.DescribeHosts(),
                     .version = configuration_version()});
 }
 
--- a/gateway/lib/peer_server.h
+++ b/gateway/lib/peer_server.h
@@ -1,4 +1,4 @@
-// Requests that other hosts relay. Private to the package.
+// Requests of other hosts. Private to the package.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
--- a/host/include/berylreach/host/log.h
+++ b/host/include/berylreach/host/log.h
@@ -24,8 +24,8 @@
   std::size_t calls = 0;
   /// Parts without an answer, and why.
   std::string unanswered;
-  /// Host that ran the request for this one; empty if it ran here.
-  std::string relayed_to;
+  /// Hosts that ran groups of its shards; empty if there were none.
+  std::string group_hosts;
   /// Version of the configuration in force.
   std::uint64_t version = 0;
 };
--- a/host/lib/log.cc
+++ b/host/lib/log.cc
@@ -105,7 +105,7 @@
   line["calls"] = request.calls;
   line["configuration"] = request.version;
   if (!request.unanswered.empty()) line["unanswered"] = request.unanswered;
-  if (!request.relayed_to.empty()) line["relayed_to"] = request.relayed_to;
+  if (!request.group_hosts.empty()) line["group_hosts"] = request.group_hosts;
   Write(line);
 }
 
--- a/tools/berylctl/lib/log_story.cc
+++ b/tools/berylctl/lib/log_story.cc
@@ -63,9 +63,9 @@
   if (Text(*line, "event") == "request") {
     request_hosts_.insert(host);
     versions_.insert(Text(*line, "configuration"));
-    if (!Text(*line, "relayed_to").empty()) entry_hosts_.insert(host);
+    if (!Text(*line, "group_hosts").empty()) entry_hosts_.insert(host);
   }
-  for (const char* field : {"unanswered", "relayed_to", "subject"}) {
+  for (const char* field : {"unanswered", "group_hosts", "subject"}) {
     for (std::string& word : Words(Text(*line, field)))
       names_.insert(std::move(word));
   }
--- a/tools/berylctl/unittests/explain_test.cc
+++ b/tools/berylctl/unittests/explain_test.cc
@@ -53,7 +53,7 @@
   const std::string log = WriteFile(
       Line(100, "h1",
            R"("event":"request","id":"r1","status":502,"configuration":9,)"
-           R"("relayed_to":"h2")") +
+           R"("group_hosts":"h2")") +
       State(9000001, "h2", "store_lost", "renewal", "no answer") +
       Line(9000002, "h2",
            R"("event":"request","id":"r1","status":502,"configuration":8)"));
