--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -60,8 +60,10 @@
       header && Ready() ? FindRoute(request) : nullptr;
   if (route == nullptr || ShardDigest(*route) != header->digest ||
       header->shards.back() >= route->shards.size()) {
-    RefuseAtOnce(connection, request, kDeclinedStatus,
-                 "cannot run for another host", milliseconds(0));
+    const std::string cause =
+        "cannot run for a host with configuration " +
+        (header ? std::to_string(header->version) : "unknown");
+    RefuseAtOnce(connection, request, kDeclinedStatus, cause, milliseconds(0));
     return;
   }
   const forward::ShardSubset subset{
