--- a/forward/include/berylreach/forward/shard_part.h
+++ b/forward/include/berylreach/forward/shard_part.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -48,6 +48,16 @@
     selector_.SetHosts(hosts.size(), planner_.CountCoordinators());
   }
 
+  /// A route of 100 shards, too many for this host, beside two large ones.
+  void MakeManyPartsOnSmallHost() {
+    route_.objective = milliseconds(150);
+    GrowTo(100, "c");
+    SetHosts({{"c-big-1", "1:1", "c", 0.5},
+              {"c-big-2", "1:2", "c", 0.5},
+              {"c-1", "1:3", "c", 0.1},
+              {"c-2", "1:4", "c", 0.1}});
+  }
+
   std::vector<ShardGroup> Divide(std::uint64_t seed = 1) {
     const RouteTable table(
         Configuration{.version = 1, .routes = {route_}, .services = services_});
@@ -124,12 +134,7 @@
 // Guards against requests of hundreds of parts that small hosts run too slowly
 // while large ones are idle.
 TEST_F(ShardPlannerTest, SmallHostDividesRequestsOfManyParts) {
-  route_.objective = milliseconds(150);
-  GrowTo(100, "c");
-  SetHosts({{"c-big-1", "1:1", "c", 0.5},
-            {"c-big-2", "1:2", "c", 0.5},
-            {"c-1", "1:3", "c", 0.1},
-            {"c-2", "1:4", "c", 0.1}});
+  MakeManyPartsOnSmallHost();
   const auto groups = Divide();
   ASSERT_EQ(groups.size(), 2U);
   EXPECT_EQ(groups[0].shards.size(), 50U);
@@ -140,12 +145,7 @@
 // Guards against connections that are opened anew for each call, since each of
 // many hosts calls each leaf seldom.
 TEST_F(ShardPlannerTest, ShardIsAlwaysRunByTheSameHosts) {
-  route_.objective = milliseconds(150);
-  GrowTo(100, "c");
-  SetHosts({{"c-big-1", "1:1", "c", 0.5},
-            {"c-big-2", "1:2", "c", 0.5},
-            {"c-1", "1:3", "c", 0.1},
-            {"c-2", "1:4", "c", 0.1}});
+  MakeManyPartsOnSmallHost();
   const auto first = Divide(0);
   for (std::uint64_t seed = 1; seed < 20; ++seed) {
     const auto groups = Divide(seed);
@@ -159,12 +159,7 @@
 
 // Guards against shards that nobody runs while a coordinator is away.
 TEST_F(ShardPlannerTest, OtherCoordinatorTakesTheSliceOfSilentOne) {
-  route_.objective = milliseconds(150);
-  GrowTo(100, "c");
-  SetHosts({{"c-big-1", "1:1", "c", 0.5},
-            {"c-big-2", "1:2", "c", 0.5},
-            {"c-1", "1:3", "c", 0.1},
-            {"c-2", "1:4", "c", 0.1}});
+  MakeManyPartsOnSmallHost();
   const auto lost = Divide()[0].host;
   lost->OnCallEnded(clock_.Now(), clock_.Now(), CallOutcome::kUnreachable);
   const auto groups = Divide();
