--- a/forward/include/berylreach/forward/message.h
+++ b/forward/include/berylreach/forward/message.h
@@ -50,6 +50,9 @@
   kMayHaveRun,
   /// The call's time is over.
   kTimedOut,
+  /// The call was taken back before it was sent; this says nothing about the
+  /// leaf.
+  kWithdrawn,
 };
 
 /// What a refusal of the host's own says.
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -69,6 +69,12 @@
   std::size_t record_bytes = 1;
   /// The next id of a call.
   std::function<CallId()> next_call;
+  /// Whether a connection to this host is open; a message to any other one
+  /// waits for a round trip first.
+  std::function<bool(const LeafRecord&)> has_connection;
+  /// Takes back a call that still waits for its connection; false if it may
+  /// have been sent.
+  std::function<bool(CallId)> withdraw;
 };
 
 /// Drives one request. A route to one leaf is a run of one part whose answer
@@ -133,6 +139,8 @@
 
   Located Locate(CallId call);
   RemoteGroup* FindGroup(CallId call);
+  /// Time of a message to the host and of its answer.
+  std::chrono::milliseconds ExchangeTime(const LeafRecord& host) const;
   LeafQuery QueryFor(const ShardPart& part, bool any) const;
   void StartGroups(std::vector<RunAction>& actions);
   void StartPart(ShardPart& part, std::vector<RunAction>& actions);
@@ -156,7 +164,12 @@
   void FinishSingle(std::vector<RunAction>& actions);
   void Refuse(Refusal refusal, std::string cause,
               std::vector<RunAction>& actions);
-  Refusal RefusalNow() const;
+  /// Takes back the running calls that have not been sent; false if one may
+  /// have been.
+  bool WithdrawCalls();
+  /// What is true of a request that is refused now. Calls that have not been
+  /// sent are taken back.
+  Refusal RefusalNow(Refusal if_may_have_run);
 
   RunContext& context_;
   std::shared_ptr<const RouteTable> table_;
--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -24,7 +24,8 @@
 /// shards, because the leaves accept too few connections for all hosts, or
 /// because small hosts would take too long over the many parts. A shard is
 /// always in the slice of the same hosts, so that their connections to its
-/// leaves are in use. Not thread-safe.
+/// leaves are in use. Hosts hold connections to the hosts of their plans, which
+/// are made ahead of the requests. Not thread-safe.
 class ShardPlanner {
  public:
   /// The arguments must outlive the planner.
@@ -39,6 +40,18 @@
   std::vector<ShardGroup> Divide(const RouteTable& table, const Route& route,
                                  std::uint64_t seed);
 
+  /// Brings the plan of one route up to date, so that the connections that it
+  /// needs can be opened before a request comes. Repeated calls go through all
+  /// routes.
+  void PlanAhead(const RouteTable& table);
+
+  /// Calls `visit` with the record of each host to which this one holds a
+  /// connection, as the present plans name them.
+  template <typename Visit>
+  void ForEachLinkedHost(Visit visit) const {
+    for (const auto& [name, record] : LinkedHosts()) visit(*record);
+  }
+
   /// Whether `host` is another host of the deployment.
   bool Knows(const std::string& host) const { return records_.contains(host); }
 
@@ -49,25 +62,28 @@
 
  private:
   using HostRecords = std::vector<std::shared_ptr<LeafRecord>>;
+  using HostRecordsByName = std::map<std::string, std::shared_ptr<LeafRecord>>;
 
-  /// Shards that go to one of some hosts.
+  /// Shards that go to one of some hosts (see SliceHosts).
   struct Slice {
     std::vector<std::size_t> shards;
-    HostRecords hosts;
-    /// Used while none of `hosts` answers: the region's other coordinators.
+    HostRecords primaries;
+    HostRecords backups;
     HostRecords others;
   };
   struct Plan {
     std::uint64_t generation = 0;
-    std::uint64_t version = 0;
     std::vector<Slice> slices;
   };
 
+  const Plan& CurrentPlan(const RouteTable& table, const Route& route);
   Plan MakePlan(const RouteTable& table, const Route& route) const;
   std::map<std::string, std::vector<std::size_t>> ShardsByRegion(
       const Route& route) const;
-  void AddSlices(const std::string& region,
+  void AddSlices(const std::string& region, const Route& route,
                  const std::vector<std::size_t>& shards, Plan& plan) const;
+  HostRecords RecordsOf(const std::vector<std::string>& names) const;
+  HostRecordsByName LinkedHosts() const;
   std::shared_ptr<LeafRecord> Best(const HostRecords& hosts,
                                    std::uint64_t seed) const;
   bool FewConnections(const RouteTable& table, const Route& route) const;
@@ -79,9 +95,14 @@
   const LeafDirectory& directory_;
   const LeafSelector& selector_;
   std::vector<HostEntry> hosts_;
-  std::map<std::string, std::shared_ptr<LeafRecord>> records_;
+  HostRecordsByName records_;
   std::uint64_t generation_ = 0;
+  /// By name of the route.
   std::unordered_map<std::string, Plan> plans_;
+  /// Version of the configuration whose routes have plans.
+  std::uint64_t planned_version_ = 0;
+  /// The route that PlanAhead visits next.
+  std::size_t next_planned_ = 0;
 };
 
 }  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/coordinators.cc
@@ -0,0 +1,65 @@
+// Choice of coordinators.
+#include "berylreach/forward/coordinators.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+
+#include "berylreach/base/hash.h"
+
+namespace berylreach::forward {
+namespace {
+
+/// Part of a region's processors that runs requests in a large fleet.
+constexpr double kCoordinatorShare = 0.25;
+/// Coordinators of a region, so that the loss of one leaves another.
+constexpr std::size_t kLeastCoordinators = 2;
+
+struct Candidate {
+  double cores = 0;
+  /// Leaves of its zone.
+  std::size_t near = 0;
+  /// Spreads the choice among equal hosts.
+  std::uint64_t hash = 0;
+  const std::string* name = nullptr;
+};
+
+std::vector<Candidate> Candidates(
+    const std::vector<HostEntry>& hosts,
+    const std::unordered_map<std::string, std::size_t>& leaves_by_zone) {
+  std::vector<Candidate> candidates;
+  candidates.reserve(hosts.size());
+  for (const HostEntry& host : hosts) {
+    const auto leaves = leaves_by_zone.find(host.zone);
+    candidates.push_back({host.cores,
+                          leaves == leaves_by_zone.end() ? 0 : leaves->second,
+                          base::Hash64(host.name), &host.name});
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::tie(a.cores, a.near, a.hash) >
+                     std::tie(b.cores, b.near, b.hash);
+            });
+  return candidates;
+}
+
+}  // namespace
+
+std::vector<std::string> ChooseCoordinators(
+    const std::vector<HostEntry>& hosts,
+    const std::unordered_map<std::string, std::size_t>& leaves_by_zone) {
+  double cores = 0;
+  for (const HostEntry& host : hosts) cores += host.cores;
+  std::vector<std::string> names;
+  double taken = 0;
+  for (const Candidate& candidate : Candidates(hosts, leaves_by_zone)) {
+    if (names.size() >= kLeastCoordinators &&
+        taken >= kCoordinatorShare * cores)
+      break;
+    names.push_back(*candidate.name);
+    taken += candidate.cores;
+  }
+  return names;
+}
+
+}  // namespace berylreach::forward
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -132,7 +132,7 @@
   const auto [part, entry] = Locate(call);
   if (part == nullptr || finished_ || !entry->running) return;
   entry->running = false;
-  if (failure == CallFailure::kNotSent) {
+  if (failure == CallFailure::kNotSent || failure == CallFailure::kWithdrawn) {
     ++part->rejected;
   } else {
     ++part->attempts_used;
@@ -150,9 +150,8 @@
     if (route_.scatters() && (narrowed_ || IsEnough(answered_))) {
       FinishMerged(actions);
     } else {
-      Refuse(RefusalNow() == Refusal::kNotRun ? Refusal::kNotRun
-                                              : Refusal::kTimedOut,
-             "time of the request is over", actions);
+      Refuse(RefusalNow(Refusal::kTimedOut), "time of the request is over",
+             actions);
     }
     return;
   }
--- a/forward/lib/request_run_answer.cc
+++ b/forward/lib/request_run_answer.cc
@@ -32,7 +32,8 @@
     return;
   }
   if (!IsEnough(total_ - failed_)) {
-    Refuse(RefusalNow(), "too few shards can answer", actions);
+    Refuse(RefusalNow(Refusal::kMayHaveRun), "too few shards can answer",
+           actions);
     return;
   }
   const bool partial = context_.clock.Now() >= partial_at_;
@@ -68,6 +69,7 @@
 
 void RequestRun::FinishMerged(std::vector<RunAction>& actions) {
   finished_ = true;
+  WithdrawCalls();
   actions.push_back(FinishRequest{Merge()});
 }
 
@@ -76,7 +78,7 @@
   std::optional<LeafReply>& reply =
       part.state == PartState::kAnswered ? part.reply : part.failure;
   if (!reply) {
-    Refuse(RefusalNow(), "no leaf answered", actions);
+    Refuse(RefusalNow(Refusal::kMayHaveRun), "no leaf answered", actions);
     return;
   }
   // Callers take these statuses as a promise that nothing has run.
@@ -103,13 +105,19 @@
   actions.push_back(FinishRequest{std::move(reply)});
 }
 
-Refusal RequestRun::RefusalNow() const {
-  if (any_may_have_run_) return Refusal::kMayHaveRun;
+bool RequestRun::WithdrawCalls() {
+  bool all = true;
   for (const ShardPart& part : parts_)
-    if (part.CountRunningCalls() > 0) return Refusal::kMayHaveRun;
+    for (const PartCall& call : part.calls)
+      if (call.running && !context_.withdraw(call.id)) all = false;
   for (const RemoteGroup& group : groups_)
-    if (group.running) return Refusal::kMayHaveRun;
-  return Refusal::kNotRun;
+    if (group.running && !context_.withdraw(group.call)) all = false;
+  return all;
+}
+
+Refusal RequestRun::RefusalNow(Refusal if_may_have_run) {
+  const bool withdrawn = WithdrawCalls();
+  return withdrawn && !any_may_have_run_ ? Refusal::kNotRun : if_may_have_run;
 }
 
 std::string RequestRun::DescribeUnanswered() const {
--- a/forward/lib/request_run_groups.cc
+++ b/forward/lib/request_run_groups.cc
@@ -27,13 +27,17 @@
   return request_.received + kGroupObjectives * route_.objective;
 }
 
+milliseconds RequestRun::ExchangeTime(const LeafRecord& host) const {
+  const milliseconds round_trip = 2 * TransitTime(host.distance());
+  return context_.has_connection(host) ? round_trip : 2 * round_trip;
+}
+
 void RequestRun::Delegate(const std::vector<ShardGroup>& groups) {
   const base::TimePoint now = context_.clock.Now();
   // Position in groups_ of the group that has the shard.
   std::vector<std::optional<std::size_t>> group_of(route_.shards.size());
   for (const ShardGroup& group : groups) {
-    const milliseconds travel = 2 * TransitTime(group.host->distance());
-    if (partial_at_ <= now + travel + kGroupMargin) continue;
+    if (partial_at_ <= now + ExchangeTime(*group.host) + kGroupMargin) continue;
     for (const std::size_t shard : group.shards)
       group_of[shard] = groups_.size();
     groups_.push_back({.call = context_.next_call(), .host = group.host});
@@ -74,7 +78,7 @@
       action.subset.shards.push_back(part.shard);
     action.subset.allowed_missing = total_ - least_parts_;
     action.subset.partial_at =
-        partial_at_ - 2 * TransitTime(group.host->distance()) - kGroupMargin;
+        partial_at_ - ExchangeTime(*group.host) - kGroupMargin;
     actions.push_back(std::move(action));
   }
 }
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -2,29 +2,28 @@
 #include "berylreach/forward/shard_planner.h"
 
 #include <algorithm>
-#include <iterator>
+#include <cmath>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "berylreach/base/hash.h"
+#include "berylreach/forward/coordinators.h"
+#include "berylreach/forward/slice_assignment.h"
 
 namespace berylreach::forward {
 namespace {
 
 using std::chrono::milliseconds;
 
-/// Least shards that are worth a message to a host of another region instead of
-/// calls from here.
+/// Least shards, and least part of a route's shards, that are worth a message
+/// to a host of another region instead of calls from here. A few shards that
+/// lost their leaves nearby stay with the hosts that hold connections to their
+/// other leaves.
 constexpr std::size_t kLeastRemoteShards = 2;
+constexpr double kLeastRemoteShare = 0.25;
 /// Least shards of a slice, so that its message costs little beside its calls.
 constexpr std::size_t kLeastSliceShards = 16;
 
-/// Part of a region's processors that runs requests in a large fleet.
-constexpr double kCoordinatorShare = 0.25;
-/// Coordinators of a region, so that the loss of one leaves another.
-constexpr std::size_t kLeastCoordinators = 2;
-
 /// Processor time of one leaf call (docs/MEASUREMENTS.md).
 constexpr std::chrono::duration<double, std::micro> kCallProcessorTime{50};
 /// Part of the objective that a host's own processor may take up.
@@ -33,6 +32,30 @@
 /// Requests that a host runs at the same time without delay.
 constexpr std::size_t kHostSlots = 16;
 
+using ShardsOfRegion = std::map<std::string, std::vector<std::size_t>>;
+
+/// Gives the shards of regions that have too few for a message of their own to
+/// `own`, or to the region with the most shards if `own` has none.
+void JoinSmallParts(const std::string& own, std::size_t total,
+                    ShardsOfRegion& assigned) {
+  const auto largest = std::max_element(
+      assigned.begin(), assigned.end(), [](const auto& a, const auto& b) {
+        return a.second.size() < b.second.size();
+      });
+  if (largest == assigned.end()) return;
+  const std::string target = assigned.contains(own) ? own : largest->first;
+  const auto least = std::max(
+      kLeastRemoteShards, static_cast<std::size_t>(std::ceil(
+                              kLeastRemoteShare * static_cast<double>(total))));
+  std::vector<std::size_t>& joined = assigned[target];
+  std::erase_if(assigned, [&](const auto& part) {
+    if (part.first == target || part.second.size() >= least) return false;
+    joined.insert(joined.end(), part.second.begin(), part.second.end());
+    return true;
+  });
+  std::sort(joined.begin(), joined.end());
+}
+
 }  // namespace
 
 ShardPlanner::ShardPlanner(const base::Clock& clock, std::string self,
@@ -46,7 +69,7 @@
 
 void ShardPlanner::SetHosts(std::vector<HostEntry> hosts) {
   hosts_ = std::move(hosts);
-  std::map<std::string, std::shared_ptr<LeafRecord>> records;
+  HostRecordsByName records;
   for (const HostEntry& host : hosts_) {
     if (host.name == self_ || host.address.empty()) continue;
     const auto known = records_.find(host.name);
@@ -73,21 +96,53 @@
   std::vector<ShardGroup> groups;
   // A request of a restricted route stays with the host that has it.
   if (!route.scatters() || !route.regions.empty()) return groups;
+  for (const Slice& slice : CurrentPlan(table, route).slices) {
+    auto host = Best(slice.primaries, seed);
+    if (host == nullptr) host = Best(slice.backups, seed);
+    if (host == nullptr) host = Best(slice.others, seed);
+    if (host == nullptr) continue;
+    groups.push_back({std::move(host), slice.shards});
+  }
+  return groups;
+}
+
+const ShardPlanner::Plan& ShardPlanner::CurrentPlan(const RouteTable& table,
+                                                    const Route& route) {
+  const std::uint64_t version = table.configuration().version;
+  // Routes that are gone must not keep connections open.
+  if (std::exchange(planned_version_, version) != version) plans_.clear();
   Plan& plan = plans_[route.name];
   const std::uint64_t generation = generation_ + directory_.generation();
-  const std::uint64_t version = table.configuration().version;
-  if (plan.generation != generation || plan.version != version) {
+  if (plan.generation != generation) {
     plan = MakePlan(table, route);
     plan.generation = generation;
-    plan.version = version;
   }
-  for (const Slice& slice : plan.slices) {
-    auto host = Best(slice.hosts, seed);
-    if (host == nullptr) host = Best(slice.others, seed);
-    if (host == nullptr) continue;
-    groups.push_back({std::move(host), slice.shards});
+  return plan;
+}
+
+void ShardPlanner::PlanAhead(const RouteTable& table) {
+  const std::vector<Route>& routes = table.configuration().routes;
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    const Route& route = routes[next_planned_++ % routes.size()];
+    if (!route.scatters() || !route.regions.empty()) continue;
+    CurrentPlan(table, route);
+    return;
   }
-  return groups;
+}
+
+ShardPlanner::HostRecordsByName ShardPlanner::LinkedHosts() const {
+  HostRecordsByName linked;
+  const auto add = [this, &linked](const HostRecords& hosts) {
+    for (const auto& host : hosts)
+      if (Knows(host->entry().id)) linked[host->entry().id] = host;
+  };
+  for (const auto& [route, plan] : plans_) {
+    for (const Slice& slice : plan.slices) {
+      add(slice.primaries);
+      add(slice.backups);
+    }
+  }
+  return linked;
 }
 
 std::shared_ptr<LeafRecord> ShardPlanner::Best(const HostRecords& hosts,
@@ -113,7 +168,7 @@
     const bool own = region == location_.region;
     const bool here = own ? !IsSlowHere(route, shards.size())
                           : shards.size() < kLeastRemoteShards;
-    if (few || !here) AddSlices(region, shards, plan);
+    if (few || !here) AddSlices(region, route, shards, plan);
   }
   return plan;
 }
@@ -149,34 +204,45 @@
       return true;
     });
   }
+  JoinSmallParts(location_.region, route.shards.size(), assigned);
   return assigned;
 }
 
-void ShardPlanner::AddSlices(const std::string& region,
+void ShardPlanner::AddSlices(const std::string& region, const Route& route,
                              const std::vector<std::size_t>& shards,
                              Plan& plan) const {
   const std::vector<std::string> coordinators = Coordinators(region);
   if (coordinators.empty()) return;
-  const std::size_t count = std::clamp<std::size_t>(
-      shards.size() / kLeastSliceShards, 1, coordinators.size());
+  // The slices do not change when a few shards go to another region.
+  const std::size_t total = route.shards.size();
+  const std::size_t divided =
+      2 * shards.size() >= total ? total : shards.size();
+  const std::size_t count = std::clamp<std::size_t>(divided / kLeastSliceShards,
+                                                    1, coordinators.size());
   std::vector<Slice> slices(count);
-  for (std::size_t i = 0; i < shards.size(); ++i)
-    slices[i % count].shards.push_back(shards[i]);
-  std::size_t own_slice = count;
-  for (std::size_t i = 0; i < coordinators.size(); ++i) {
-    if (coordinators[i] == self_) own_slice = i % count;
-    const auto found = records_.find(coordinators[i]);
-    if (found == records_.end()) continue;
-    for (std::size_t slice = 0; slice < count; ++slice) {
-      HostRecords& hosts =
-          slice == i % count ? slices[slice].hosts : slices[slice].others;
-      hosts.push_back(found->second);
-    }
+  for (const std::size_t shard : shards)
+    slices[shard % count].shards.push_back(shard);
+  const auto assigned = AssignSlices(coordinators, count);
+  const auto hosts = HostsForSender(self_, assigned);
+  for (std::size_t i = 0; i < count; ++i) {
+    const bool own = std::find(assigned[i].begin(), assigned[i].end(), self_) !=
+                     assigned[i].end();
+    if (own || slices[i].shards.empty()) continue;
+    slices[i].primaries = RecordsOf(hosts[i].primaries);
+    slices[i].backups = RecordsOf(hosts[i].backups);
+    slices[i].others = RecordsOf(hosts[i].others);
+    plan.slices.push_back(std::move(slices[i]));
   }
-  if (own_slice < count)
-    slices.erase(slices.begin() + static_cast<std::ptrdiff_t>(own_slice));
-  plan.slices.insert(plan.slices.end(), std::make_move_iterator(slices.begin()),
-                     std::make_move_iterator(slices.end()));
+}
+
+ShardPlanner::HostRecords ShardPlanner::RecordsOf(
+    const std::vector<std::string>& names) const {
+  HostRecords hosts;
+  for (const std::string& name : names) {
+    const auto found = records_.find(name);
+    if (found != records_.end()) hosts.push_back(found->second);
+  }
+  return hosts;
 }
 
 bool ShardPlanner::FewConnections(const RouteTable& table,
@@ -207,38 +273,10 @@
 
 std::vector<std::string> ShardPlanner::Coordinators(
     const std::string& region) const {
-  struct Candidate {
-    double cores = 0;
-    /// Leaves of its zone.
-    std::size_t near = 0;
-    /// Spreads the choice among equal hosts.
-    std::uint64_t hash = 0;
-    const std::string* name = nullptr;
-  };
-  auto leaves = directory_.CountByZone();
-  std::vector<Candidate> candidates;
-  double cores = 0;
-  for (const HostEntry& host : hosts_) {
-    if (location_.RegionOf(host.zone) != region) continue;
-    candidates.push_back(
-        {host.cores, leaves[host.zone], base::Hash64(host.name), &host.name});
-    cores += host.cores;
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::tie(a.cores, a.near, a.hash) >
-                     std::tie(b.cores, b.near, b.hash);
-            });
-  std::vector<std::string> names;
-  double taken = 0;
-  for (const Candidate& candidate : candidates) {
-    if (names.size() >= kLeastCoordinators &&
-        taken >= kCoordinatorShare * cores)
-      break;
-    names.push_back(*candidate.name);
-    taken += candidate.cores;
-  }
-  return names;
+  std::vector<HostEntry> hosts;
+  for (const HostEntry& host : hosts_)
+    if (location_.RegionOf(host.zone) == region) hosts.push_back(host);
+  return ChooseCoordinators(hosts, directory_.CountByZone());
 }
 
 }  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/slice_assignment.cc
@@ -0,0 +1,108 @@
+// Stable assignment of coordinators to slices.
+#include "berylreach/forward/slice_assignment.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+#include "berylreach/base/rendezvous.h"
+
+namespace berylreach::forward {
+namespace {
+
+/// Hosts of a slice that one sender uses: two, so that it can avoid the slower
+/// one, and one that takes over.
+constexpr std::size_t kPrimaries = 2;
+constexpr std::size_t kBackups = 1;
+
+struct Pairing {
+  std::uint64_t weight = 0;
+  std::size_t slice = 0;
+  std::size_t coordinator = 0;
+};
+
+/// All pairs of slices and coordinators, best first.
+std::vector<Pairing> RankPairings(const std::vector<std::string>& coordinators,
+                                  std::size_t count) {
+  std::vector<Pairing> pairings;
+  pairings.reserve(coordinators.size() * count);
+  for (std::size_t host = 0; host < coordinators.size(); ++host) {
+    const std::uint64_t hash = base::Hash64(coordinators[host]);
+    for (std::size_t slice = 0; slice < count; ++slice)
+      pairings.push_back(
+          {base::RendezvousWeight(slice + 1, hash), slice, host});
+  }
+  std::sort(
+      pairings.begin(), pairings.end(),
+      [](const Pairing& a, const Pairing& b) { return a.weight > b.weight; });
+  return pairings;
+}
+
+/// Sorts `hosts` by their weight for `self`.
+void SortForSender(const std::string& self, std::vector<std::string>& hosts) {
+  std::sort(hosts.begin(), hosts.end(),
+            [&self](const std::string& a, const std::string& b) {
+              return base::RendezvousWeight(self, a) >
+                     base::RendezvousWeight(self, b);
+            });
+}
+
+/// Moves the first `count` elements of `from` to the end of `to`.
+void Take(std::vector<std::string>& from, std::size_t count,
+          std::vector<std::string>& to) {
+  const auto end =
+      from.begin() + static_cast<std::ptrdiff_t>(std::min(count, from.size()));
+  std::move(from.begin(), end, std::back_inserter(to));
+  from.erase(from.begin(), end);
+}
+
+}  // namespace
+
+std::vector<std::vector<std::string>> AssignSlices(
+    const std::vector<std::string>& coordinators, std::size_t count) {
+  std::vector<std::vector<std::string>> slices(count);
+  if (count == 0) return slices;
+  const std::vector<Pairing> pairings = RankPairings(coordinators, count);
+  std::vector<bool> assigned(coordinators.size(), false);
+  // One more host a slice in each round.
+  for (std::size_t size = 1; (size - 1) * count < coordinators.size(); ++size) {
+    for (const Pairing& pairing : pairings) {
+      std::vector<std::string>& hosts = slices[pairing.slice];
+      if (assigned[pairing.coordinator] || hosts.size() >= size) continue;
+      assigned[pairing.coordinator] = true;
+      hosts.push_back(coordinators[pairing.coordinator]);
+    }
+  }
+  return slices;
+}
+
+std::vector<SliceHosts> HostsForSender(
+    const std::string& self,
+    const std::vector<std::vector<std::string>>& slices) {
+  std::vector<std::string> all;
+  for (const auto& hosts : slices)
+    all.insert(all.end(), hosts.begin(), hosts.end());
+  SortForSender(self, all);
+  std::vector<SliceHosts> chosen;
+  chosen.reserve(slices.size());
+  for (std::vector<std::string> own : slices) {
+    SortForSender(self, own);
+    std::vector<std::string> rest;
+    for (const std::string& host : all)
+      if (std::find(own.begin(), own.end(), host) == own.end())
+        rest.push_back(host);
+    SliceHosts hosts;
+    Take(own, kPrimaries, hosts.primaries);
+    // Further hosts of the slice have connections to its leaves.
+    Take(own, kBackups, hosts.backups);
+    Take(rest, kBackups - hosts.backups.size(), hosts.backups);
+    Take(own, own.size(), hosts.others);
+    Take(rest, rest.size(), hosts.others);
+    chosen.push_back(std::move(hosts));
+  }
+  return chosen;
+}
+
+}  // namespace berylreach::forward
--- a/forward/unittests/request_groups_test.cc
+++ b/forward/unittests/request_groups_test.cc
@@ -77,6 +77,21 @@
   EXPECT_EQ(reply_->missing, 0U);
 }
 
+// Guards against partial answers that come after the objective because the
+// message to the host had to wait for a new connection.
+TEST_F(RequestGroupsTest,
+       PartialAnswerIsDueEarlierWhereConnectionMustBeOpened) {
+  BeginDelegated();
+  const base::Duration connected =
+      groups_.at(0).subset.partial_at - clock_.Now();
+  groups_.clear();
+  unconnected_.insert("b-1");
+  BeginDelegated();
+  const base::Duration unconnected =
+      groups_.at(0).subset.partial_at - clock_.Now();
+  EXPECT_EQ(unconnected, connected - 2 * TransitTime(Distance::kOtherRegion));
+}
+
 TEST_F(RequestGroupsTest, StatesShardsThatTheGroupLacks) {
   BeginDelegated();
   for (const StartLeafCall& call : started_) Reply(call, Success(Record('a')));
--- a/forward/unittests/request_run_test.cc
+++ b/forward/unittests/request_run_test.cc
@@ -65,6 +65,29 @@
   EXPECT_GT(reply_->retry_after.count(), 0);
 }
 
+// Guards against callers who may not repeat a request, though its calls never
+// left this host.
+TEST_F(RequestRunTest, RefusalIsNoRunWhenAllCallsAreTakenBack) {
+  Begin(single_, milliseconds(200));
+  ASSERT_EQ(started_.size(), 1U);
+  unsent_.insert(started_[0].call);
+  AdvanceTo(milliseconds(200));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
+  EXPECT_GT(reply_->retry_after.count(), 0);
+}
+
+// Guards against a promise that nothing has run while a leaf has the call.
+TEST_F(RequestRunTest, RefusalIsNoPromiseWhenOneCallWasSent) {
+  route_.attempts = 1;
+  Begin(route_, milliseconds(200));
+  ASSERT_EQ(started_.size(), 4U);
+  for (int i = 0; i < 3; ++i) unsent_.insert(started_[i].call);
+  AdvanceTo(milliseconds(200));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kTimedOut);
+}
+
 // Guards against requests that wait for shards without any leaf.
 TEST_F(RequestRunTest, RefusesUnservableRequestWithoutCalls) {
   for (const char* shard : {"s0", "s1"}) {
--- a/forward/unittests/run_fixture.h
+++ b/forward/unittests/run_fixture.h
@@ -25,7 +25,15 @@
         cold_(clock_, {.overage = 1.5, .slack = 5}),
         selector_(clock_, directory_, cold_),
         budget_(clock_, {.ratio = 0.2, .slack = 50}),
-        context_{clock_, selector_, budget_, 16, [this] { return ++calls_; }} {
+        context_{clock_,
+                 selector_,
+                 budget_,
+                 16,
+                 [this] { return ++calls_; },
+                 [this](const LeafRecord& host) {
+                   return !unconnected_.contains(host.entry().id);
+                 },
+                 [this](CallId call) { return unsent_.contains(call); }} {
     clock_.Advance(std::chrono::hours(1));
     cold_.SetHosts("host", {"host"});
     route_.name = "search";
@@ -146,6 +154,10 @@
   LeafSelector selector_;
   ExtraCallBudget budget_;
   CallId calls_ = 0;
+  /// Hosts to which no connection is open.
+  std::set<std::string> unconnected_;
+  /// Calls that still wait for their connections.
+  std::set<CallId> unsent_;
   RunContext context_;
   Route route_;
   Route single_;
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "berylreach/base/manual_clock.h"
 #include "berylreach/forward/cold_call_limit.h"
 #include "berylreach/forward/leaf_selector.h"
@@ -191,6 +193,41 @@
   EXPECT_GE(selector_.ConnectionShare(service), 1U);
 }
 
+// Guards against a few lost leaves that move shards to other slices, whose
+// hosts would all need new connections.
+TEST_F(ShardPlannerTest, LostLeavesDoNotMoveOtherShards) {
+  MakeManyPartsOnSmallHost();
+  const auto before = Divide();
+  for (const std::string& shard : route_.shards) PutLeaf(shard, "a");
+  directory_.Remove("s0-c");
+  directory_.Remove("s7-c");
+  const auto after = Divide();
+  ASSERT_EQ(after.size(), before.size());
+  for (std::size_t i = 0; i < after.size(); ++i) {
+    EXPECT_EQ(after[i].host, before[i].host);
+    EXPECT_EQ(after[i].shards, before[i].shards);
+  }
+}
+
+// Guards against the first group to each host, which would wait for its
+// connection longer than the request may take.
+TEST_F(ShardPlannerTest, HostsOfPlansAreKnownBeforeTheFirstRequest) {
+  const RouteTable table(
+      Configuration{.version = 1, .routes = {route_}, .services = services_});
+  planner_.PlanAhead(table);
+  std::set<std::string> linked;
+  planner_.ForEachLinkedHost(
+      [&](const LeafRecord& host) { linked.insert(host.entry().id); });
+  EXPECT_EQ(linked, (std::set<std::string>{"a-1", "a-2"}));
+}
+
+TEST_F(ShardPlannerTest, HostThatLeftIsNotLinked) {
+  Divide();
+  SetHosts({{"a-2", "1:2", "a", 0.25}, {"c-1", "1:4", "c", 0.25}});
+  planner_.ForEachLinkedHost(
+      [&](const LeafRecord& host) { EXPECT_EQ(host.entry().id, "a-2"); });
+}
+
 TEST_F(ShardPlannerTest, RestrictedRouteStaysWhereItIs) {
   route_.regions = {"ra"};
   EXPECT_TRUE(Divide().empty());
--- /dev/null
+++ b/forward/unittests/slice_assignment_test.cc
@@ -0,0 +1,100 @@
+// Which coordinators run which slice, and whom a sender holds connections to.
+#include "berylreach/forward/slice_assignment.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace berylreach::forward {
+namespace {
+
+std::vector<std::string> Names(const std::string& prefix, std::size_t count) {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < count; ++i)
+    names.push_back(prefix + std::to_string(i));
+  return names;
+}
+
+TEST(SliceAssignmentTest, EachCoordinatorHasOneSliceAndEachSliceAHost) {
+  const auto slices = AssignSlices(Names("c", 17), 5);
+  std::set<std::string> seen;
+  for (const auto& hosts : slices) {
+    EXPECT_GE(hosts.size(), 3U);
+    EXPECT_LE(hosts.size(), 4U);
+    seen.insert(hosts.begin(), hosts.end());
+  }
+  EXPECT_EQ(seen.size(), 17U);
+}
+
+// Guards against a lost coordinator that moves all others to other slices,
+// where each needs new connections to all leaves.
+TEST(SliceAssignmentTest, LossOfCoordinatorMovesFewOthers) {
+  const auto names = Names("c", 6);
+  const auto before = AssignSlices(names, 5);
+  for (const std::string& lost : names) {
+    std::vector<std::string> left = names;
+    std::erase(left, lost);
+    const auto after = AssignSlices(left, 5);
+    std::size_t moved = 0;
+    for (std::size_t slice = 0; slice < 5; ++slice) {
+      for (const std::string& host : after[slice])
+        moved += static_cast<std::size_t>(
+            std::find(before[slice].begin(), before[slice].end(), host) ==
+            before[slice].end());
+    }
+    EXPECT_LE(moved, 2U) << lost;
+  }
+}
+
+TEST(SliceAssignmentTest, SenderOfSmallRegionKnowsAllItsCoordinators) {
+  const auto hosts = HostsForSender("s", AssignSlices(Names("c", 2), 1));
+  ASSERT_EQ(hosts.size(), 1U);
+  EXPECT_EQ(hosts[0].primaries.size(), 2U);
+  EXPECT_TRUE(hosts[0].backups.empty());
+  EXPECT_TRUE(hosts[0].others.empty());
+}
+
+TEST(SliceAssignmentTest, BackupIsHostOfAnotherSliceWhereThereIsNoOther) {
+  const auto slices = AssignSlices(Names("c", 5), 5);
+  for (const SliceHosts& hosts : HostsForSender("s", slices)) {
+    EXPECT_EQ(hosts.primaries.size(), 1U);
+    EXPECT_EQ(hosts.backups.size(), 1U);
+    EXPECT_EQ(hosts.others.size(), 3U);
+    EXPECT_NE(hosts.primaries, hosts.backups);
+  }
+}
+
+// Guards against connections of a host that grow with the fleet, on either
+// side of them.
+TEST(SliceAssignmentTest, ConnectionsOfLargeFleetAreBoundedAndSpread) {
+  constexpr std::size_t senders = 800;
+  constexpr std::size_t count = 45;
+  const auto slices = AssignSlices(Names("c", 72), count);
+  std::map<std::string, std::size_t> accepted;
+  for (const std::string& sender : Names("s", senders)) {
+    std::set<std::string> linked;
+    for (const SliceHosts& hosts : HostsForSender(sender, slices)) {
+      linked.insert(hosts.primaries.begin(), hosts.primaries.end());
+      linked.insert(hosts.backups.begin(), hosts.backups.end());
+    }
+    EXPECT_LE(linked.size(), 3 * count);
+    for (const std::string& host : linked) ++accepted[host];
+  }
+  for (const auto& [host, connections] : accepted)
+    EXPECT_LE(connections, senders) << host;
+}
+
+// Guards against all senders that turn to the same host when one is lost.
+TEST(SliceAssignmentTest, SendersOfLostHostSpreadOverItsBackups) {
+  const auto slices = AssignSlices(Names("c", 10), 10);
+  std::map<std::string, std::size_t> takers;
+  for (const std::string& sender : Names("s", 300))
+    ++takers[HostsForSender(sender, slices)[0].backups.at(0)];
+  EXPECT_GE(takers.size(), 7U);
+  for (const auto& [host, senders] : takers) EXPECT_LE(senders, 120U) << host;
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -8,6 +8,7 @@
 
 #include "berylreach/base/clock.h"
 #include "berylreach/gateway/http_message.h"
+#include "berylreach/gateway/receive_quota.h"
 
 namespace berylreach::gateway {
 
@@ -58,11 +59,22 @@
   /// CheckTimeouts.
   void Open(const std::string& address, std::string bytes, bool head,
             base::TimePoint connect_by, base::TimePoint answer_by);
-  /// Probes the peer while the connection is quiet, so that a connection that
-  /// has gone silent fails within seconds. Takes effect when it opens.
-  void KeepProbing() { probing_ = true; }
+  /// An answer, its interim responses among it, may have `answer_limit` bytes,
+  /// and those that are incomplete share `quota`, which must outlive the
+  /// connection. Beyond either the exchange is broken. Takes effect when the
+  /// connection opens.
+  void LimitAnswers(std::size_t answer_limit, ReceiveQuota& quota) {
+    answer_limit_ = answer_limit;
+    quota_ = &quota;
+  }
+  /// Probes the peer when the connection has been quiet for `quiet`, so that
+  /// one that has gone silent fails within seconds. Takes effect when it opens.
+  void KeepProbing(std::chrono::seconds quiet) { probe_after_ = quiet; }
   /// Sends a further request on an idle connection.
   void Send(std::string bytes, bool head, base::TimePoint answer_by);
+  /// Takes the request back if the connection is still being opened, which then
+  /// opens without one; false if the request may have been sent.
+  bool Withdraw();
   /// Closes without a call to the handler.
   void Close();
   /// Fails an exchange whose time is over.
@@ -84,7 +96,14 @@
   void Write();
   void WaitRead();
   void OnReadable();
+  /// Counts bytes of the running answer; false if there are too many.
+  bool Count(std::size_t size);
+  /// Gives the bytes of an answer that has ended back to the quota.
+  void EndCount();
   void Consume(const char* data, std::size_t size);
+  /// Passes a complete interim response on; false if that closed the
+  /// connection.
+  bool PassInterim();
   void OnEnd(bool clean);
   /// The message that was parsed whole.
   HttpResponse TakeResponse();
@@ -96,10 +115,15 @@
   const base::Clock& clock_;
   std::unique_ptr<Parser> parser_;
   std::string pending_;
+  std::size_t answer_limit_;
+  ReceiveQuota* quota_ = nullptr;
+  /// Bytes received of the running answer.
+  std::size_t received_ = 0;
   std::string out_;
   std::size_t written_ = 0;
   bool head_ = false;
-  bool probing_ = false;
+  /// Zero for a connection that is not probed.
+  std::chrono::seconds probe_after_{0};
   bool connected_ = false;
   bool busy_ = false;
   bool closed_ = false;
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
@@ -24,6 +23,8 @@
 
 namespace berylreach::gateway {
 
+class Listener;
+
 /// Accepts callers, runs their requests and answers them. All calls come from
 /// the event loop's thread.
 class Gateway : public ServerConnectionHandler {
@@ -71,7 +72,7 @@
   class HealthServer;
   class PeerServer;
 
-  void Accept();
+  void AddConnection(const std::shared_ptr<ServerConnection>& connection);
   void OnPeerRequest(ServerConnection& connection, HttpRequest request);
   void Handle(ServerConnection& connection, HttpRequest request);
   /// The route of the request's target; null if there is none.
@@ -104,6 +105,8 @@
   void OnLeafDone(const RunningCall& running, forward::CallId call,
                   LeafConnections::Result result);
   void Finish(std::uint64_t id, forward::CallerReply reply);
+  /// The header line of an answer that names its request.
+  std::string IdLine(std::string_view id) const;
   void LogOutcome(const forward::RequestRun& run, int status,
                   const forward::CallerReply& reply, base::Duration took) const;
   void OnCallDone(forward::CallId call, LeafConnections::Result result);
@@ -137,7 +140,7 @@
   std::shared_ptr<const forward::RouteTable> table_;
   bool directory_loaded_ = false;
 
-  boost::asio::ip::tcp::acceptor acceptor_;
+  std::unique_ptr<Listener> callers_;
   std::unique_ptr<HealthServer> health_;
   std::unique_ptr<PeerServer> peers_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -18,6 +18,8 @@
 /// The bytes of one call and what it asks of its connection.
 struct LeafCall {
   forward::CallId id = 0;
+  /// Id of the request in `bytes`, which the peer repeats in its answer.
+  std::string request_id;
   std::string bytes;
   /// The method is HEAD, whose responses have no body.
   bool head = false;
@@ -44,15 +46,28 @@
   /// Receives interim responses of running calls.
   using OnProgress = std::function<void(forward::CallId, const HttpResponse&)>;
 
+  /// `id_field` is the header field in which peers repeat the id of a request.
   LeafConnections(boost::asio::io_context& io, const base::Clock& clock,
-                  OnDone on_done, OnProgress on_progress = {});
+                  std::string id_field, OnDone on_done,
+                  OnProgress on_progress = {});
   ~LeafConnections() override;
 
   void Start(const forward::LeafRecord& leaf, LeafCall call);
   /// Opens a connection to a leaf that has none, for a later call.
   void Warm(const forward::LeafRecord& leaf);
+  /// The same for another host. Its connections stay open while they are idle,
+  /// since opening one costs a round trip, and are probed.
+  void Link(const forward::LeafRecord& host);
+  /// Whether a call can be sent without opening a connection.
+  bool HasIdle(const std::string& leaf) const;
+  /// Takes back a call that still waits for its connection; false if it may
+  /// have been sent. The connection opens for later calls, and the result of
+  /// the call is kWithdrawn, or kNotSent if it cannot be opened.
+  bool Withdraw(forward::CallId call);
   /// Closes the connection of a running call; its result is not reported.
   void Cancel(forward::CallId call);
+  /// Closes the idle connections to a leaf, which may have gone silent.
+  void CloseIdleOf(const std::string& leaf);
   /// Ends calls whose time is over and closes old idle connections.
   void CheckTimeouts();
   /// Closes idle connections to leaves for which `keep` is false.
@@ -65,10 +80,16 @@
     std::shared_ptr<ClientConnection> connection;
     std::string leaf;
     forward::CallId call = 0;
+    /// Id of the running call's request.
+    std::string request_id;
+    /// The peer has repeated an id on this connection.
+    bool repeats_ids = false;
   };
   struct Pool {
     std::vector<std::shared_ptr<ClientConnection>> idle;
     std::size_t open = 0;
+    /// The peer is a host to which a connection is held.
+    bool linked = false;
     /// No connection is opened ahead of a call before.
     base::TimePoint warm_after{};
   };
@@ -81,14 +102,18 @@
                         ExchangeFailure failure) override;
   void OnOpened(ClientConnection& connection) override;
   void OnIdleClosed(ClientConnection& connection) override;
-  void Open(const forward::LeafRecord& leaf, Pool& pool, forward::CallId call,
-            std::string bytes, bool head, base::TimePoint answer_by);
+  void Open(const forward::LeafRecord& leaf, Pool& pool, LeafCall call,
+            base::TimePoint answer_by);
+  /// Whether a response belongs to the running call: a copy of an earlier
+  /// answer may arrive where the next one is expected.
+  bool Answers(Slot& slot, const HttpFields& fields) const;
   std::shared_ptr<ClientConnection> TakeIdle(Pool& pool, const LeafCall& call);
   void Drop(ClientConnection& connection);
-  void CloseIdleOf(const std::string& leaf);
 
   boost::asio::io_context& io_;
   const base::Clock& clock_;
+  std::string id_field_;
+  ReceiveQuota quota_;
   OnDone on_done_;
   OnProgress on_progress_;
   std::unordered_map<std::string, Pool> pools_;
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -18,12 +18,16 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// Largest response body; the store's pages are the largest ones.
-constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{16} * 1024 * 1024;
+/// Largest answer where no limit is set; the store's pages are the largest
+/// ones.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
-/// Quiet time before the first probe, time between probes, and probes without
-/// an answer after which a connection has gone silent: 2 s in all.
-constexpr int kProbeIdleSeconds = 1;
+/// Bytes read from one connection before the others and the timers have their
+/// turn.
+constexpr std::size_t kTurnBytes = std::size_t{256} * 1024;
+
+/// Time between probes, and probes without an answer after which a connection
+/// has gone silent.
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbes = 1;
 
@@ -39,9 +43,12 @@
 ClientConnection::ClientConnection(asio::io_context& io,
                                    ClientConnectionHandler& handler,
                                    const base::Clock& clock)
-    : socket_(io), handler_(handler), clock_(clock) {}
+    : socket_(io),
+      handler_(handler),
+      clock_(clock),
+      answer_limit_(kMaxAnswerBytes) {}
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection() { EndCount(); }
 
 void ClientConnection::Open(const std::string& address, std::string bytes,
                             bool head, base::TimePoint connect_by,
@@ -77,7 +84,7 @@
   // one before it.
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
-  if (probing_) StartProbing();
+  if (probe_after_.count() > 0) StartProbing();
   StartParser();
   if (out_.empty()) {
     busy_ = false;
@@ -93,14 +100,15 @@
 void ClientConnection::StartParser() {
   parser_ = std::make_unique<Parser>();
   parser_->http.eager(true);
-  parser_->http.body_limit(kMaxBodyBytes);
+  parser_->http.body_limit(answer_limit_);
   parser_->http.skip(head_);
 }
 
 void ClientConnection::StartProbing() {
   error_code ignored;
   socket_.set_option(asio::socket_base::keep_alive(true), ignored);
-  socket_.set_option(TcpOption<TCP_KEEPIDLE>(kProbeIdleSeconds), ignored);
+  socket_.set_option(
+      TcpOption<TCP_KEEPIDLE>(static_cast<int>(probe_after_.count())), ignored);
   socket_.set_option(TcpOption<TCP_KEEPINTVL>(kProbeIntervalSeconds), ignored);
   socket_.set_option(TcpOption<TCP_KEEPCNT>(kProbes), ignored);
 }
@@ -126,6 +134,12 @@
   if (written_ < out_.size()) Write();
 }
 
+bool ClientConnection::Withdraw() {
+  if (closed_ || connected_) return false;
+  out_.clear();
+  return true;
+}
+
 void ClientConnection::Write() {
   while (written_ < out_.size()) {
     error_code error;
@@ -156,7 +170,8 @@
 
 void ClientConnection::OnReadable() {
   const auto self = shared_from_this();
-  while (!closed_) {
+  std::size_t turn = 0;
+  while (!closed_ && turn < kTurnBytes) {
     error_code error;
     const std::size_t size = socket_.read_some(
         asio::buffer(ReadBuffer::Data(), ReadBuffer::kBytes), error);
@@ -171,48 +186,66 @@
       handler_.OnIdleClosed(*this);
       return;
     }
+    if (!Count(size)) {
+      Fail(ExchangeFailure::kBroken);
+      return;
+    }
     Consume(ReadBuffer::Data(), size);
+    turn += size;
     if (size < ReadBuffer::kBytes) break;
   }
   if (!closed_) WaitRead();
 }
 
+bool ClientConnection::Count(std::size_t size) {
+  if (received_ + size > answer_limit_) return false;
+  if (quota_ != nullptr && !quota_->TryTake(size)) return false;
+  received_ += size;
+  return true;
+}
+
+void ClientConnection::EndCount() {
+  // The quota may be gone once nothing is owed to it.
+  if (quota_ != nullptr && received_ > 0) quota_->Return(received_);
+  received_ = 0;
+}
+
 void ClientConnection::Consume(const char* data, std::size_t size) {
-  if (!pending_.empty()) {
-    pending_.append(data, size);
-    data = pending_.data();
-    size = pending_.size();
+  std::string buffer = std::exchange(pending_, {});
+  if (!buffer.empty()) {
+    buffer.append(data, size);
+    data = buffer.data();
+    size = buffer.size();
   }
-  auto& parser = parser_->http;
   std::size_t used = 0;
-  while (used < size && !parser.is_done()) {
+  while (used < size && !parser_->http.is_done()) {
     error_code error;
-    used += parser.put(asio::buffer(data + used, size - used), error);
+    used += parser_->http.put(asio::buffer(data + used, size - used), error);
     if (error == http::error::need_more) break;
     if (error) {
       Fail(ExchangeFailure::kBroken);
       return;
     }
-    if (parser.is_done() && parser.get().result_int() < 200) {
-      // The handler may close the connection.
-      std::string rest(data + used, size - used);
-      const HttpResponse interim = TakeResponse();
-      StartParser();
-      pending_.clear();
-      handler_.OnInterim(*this, interim);
-      if (!closed_ && !rest.empty()) Consume(rest.data(), rest.size());
-      return;
-    }
+    const bool interim =
+        parser_->http.is_done() && parser_->http.get().result_int() < 200;
+    if (interim && !PassInterim()) return;
   }
-  if (parser.is_done()) {
-    // A connection with bytes beyond the response cannot be used again, nor
-    // one whose request is not yet written.
-    const bool extra = used < size;
-    pending_.clear();
-    FinishResponse(!extra && written_ == out_.size() && parser.keep_alive());
+  if (!parser_->http.is_done()) {
+    pending_.assign(data + used, size - used);
     return;
   }
-  pending_ = std::string(data + used, size - used);
+  // A connection with bytes beyond the response cannot be used again, nor one
+  // whose request is not yet written.
+  const bool extra = used < size;
+  FinishResponse(!extra && written_ == out_.size() &&
+                 parser_->http.keep_alive());
+}
+
+bool ClientConnection::PassInterim() {
+  const HttpResponse interim = TakeResponse();
+  StartParser();
+  handler_.OnInterim(*this, interim);
+  return !closed_;
 }
 
 void ClientConnection::OnEnd(bool clean) {
@@ -250,6 +283,7 @@
   keep_alive_ = KeepAliveTimeout(response.fields);
   busy_ = false;
   idle_since_ = clock_.Now();
+  EndCount();
   if (!reusable) Close();
   handler_.OnResponse(*this, std::move(response), reusable);
 }
@@ -264,6 +298,7 @@
 void ClientConnection::Close() {
   if (closed_) return;
   closed_ = true;
+  EndCount();
   error_code ignored;
   socket_.close(ignored);
 }
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "address.h"
 #include "berylreach/host/log.h"
 #include "health_server.h"
+#include "listener.h"
 #include "peer_server.h"
 #include "response_bytes.h"
 
@@ -65,11 +65,19 @@
       admission_(clock, AdmissionFor(settings_.cores)),
       planner_(clock, settings_.host, settings_.location, directory_,
                selector_),
-      context_{clock, selector_, budget_, settings_.record_bytes,
-               [this] { return next_id_++; }},
-      acceptor_(io, ParseEndpoint(settings_.caller_address).value()),
+      context_{clock,
+               selector_,
+               budget_,
+               settings_.record_bytes,
+               [this] { return next_id_++; },
+               [this](const forward::LeafRecord& host) {
+                 return leaf_connections_.HasIdle(host.entry().id);
+               },
+               [this](forward::CallId call) {
+                 return leaf_connections_.Withdraw(call);
+               }},
       leaf_connections_(
-          io, clock,
+          io, clock, settings_.names.request_id,
           [this](forward::CallId call, LeafConnections::Result result) {
             OnCallDone(call, std::move(result));
           },
@@ -83,7 +91,12 @@
       [this] { return Metrics(); });
   if (!settings_.peer_address.empty())
     peers_ = std::make_unique<PeerServer>(io, settings_.peer_address, *this);
-  Accept();
+  callers_ = std::make_unique<Listener>(
+      io, settings_.caller_address,
+      [this](boost::asio::ip::tcp::socket socket) {
+        AddConnection(std::make_shared<ServerConnection>(
+            std::move(socket), *this, clock_, Limits()));
+      });
   ScheduleSweep();
 }
 
@@ -118,18 +131,10 @@
   return !stopping_ && table_ != nullptr && directory_loaded_;
 }
 
-void Gateway::Accept() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (!error) {
-      auto connection = std::make_shared<ServerConnection>(
-          std::move(socket), *this, clock_, Limits());
-      connections_[connection.get()] = connection;
-      connection->Start();
-    }
-    if (acceptor_.is_open()) Accept();
-  });
+void Gateway::AddConnection(
+    const std::shared_ptr<ServerConnection>& connection) {
+  connections_[connection.get()] = connection;
+  connection->Start();
 }
 
 forward::CallerLimits Gateway::Limits() const {
@@ -232,6 +237,10 @@
       if (!leaf->IsBackedOff(now)) leaf_connections_.Warm(*leaf);
     });
   }
+  planner_.PlanAhead(*table_);
+  planner_.ForEachLinkedHost([this](const forward::LeafRecord& host) {
+    leaf_connections_.Link(host);
+  });
 }
 
 void Gateway::Stop(std::function<void()> on_stopped) {
@@ -247,10 +256,7 @@
 void Gateway::ContinueStop() {
   const base::Duration since = clock_.Now() - stop_began_;
   if (since < kAcceptAfterStop) return;
-  if (acceptor_.is_open()) {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-  }
+  if (callers_->is_open()) callers_->Close();
   std::vector<std::shared_ptr<ServerConnection>> all;
   for (const auto& [key, connection] : connections_) all.push_back(connection);
   for (const auto& connection : all) connection->CloseIfIdle();
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -25,10 +25,11 @@
 forward::GroupFailure ToGroupFailure(const LeafConnections::Result& result) {
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr) {
-    return std::get<forward::CallFailure>(result) ==
-                   forward::CallFailure::kNotSent
-               ? forward::GroupFailure::kDeclined
-               : forward::GroupFailure::kLost;
+    const auto failure = std::get<forward::CallFailure>(result);
+    const bool sent = failure != forward::CallFailure::kNotSent &&
+                      failure != forward::CallFailure::kWithdrawn;
+    return sent ? forward::GroupFailure::kLost
+                : forward::GroupFailure::kDeclined;
   }
   if (response->status == kDeclinedStatus)
     return forward::GroupFailure::kDeclined;
@@ -39,6 +40,9 @@
 /// What the end of a group call says of the host.
 forward::CallOutcome OutcomeOf(const LeafConnections::Result& result) {
   const auto* response = std::get_if<HttpResponse>(&result);
+  if (response == nullptr && std::get<forward::CallFailure>(result) ==
+                                 forward::CallFailure::kWithdrawn)
+    return forward::CallOutcome::kCancelled;
   // A host that declines is starting or stopping, or has another
   // configuration; it is left out for a while.
   if (response == nullptr || response->status == kDeclinedStatus)
@@ -92,6 +96,7 @@
                          .sent = action.sent};
   LeafCall message;
   message.id = action.call;
+  message.request_id = run.request().id;
   message.head = request.head;
   message.connections = action.host->entry().slots;
   message.deadline = action.deadline;
@@ -107,6 +112,7 @@
   if (!connection) return;
   std::string bytes =
       "HTTP/1.1 " + std::to_string(kProgressStatus) + " Early Hints\r\n";
+  bytes.append(IdLine(request.run->request().id));
   bytes.append(settings_.names.part_signatures).append(": ");
   bytes.append(JoinSignatures(reply.signatures)).append("\r\n");
   bytes.append(kRecordsField).append(": ");
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -48,6 +48,20 @@
   return 504;
 }
 
+/// What a call without an answer says of its leaf.
+forward::CallOutcome OutcomeOf(forward::CallFailure failure) {
+  switch (failure) {
+    case forward::CallFailure::kMayHaveRun:
+      return forward::CallOutcome::kFailed;
+    case forward::CallFailure::kWithdrawn:
+      return forward::CallOutcome::kCancelled;
+    case forward::CallFailure::kNotSent:
+    case forward::CallFailure::kTimedOut:
+      break;
+  }
+  return forward::CallOutcome::kUnreachable;
+}
+
 RequestOutcome OutcomeOf(int status, std::size_t missing) {
   if (status == 503) return RequestOutcome::kRefused;
   if (status >= 400) return RequestOutcome::kFailed;
@@ -191,6 +205,7 @@
   const forward::CallerRequest& caller = request.run->request();
   LeafCall call;
   call.id = action.call;
+  call.request_id = caller.id;
   call.head = request.head;
   call.needs_fresh_connection = !request.run->route().idempotent;
   call.connections = action.connections;
@@ -240,15 +255,6 @@
   std::vector<forward::RunAction> actions;
   const auto request = requests_.find(running.request);
   auto* response = std::get_if<HttpResponse>(&result);
-  if (response != nullptr) {
-    const std::string_view echoed =
-        response->fields.Find(settings_.names.request_id);
-    // A response that belongs to an earlier call answers nothing.
-    if (!echoed.empty() && echoed != running.request_id) {
-      result = forward::CallFailure::kMayHaveRun;
-      response = nullptr;
-    }
-  }
   if (response != nullptr) {
     forward::LeafReply reply = ToLeafReply(std::move(*response));
     forward::CallOutcome outcome = forward::CallOutcome::kFailed;
@@ -274,11 +280,8 @@
     request->second.run->OnReply(call, std::move(reply), actions);
   } else {
     const auto failure = std::get<forward::CallFailure>(result);
-    ++counters_.leaf_failures;
-    leaf.OnCallEnded(running.sent, now,
-                     failure == forward::CallFailure::kMayHaveRun
-                         ? forward::CallOutcome::kFailed
-                         : forward::CallOutcome::kUnreachable);
+    if (failure != forward::CallFailure::kWithdrawn) ++counters_.leaf_failures;
+    leaf.OnCallEnded(running.sent, now, OutcomeOf(failure));
     LogBackOff(leaf, backed_off, running.request_id);
     if (request == requests_.end()) return;
     request->second.run->OnFailure(call, failure, actions);
@@ -326,6 +329,9 @@
     fields.append(names.missing_parts).append(": ");
     fields.append(std::to_string(reply.missing)).append("\r\n");
   }
+  // A merged answer or a refusal repeats the id as leaves do, so that other
+  // hosts and callers know whose it is.
+  if (reply.reply.signature.empty()) fields.append(IdLine(run.request().id));
   metrics_.OnRequest(run.route().name, OutcomeOf(status, reply.missing), took);
   const bool late = took > run.route().objective;
   if (late) ++counters_.late;
@@ -339,6 +345,10 @@
   connection->Respond(std::move(bytes), keep_alive);
 }
 
+std::string Gateway::IdLine(std::string_view id) const {
+  return settings_.names.request_id + ": " + std::string(id) + "\r\n";
+}
+
 void Gateway::LogOutcome(const forward::RequestRun& run, int status,
                          const forward::CallerReply& reply,
                          base::Duration took) const {
@@ -366,8 +376,10 @@
        .cause = std::string(cause),
        .version = configuration_version()});
   std::string fields;
+  const std::string_view id = request.fields.Find(settings_.names.request_id);
+  if (!id.empty()) fields = IdLine(id);
   if (retry_after.count() > 0)
-    fields = "Retry-After: " + Seconds(retry_after) + "\r\n";
+    fields.append("Retry-After: " + Seconds(retry_after) + "\r\n");
   const bool keep_alive = request.keep_alive && !stopping_;
   connection.Respond(
       ResponseBytes(status, ReasonOf(status), fields,
--- a/gateway/lib/health_server.cc
+++ b/gateway/lib/health_server.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "address.h"
 #include "response_bytes.h"
 
 namespace berylreach::gateway {
@@ -14,26 +13,15 @@
                                     const std::string& address,
                                     std::function<bool()> ready,
                                     std::function<std::string()> metrics)
-    : acceptor_(io, ParseEndpoint(address).value()),
-      clock_(clock),
+    : clock_(clock),
       ready_(std::move(ready)),
-      metrics_(std::move(metrics)) {
-  Accept();
-}
-
-void Gateway::HealthServer::Accept() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (!error) {
-      auto connection = std::make_shared<ServerConnection>(
-          std::move(socket), *this, clock_, forward::CallerLimits{});
-      connections_[connection.get()] = connection;
-      connection->Start();
-    }
-    Accept();
-  });
-}
+      metrics_(std::move(metrics)),
+      listener_(io, address, [this](boost::asio::ip::tcp::socket socket) {
+        auto connection = std::make_shared<ServerConnection>(
+            std::move(socket), *this, clock_, forward::CallerLimits{});
+        connections_[connection.get()] = connection;
+        connection->Start();
+      }) {}
 
 void Gateway::HealthServer::OnRequest(ServerConnection& connection,
                                       HttpRequest request) {
--- a/gateway/lib/health_server.h
+++ b/gateway/lib/health_server.h
@@ -1,13 +1,13 @@
 // Readiness checks and metrics. Private to the package.
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 #include "berylreach/gateway/gateway.h"
+#include "listener.h"
 
 namespace berylreach::gateway {
 
@@ -21,16 +21,15 @@
   void CheckTimeouts(base::TimePoint now);
 
  private:
-  void Accept();
   void OnRequest(ServerConnection& connection, HttpRequest request) override;
   void OnClosed(ServerConnection& connection) override;
 
-  boost::asio::ip::tcp::acceptor acceptor_;
   const base::Clock& clock_;
   std::function<bool()> ready_;
   std::function<std::string()> metrics_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
       connections_;
+  Listener listener_;
 };
 
 }  // namespace berylreach::gateway
--- a/gateway/lib/http_caller.cc
+++ b/gateway/lib/http_caller.cc
@@ -8,6 +8,9 @@
 
 constexpr std::chrono::milliseconds kConnectLimit{1000};
 
+/// Quiet time after which the connection is probed.
+constexpr std::chrono::seconds kProbeAfter{1};
+
 }  // namespace
 
 HttpCaller::HttpCaller(boost::asio::io_context& io, const base::Clock& clock)
@@ -38,7 +41,7 @@
   if (connection_) connection_->Close();
   address_ = address;
   connection_ = std::make_shared<ClientConnection>(io_, *this, clock_);
-  connection_->KeepProbing();
+  connection_->KeepProbing(kProbeAfter);
   connection_->Open(address_, std::move(bytes), false, now + kConnectLimit,
                     now + limit);
 }
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "berylreach/host/log.h"
+
 namespace berylreach::gateway {
 namespace {
 
@@ -30,7 +32,19 @@
 /// Part of the leaf's own limit for idle connections that is used.
 constexpr double kIdleShare = 0.7;
 
-base::Duration IdleLimit(const ClientConnection& connection) {
+/// Time after which an idle connection to another host is closed. Hosts keep
+/// connections of other hosts for longer (PeerServer).
+constexpr milliseconds kLinkIdle{45000};
+/// Quiet time after which such a connection is probed.
+constexpr std::chrono::seconds kLinkProbe{3};
+
+/// Largest answer to one call, and the most that all unfinished answers may
+/// hold; a quarter of the memory of a small host.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{2} * 1024 * 1024;
+constexpr std::size_t kMaxUnfinishedBytes = std::size_t{40} * 1024 * 1024;
+
+base::Duration IdleLimit(const ClientConnection& connection, bool linked) {
+  if (linked) return kLinkIdle;
   if (connection.keep_alive().count() == 0) return kDefaultIdle;
   return std::chrono::duration_cast<base::Duration>(connection.keep_alive() *
                                                     kIdleShare);
@@ -51,10 +65,12 @@
 }  // namespace
 
 LeafConnections::LeafConnections(boost::asio::io_context& io,
-                                 const base::Clock& clock, OnDone on_done,
-                                 OnProgress on_progress)
+                                 const base::Clock& clock, std::string id_field,
+                                 OnDone on_done, OnProgress on_progress)
     : io_(io),
       clock_(clock),
+      id_field_(std::move(id_field)),
+      quota_(kMaxUnfinishedBytes),
       on_done_(std::move(on_done)),
       on_progress_(std::move(on_progress)) {}
 
@@ -67,7 +83,9 @@
   Pool& pool = pools_[id];
   const base::TimePoint answer_by = call.deadline + kAnswerMargin;
   if (auto connection = TakeIdle(pool, call)) {
-    slots_[connection.get()].call = call.id;
+    Slot& slot = slots_[connection.get()];
+    slot.call = call.id;
+    slot.request_id = std::move(call.request_id);
     by_call_[call.id] = connection.get();
     connection->Send(std::move(call.bytes), call.head, answer_by);
     return;
@@ -78,18 +96,22 @@
     });
     return;
   }
-  Open(leaf, pool, call.id, std::move(call.bytes), call.head, answer_by);
+  Open(leaf, pool, std::move(call), answer_by);
 }
 
 void LeafConnections::Open(const forward::LeafRecord& leaf, Pool& pool,
-                           forward::CallId call, std::string bytes, bool head,
-                           base::TimePoint answer_by) {
+                           LeafCall call, base::TimePoint answer_by) {
   auto connection = std::make_shared<ClientConnection>(io_, *this, clock_);
-  slots_[connection.get()] = {connection, leaf.entry().id, call};
-  if (call != 0) by_call_[call] = connection.get();
+  slots_[connection.get()] = {.connection = connection,
+                              .leaf = leaf.entry().id,
+                              .call = call.id,
+                              .request_id = std::move(call.request_id)};
+  if (call.id != 0) by_call_[call.id] = connection.get();
   ++pool.open;
   ++counters_.opened;
-  connection->Open(leaf.entry().address, std::move(bytes), head,
+  connection->LimitAnswers(kMaxAnswerBytes, quota_);
+  if (pool.linked) connection->KeepProbing(kLinkProbe);
+  connection->Open(leaf.entry().address, std::move(call.bytes), call.head,
                    clock_.Now() + kConnectTimeout, answer_by);
 }
 
@@ -98,13 +120,33 @@
   const base::TimePoint now = clock_.Now();
   if (pool.open > 0 || now < pool.warm_after) return;
   pool.warm_after = now + kWarmPause;
-  Open(leaf, pool, 0, "", false, now + kConnectTimeout);
+  Open(leaf, pool, {}, now + kConnectTimeout);
+}
+
+void LeafConnections::Link(const forward::LeafRecord& host) {
+  pools_[host.entry().id].linked = true;
+  Warm(host);
+}
+
+bool LeafConnections::HasIdle(const std::string& leaf) const {
+  const auto found = pools_.find(leaf);
+  return found != pools_.end() && !found->second.idle.empty();
 }
 
 void LeafConnections::OnOpened(ClientConnection& connection) {
   const auto found = slots_.find(&connection);
   if (found == slots_.end()) return;
-  pools_[found->second.leaf].idle.push_back(found->second.connection);
+  Slot& slot = found->second;
+  pools_[slot.leaf].idle.push_back(slot.connection);
+  const forward::CallId withdrawn = std::exchange(slot.call, 0);
+  if (withdrawn == 0) return;
+  by_call_.erase(withdrawn);
+  on_done_(withdrawn, forward::CallFailure::kWithdrawn);
+}
+
+bool LeafConnections::Withdraw(forward::CallId call) {
+  const auto found = by_call_.find(call);
+  return found != by_call_.end() && found->second->Withdraw();
 }
 
 std::shared_ptr<ClientConnection> LeafConnections::TakeIdle(
@@ -114,10 +156,9 @@
     auto connection = std::move(pool.idle.back());
     pool.idle.pop_back();
     const base::Duration age = now - connection->idle_since();
-    const base::Duration limit =
-        call.needs_fresh_connection
-            ? std::min<base::Duration>(kFreshAge, IdleLimit(*connection))
-            : IdleLimit(*connection);
+    base::Duration limit = IdleLimit(*connection, pool.linked);
+    if (call.needs_fresh_connection)
+      limit = std::min<base::Duration>(kFreshAge, limit);
     if (!connection->closed() && age < limit) return connection;
     connection->Close();
     Drop(*connection);
@@ -141,7 +182,7 @@
     if (slot.connection->busy()) {
       busy.push_back(slot.connection);
     } else if (now - slot.connection->idle_since() >=
-               IdleLimit(*slot.connection)) {
+               IdleLimit(*slot.connection, pools_[slot.leaf].linked)) {
       old.push_back(slot.connection);
     }
   }
@@ -186,6 +227,12 @@
                                  HttpResponse response, bool reusable) {
   const auto keep = connection.shared_from_this();
   Slot& slot = slots_.at(&connection);
+  if (!Answers(slot, response.fields)) {
+    host::LogStateChange("answer_of_other_request", slot.leaf, slot.request_id);
+    connection.Close();
+    OnExchangeFailed(connection, ExchangeFailure::kBroken);
+    return;
+  }
   const forward::CallId call = std::exchange(slot.call, 0);
   by_call_.erase(call);
   if (reusable) {
@@ -196,10 +243,18 @@
   on_done_(call, std::move(response));
 }
 
+bool LeafConnections::Answers(Slot& slot, const HttpFields& fields) const {
+  const std::string_view repeated = fields.Find(id_field_);
+  if (repeated.empty()) return !slot.repeats_ids;
+  slot.repeats_ids = true;
+  return repeated == slot.request_id;
+}
+
 void LeafConnections::OnInterim(ClientConnection& connection,
                                 const HttpResponse& response) {
   const auto found = slots_.find(&connection);
   if (found == slots_.end() || found->second.call == 0 || !on_progress_) return;
+  if (response.fields.Find(id_field_) != found->second.request_id) return;
   on_progress_(found->second.call, response);
 }
 
--- a/gateway/lib/peer_server.h
+++ b/gateway/lib/peer_server.h
@@ -1,10 +1,10 @@
 // Requests of other hosts. Private to the package.
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <string>
 
 #include "berylreach/gateway/gateway.h"
+#include "listener.h"
 
 namespace berylreach::gateway {
 
@@ -16,12 +16,11 @@
              Gateway& gateway);
 
  private:
-  void Accept();
   void OnRequest(ServerConnection& connection, HttpRequest request) override;
   void OnClosed(ServerConnection& connection) override;
 
-  boost::asio::ip::tcp::acceptor acceptor_;
   Gateway& gateway_;
+  Listener listener_;
 };
 
 }  // namespace berylreach::gateway
--- a/gateway/lib/server_connection.cc
+++ b/gateway/lib/server_connection.cc
@@ -19,6 +19,10 @@
 /// Bytes kept of requests that the caller sent before its answer came.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 
+/// Bytes read from one connection before the others and the timers have their
+/// turn.
+constexpr std::size_t kTurnBytes = std::size_t{256} * 1024;
+
 /// Time in which a peer may still read the answer to a broken request.
 constexpr std::chrono::milliseconds kLinger{500};
 
@@ -59,7 +63,8 @@
 
 void ServerConnection::OnReadable() {
   const auto self = shared_from_this();
-  while (!closed_) {
+  std::size_t turn = 0;
+  while (!closed_ && turn < kTurnBytes) {
     error_code error;
     const std::size_t size = socket_.read_some(
         asio::buffer(ReadBuffer::Data(), ReadBuffer::kBytes), error);
@@ -68,6 +73,7 @@
       PeerLeft();
       return;
     }
+    turn += size;
     if (lingering_) continue;
     if (pending_.empty() && parser_ == nullptr && !answering_)
       waiting_since_ = clock_.Now();
--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <optional>
 
 #include "berylreach/base/system_clock.h"
@@ -46,6 +47,7 @@
 
   void Open(const std::string& bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n") {
     connection_ = std::make_shared<ClientConnection>(io_, recorder_, clock_);
+    if (quota_) connection_->LimitAnswers(answer_limit_, *quota_);
     connection_->Open(AddressOf(acceptor_), bytes, false,
                       clock_.Now() + kWaitLimit, clock_.Now() + kWaitLimit);
     acceptor_.async_accept(
@@ -55,9 +57,23 @@
     ASSERT_TRUE(RunUntil(io_, [this] { return peer_.has_value(); }));
   }
 
+  /// Limits of the next connection.
+  void Limit(std::size_t answer_limit, std::size_t quota) {
+    answer_limit_ = answer_limit;
+    quota_.emplace(quota);
+  }
+
   void PeerSends(const std::string& bytes) {
     asio::write(*peer_, asio::buffer(bytes));
   }
+  /// The peer repeats `bytes` until its connection is closed.
+  void PeerSendsWithoutEnd(const std::string& bytes) {
+    endless_ = bytes;
+    asio::async_write(*peer_, asio::buffer(endless_),
+                      [this](boost::system::error_code error, std::size_t) {
+                        if (!error && peer_) PeerSendsWithoutEnd(endless_);
+                      });
+  }
   void PeerCloses() {
     // Reads the request first, so that the close is not a reset.
     ASSERT_TRUE(RunUntil(io_, [this] { return peer_->available() > 0; }));
@@ -81,8 +97,11 @@
   asio::io_context io_;
   tcp::acceptor acceptor_;
   Recorder recorder_;
+  std::size_t answer_limit_ = 0;
+  std::optional<ReceiveQuota> quota_;
   std::shared_ptr<ClientConnection> connection_;
   std::optional<tcp::socket> peer_;
+  std::string endless_;
 };
 
 TEST_F(ClientConnectionTest, CompleteResponseLeavesTheConnectionIdle) {
@@ -183,6 +202,74 @@
   EXPECT_TRUE(recorder_.reusable);
 }
 
+// The servers of these tests send until the connection is closed.
+
+TEST_F(ClientConnectionTest, BodyWithoutEndIsBrokenAndGivesItsMemoryBack) {
+  Limit(std::size_t{1} << 20, std::size_t{4} << 20);
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  PeerSendsWithoutEnd("4000\r\n" + std::string(0x4000, 'x') + "\r\n");
+  ASSERT_TRUE(Failed());
+  EXPECT_EQ(*recorder_.failure, ExchangeFailure::kBroken);
+  EXPECT_EQ(quota_->left(), std::size_t{4} << 20);
+}
+
+TEST_F(ClientConnectionTest, BodyWithoutLengthAndEndIsBroken) {
+  Limit(std::size_t{1} << 20, std::size_t{4} << 20);
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\n\r\n");
+  PeerSendsWithoutEnd(std::string(0x4000, 'x'));
+  ASSERT_TRUE(Failed());
+}
+
+TEST_F(ClientConnectionTest, HeadWithoutEndIsBroken) {
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\n");
+  PeerSendsWithoutEnd("X-Field: " + std::string(500, 'x') + "\r\n");
+  ASSERT_TRUE(Failed());
+  EXPECT_EQ(*recorder_.failure, ExchangeFailure::kBroken);
+}
+
+TEST_F(ClientConnectionTest, StatusLineWithoutEndIsBroken) {
+  Open();
+  PeerSendsWithoutEnd("HTTP/1.1 200 ");
+  ASSERT_TRUE(Failed());
+}
+
+TEST_F(ClientConnectionTest, InterimResponsesWithoutEndAreBroken) {
+  Limit(std::size_t{1} << 20, std::size_t{4} << 20);
+  Open();
+  std::string many;
+  for (int i = 0; i < 2000; ++i) many += "HTTP/1.1 100 Continue\r\n\r\n";
+  PeerSendsWithoutEnd(many);
+  ASSERT_TRUE(Failed());
+  EXPECT_EQ(*recorder_.failure, ExchangeFailure::kBroken);
+}
+
+// Guards against one peer that keeps the only thread from its timers.
+TEST_F(ClientConnectionTest, PeerThatSendsOnAndOnLeavesTurnsToOthers) {
+  Limit(std::size_t{1} << 30, std::size_t{1} << 30);
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\n\r\n");
+  PeerSendsWithoutEnd(std::string(0x10000, 'x'));
+  bool fired = false;
+  asio::steady_timer timer(io_, milliseconds(50));
+  timer.async_wait([&](boost::system::error_code) { fired = true; });
+  EXPECT_TRUE(RunUntil(io_, [&] { return fired; }));
+  EXPECT_FALSE(recorder_.failure);
+}
+
+// Guards against a host that runs out of memory over many answers, each of
+// which is within its limit.
+TEST_F(ClientConnectionTest, AnswersTogetherStayWithinTheQuota) {
+  Limit(std::size_t{1} << 20, std::size_t{1} << 16);
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\n\r\n");
+  PeerSendsWithoutEnd(std::string(0x4000, 'x'));
+  ASSERT_TRUE(Failed());
+  EXPECT_EQ(quota_->left(), std::size_t{1} << 16);
+}
+
 TEST_F(ClientConnectionTest, ResponseBeforeTheBodyIsWrittenEndsTheConnection) {
   // More than both sockets buffer.
   std::string body;
--- a/gateway/unittests/leaf_connections_test.cc
+++ b/gateway/unittests/leaf_connections_test.cc
@@ -11,25 +11,42 @@
 namespace berylreach::gateway {
 namespace {
 
+/// The system's clock, moved forward by the test.
+class OffsetClock : public base::Clock {
+ public:
+  base::TimePoint Now() const override { return clock_.Now() + offset_; }
+  std::chrono::system_clock::time_point WallNow() const override {
+    return clock_.WallNow() + offset_;
+  }
+  void Advance(base::Duration span) { offset_ += span; }
+
+ private:
+  base::SystemClock clock_;
+  base::Duration offset_{0};
+};
+
 class LeafConnectionsTest : public testing::Test {
  protected:
   LeafConnectionsTest()
-      : server_(io_, clock_,
+      : server_(io_, server_clock_,
                 [this](ServerConnection& connection, HttpRequest) {
-                  if (answers_)
-                    connection.Respond(
-                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+                  ++requests_;
+                  if (!answers_) return;
+                  connection.Respond("HTTP/1.1 200 OK\r\n" + fields_ +
+                                         "Content-Length: 0\r\n\r\n",
+                                     true);
                 }),
         leaf_({.id = "l", .service = "s", .address = server_.address()},
               forward::Distance::kSameZone, "r", clock_.Now()),
         connections_(
-            io_, clock_,
+            io_, clock_, "X-Id",
             [this](forward::CallId id, LeafConnections::Result result) {
               done_.emplace_back(id, std::move(result));
             }) {}
 
   void Start(forward::CallId id, std::size_t connections = 2) {
     connections_.Start(leaf_, {.id = id,
+                               .request_id = "r" + std::to_string(id),
                                .bytes = "GET / HTTP/1.1\r\n\r\n",
                                .connections = connections,
                                .deadline = clock_.Now() + kWaitLimit});
@@ -39,9 +56,13 @@
     return RunUntil(io_, [this, count] { return done_.size() >= count; });
   }
 
-  base::SystemClock clock_;
+  OffsetClock clock_;
+  base::SystemClock server_clock_;
   asio::io_context io_;
   bool answers_ = true;
+  std::size_t requests_ = 0;
+  /// Header lines of the leaf's answers.
+  std::string fields_;
   TestServer server_;
   forward::LeafRecord leaf_;
   std::vector<std::pair<forward::CallId, LeafConnections::Result>> done_;
@@ -66,6 +87,82 @@
   EXPECT_EQ(server_.accepted(), 1U);
 }
 
+// Guards against a new connection between regions for almost each message of
+// a host that sends one every few seconds.
+TEST_F(LeafConnectionsTest, ConnectionToHostStaysOpenWhileIdle) {
+  connections_.Link(leaf_);
+  ASSERT_TRUE(RunUntil(io_, [this] { return connections_.HasIdle("l"); }));
+  clock_.Advance(std::chrono::seconds(20));
+  connections_.CheckTimeouts();
+  EXPECT_TRUE(connections_.HasIdle("l"));
+  Start(1);
+  ASSERT_TRUE(Done(1));
+  EXPECT_EQ(server_.accepted(), 1U);
+}
+
+TEST_F(LeafConnectionsTest, IdleConnectionToLeafIsClosedAfterSeconds) {
+  Start(1);
+  ASSERT_TRUE(Done(1));
+  clock_.Advance(std::chrono::seconds(20));
+  connections_.CheckTimeouts();
+  EXPECT_FALSE(connections_.HasIdle("l"));
+}
+
+// Guards against a leaf that works for a caller who has been told that nothing
+// has run.
+TEST_F(LeafConnectionsTest, WithdrawnCallIsNotSentAndLeavesItsConnection) {
+  Start(1);
+  EXPECT_TRUE(connections_.Withdraw(1));
+  ASSERT_TRUE(Done(1));
+  EXPECT_EQ(std::get<forward::CallFailure>(done_[0].second),
+            forward::CallFailure::kWithdrawn);
+  EXPECT_EQ(requests_, 0U);
+  Start(2);
+  ASSERT_TRUE(Done(2));
+  EXPECT_EQ(server_.accepted(), 1U);
+  EXPECT_EQ(requests_, 1U);
+}
+
+TEST_F(LeafConnectionsTest, CallThatWasSentCannotBeWithdrawn) {
+  answers_ = false;
+  Start(1);
+  ASSERT_TRUE(RunUntil(io_, [this] { return requests_ == 1; }));
+  EXPECT_FALSE(connections_.Withdraw(1));
+}
+
+// Guards against a late copy of an answer that the next caller gets, and
+// against all answers after it, each of which would be one too late.
+TEST_F(LeafConnectionsTest, AnswerToAnotherRequestEndsItsConnection) {
+  fields_ = "X-Id: r1\r\n";
+  Start(1);
+  ASSERT_TRUE(Done(1));
+  Start(2);
+  ASSERT_TRUE(Done(2));
+  ASSERT_TRUE(std::holds_alternative<forward::CallFailure>(done_[1].second));
+  EXPECT_EQ(std::get<forward::CallFailure>(done_[1].second),
+            forward::CallFailure::kMayHaveRun);
+  EXPECT_TRUE(RunUntil(io_, [this] { return server_.open() == 0; }));
+  fields_ = "X-Id: r3\r\n";
+  Start(3);
+  ASSERT_TRUE(Done(3));
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(done_[2].second));
+}
+
+// Guards against a copy without an id from a peer that repeats ids otherwise.
+TEST_F(LeafConnectionsTest, AnswerWithoutIdIsRefusedOncePeerRepeatsIds) {
+  Start(1);
+  ASSERT_TRUE(Done(1));
+  fields_ = "X-Id: r2\r\n";
+  Start(2);
+  ASSERT_TRUE(Done(2));
+  fields_.clear();
+  Start(3);
+  ASSERT_TRUE(Done(3));
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(done_[0].second));
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(done_[1].second));
+  EXPECT_TRUE(std::holds_alternative<forward::CallFailure>(done_[2].second));
+}
+
 // Guards against connections beyond this host's share.
 TEST_F(LeafConnectionsTest, CallBeyondTheShareIsNotSent) {
   answers_ = false;
