Take a stop during the start for a planned one

SIGTERM kept its default action until the signal set existed. Change: berylreachd blocks the stop signals in its first statement, for both of its modes, and receives them once it can stop. What remains is the time before main.

--- a/tools/berylreachd/main.cc
+++ b/tools/berylreachd/main.cc
@@ -126,9 +126,6 @@
 }
 
 int Run(const HostSettings& settings) {
-  // Blocked in all threads, so that only sigwait receives them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its connection must not end the process.
   signal(SIGPIPE, SIG_IGN);
   berylreach::host::StartLog(settings.host.value);
@@ -157,6 +154,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Blocked before any thread starts, so that a stop that is asked for during
+  // the start is a planned one, and only the thread that waits receives it.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::vector<std::string> positional;
   if (const auto wrong =
           berylreach::command_line::Parse(argc, argv, positional)) {
