Divide extra calls and connections by who calls the leaves

Change: ServiceShares gives the hosts in whose slices a service is, the coordinators and all hosts a part each. A new set of coordinators gets its full parts after 12 s, when what the former one used has left all windows; the sum stays within the bound in whatever order hosts learn of the change. Coordinators are preferred in zones with leaves and no longer by their number, which changed the order with each leaf. It stays, because the equal part goes to nothing as the fleet grows.

--- a/forward/include/berylreach/forward/coordinators.h
+++ b/forward/include/berylreach/forward/coordinators.h
@@ -11,9 +11,9 @@
 namespace berylreach::forward {
 
 /// The coordinators among the hosts of one region, best first: the hosts with
-/// the largest processors, near the most leaves, that make up a fixed part of
-/// the region's processors. All hosts choose the same ones from the same list.
-/// `leaves_by_zone` counts the listed leaves of each zone.
+/// the largest processors, those in zones with leaves first, that make up a
+/// fixed part of the region's processors. All hosts choose the same ones from
+/// the same list. `leaves_by_zone` counts the listed leaves of each zone.
 std::vector<std::string> ChooseCoordinators(
     const std::vector<HostEntry>& hosts,
     const std::unordered_map<std::string, std::size_t>& leaves_by_zone);
--- a/forward/include/berylreach/forward/extra_call_budget.h
+++ b/forward/include/berylreach/forward/extra_call_budget.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "berylreach/base/clock.h"
+#include "berylreach/forward/service_shares.h"
 
 namespace berylreach::forward {
 
@@ -27,15 +28,14 @@
 /// which answer a failure that has already happened.
 enum class ExtraCall { kRetry, kHedge };
 
-/// Each host may use its own requests times the ratio and an equal part of the
+/// Each host may use its own requests times the ratio and its share of the
 /// slack, so that all hosts together stay within the bound without a message
 /// between them. Not thread-safe.
 class ExtraCallBudget {
  public:
-  ExtraCallBudget(const base::Clock& clock, ExtraCallLimits limits);
-
-  /// Hosts among which the slack is divided; at least 1.
-  void SetHosts(std::size_t hosts);
+  /// `clock` and `shares` must outlive the budget.
+  ExtraCallBudget(const base::Clock& clock, ExtraCallLimits limits,
+                  const ServiceShares& shares);
 
   /// A request of a caller that needs `service`.
   void OnRequest(const std::string& service);
@@ -59,11 +59,11 @@
   };
 
   Window& Current(const std::string& service);
-  double Allowed(const Window& window) const;
+  double Allowed(const std::string& service, const Window& window) const;
 
   const base::Clock& clock_;
   ExtraCallLimits limits_;
-  std::size_t hosts_ = 1;
+  const ServiceShares& shares_;
   std::unordered_map<std::string, Window> windows_;
 };
 
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -9,6 +9,7 @@
 #include "berylreach/forward/cold_call_limit.h"
 #include "berylreach/forward/configuration.h"
 #include "berylreach/forward/leaf_directory.h"
+#include "berylreach/forward/service_shares.h"
 
 namespace berylreach::forward {
 
@@ -35,11 +36,7 @@
  public:
   /// The arguments must outlive the selector.
   LeafSelector(const base::Clock& clock, LeafDirectory& directory,
-               ColdCallLimit& cold);
-
-  /// `hosts` share the connections of a leaf; where there are too few for all
-  /// of them, only `coordinators` do. Both are at least 1.
-  void SetHosts(std::size_t hosts, std::size_t coordinators);
+               ColdCallLimit& cold, const ServiceShares& shares);
 
   /// The best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
@@ -70,8 +67,7 @@
   const base::Clock& clock_;
   LeafDirectory& directory_;
   ColdCallLimit& cold_;
-  std::size_t hosts_ = 1;
-  std::size_t coordinators_ = 1;
+  const ServiceShares& shares_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "berylreach/forward/leaf_directory.h"
 #include "berylreach/forward/leaf_selector.h"
 #include "berylreach/forward/route_table.h"
+#include "berylreach/forward/service_shares.h"
 #include "berylreach/forward/shard_group.h"
 
 namespace berylreach::forward {
@@ -30,7 +32,8 @@
  public:
   /// The arguments must outlive the planner.
   ShardPlanner(const base::Clock& clock, std::string self, Location location,
-               const LeafDirectory& directory, const LeafSelector& selector);
+               const LeafDirectory& directory, const LeafSelector& selector,
+               ServiceShares& shares);
 
   /// All hosts of the deployment.
   void SetHosts(std::vector<HostEntry> hosts);
@@ -55,8 +58,6 @@
   /// Whether `host` is another host of the deployment.
   bool Knows(const std::string& host) const { return records_.contains(host); }
 
-  /// Coordinators of all regions.
-  std::size_t CountCoordinators() const;
   /// Hosts of a region that run requests, best first.
   std::vector<std::string> Coordinators(const std::string& region) const;
 
@@ -75,6 +76,8 @@
     std::uint64_t generation = 0;
     std::vector<Slice> slices;
   };
+  /// Hosts of each slice of a region.
+  using RegionSlices = std::vector<std::vector<std::string>>;
 
   const Plan& CurrentPlan(const RouteTable& table, const Route& route);
   Plan MakePlan(const RouteTable& table, const Route& route) const;
@@ -82,6 +85,14 @@
       const Route& route) const;
   void AddSlices(const std::string& region, const Route& route,
                  const std::vector<std::size_t>& shards, Plan& plan) const;
+  /// The slices of a region that runs `shards` of the route's shards.
+  RegionSlices SlicesOf(const std::string& region, const Route& route,
+                        std::size_t shards) const;
+  std::set<std::string> HostRegions() const;
+  /// Regions with a leaf of the service.
+  std::set<std::string> LeafRegions(const std::string& service) const;
+  /// Tells who calls the leaves of the route's shards.
+  void ShareServices(const Route& route);
   HostRecords RecordsOf(const std::vector<std::string>& names) const;
   HostRecordsByName LinkedHosts() const;
   std::shared_ptr<LeafRecord> Best(const HostRecords& hosts,
@@ -94,6 +105,7 @@
   Location location_;
   const LeafDirectory& directory_;
   const LeafSelector& selector_;
+  ServiceShares& shares_;
   std::vector<HostEntry> hosts_;
   HostRecordsByName records_;
   std::uint64_t generation_ = 0;
--- a/forward/lib/coordinators.cc
+++ b/forward/lib/coordinators.cc
@@ -17,8 +17,8 @@
 
 struct Candidate {
   double cores = 0;
-  /// Leaves of its zone.
-  std::size_t near = 0;
+  /// Its zone has leaves. Their number would change the order with each leaf.
+  bool near = false;
   /// Spreads the choice among equal hosts.
   std::uint64_t hash = 0;
   const std::string* name = nullptr;
--- a/forward/lib/extra_call_budget.cc
+++ b/forward/lib/extra_call_budget.cc
@@ -16,15 +16,19 @@
 /// arrive at the leaves in another window than they were counted in here.
 constexpr double kUsableShare = 0.9;
 
+/// Parts of the slack. They leave room for a new set of coordinators beside a
+/// host that still takes itself for one of the former.
+constexpr ShareParts kSlackParts{.owners = 0.3,
+                                 .coordinators = 0.3,
+                                 .new_coordinators = 0.15,
+                                 .hosts = 0.25};
+
 }  // namespace
 
 ExtraCallBudget::ExtraCallBudget(const base::Clock& clock,
-                                 ExtraCallLimits limits)
-    : clock_(clock), limits_(limits) {}
-
-void ExtraCallBudget::SetHosts(std::size_t hosts) {
-  hosts_ = std::max<std::size_t>(1, hosts);
-}
+                                 ExtraCallLimits limits,
+                                 const ServiceShares& shares)
+    : clock_(clock), limits_(limits), shares_(shares) {}
 
 void ExtraCallBudget::OnRequest(const std::string& service) {
   Window& window = Current(service);
@@ -35,7 +39,7 @@
 bool ExtraCallBudget::TrySpend(const std::string& service, ExtraCall kind) {
   Window& window = Current(service);
   const double share = kind == ExtraCall::kHedge ? kHedgeShare : 1.0;
-  if (static_cast<double>(window.extra + 1) > share * Allowed(window))
+  if (static_cast<double>(window.extra + 1) > share * Allowed(service, window))
     return false;
   ++window.extra;
   ++window.slices.back().extra;
@@ -44,7 +48,7 @@
 
 double ExtraCallBudget::Level(const std::string& service) {
   const Window& window = Current(service);
-  const double allowed = Allowed(window);
+  const double allowed = Allowed(service, window);
   if (allowed <= 0) return 0;
   return std::max(0.0, 1 - static_cast<double>(window.extra) / allowed);
 }
@@ -66,9 +70,10 @@
   return window;
 }
 
-double ExtraCallBudget::Allowed(const Window& window) const {
+double ExtraCallBudget::Allowed(const std::string& service,
+                                const Window& window) const {
   return kUsableShare * (limits_.ratio * static_cast<double>(window.requests) +
-                         limits_.slack / static_cast<double>(hosts_));
+                         limits_.slack * shares_.Of(service, kSlackParts));
 }
 
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -18,8 +18,13 @@
 /// connection.
 constexpr std::size_t kUsefulConnections = 2;
 
-/// Quarters of a leaf's connections that hosts use.
-constexpr std::size_t kUsedQuarters = 3;
+/// Part of a leaf's connections that hosts use.
+constexpr double kUsedShare = 0.75;
+
+/// Parts of the connections that are used. A host that is no coordinator opens
+/// one when it has to run a request itself.
+constexpr ShareParts kConnectionParts{
+    .owners = 0.5, .coordinators = 0.5, .new_coordinators = 0.5, .hosts = 0};
 
 template <typename T>
 bool Contains(const std::vector<T>* values, const T& value) {
@@ -46,13 +51,8 @@
 }
 
 LeafSelector::LeafSelector(const base::Clock& clock, LeafDirectory& directory,
-                           ColdCallLimit& cold)
-    : clock_(clock), directory_(directory), cold_(cold) {}
-
-void LeafSelector::SetHosts(std::size_t hosts, std::size_t coordinators) {
-  hosts_ = std::max<std::size_t>(1, hosts);
-  coordinators_ = std::max<std::size_t>(1, coordinators);
-}
+                           ColdCallLimit& cold, const ServiceShares& shares)
+    : clock_(clock), directory_(directory), cold_(cold), shares_(shares) {}
 
 std::shared_ptr<LeafRecord> LeafSelector::Choose(const LeafQuery& query) const {
   const base::TimePoint now = clock_.Now();
@@ -107,13 +107,13 @@
 }
 
 bool LeafSelector::FewConnections(const Service& service) const {
-  return service.max_connections / hosts_ < kUsefulConnections;
+  return service.max_connections / shares_.hosts() < kUsefulConnections;
 }
 
 std::size_t LeafSelector::ConnectionShare(const Service& service) const {
-  const std::size_t callers = FewConnections(service) ? coordinators_ : hosts_;
-  return std::max<std::size_t>(
-      1, service.max_connections * kUsedQuarters / (4 * callers));
+  const double share = kUsedShare * shares_.Of(service.name, kConnectionParts) *
+                       static_cast<double>(service.max_connections);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
 }  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/service_shares.cc
@@ -0,0 +1,54 @@
+// Parts of owners, coordinators and all hosts.
+#include "berylreach/forward/service_shares.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylreach::forward {
+namespace {
+
+double Divide(double part, std::size_t among) {
+  return part / static_cast<double>(std::max<std::size_t>(1, among));
+}
+
+}  // namespace
+
+void ServiceShares::SetHosts(std::size_t hosts) {
+  hosts_ = std::max<std::size_t>(1, hosts);
+}
+
+void ServiceShares::SetCoordinators(const std::string& self,
+                                    std::vector<std::string> names) {
+  std::sort(names.begin(), names.end());
+  if (names == coordinators_) return;
+  changed_at_ = clock_.Now();
+  coordinates_ = std::binary_search(names.begin(), names.end(), self);
+  coordinators_ = std::move(names);
+}
+
+void ServiceShares::SetCallers(
+    const std::unordered_map<std::string, ServiceCallers>& callers) {
+  for (const auto& [service, of_service] : callers)
+    callers_[service] = of_service;
+}
+
+bool ServiceShares::IsSettled() const {
+  return clock_.Now() - changed_at_ >= kSettleTime;
+}
+
+double ServiceShares::Of(const std::string& service,
+                         const ShareParts& parts) const {
+  const auto found = callers_.find(service);
+  if (found == callers_.end()) return Divide(1, hosts_);
+  double share = Divide(parts.hosts, hosts_);
+  const bool settled = IsSettled();
+  if (coordinates_) {
+    share += Divide(settled ? parts.coordinators : parts.new_coordinators,
+                    coordinators_.size());
+  }
+  if (settled && found->second.owned_here)
+    share += Divide(parts.owners, found->second.owners);
+  return share;
+}
+
+}  // namespace berylreach::forward
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -60,12 +60,13 @@
 
 ShardPlanner::ShardPlanner(const base::Clock& clock, std::string self,
                            Location location, const LeafDirectory& directory,
-                           const LeafSelector& selector)
+                           const LeafSelector& selector, ServiceShares& shares)
     : clock_(clock),
       self_(std::move(self)),
       location_(std::move(location)),
       directory_(directory),
-      selector_(selector) {}
+      selector_(selector),
+      shares_(shares) {}
 
 void ShardPlanner::SetHosts(std::vector<HostEntry> hosts) {
   hosts_ = std::move(hosts);
@@ -88,6 +89,7 @@
   }
   records_ = std::move(records);
   ++generation_;
+  shares_.SetHosts(hosts_.size());
 }
 
 std::vector<ShardGroup> ShardPlanner::Divide(const RouteTable& table,
@@ -110,12 +112,16 @@
                                                     const Route& route) {
   const std::uint64_t version = table.configuration().version;
   // Routes that are gone must not keep connections open.
-  if (std::exchange(planned_version_, version) != version) plans_.clear();
+  if (std::exchange(planned_version_, version) != version) {
+    plans_.clear();
+    shares_.ClearCallers();
+  }
   Plan& plan = plans_[route.name];
   const std::uint64_t generation = generation_ + directory_.generation();
   if (plan.generation != generation) {
     plan = MakePlan(table, route);
     plan.generation = generation;
+    if (FewConnections(table, route)) ShareServices(route);
   }
   return plan;
 }
@@ -178,10 +184,7 @@
   std::map<std::string, std::vector<std::size_t>> assigned;
   std::map<std::size_t, std::set<std::string>> elsewhere;
   for (std::size_t shard = 0; shard < route.shards.size(); ++shard) {
-    std::set<std::string> regions;
-    directory_.ForEachUsable(route.shards[shard], [&regions](const auto& leaf) {
-      regions.insert(leaf->region());
-    });
+    std::set<std::string> regions = LeafRegions(route.shards[shard]);
     if (regions.contains(location_.region)) {
       assigned[location_.region].push_back(shard);
     } else if (!regions.empty()) {
@@ -208,21 +211,69 @@
   return assigned;
 }
 
-void ShardPlanner::AddSlices(const std::string& region, const Route& route,
-                             const std::vector<std::size_t>& shards,
-                             Plan& plan) const {
+ShardPlanner::RegionSlices ShardPlanner::SlicesOf(const std::string& region,
+                                                  const Route& route,
+                                                  std::size_t shards) const {
   const std::vector<std::string> coordinators = Coordinators(region);
-  if (coordinators.empty()) return;
+  if (coordinators.empty()) return {};
   // The slices do not change when a few shards go to another region.
   const std::size_t total = route.shards.size();
-  const std::size_t divided =
-      2 * shards.size() >= total ? total : shards.size();
-  const std::size_t count = std::clamp<std::size_t>(divided / kLeastSliceShards,
-                                                    1, coordinators.size());
+  const std::size_t divided = 2 * shards >= total ? total : shards;
+  return AssignSlices(coordinators,
+                      std::clamp<std::size_t>(divided / kLeastSliceShards, 1,
+                                              coordinators.size()));
+}
+
+std::set<std::string> ShardPlanner::HostRegions() const {
+  std::set<std::string> regions;
+  for (const HostEntry& host : hosts_)
+    regions.insert(location_.RegionOf(host.zone));
+  return regions;
+}
+
+std::set<std::string> ShardPlanner::LeafRegions(
+    const std::string& service) const {
+  std::set<std::string> regions;
+  directory_.ForEachUsable(service, [&regions](const auto& leaf) {
+    regions.insert(leaf->region());
+  });
+  return regions;
+}
+
+void ShardPlanner::ShareServices(const Route& route) {
+  std::map<std::string, std::vector<std::size_t>> shards_of;
+  for (std::size_t shard = 0; shard < route.shards.size(); ++shard)
+    for (const std::string& region : LeafRegions(route.shards[shard]))
+      shards_of[region].push_back(shard);
+  std::vector<std::string> coordinators;
+  std::unordered_map<std::string, ServiceCallers> callers;
+  for (const std::string& service : route.shards) callers[service].owners = 0;
+  for (const std::string& region : HostRegions()) {
+    const auto names = Coordinators(region);
+    coordinators.insert(coordinators.end(), names.begin(), names.end());
+    const auto slices = SlicesOf(region, route, shards_of[region].size());
+    if (slices.empty()) continue;
+    for (const std::size_t shard : shards_of[region]) {
+      const auto& hosts = slices[shard % slices.size()];
+      ServiceCallers& of_service = callers[route.shards[shard]];
+      of_service.owners += hosts.size();
+      if (std::find(hosts.begin(), hosts.end(), self_) != hosts.end())
+        of_service.owned_here = true;
+    }
+  }
+  shares_.SetCoordinators(self_, std::move(coordinators));
+  shares_.SetCallers(callers);
+}
+
+void ShardPlanner::AddSlices(const std::string& region, const Route& route,
+                             const std::vector<std::size_t>& shards,
+                             Plan& plan) const {
+  const RegionSlices assigned = SlicesOf(region, route, shards.size());
+  if (assigned.empty()) return;
+  const std::size_t count = assigned.size();
   std::vector<Slice> slices(count);
   for (const std::size_t shard : shards)
     slices[shard % count].shards.push_back(shard);
-  const auto assigned = AssignSlices(coordinators, count);
   const auto hosts = HostsForSender(self_, assigned);
   for (std::size_t i = 0; i < count; ++i) {
     const bool own = std::find(assigned[i].begin(), assigned[i].end(), self_) !=
@@ -261,16 +312,6 @@
          route.objective * kProcessorShare;
 }
 
-std::size_t ShardPlanner::CountCoordinators() const {
-  std::set<std::string> regions;
-  for (const HostEntry& host : hosts_)
-    regions.insert(location_.RegionOf(host.zone));
-  std::size_t count = 0;
-  for (const std::string& region : regions)
-    count += Coordinators(region).size();
-  return count;
-}
-
 std::vector<std::string> ShardPlanner::Coordinators(
     const std::string& region) const {
   std::vector<HostEntry> hosts;
--- a/forward/unittests/extra_call_budget_test.cc
+++ b/forward/unittests/extra_call_budget_test.cc
@@ -18,8 +18,9 @@
 
 TEST(ExtraCallBudgetTest, DividesTheSlackAmongHosts) {
   base::ManualClock clock;
-  ExtraCallBudget budget(clock, kLimits);
-  budget.SetHosts(10);
+  ServiceShares shares(clock);
+  shares.SetHosts(10);
+  ExtraCallBudget budget(clock, kLimits, shares);
   int spent = 0;
   while (budget.TrySpend("s", ExtraCall::kRetry)) ++spent;
   EXPECT_LE(spent, 5);
@@ -28,7 +29,8 @@
 
 TEST(ExtraCallBudgetTest, HedgesLeavePartOfTheBudgetToRetries) {
   base::ManualClock clock;
-  ExtraCallBudget budget(clock, kLimits);
+  const ServiceShares shares(clock);
+  ExtraCallBudget budget(clock, kLimits, shares);
   while (budget.TrySpend("s", ExtraCall::kHedge)) {
   }
   EXPECT_TRUE(budget.TrySpend("s", ExtraCall::kRetry));
@@ -36,7 +38,8 @@
 
 TEST(ExtraCallBudgetTest, ServicesDoNotShare) {
   base::ManualClock clock;
-  ExtraCallBudget budget(clock, kLimits);
+  const ServiceShares shares(clock);
+  ExtraCallBudget budget(clock, kLimits, shares);
   while (budget.TrySpend("s", ExtraCall::kRetry)) {
   }
   EXPECT_EQ(budget.Level("s") < 0.1, true);
@@ -48,9 +51,10 @@
 TEST(ExtraCallBudgetTest, NoWindowExceedsTheBoundOfAllHosts) {
   base::ManualClock clock;
   constexpr int host_count = 3;
+  ServiceShares shares(clock);
+  shares.SetHosts(host_count);
   std::vector<ExtraCallBudget> hosts(host_count,
-                                     ExtraCallBudget(clock, kLimits));
-  for (auto& host : hosts) host.SetHosts(host_count);
+                                     ExtraCallBudget(clock, kLimits, shares));
   std::mt19937 random(7);
   std::vector<std::pair<base::TimePoint, bool>> events;
   for (int step = 0; step < 6000; ++step) {
--- a/forward/unittests/run_fixture.h
+++ b/forward/unittests/run_fixture.h
@@ -23,8 +23,9 @@
                             .region = "ra",
                             .region_of_zone = {{"a", "ra"}, {"b", "rb"}}}),
         cold_(clock_, {.overage = 1.5, .slack = 5}),
-        selector_(clock_, directory_, cold_),
-        budget_(clock_, {.ratio = 0.2, .slack = 50}),
+        shares_(clock_),
+        selector_(clock_, directory_, cold_, shares_),
+        budget_(clock_, {.ratio = 0.2, .slack = 50}, shares_),
         context_{clock_,
                  selector_,
                  budget_,
@@ -151,6 +152,7 @@
   base::ManualClock clock_;
   LeafDirectory directory_;
   ColdCallLimit cold_;
+  ServiceShares shares_;
   LeafSelector selector_;
   ExtraCallBudget budget_;
   CallId calls_ = 0;
--- /dev/null
+++ b/forward/unittests/service_shares_test.cc
@@ -0,0 +1,101 @@
+// Load pattern: many hosts share the limits of leaves that few of them call,
+// while they come to know of each other at different times.
+#include "berylreach/forward/service_shares.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "berylreach/base/manual_clock.h"
+
+namespace berylreach::forward {
+namespace {
+
+constexpr ShareParts kParts{.owners = 0.3,
+                            .coordinators = 0.3,
+                            .new_coordinators = 0.15,
+                            .hosts = 0.25};
+
+class ServiceSharesTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kHosts = 200;
+  static constexpr std::size_t kOwners = 3;
+
+  ServiceSharesTest() {
+    clock_.Advance(std::chrono::hours(1));
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      hosts_.push_back(std::make_unique<ServiceShares>(clock_));
+      hosts_.back()->SetHosts(kHosts);
+    }
+  }
+
+  static std::string Name(std::size_t host) { return std::to_string(host); }
+
+  /// Tells a host that the coordinators are `first` and the 17 after it, the
+  /// first of which own the service.
+  void Tell(std::size_t host, std::size_t first) {
+    std::vector<std::string> names;
+    for (std::size_t i = first; i < first + 18; ++i) names.push_back(Name(i));
+    hosts_[host]->SetCoordinators(Name(host), names);
+    hosts_[host]->SetCallers(
+        {{"s",
+          {.owners = kOwners,
+           .owned_here = host >= first && host < first + kOwners}}});
+  }
+  void TellAll(std::size_t first) {
+    for (std::size_t i = 0; i < kHosts; ++i) Tell(i, first);
+  }
+
+  double Sum() const {
+    double sum = 0;
+    for (const auto& host : hosts_) sum += host->Of("s", kParts);
+    return sum;
+  }
+
+  base::ManualClock clock_;
+  std::vector<std::unique_ptr<ServiceShares>> hosts_;
+};
+
+TEST_F(ServiceSharesTest, UndividedServiceIsSharedEqually) {
+  EXPECT_DOUBLE_EQ(hosts_[0]->Of("s", kParts), 1.0 / kHosts);
+}
+
+TEST_F(ServiceSharesTest, OwnersHaveMostAndEveryHostSomething) {
+  TellAll(0);
+  clock_.Advance(ServiceShares::kSettleTime);
+  const double owner = hosts_[0]->Of("s", kParts);
+  const double coordinator = hosts_[10]->Of("s", kParts);
+  const double other = hosts_[100]->Of("s", kParts);
+  EXPECT_GT(owner, 4 * coordinator);
+  EXPECT_GT(coordinator, 4 * other);
+  EXPECT_GT(other, 0);
+  EXPECT_NEAR(Sum(), 1 - kParts.new_coordinators, 1e-9);
+}
+
+// Guards against limits that are exceeded while hosts disagree about who
+// coordinates, in whatever order they learn of a change.
+TEST_F(ServiceSharesTest, SumIsBoundedWhileHostsLearnOfNewCoordinators) {
+  TellAll(0);
+  clock_.Advance(ServiceShares::kSettleTime);
+  for (std::size_t told = 0; told < kHosts; ++told) {
+    Tell((told * 37) % kHosts, 50);
+    EXPECT_LE(Sum(), 1 + 1e-9) << told;
+    clock_.Advance(std::chrono::milliseconds(20));
+  }
+  EXPECT_LE(Sum(), 1 + 1e-9);
+  clock_.Advance(ServiceShares::kSettleTime);
+  EXPECT_NEAR(Sum(), 1 - kParts.new_coordinators, 1e-9);
+}
+
+TEST_F(ServiceSharesTest, SameCoordinatorsInAnotherOrderAreNoChange) {
+  ServiceShares& shares = *hosts_[0];
+  shares.SetCallers({{"s", {.owners = 1, .owned_here = true}}});
+  shares.SetCoordinators("0", {"0", "1"});
+  clock_.Advance(ServiceShares::kSettleTime);
+  const double settled = shares.Of("s", kParts);
+  shares.SetCoordinators("0", {"1", "0"});
+  EXPECT_DOUBLE_EQ(shares.Of("s", kParts), settled);
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -22,8 +22,9 @@
                   .region_of_zone = {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}},
         directory_(clock_, location_),
         cold_(clock_, {}),
-        selector_(clock_, directory_, cold_),
-        planner_(clock_, "c-1", location_, directory_, selector_) {
+        shares_(clock_),
+        selector_(clock_, directory_, cold_, shares_),
+        planner_(clock_, "c-1", location_, directory_, selector_, shares_) {
     clock_.Advance(std::chrono::hours(1));
     for (int i = 0; i < 4; ++i) {
       const std::string shard = "s" + std::to_string(i);
@@ -47,7 +48,6 @@
 
   void SetHosts(const std::vector<HostEntry>& hosts) {
     planner_.SetHosts(hosts);
-    selector_.SetHosts(hosts.size(), planner_.CountCoordinators());
   }
 
   /// A route of 100 shards, too many for this host, beside two large ones.
@@ -80,6 +80,7 @@
   Location location_;
   LeafDirectory directory_;
   ColdCallLimit cold_;
+  ServiceShares shares_;
   LeafSelector selector_;
   ShardPlanner planner_;
   Route route_;
@@ -179,6 +180,25 @@
     EXPECT_TRUE(name == "c-2" || name == "c-3") << name;
 }
 
+// Guards against hosts that share limits with hundreds of others that never
+// call the leaves.
+TEST_F(ShardPlannerTest, OwnersOfSliceAreToldApartFromOtherHosts) {
+  GrowTo(40, "c");
+  std::vector<HostEntry> hosts = {{"c-1", "1:1", "c", 0.5},
+                                  {"c-big", "1:2", "c", 0.5}};
+  for (int i = 2; i <= 30; ++i)
+    hosts.push_back({"c-" + std::to_string(i), "2:1", "c", 0.1});
+  SetHosts(hosts);
+  Divide();
+  clock_.Advance(ServiceShares::kSettleTime);
+  constexpr ShareParts parts{.owners = 1};
+  std::size_t owned = 0;
+  for (const std::string& shard : route_.shards)
+    if (shares_.Of(shard, parts) > 0) ++owned;
+  EXPECT_EQ(planner_.Coordinators("rc").size(), 2U);
+  EXPECT_EQ(owned, 20U);
+}
+
 // Guards against leaves that reset the connections of restarted hosts, because
 // those of their former processes still count.
 TEST_F(ShardPlannerTest, HostsTogetherKeepSomeConnectionsFree) {
@@ -188,7 +208,7 @@
   for (int i = 0; i < 30; ++i)
     hosts.push_back({"c-" + std::to_string(i), "2:1", "c", 0.1});
   SetHosts(hosts);
-  const std::size_t coordinators = planner_.CountCoordinators();
+  const std::size_t coordinators = planner_.Coordinators("rc").size();
   EXPECT_LE(coordinators * selector_.ConnectionShare(service), 19U);
   EXPECT_GE(selector_.ConnectionShare(service), 1U);
 }
