Run groups of the configuration just replaced, and answer all requests of a stop

Requests that still ran at the end of a planned stop were cut without an answer. Change: TableHistory keeps the tables replaced in the last 5 s, and a group runs on the one whose digest it names. 0.8 s before the end of the grace time the host gives up what still runs, with a truthful answer each. Tests: the former configuration serves a group (declined before); order and search of a stop get 504 (cut before).

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -106,6 +106,8 @@
   void OnGroupFailure(CallId call, GroupFailure failure,
                       std::vector<RunAction>& actions);
   void Tick(std::vector<RunAction>& actions);
+  /// Ends the run now, with the answers there are if they make a success.
+  void GiveUp(const std::string& cause, std::vector<RunAction>& actions);
   /// When Tick is due next.
   base::TimePoint NextWakeup() const;
 
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -147,12 +147,7 @@
   if (finished_) return;
   const base::TimePoint now = context_.clock.Now();
   if (now >= deadline_) {
-    if (route_.scatters() && (narrowed_ || IsEnough(answered_))) {
-      FinishMerged(actions);
-    } else {
-      Refuse(RefusalNow(Refusal::kTimedOut), "time of the request is over",
-             actions);
-    }
+    GiveUp("time of the request is over", actions);
     return;
   }
   AbandonLostGroups(actions);
@@ -168,6 +163,16 @@
   Settle(actions);
 }
 
+void RequestRun::GiveUp(const std::string& cause,
+                        std::vector<RunAction>& actions) {
+  if (finished_) return;
+  if (route_.scatters() && (narrowed_ || IsEnough(answered_))) {
+    FinishMerged(actions);
+  } else {
+    Refuse(RefusalNow(Refusal::kTimedOut), cause, actions);
+  }
+}
+
 base::TimePoint RequestRun::NextWakeup() const {
   base::TimePoint next = deadline_;
   const base::TimePoint now = context_.clock.Now();
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "berylreach/base/wakeup_queue.h"
 #include "berylreach/forward/request_run.h"
 #include "berylreach/forward/shard_planner.h"
+#include "berylreach/forward/table_history.h"
 #include "berylreach/gateway/feed_server.h"
 #include "berylreach/gateway/gateway_counters.h"
 #include "berylreach/gateway/gateway_settings.h"
@@ -75,12 +76,14 @@
   void AddConnection(const std::shared_ptr<ServerConnection>& connection);
   void OnPeerRequest(ServerConnection& connection, HttpRequest request);
   void Handle(ServerConnection& connection, HttpRequest request);
-  /// The route of the request's target; null if there is none.
-  const forward::Route* FindRoute(const HttpRequest& request) const;
+  /// The route of the request's target in the table; null if there is none.
+  static const forward::Route* FindRoute(const forward::RouteTable& table,
+                                         const HttpRequest& request);
   void OnRequest(ServerConnection& connection, HttpRequest request) override;
   void OnClosed(ServerConnection& connection) override;
   /// `subset` is what another host asks for; null for a caller's request.
   void StartRun(ServerConnection& connection, HttpRequest request,
+                const forward::TableHistory::Table& table,
                 const forward::Route& route,
                 const forward::ShardSubset* subset);
   const std::string& PickService(const forward::Route& route);
@@ -124,6 +127,8 @@
   bool Ready() const;
   forward::CallerLimits Limits() const;
   void ContinueStop();
+  /// Answers the requests that a planned stop cannot wait for.
+  void GiveUpRequests();
   std::string Metrics() const;
 
   boost::asio::io_context& io_;
@@ -132,12 +137,13 @@
   forward::LeafDirectory directory_;
   FeedServer feed_;
   forward::ColdCallLimit cold_;
+  forward::ServiceShares shares_;
   forward::LeafSelector selector_;
   forward::ExtraCallBudget budget_;
   limits::Admission admission_;
   forward::ShardPlanner planner_;
+  forward::TableHistory tables_;
   forward::RunContext context_;
-  std::shared_ptr<const forward::RouteTable> table_;
   bool directory_loaded_ = false;
 
   std::unique_ptr<Listener> callers_;
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -31,8 +31,10 @@
 /// After a stop begins, new connections are accepted for as long as balancers
 /// may need to notice.
 constexpr milliseconds kAcceptAfterStop{3000};
-/// End of the process before the platform kills it.
+/// End of the process before the platform kills it, and of its last requests
+/// before that, whose answers must still be written.
 constexpr milliseconds kStopMargin{400};
+constexpr milliseconds kLastAnswersMargin{800};
 
 /// Advised wait while the host has no configuration.
 constexpr milliseconds kStartingRetryAfter{300};
@@ -60,11 +62,13 @@
       directory_(clock, settings_.location),
       feed_(clock),
       cold_(clock, settings_.cold_calls),
-      selector_(clock, directory_, cold_),
-      budget_(clock, settings_.extra_calls),
+      shares_(clock),
+      selector_(clock, directory_, cold_, shares_),
+      budget_(clock, settings_.extra_calls, shares_),
       admission_(clock, AdmissionFor(settings_.cores)),
-      planner_(clock, settings_.host, settings_.location, directory_,
-               selector_),
+      planner_(clock, settings_.host, settings_.location, directory_, selector_,
+               shares_),
+      tables_(clock),
       context_{clock,
                selector_,
                budget_,
@@ -105,30 +109,27 @@
 }
 
 void Gateway::SetConfiguration(forward::Configuration configuration) {
-  if (configuration.version <= configuration_version()) return;
-  host::LogStateChange("configuration_adopted",
-                       std::to_string(configuration.version),
-                       std::to_string(configuration.routes.size()) + " routes");
-  table_ = std::make_shared<forward::RouteTable>(std::move(configuration));
+  if (!tables_.Adopt(std::move(configuration))) return;
+  const forward::Configuration& adopted = tables_.present()->configuration();
+  host::LogStateChange("configuration_adopted", std::to_string(adopted.version),
+                       std::to_string(adopted.routes.size()) + " routes");
 }
 
 void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
   std::vector<std::string> names;
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
   cold_.SetHosts(settings_.host, std::move(names));
-  const std::size_t count = hosts.size();
-  budget_.SetHosts(count);
   host::LogStateChange("hosts", std::to_string(hosts.size()), "");
   planner_.SetHosts(std::move(hosts));
-  selector_.SetHosts(count, planner_.CountCoordinators());
 }
 
 std::uint64_t Gateway::configuration_version() const {
-  return table_ ? table_->configuration().version : 0;
+  const auto& table = tables_.present();
+  return table ? table->configuration().version : 0;
 }
 
 bool Gateway::Ready() const {
-  return !stopping_ && table_ != nullptr && directory_loaded_;
+  return !stopping_ && tables_.present() != nullptr && directory_loaded_;
 }
 
 void Gateway::AddConnection(
@@ -138,7 +139,8 @@
 }
 
 forward::CallerLimits Gateway::Limits() const {
-  return table_ ? table_->configuration().limits : forward::CallerLimits{};
+  const auto& table = tables_.present();
+  return table ? table->configuration().limits : forward::CallerLimits{};
 }
 
 void Gateway::OnRequest(ServerConnection& connection, HttpRequest request) {
@@ -147,7 +149,8 @@
 }
 
 void Gateway::Handle(ServerConnection& connection, HttpRequest request) {
-  if (!table_ || !directory_loaded_) {
+  const forward::TableHistory::Table table = tables_.present();
+  if (!table || !directory_loaded_) {
     RefuseAtOnce(connection, request, 503, "no configuration yet",
                  kStartingRetryAfter);
     return;
@@ -158,7 +161,7 @@
                  milliseconds(0));
     return;
   }
-  const forward::Route* route = FindRoute(request);
+  const forward::Route* route = FindRoute(*table, request);
   if (route == nullptr) {
     RefuseAtOnce(connection, request, 404, "no route", milliseconds(0));
     return;
@@ -167,7 +170,7 @@
     RefuseAtOnce(connection, request, 503, "stopping", milliseconds(50));
     return;
   }
-  StartRun(connection, std::move(request), *route, nullptr);
+  StartRun(connection, std::move(request), table, *route, nullptr);
 }
 
 void Gateway::ArmTimer() {
@@ -228,7 +231,7 @@
 void Gateway::WarmConnections() {
   const base::TimePoint now = clock_.Now();
   warmed_at_ = now;
-  if (!table_ || stopping_) return;
+  if (!tables_.present() || stopping_) return;
   std::erase_if(shard_used_, [now](const auto& entry) {
     return now - entry.second > kWarmAfterUse;
   });
@@ -237,7 +240,7 @@
       if (!leaf->IsBackedOff(now)) leaf_connections_.Warm(*leaf);
     });
   }
-  planner_.PlanAhead(*table_);
+  planner_.PlanAhead(*tables_.present());
   planner_.ForEachLinkedHost([this](const forward::LeafRecord& host) {
     leaf_connections_.Link(host);
   });
@@ -260,11 +263,24 @@
   std::vector<std::shared_ptr<ServerConnection>> all;
   for (const auto& [key, connection] : connections_) all.push_back(connection);
   for (const auto& connection : all) connection->CloseIfIdle();
+  if (since >= settings_.stop_grace - kLastAnswersMargin) GiveUpRequests();
   const bool idle = requests_.empty() && connections_.empty();
   if (!idle && since < settings_.stop_grace - kStopMargin) return;
   if (on_stopped_) std::exchange(on_stopped_, nullptr)();
 }
 
+void Gateway::GiveUpRequests() {
+  std::vector<std::uint64_t> running;
+  for (const auto& [id, request] : requests_) running.push_back(id);
+  for (const std::uint64_t id : running) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) continue;
+    std::vector<forward::RunAction> actions;
+    found->second.run->GiveUp("the host stops", actions);
+    Execute(id, actions);
+  }
+}
+
 std::string Gateway::Metrics() const {
   std::string text;
   const auto add = [&text](std::string_view name, std::uint64_t value) {
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -59,11 +59,16 @@
     return;
   }
   const auto header = ParseGroupHeader(request.fields.Find(kGroupField));
+  const forward::Route* route = nullptr;
   // Another version will do if the digest shows the same shards.
-  const forward::Route* route =
-      header && Ready() ? FindRoute(request) : nullptr;
-  if (route == nullptr || ShardDigest(*route) != header->digest ||
-      header->shards.back() >= route->shards.size()) {
+  const auto serves = [&](const forward::RouteTable& table) {
+    route = FindRoute(table, request);
+    return route != nullptr && ShardDigest(*route) == header->digest &&
+           header->shards.back() < route->shards.size();
+  };
+  const forward::TableHistory::Table table =
+      header && Ready() ? tables_.Find(serves) : nullptr;
+  if (table == nullptr) {
     const std::string cause =
         "cannot run for a host with configuration " +
         (header ? std::to_string(header->version) : "unknown");
@@ -75,7 +80,7 @@
       .allowed_missing = header->allowed_missing,
       .partial_at = clock_.Now() + header->partial_in};
   ++counters_.groups_run;
-  StartRun(connection, std::move(request), *route, &subset);
+  StartRun(connection, std::move(request), table, *route, &subset);
 }
 
 void Gateway::SendGroupCall(const RunningRequest& request, std::uint64_t id,
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -70,10 +70,11 @@
 
 }  // namespace
 
-const forward::Route* Gateway::FindRoute(const HttpRequest& request) const {
+const forward::Route* Gateway::FindRoute(const forward::RouteTable& table,
+                                         const HttpRequest& request) {
   const std::string_view target = request.target;
-  return table_->Find(request.fields.Find("host"),
-                      target.substr(0, target.find_first_of("?#")));
+  return table.Find(request.fields.Find("host"),
+                    target.substr(0, target.find_first_of("?#")));
 }
 
 const std::string& Gateway::PickService(const forward::Route& route) {
@@ -96,6 +97,7 @@
 }
 
 void Gateway::StartRun(ServerConnection& connection, HttpRequest request,
+                       const forward::TableHistory::Table& table,
                        const forward::Route& route,
                        const forward::ShardSubset* subset) {
   const std::string_view caller_id =
@@ -105,7 +107,7 @@
   if (subset != nullptr) {
     calls = subset->shards.size();
   } else {
-    groups = planner_.Divide(*table_, route, base::Hash64(caller_id));
+    groups = planner_.Divide(*table, route, base::Hash64(caller_id));
     for (const forward::ShardGroup& group : groups)
       calls -= group.shards.size() - 1;
   }
@@ -124,7 +126,7 @@
   running.admitted_calls = calls;
   if (!groups.empty()) running.shard_digest = ShardDigest(route);
   running.run = std::make_unique<forward::RequestRun>(
-      context_, table_, route, PickService(route),
+      context_, table, route, PickService(route),
       ToCallerRequest(std::move(request)));
   request_of_[&connection] = id;
   if (subset != nullptr) {
--- a/gateway/unittests/gateway_test.cc
+++ b/gateway/unittests/gateway_test.cc
@@ -274,6 +274,21 @@
   EXPECT_TRUE(HasSentLeafCalls("near", 2));
 }
 
+// Guards against small hosts that run all shards by themselves while a new set
+// of shards is on its way to them.
+TEST_F(GatewayTest, HostRunsShardsOfTheConfigurationThatItJustReplaced) {
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  configuration_.version = 4;
+  configuration_.routes[0].shards = {"s1", "s0"};
+  near_->SetConfiguration(configuration_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(HasSentLeafCalls("near", 2));
+}
+
 // Guards against an answer in time that lacks what another host has ready.
 TEST_F(GatewayTest, AnswersInTimeWithWhatAnotherHostHas) {
   configuration_.routes[0].objective = milliseconds(1000);
@@ -371,5 +386,27 @@
   EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
 }
 
+// Guards against requests that were accepted shortly before a stop and end
+// without an answer because their leaves take too long.
+TEST_F(GatewayTest, PlannedStopAnswersRequestsThatItCannotWaitFor) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  leaves_["o"].response.clear();
+  leaves_["s0"].response.clear();
+  RawClient order(io_, callers_["g"]);
+  order.Send(Request("/o/1"));
+  RawClient search(io_, callers_["g"]);
+  search.Send(Request("/s/1"));
+  ASSERT_TRUE(RunUntil(io_, [this] {
+    return !leaves_["o"].requests.empty() && !leaves_["s0"].requests.empty();
+  }));
+  bool stopped = false;
+  gateway->Stop([&stopped] { stopped = true; });
+  EXPECT_TRUE(order.Expect("HTTP/1.1 504"));
+  EXPECT_TRUE(search.Expect("HTTP/1.1 504"));
+  EXPECT_FALSE(stopped);
+  EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
+}
+
 }  // namespace
 }  // namespace berylreach::gateway
