Share the few answers of overloaded leaves among requests

Always the same five to seven shards: one leaf is dark, the other slowed twelvefold, 22 calls a second for 48 requests. Every request waited in each of these queues, so that none was answered in time. Change: a request leaves out the shards whose leaves are so busy with calls of this host that they would answer after the objective, the busiest first and never more than its answer may lack; for a divided request DivideAllowance gives each group its part of that number, so that they stay within it together. A hedge is not sent to such a leaf either.

--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -63,6 +63,11 @@
   /// host and its recent failures taken into account.
   base::Duration Cost(base::TimePoint now) const;
 
+  /// Expected time to an answer of a new call to a leaf that is busy with calls
+  /// of this host; zero for one that is not, so that it is noticed when the
+  /// leaf recovers.
+  base::Duration BusyTime(base::TimePoint now) const;
+
   /// After this time without an answer another leaf is likely to be faster.
   base::Duration HedgeDelay(base::TimePoint now) const;
 
@@ -86,6 +91,8 @@
   /// the leaf owes no answer.
   std::optional<base::TimePoint> UnansweredSince() const;
   base::Duration Prior() const;
+  /// The mean, raised by the running calls of this host.
+  base::Duration LoadedMean(base::TimePoint now) const;
   base::Duration Mean(base::TimePoint now) const;
 
   LeafEntry entry_;
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -140,6 +140,8 @@
   };
 
   Located Locate(CallId call);
+  /// Time until an answer is due: the objective's, or the last one after it.
+  base::Duration TimeLeft() const;
   RemoteGroup* FindGroup(CallId call);
   /// Time of a message to the host and of its answer.
   std::chrono::milliseconds ExchangeTime(const LeafRecord& host) const;
@@ -150,6 +152,9 @@
   void Retry(ShardPart& part, std::vector<RunAction>& actions);
   void Hedge(ShardPart& part, std::vector<RunAction>& actions);
   void FailPart(ShardPart& part);
+  /// Leaves out the parts whose leaves are busiest and would answer too late,
+  /// as many as the request may lack.
+  void SkipBusyParts();
   bool TakeGroupReply(RemoteGroup& group, GroupReply reply);
   void LoseGroup(RemoteGroup& group);
   void RunDeclined(RemoteGroup& group, std::vector<RunAction>& actions);
@@ -183,6 +188,8 @@
   /// Parts of this host and of all groups.
   std::size_t total_ = 0;
   std::size_t least_parts_ = 1;
+  /// Parts of this host that may be left out without a call.
+  std::size_t may_skip_ = 0;
   /// This run is a group of another host's request.
   bool narrowed_ = false;
   /// Parts in the last report.
--- a/forward/include/berylreach/forward/shard_group.h
+++ b/forward/include/berylreach/forward/shard_group.h
@@ -25,6 +25,10 @@
   std::vector<std::size_t> shards;
   /// Shards that its answer may lack from `partial_at` on.
   std::size_t allowed_missing = 0;
+  /// Shards that it may leave out without a call, so that those whose leaves
+  /// are overloaded are called by a part of the requests only. All groups of a
+  /// request together leave out `allowed_missing` at most.
+  std::size_t may_skip = 0;
   base::TimePoint partial_at{};
 
   friend bool operator==(const ShardSubset&, const ShardSubset&) = default;
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -132,8 +132,7 @@
          std::chrono::duration_cast<base::Duration>((Prior() - mean_) * age);
 }
 
-base::Duration LeafRecord::Cost(base::TimePoint now) const {
-  const base::Duration mean = Mean(now);
+base::Duration LeafRecord::LoadedMean(base::TimePoint now) const {
   const auto slots =
       static_cast<double>(std::max<std::size_t>(1, entry_.slots));
   const auto running = static_cast<double>(sent_at_.size());
@@ -141,7 +140,15 @@
   // call waits for a turn.
   const double load =
       1 + 0.2 * running / slots + std::max(0.0, running + 1 - slots) / slots;
-  auto cost = std::chrono::duration_cast<base::Duration>(mean * load);
+  return std::chrono::duration_cast<base::Duration>(Mean(now) * load);
+}
+
+base::Duration LeafRecord::BusyTime(base::TimePoint now) const {
+  return sent_at_.empty() ? base::Duration::zero() : LoadedMean(now);
+}
+
+base::Duration LeafRecord::Cost(base::TimePoint now) const {
+  base::Duration cost = LoadedMean(now);
   const double rate = failure_rate_ * std::exp(-Seconds(now - last_sample_) /
                                                kFailureFadeSeconds);
   cost += std::chrono::duration_cast<base::Duration>(kFailureCost * rate);
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -58,6 +58,7 @@
   }
   if (route_.scatters())
     least_parts_ = LeastParts(total_, route_.least_coverage);
+  may_skip_ = total_ - least_parts_;
   const milliseconds span =
       std::min(request_.patience,
                route_.timeout.count() > 0 ? route_.timeout : request_.patience);
@@ -85,8 +86,10 @@
     Refuse(Refusal::kNotRun, "the leaves do not answer", actions);
     return;
   }
-  StartGroups(actions);
-  for (ShardPart& part : parts_) StartPart(part, actions);
+  if (!groups_.empty()) StartGroups(actions);
+  SkipBusyParts();
+  for (ShardPart& part : parts_)
+    if (part.state == PartState::kWaiting) StartPart(part, actions);
   Settle(actions);
 }
 
@@ -254,11 +257,33 @@
   }
   last.hedge_at = now + kHedgePause;
   const LeafQuery query = QueryFor(part, false);
-  if (context_.selector.Choose(query) == nullptr) return;
+  const auto leaf = context_.selector.Choose(query);
+  if (leaf == nullptr || leaf->BusyTime(now) > TimeLeft()) return;
   if (!context_.budget.TrySpend(part.service->name, ExtraCall::kHedge)) return;
   SendCall(part, false, actions);
 }
 
+base::Duration RequestRun::TimeLeft() const {
+  const base::TimePoint now = context_.clock.Now();
+  return (now < partial_at_ ? partial_at_ : deadline_) - now;
+}
+
+void RequestRun::SkipBusyParts() {
+  if (may_skip_ == 0) return;
+  std::vector<std::pair<base::Duration, ShardPart*>> busy;
+  for (ShardPart& part : parts_) {
+    if (part.service == nullptr) continue;
+    const auto leaf = context_.selector.Choose(QueryFor(part, true));
+    if (leaf == nullptr) continue;
+    const base::Duration time = leaf->BusyTime(context_.clock.Now());
+    if (time > TimeLeft()) busy.emplace_back(time, &part);
+  }
+  std::sort(busy.begin(), busy.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  busy.resize(std::min(busy.size(), may_skip_));
+  for (const auto& [time, part] : busy) FailPart(*part);
+}
+
 void RequestRun::FailPart(ShardPart& part) {
   part.state = PartState::kFailed;
   ++failed_;
--- a/forward/lib/request_run_groups.cc
+++ b/forward/lib/request_run_groups.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "berylreach/forward/allowance.h"
 #include "berylreach/forward/request_run.h"
 
 namespace berylreach::forward {
@@ -58,6 +59,7 @@
   });
   total_ = parts_.size();
   least_parts_ = total_ - std::min(total_, subset.allowed_missing);
+  may_skip_ = subset.may_skip;
   partial_at_ = subset.partial_at;
   narrowed_ = true;
   // The other host gives the group up by then.
@@ -66,7 +68,14 @@
 
 void RequestRun::StartGroups(std::vector<RunAction>& actions) {
   const base::TimePoint now = context_.clock.Now();
-  for (RemoteGroup& group : groups_) {
+  std::vector<std::size_t> sizes;
+  for (const RemoteGroup& group : groups_) sizes.push_back(group.parts.size());
+  sizes.push_back(parts_.size());
+  const std::vector<std::size_t> allowances =
+      DivideAllowance(total_ - least_parts_, sizes, seed_);
+  may_skip_ = allowances.back();
+  for (std::size_t i = 0; i < groups_.size(); ++i) {
+    RemoteGroup& group = groups_[i];
     group.sent = now;
     group.host->OnCallSent(now);
     ++calls_sent_;
@@ -77,6 +86,7 @@
     for (const ShardPart& part : group.parts)
       action.subset.shards.push_back(part.shard);
     action.subset.allowed_missing = total_ - least_parts_;
+    action.subset.may_skip = allowances[i];
     action.subset.partial_at =
         partial_at_ - ExchangeTime(*group.host) - kGroupMargin;
     actions.push_back(std::move(action));
--- /dev/null
+++ b/forward/unittests/allowance_test.cc
@@ -0,0 +1,36 @@
+// Shards that the parts of a divided request may leave out.
+#include "berylreach/forward/allowance.h"
+
+#include <gtest/gtest.h>
+
+#include <numeric>
+
+namespace berylreach::forward {
+namespace {
+
+// Guards against parts that each leave out what the whole request may lack.
+TEST(AllowanceTest, SumIsNeverMoreThanAllowed) {
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    const auto shares = DivideAllowance(4, {18, 17, 18, 17, 17}, seed);
+    EXPECT_EQ(std::accumulate(shares.begin(), shares.end(), 0U), 4U);
+  }
+}
+
+TEST(AllowanceTest, PartsTakeTurnsAtWhatCannotBeDivided) {
+  std::vector<std::size_t> sums(5, 0);
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    const auto shares = DivideAllowance(4, {18, 17, 18, 17, 17}, seed);
+    for (std::size_t i = 0; i < sums.size(); ++i) sums[i] += shares[i];
+  }
+  for (const std::size_t sum : sums) EXPECT_EQ(sum, 80U);
+}
+
+TEST(AllowanceTest, NoPartMayLeaveOutMoreThanItHas) {
+  EXPECT_EQ(DivideAllowance(9, {2, 0, 3}, 1),
+            (std::vector<std::size_t>{2, 0, 3}));
+  EXPECT_EQ(DivideAllowance(3, {}, 1), (std::vector<std::size_t>{}));
+  EXPECT_EQ(DivideAllowance(0, {4, 4}, 1), (std::vector<std::size_t>{0, 0}));
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/overloaded_shards_test.cc
@@ -0,0 +1,138 @@
+// Load pattern: some shards have lost one leaf and the other one is so slow
+// that it cannot serve all requests. Virtual time, no network.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+
+#include "run_fixture.h"
+
+namespace berylreach::forward {
+namespace {
+
+class OverloadedShardsTest : public RunFixture {
+ protected:
+  static constexpr std::size_t kShards = 20;
+  static constexpr std::size_t kSlots = 2;
+
+  OverloadedShardsTest() : RunFixture(kShards) {
+    route_.objective = milliseconds(250);
+    route_.least_coverage = 0.9;
+    for (std::size_t i = 0; i < kShards; ++i)
+      directory_.Remove("s" + std::to_string(i) + "-b");
+  }
+
+  /// A leaf with a queue.
+  struct Leaf {
+    std::size_t busy = 0;
+    std::deque<std::function<void()>> waiting;
+  };
+
+  struct Running {
+    std::unique_ptr<RequestRun> run;
+    base::TimePoint begin;
+  };
+
+  milliseconds WorkOf(const std::string& leaf) const {
+    return slow_.contains(leaf) ? milliseconds(90) : milliseconds(8);
+  }
+
+  void At(base::TimePoint when, std::function<void()> what) {
+    events_.emplace(when, std::move(what));
+  }
+
+  void Work(const std::string& leaf, std::function<void()> done) {
+    Leaf& state = leaves_[leaf];
+    if (state.busy == kSlots) {
+      state.waiting.push_back(std::move(done));
+      return;
+    }
+    ++state.busy;
+    At(clock_.Now() + WorkOf(leaf), [this, leaf, done = std::move(done)] {
+      Leaf& ended = leaves_[leaf];
+      --ended.busy;
+      done();
+      if (ended.waiting.empty()) return;
+      auto next = std::move(ended.waiting.front());
+      ended.waiting.pop_front();
+      Work(leaf, std::move(next));
+    });
+  }
+
+  void Execute(std::size_t id, std::vector<RunAction> actions) {
+    for (RunAction& action : actions) {
+      if (const auto* call = std::get_if<StartLeafCall>(&action)) {
+        Work(call->leaf->entry().id, [this, id, sent = *call] {
+          sent.leaf->OnCallEnded(sent.sent, clock_.Now(),
+                                 CallOutcome::kAnswered);
+          std::vector<RunAction> next;
+          running_[id].run->OnReply(sent.call, Success(std::string(16, 'a')),
+                                    next);
+          Execute(id, std::move(next));
+        });
+      } else if (const auto* end = std::get_if<FinishRequest>(&action)) {
+        const auto took = clock_.Now() - running_[id].begin;
+        if (end->reply.refusal == Refusal::kNone && took <= route_.objective)
+          ++in_time_;
+      }
+    }
+    if (!running_[id].run->finished())
+      At(running_[id].run->NextWakeup(), [this, id] { Tick(id); });
+  }
+
+  void Tick(std::size_t id) {
+    RequestRun& run = *running_[id].run;
+    if (run.finished() || clock_.Now() < run.NextWakeup()) return;
+    std::vector<RunAction> actions;
+    run.Tick(actions);
+    Execute(id, std::move(actions));
+  }
+
+  /// Requests at even intervals; the share that is answered in time.
+  double Play(std::size_t requests, milliseconds interval) {
+    const base::TimePoint begin = clock_.Now();
+    for (std::size_t id = 0; id < requests; ++id) {
+      At(begin + id * interval, [this, id] {
+        Make(route_);
+        running_[id] = {std::move(run_), clock_.Now()};
+        std::vector<RunAction> actions;
+        running_[id].run->Start(actions);
+        Execute(id, std::move(actions));
+      });
+    }
+    while (!events_.empty()) {
+      const auto next = events_.begin();
+      clock_.AdvanceTo(std::max(clock_.Now(), next->first));
+      const auto what = std::move(next->second);
+      events_.erase(next);
+      what();
+    }
+    return static_cast<double>(in_time_) / static_cast<double>(requests);
+  }
+
+  std::set<std::string> slow_;
+  std::map<std::string, Leaf> leaves_;
+  std::map<std::size_t, Running> running_;
+  std::multimap<base::TimePoint, std::function<void()>> events_;
+  std::size_t in_time_ = 0;
+};
+
+// Guards against requests that all wait in the queues of the same few leaves,
+// though any of them may lack two of these shards.
+TEST_F(OverloadedShardsTest, RequestsShareTheFewAnswersOfSlowLeaves) {
+  // 22 calls a second each, for 48 requests a second that need one of three.
+  slow_ = {"s3-a", "s8-a", "s15-a"};
+  EXPECT_GE(Play(480, milliseconds(21)), 0.9);
+}
+
+// Guards against shards that are left out while their leaves are sound.
+TEST_F(OverloadedShardsTest, SoundLeavesAreAllCalled) {
+  EXPECT_EQ(Play(200, milliseconds(21)), 1.0);
+  for (const auto& [id, running] : running_)
+    EXPECT_EQ(running.run->answered(), kShards) << id;
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- a/gateway/include/berylreach/gateway/group_codec.h
+++ b/gateway/include/berylreach/gateway/group_codec.h
@@ -22,6 +22,8 @@
   /// Positions in Route::shards, ascending.
   std::vector<std::size_t> shards;
   std::size_t allowed_missing = 0;
+  /// Shards that may be left out without a call.
+  std::size_t may_skip = 0;
   /// Time until an answer without some shards is to be sent.
   std::chrono::milliseconds partial_in{0};
 
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -78,6 +78,7 @@
   const forward::ShardSubset subset{
       .shards = header->shards,
       .allowed_missing = header->allowed_missing,
+      .may_skip = header->may_skip,
       .partial_at = clock_.Now() + header->partial_in};
   ++counters_.groups_run;
   StartRun(connection, std::move(request), table, *route, &subset);
@@ -92,6 +93,7 @@
       .digest = request.shard_digest,
       .shards = std::move(action.subset.shards),
       .allowed_missing = action.subset.allowed_missing,
+      .may_skip = action.subset.may_skip,
       .partial_in = std::chrono::duration_cast<milliseconds>(
           action.subset.partial_at - clock_.Now())};
   calls_[action.call] = {.request = id,
--- a/gateway/lib/group_codec.cc
+++ b/gateway/lib/group_codec.cc
@@ -50,6 +50,7 @@
   root["version"] = header.version;
   root["digest"] = header.digest;
   root["allowed_missing"] = header.allowed_missing;
+  root["may_skip"] = header.may_skip;
   root["partial_in_ms"] = header.partial_in.count();
   root["shards"] = std::move(shards);
   return boost::json::serialize(root);
@@ -68,6 +69,8 @@
                      Read(object, "partial_in_ms", partial_in_ms) &&
                      ReadShards(object, header.shards);
   if (!valid) return std::nullopt;
+  // Hosts of an older version do not name it.
+  if (!Read(object, "may_skip", header.may_skip)) header.may_skip = 0;
   header.partial_in = std::chrono::milliseconds(partial_in_ms);
   return header;
 }
--- a/gateway/unittests/group_codec_test.cc
+++ b/gateway/unittests/group_codec_test.cc
@@ -11,6 +11,7 @@
                            .digest = 0xfedcba9876543210,
                            .shards = {0, 3, 359},
                            .allowed_missing = 2,
+                           .may_skip = 1,
                            .partial_in = std::chrono::milliseconds(86)};
   EXPECT_EQ(ParseGroupHeader(FormatGroupHeader(header)), header);
 }
