Give all senders the same slices

Cause: a sender cut the shards that it leaves to another region into slices of their own, so that a leaf was called by every coordinator of its region and not only by the owner of the shard's slice. Change: the slices of a region depend on the route alone.

--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -85,9 +85,7 @@
       const Route& route) const;
   void AddSlices(const std::string& region, const Route& route,
                  const std::vector<std::size_t>& shards, Plan& plan) const;
-  /// The slices of a region that runs `shards` of the route's shards.
-  RegionSlices SlicesOf(const std::string& region, const Route& route,
-                        std::size_t shards) const;
+  RegionSlices SlicesOf(const std::string& region, const Route& route) const;
   std::set<std::string> HostRegions() const;
   /// Regions with a leaf of the service.
   std::set<std::string> LeafRegions(const std::string& service) const;
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -21,7 +21,8 @@
 /// other leaves.
 constexpr std::size_t kLeastRemoteShards = 2;
 constexpr double kLeastRemoteShare = 0.25;
-/// Least shards of a slice, so that its message costs little beside its calls.
+/// Least shards of a route for each slice, so that a message costs little
+/// beside its calls.
 constexpr std::size_t kLeastSliceShards = 16;
 
 /// Processor time of one leaf call (docs/MEASUREMENTS.md).
@@ -212,16 +213,14 @@
 }
 
 ShardPlanner::RegionSlices ShardPlanner::SlicesOf(const std::string& region,
-                                                  const Route& route,
-                                                  std::size_t shards) const {
+                                                  const Route& route) const {
   const std::vector<std::string> coordinators = Coordinators(region);
   if (coordinators.empty()) return {};
-  // The slices do not change when a few shards go to another region.
-  const std::size_t total = route.shards.size();
-  const std::size_t divided = 2 * shards >= total ? total : shards;
-  return AssignSlices(coordinators,
-                      std::clamp<std::size_t>(divided / kLeastSliceShards, 1,
-                                              coordinators.size()));
+  // The same slices for all senders, whichever shards they leave to the
+  // region, so that few hosts call each leaf and know how busy it is.
+  return AssignSlices(coordinators, std::clamp<std::size_t>(
+                                        route.shards.size() / kLeastSliceShards,
+                                        1, coordinators.size()));
 }
 
 std::set<std::string> ShardPlanner::HostRegions() const {
@@ -251,7 +250,7 @@
   for (const std::string& region : HostRegions()) {
     const auto names = Coordinators(region);
     coordinators.insert(coordinators.end(), names.begin(), names.end());
-    const auto slices = SlicesOf(region, route, shards_of[region].size());
+    const auto slices = SlicesOf(region, route);
     if (slices.empty()) continue;
     for (const std::size_t shard : shards_of[region]) {
       const auto& hosts = slices[shard % slices.size()];
@@ -268,7 +267,7 @@
 void ShardPlanner::AddSlices(const std::string& region, const Route& route,
                              const std::vector<std::size_t>& shards,
                              Plan& plan) const {
-  const RegionSlices assigned = SlicesOf(region, route, shards.size());
+  const RegionSlices assigned = SlicesOf(region, route);
   if (assigned.empty()) return;
   const std::size_t count = assigned.size();
   std::vector<Slice> slices(count);
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 #include "berylreach/base/manual_clock.h"
@@ -229,6 +230,25 @@
   }
 }
 
+// Guards against leaves that are called by many hosts, none of which knows how
+// busy they are.
+TEST_F(ShardPlannerTest, ShardIsInTheSameSliceWhicheverShardsAreLeft) {
+  MakeManyPartsOnSmallHost();
+  for (const std::string& shard : route_.shards) PutLeaf(shard, "a");
+  std::map<std::size_t, std::string> host_of;
+  for (const ShardGroup& group : Divide())
+    for (const std::size_t shard : group.shards)
+      host_of[shard] = group.host->entry().id;
+  // Two thirds of the shards have no leaf here any more.
+  for (std::size_t i = 0; i < route_.shards.size(); ++i)
+    if (i % 3 != 0) directory_.Remove("s" + std::to_string(i) + "-c");
+  for (const ShardGroup& group : Divide()) {
+    if (group.host->region() != "rc") continue;
+    for (const std::size_t shard : group.shards)
+      EXPECT_EQ(group.host->entry().id, host_of.at(shard)) << shard;
+  }
+}
+
 // Guards against the first group to each host, which would wait for its
 // connection longer than the request may take.
 TEST_F(ShardPlannerTest, HostsOfPlansAreKnownBeforeTheFirstRequest) {
