Count suspended time, and confirm the view of the deployment after a pause

Cause: the steady clock stands still while a machine is suspended, so that a host that woke took its leaves, zones, idle connections and running requests for fresh; and a process that was stopped served its queued callers with what it knew before. A gateway whose loop has not run for 1.5 s asks for the present state at once (feed and watch without waiting) and refuses callers until it has it, or for a second if the store is away; what hosts follow from it is withheld as long.

--- a/base/include/berylreach/base/clock.h
+++ b/base/include/berylreach/base/clock.h
@@ -18,7 +18,8 @@
  public:
   virtual ~Clock() = default;
 
-  /// Monotonic time of this host; leases and timeouts use it.
+  /// Monotonic time of this host, suspended time included; leases and timeouts
+  /// use it.
   virtual TimePoint Now() const = 0;
 
   /// Wall-clock time; only deadlines sent to leaves, order ages and the time
--- a/base/include/berylreach/base/system_clock.h
+++ b/base/include/berylreach/base/system_clock.h
@@ -1,14 +1,23 @@
 // The clock of the operating system.
 #pragma once
 
+#include <time.h>  // NOLINT(modernize-deprecated-headers): clock_gettime is POSIX.
+
 #include "berylreach/base/clock.h"
 
 namespace berylreach::base {
 
-/// Reads the operating system's monotonic and wall clocks. Thread-safe.
+/// Reads the operating system's clocks. The monotonic one counts the time in
+/// which the machine is suspended, during which leases of other hosts run out
+/// and connections die; timers of the operating system do not. Thread-safe.
 class SystemClock final : public Clock {
  public:
-  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+  TimePoint Now() const override {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::seconds(now.tv_sec) +
+                     std::chrono::nanoseconds(now.tv_nsec));
+  }
   std::chrono::system_clock::time_point WallNow() const override {
     return std::chrono::system_clock::now();
   }
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -46,6 +46,14 @@
   /// The first complete listing of the leaves has arrived.
   void SetDirectoryLoaded() { directory_loaded_ = true; }
 
+  /// `on_paused` is called when the process or its machine has not run for a
+  /// while. Callers are refused until ConfirmView, or for a second.
+  void SetOnPaused(std::function<void()> on_paused) {
+    on_paused_ = std::move(on_paused);
+  }
+  /// What this host knows of the deployment is the present state.
+  void ConfirmView() { unconfirmed_until_ = {}; }
+
   /// Begins a planned stop; `on_stopped` is called at its end.
   void Stop(std::function<void()> on_stopped);
 
@@ -125,6 +133,9 @@
   void Sweep();
   void WarmConnections();
   bool Ready() const;
+  /// Notices that the process has not run for a while.
+  void NoticePause();
+  bool ViewMayBeOld() const;
   forward::CallerLimits Limits() const;
   void ContinueStop();
   /// Answers the requests that a planned stop cannot wait for.
@@ -168,6 +179,11 @@
   GatewayCounters counters_;
   RequestMetrics metrics_;
 
+  std::function<void()> on_paused_;
+  /// When the event loop was last seen to run.
+  base::TimePoint alive_at_{};
+  base::TimePoint unconfirmed_until_{};
+
   std::function<void()> on_stopped_;
   base::TimePoint stop_began_{};
   bool stopping_ = false;
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -22,6 +22,11 @@
                      true);
 }
 
+void AnswerNoChange(ServerConnection& connection, std::uint64_t revision) {
+  const forward::ChangeSet none{.revision = revision};
+  Respond(connection, 200, FormatChangeSet(none));
+}
+
 }  // namespace
 
 void FeedServer::OnRequest(ServerConnection& connection,
@@ -39,6 +44,10 @@
     return;
   }
   if (Answer(connection, revision)) return;
+  if (target.ends_with(kFeedWithoutWait)) {
+    AnswerNoChange(connection, revision);
+    return;
+  }
   waiting_.push_back(
       {connection.weak_from_this(), revision, clock_.Now() + kLongestWait});
 }
@@ -78,8 +87,7 @@
     const auto connection = waiting.connection.lock();
     if (!connection || connection->closed()) continue;
     if (now >= waiting.until) {
-      const forward::ChangeSet none{.revision = waiting.revision};
-      Respond(*connection, 200, FormatChangeSet(none));
+      AnswerNoChange(*connection, waiting.revision);
     } else {
       waiting_.push_back(std::move(waiting));
     }
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -36,6 +36,14 @@
 constexpr milliseconds kStopMargin{400};
 constexpr milliseconds kLastAnswersMargin{800};
 
+/// Time without a sweep after which the process has been paused, and what it
+/// knows of the deployment may be old.
+constexpr milliseconds kPause{1500};
+/// Longest time for which a host that was paused waits for the present state.
+/// Without an answer it serves with what it knows, as any host does that cannot
+/// reach the store.
+constexpr milliseconds kConfirmLimit{1000};
+
 /// Advised wait while the host has no configuration.
 constexpr milliseconds kStartingRetryAfter{300};
 
@@ -89,7 +97,8 @@
             OnGroupProgress(call, response);
           }),
       timer_(io),
-      sweep_timer_(io) {
+      sweep_timer_(io),
+      alive_at_(clock.Now()) {
   health_ = std::make_unique<HealthServer>(
       io, clock, settings_.health_address, [this] { return Ready(); },
       [this] { return Metrics(); });
@@ -129,7 +138,21 @@
 }
 
 bool Gateway::Ready() const {
-  return !stopping_ && tables_.present() != nullptr && directory_loaded_;
+  return !stopping_ && tables_.present() != nullptr && directory_loaded_ &&
+         !ViewMayBeOld();
+}
+
+bool Gateway::ViewMayBeOld() const { return clock_.Now() < unconfirmed_until_; }
+
+void Gateway::NoticePause() {
+  const base::TimePoint now = clock_.Now();
+  const base::TimePoint before = std::exchange(alive_at_, now);
+  if (now - before < kPause) return;
+  const auto paused = std::chrono::duration_cast<milliseconds>(now - before);
+  host::LogStateChange("paused", settings_.host,
+                       std::to_string(paused.count()) + " ms");
+  unconfirmed_until_ = now + kConfirmLimit;
+  if (on_paused_) on_paused_();
 }
 
 void Gateway::AddConnection(
@@ -144,6 +167,7 @@
 }
 
 void Gateway::OnRequest(ServerConnection& connection, HttpRequest request) {
+  NoticePause();
   ++counters_.requests;
   Handle(connection, std::move(request));
 }
@@ -155,6 +179,11 @@
                  kStartingRetryAfter);
     return;
   }
+  if (ViewMayBeOld()) {
+    RefuseAtOnce(connection, request, 503, "the host was paused",
+                 kStartingRetryAfter);
+    return;
+  }
   if (request.target.empty() || request.target[0] != '/' ||
       request.fields.Find(settings_.names.request_id).empty()) {
     RefuseAtOnce(connection, request, 400, "malformed request",
@@ -180,7 +209,7 @@
   const bool armed = timer_at_ > now;
   if (armed && timer_at_ <= *earliest + kTimerSlack) return;
   timer_at_ = std::max(*earliest, now);
-  timer_.expires_at(timer_at_);
+  timer_.expires_after(timer_at_ - now);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) OnTimer();
   });
@@ -209,7 +238,10 @@
 }
 
 void Gateway::Sweep() {
+  NoticePause();
   const base::TimePoint now = clock_.Now();
+  // A timer stands still while the machine is suspended.
+  OnTimer();
   directory_.Tick();
   cold_.Tick();
   leaf_connections_.CheckTimeouts();
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -54,6 +54,7 @@
 }  // namespace
 
 void Gateway::OnPeerRequest(ServerConnection& connection, HttpRequest request) {
+  NoticePause();
   if (request.target.starts_with(kFeedPath)) {
     feed_.OnRequest(connection, request.target);
     return;
--- a/gateway/unittests/gateway_test.cc
+++ b/gateway/unittests/gateway_test.cc
@@ -6,8 +6,8 @@
 #include <map>
 #include <memory>
 
-#include "berylreach/base/system_clock.h"
 #include "loopback.h"
+#include "offset_clock.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -127,7 +127,7 @@
                           std::to_string(calls) + "\n");
   }
 
-  base::SystemClock clock_;
+  OffsetClock clock_;
   asio::io_context io_;
   forward::Configuration configuration_;
   std::map<std::string, Leaf> leaves_;
@@ -386,6 +386,21 @@
   EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
 }
 
+// Guards against requests that are held on after a machine was suspended, since
+// timers do not count that time.
+TEST_F(GatewayTest, SuspendedTimeCountsForRequests) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  leaves_["o"].response.clear();
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/o/1"));
+  ASSERT_TRUE(RunUntil(io_, [this] { return !leaves_["o"].requests.empty(); }));
+  const auto begin = std::chrono::steady_clock::now();
+  clock_.Advance(std::chrono::seconds(60));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 504"));
+  EXPECT_LE(std::chrono::steady_clock::now() - begin, std::chrono::seconds(5));
+}
+
 // Guards against requests that were accepted shortly before a stop and end
 // without an answer because their leaves take too long.
 TEST_F(GatewayTest, PlannedStopAnswersRequestsThatItCannotWaitFor) {
--- a/gateway/unittests/leaf_connections_test.cc
+++ b/gateway/unittests/leaf_connections_test.cc
@@ -7,24 +7,11 @@
 
 #include "berylreach/base/system_clock.h"
 #include "loopback.h"
+#include "offset_clock.h"
 
 namespace berylreach::gateway {
 namespace {
 
-/// The system's clock, moved forward by the test.
-class OffsetClock : public base::Clock {
- public:
-  base::TimePoint Now() const override { return clock_.Now() + offset_; }
-  std::chrono::system_clock::time_point WallNow() const override {
-    return clock_.WallNow() + offset_;
-  }
-  void Advance(base::Duration span) { offset_ += span; }
-
- private:
-  base::SystemClock clock_;
-  base::Duration offset_{0};
-};
-
 class LeafConnectionsTest : public testing::Test {
  protected:
   LeafConnectionsTest()
--- a/host/lib/core_thread.cc
+++ b/host/lib/core_thread.cc
@@ -66,9 +66,9 @@
   while (true) {
     {
       std::unique_lock<std::mutex> lock(mutex_);
-      const auto until =
-          std::min(core_->NextWakeup(), clock_.Now() + kLongestSleep);
-      woken_.wait_until(lock, until, [this] { return wake_ || quit_; });
+      const base::TimePoint now = clock_.Now();
+      const auto until = std::min(core_->NextWakeup(), now + kLongestSleep);
+      woken_.wait_for(lock, until - now, [this] { return wake_ || quit_; });
       if (quit_) return;
       wake_ = false;
     }
