--- a/tools/berylreachd/main.cc
+++ b/tools/berylreachd/main.cc
@@ -154,6 +154,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // A change of the settings file must not end a process that is starting.
+  signal(SIGHUP, SIG_IGN);
   // Blocked before any thread starts, so that a stop that is asked for during
   // the start is a planned one, and only the thread that waits receives it.
   const sigset_t signals = StopSignals();
