Repeat the shards of a lost host at another coordinator

Change: a group names a backup. If the host's connection ends, or it does not report when the partial answer is due, the backup runs the shards once more, if each has no more leaves than the route has attempts; its calls are extra ones and taken from the budget. A host that answers that it failed is not repeated, and its callers are told the usual time to come back. Idle connections to a silent host are closed.

--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -64,6 +64,8 @@
 
   std::shared_ptr<LeafRecord> Find(const std::string& id) const;
   std::size_t size() const { return leaves_.size(); }
+  /// Number of listed leaves of a service, usable or not.
+  std::size_t CountOf(const std::string& service) const;
   /// Number of listed leaves of each zone.
   std::unordered_map<std::string, std::size_t> CountByZone() const;
   /// Changes whenever the set of usable leaves does.
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -50,6 +50,10 @@
   /// Whether the service has a leaf that is not known to be unresponsive.
   bool HasResponsiveLeaf(const LeafQuery& query) const;
 
+  /// Whether the service has `count` leaves at most, so that calls of several
+  /// hosts together reach no more of them.
+  bool HasAtMost(const Service& service, std::size_t count) const;
+
   /// Whether a leaf of `service` accepts too few connections for all hosts to
   /// keep some open.
   bool FewConnections(const Service& service) const;
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -128,8 +128,15 @@
   struct RemoteGroup {
     CallId call = 0;
     std::shared_ptr<LeafRecord> host;
+    /// Repeats the group if the host is lost; may be null.
+    std::shared_ptr<LeafRecord> backup;
     base::TimePoint sent{};
     bool running = true;
+    /// The host has reported, so it lives.
+    bool heard = false;
+    /// Another host was lost with the same shards.
+    bool repeats = false;
+    std::size_t may_skip = 0;
     /// The shards, which are called from here if the host declines.
     std::vector<ShardPart> parts;
     GroupReply reply;
@@ -156,10 +163,16 @@
   /// as many as the request may lack.
   void SkipBusyParts();
   bool TakeGroupReply(RemoteGroup& group, GroupReply reply);
-  void LoseGroup(RemoteGroup& group);
+  /// The group's host is lost. Its shards go to the backup if that cannot reach
+  /// more leaves than the request may, else they count as failed.
+  void LoseGroup(RemoteGroup& group, std::vector<RunAction>& actions);
+  bool MayRepeat(const RemoteGroup& group) const;
+  void SendGroup(RemoteGroup& group, std::vector<RunAction>& actions);
   void RunDeclined(RemoteGroup& group, std::vector<RunAction>& actions);
   /// Groups without an answer are given up then.
   base::TimePoint GroupEnd() const;
+  /// Groups whose hosts have not reported by then are lost.
+  base::TimePoint ReportsDue() const;
   void AbandonLostGroups(std::vector<RunAction>& actions);
   void Settle(std::vector<RunAction>& actions);
   /// Whether answers of so many parts make a success.
@@ -192,6 +205,8 @@
   std::size_t may_skip_ = 0;
   /// This run is a group of another host's request.
   bool narrowed_ = false;
+  /// Another host may have called the same leaves.
+  bool repeats_ = false;
   /// Parts in the last report.
   std::optional<std::size_t> reported_;
   std::size_t answered_ = 0;
--- a/forward/include/berylreach/forward/shard_group.h
+++ b/forward/include/berylreach/forward/shard_group.h
@@ -15,6 +15,8 @@
 /// Shards of a request that another host runs.
 struct ShardGroup {
   std::shared_ptr<LeafRecord> host;
+  /// Runs the group if the host is lost; may be null.
+  std::shared_ptr<LeafRecord> backup;
   /// Positions in Route::shards.
   std::vector<std::size_t> shards;
 };
@@ -30,6 +32,9 @@
   /// request together leave out `allowed_missing` at most.
   std::size_t may_skip = 0;
   base::TimePoint partial_at{};
+  /// Another host that may have called the leaves was lost, so that all calls
+  /// are extra ones.
+  bool repeats = false;
 
   friend bool operator==(const ShardSubset&, const ShardSubset&) = default;
 };
@@ -50,7 +55,9 @@
   kDeclined,
   /// The host ran nothing, because it is full or too few leaves answer.
   kRefused,
-  /// Leaves may have run calls of the group.
+  /// The host ran the group and had too few answers.
+  kFailed,
+  /// The host is gone or silent; leaves may have run calls of the group.
   kLost,
 };
 
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -96,6 +96,11 @@
   std::erase(by_service_[record->entry().service], record);
 }
 
+std::size_t LeafDirectory::CountOf(const std::string& service) const {
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? 0 : found->second.size();
+}
+
 bool LeafDirectory::IsUsable(const LeafRecord& leaf) const {
   return !leaf.gone() && !leaf.entry().draining &&
          !evacuated_.contains(leaf.entry().zone);
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -106,6 +106,10 @@
   return any;
 }
 
+bool LeafSelector::HasAtMost(const Service& service, std::size_t count) const {
+  return directory_.CountOf(service.name) <= count;
+}
+
 bool LeafSelector::FewConnections(const Service& service) const {
   return service.max_connections / shares_.hosts() < kUsefulConnections;
 }
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -72,7 +72,7 @@
   std::size_t responsive = servable;
   for (ShardPart& part : parts_) {
     if (part.service == nullptr) continue;
-    context_.budget.OnRequest(part.service->name);
+    if (!repeats_) context_.budget.OnRequest(part.service->name);
     const LeafQuery query = QueryFor(part, true);
     if (context_.selector.HasLeaf(query)) ++servable;
     if (context_.selector.HasResponsiveLeaf(query)) ++responsive;
@@ -95,7 +95,9 @@
 
 void RequestRun::StartPart(ShardPart& part, std::vector<RunAction>& actions) {
   if (part.service == nullptr ||
-      !context_.selector.HasLeaf(QueryFor(part, true))) {
+      !context_.selector.HasLeaf(QueryFor(part, true)) ||
+      (repeats_ &&
+       !context_.budget.TrySpend(part.service->name, ExtraCall::kRetry))) {
     FailPart(part);
     return;
   }
@@ -184,7 +186,8 @@
   const bool waits_for_group =
       std::any_of(groups_.begin(), groups_.end(),
                   [](const RemoteGroup& group) { return group.running; });
-  if (waits_for_group) next = std::min(next, GroupEnd());
+  if (waits_for_group)
+    next = std::min(next, now < ReportsDue() ? ReportsDue() : GroupEnd());
   const bool hedges = route_.idempotent && route_.attempts > 1;
   for (const ShardPart& part : parts_) {
     if (part.state != PartState::kWaiting) continue;
--- a/forward/lib/request_run_groups.cc
+++ b/forward/lib/request_run_groups.cc
@@ -19,6 +19,10 @@
 /// Time that two hosts need for a group beside that of its messages.
 constexpr milliseconds kGroupMargin{6};
 
+/// Time after which the report of a living host that is due at the partial
+/// answer has come, also from a busy one.
+constexpr milliseconds kReportMargin{25};
+
 /// Hosts named in one log line.
 constexpr std::size_t kDescribedHosts = 4;
 
@@ -33,6 +37,10 @@
   return context_.has_connection(host) ? round_trip : 2 * round_trip;
 }
 
+base::TimePoint RequestRun::ReportsDue() const {
+  return partial_at_ + kReportMargin;
+}
+
 void RequestRun::Delegate(const std::vector<ShardGroup>& groups) {
   const base::TimePoint now = context_.clock.Now();
   // Position in groups_ of the group that has the shard.
@@ -41,7 +49,9 @@
     if (partial_at_ <= now + ExchangeTime(*group.host) + kGroupMargin) continue;
     for (const std::size_t shard : group.shards)
       group_of[shard] = groups_.size();
-    groups_.push_back({.call = context_.next_call(), .host = group.host});
+    groups_.push_back({.call = context_.next_call(),
+                       .host = group.host,
+                       .backup = group.backup});
   }
   if (groups_.empty()) return;
   std::vector<ShardPart> own;
@@ -60,6 +70,7 @@
   total_ = parts_.size();
   least_parts_ = total_ - std::min(total_, subset.allowed_missing);
   may_skip_ = subset.may_skip;
+  repeats_ = subset.repeats;
   partial_at_ = subset.partial_at;
   narrowed_ = true;
   // The other host gives the group up by then.
@@ -67,7 +78,6 @@
 }
 
 void RequestRun::StartGroups(std::vector<RunAction>& actions) {
-  const base::TimePoint now = context_.clock.Now();
   std::vector<std::size_t> sizes;
   for (const RemoteGroup& group : groups_) sizes.push_back(group.parts.size());
   sizes.push_back(parts_.size());
@@ -75,24 +85,31 @@
       DivideAllowance(total_ - least_parts_, sizes, seed_);
   may_skip_ = allowances.back();
   for (std::size_t i = 0; i < groups_.size(); ++i) {
-    RemoteGroup& group = groups_[i];
-    group.sent = now;
-    group.host->OnCallSent(now);
-    ++calls_sent_;
-    StartGroupCall action{.call = group.call,
-                          .host = group.host,
-                          .sent = now,
-                          .deadline = deadline_};
-    for (const ShardPart& part : group.parts)
-      action.subset.shards.push_back(part.shard);
-    action.subset.allowed_missing = total_ - least_parts_;
-    action.subset.may_skip = allowances[i];
-    action.subset.partial_at =
-        partial_at_ - ExchangeTime(*group.host) - kGroupMargin;
-    actions.push_back(std::move(action));
+    groups_[i].may_skip = allowances[i];
+    SendGroup(groups_[i], actions);
   }
 }
 
+void RequestRun::SendGroup(RemoteGroup& group,
+                           std::vector<RunAction>& actions) {
+  const base::TimePoint now = context_.clock.Now();
+  group.sent = now;
+  group.host->OnCallSent(now);
+  ++calls_sent_;
+  StartGroupCall action{.call = group.call,
+                        .host = group.host,
+                        .sent = now,
+                        .deadline = deadline_};
+  for (const ShardPart& part : group.parts)
+    action.subset.shards.push_back(part.shard);
+  action.subset.allowed_missing = total_ - least_parts_;
+  action.subset.may_skip = group.may_skip;
+  action.subset.partial_at =
+      partial_at_ - ExchangeTime(*group.host) - kGroupMargin;
+  action.subset.repeats = group.repeats;
+  actions.push_back(std::move(action));
+}
+
 RequestRun::RemoteGroup* RequestRun::FindGroup(CallId call) {
   const auto found = std::find_if(
       groups_.begin(), groups_.end(),
@@ -108,7 +125,7 @@
     group->running = false;
     failed_ += group->parts.size() - group->reply.signatures.size();
   } else {
-    LoseGroup(*group);
+    LoseGroup(*group, actions);
   }
   Settle(actions);
 }
@@ -117,7 +134,7 @@
                                  std::vector<RunAction>& actions) {
   RemoteGroup* group = FindGroup(call);
   if (group == nullptr || finished_ || !group->running) return;
-  if (!TakeGroupReply(*group, std::move(reply))) LoseGroup(*group);
+  if (!TakeGroupReply(*group, std::move(reply))) LoseGroup(*group, actions);
   Settle(actions);
 }
 
@@ -130,12 +147,15 @@
       group->running = false;
       RunDeclined(*group, actions);
       break;
+    case GroupFailure::kFailed:
+      any_may_have_run_ = true;
+      [[fallthrough]];
     case GroupFailure::kRefused:
       group->running = false;
       failed_ += group->parts.size() - group->reply.signatures.size();
       break;
     case GroupFailure::kLost:
-      LoseGroup(*group);
+      LoseGroup(*group, actions);
       break;
   }
   Settle(actions);
@@ -148,13 +168,32 @@
   any_may_have_run_ = true;
   answered_ += answers - before;
   group.reply = std::move(reply);
+  group.heard = true;
   return true;
 }
 
-void RequestRun::LoseGroup(RemoteGroup& group) {
+bool RequestRun::MayRepeat(const RemoteGroup& group) const {
+  if (group.backup == nullptr || group.repeats || group.heard) return false;
+  if (context_.clock.Now() >= GroupEnd()) return false;
+  return std::all_of(
+      group.parts.begin(), group.parts.end(), [this](const ShardPart& part) {
+        return part.service != nullptr &&
+               context_.selector.HasAtMost(*part.service, route_.attempts);
+      });
+}
+
+void RequestRun::LoseGroup(RemoteGroup& group,
+                           std::vector<RunAction>& actions) {
+  any_may_have_run_ = true;
+  if (MayRepeat(group)) {
+    group.call = context_.next_call();
+    group.host = std::exchange(group.backup, nullptr);
+    group.repeats = true;
+    SendGroup(group, actions);
+    return;
+  }
   group.running = false;
   failed_ += group.parts.size() - group.reply.signatures.size();
-  any_may_have_run_ = true;
   lost_group_ = true;
 }
 
@@ -168,11 +207,13 @@
 }
 
 void RequestRun::AbandonLostGroups(std::vector<RunAction>& actions) {
-  if (context_.clock.Now() < GroupEnd()) return;
+  const base::TimePoint now = context_.clock.Now();
+  if (now < ReportsDue()) return;
+  const bool over = now >= GroupEnd();
   for (RemoteGroup& group : groups_) {
-    if (!group.running) continue;
+    if (!group.running || (!over && !MayRepeat(group))) continue;
     actions.push_back(AbandonGroupCall{group.call});
-    LoseGroup(group);
+    LoseGroup(group, actions);
   }
 }
 
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -101,10 +101,11 @@
   if (!route.scatters() || !route.regions.empty()) return groups;
   for (const Slice& slice : CurrentPlan(table, route).slices) {
     auto host = Best(slice.primaries, seed);
-    if (host == nullptr) host = Best(slice.backups, seed);
+    auto backup = Best(slice.backups, seed);
+    if (host == nullptr) host = std::exchange(backup, nullptr);
     if (host == nullptr) host = Best(slice.others, seed);
     if (host == nullptr) continue;
-    groups.push_back({std::move(host), slice.shards});
+    groups.push_back({std::move(host), std::move(backup), slice.shards});
   }
   return groups;
 }
--- a/forward/unittests/request_groups_test.cc
+++ b/forward/unittests/request_groups_test.cc
@@ -23,6 +23,18 @@
     Collect();
   }
 
+  /// The same with another host that takes over.
+  void BeginWithBackup() {
+    backup_ = std::make_shared<LeafRecord>(
+        LeafEntry{.id = "b-2", .address = "1:2", .zone = "b", .slots = 16},
+        Distance::kOtherRegion, "rb", clock_.Now());
+    Make(route_);
+    run_->Delegate(
+        {{.host = host_, .backup = backup_, .shards = {4, 5, 6, 7}}});
+    run_->Start(actions_);
+    Collect();
+  }
+
   void BeginNarrowed(std::size_t allowed_missing) {
     Make(route_);
     run_->Narrow({.shards = {4, 5, 6, 7},
@@ -56,6 +68,7 @@
   static std::string Record(char c) { return std::string(16, c); }
 
   std::shared_ptr<LeafRecord> host_;
+  std::shared_ptr<LeafRecord> backup_;
 };
 
 TEST_F(RequestGroupsTest, MergesGroupWithItsOwnShards) {
@@ -124,6 +137,90 @@
   EXPECT_LE(reply_->retry_after, milliseconds(20));
 }
 
+// Guards against searches that fail for want of the few shards of one host.
+TEST_F(RequestGroupsTest, BackupRunsTheShardsOfLostHost) {
+  BeginWithBackup();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  GroupFails(GroupFailure::kLost);
+  EXPECT_FALSE(reply_);
+  ASSERT_EQ(groups_.size(), 2U);
+  EXPECT_EQ(groups_[1].host, backup_);
+  EXPECT_EQ(groups_[1].subset.shards, groups_[0].subset.shards);
+  EXPECT_TRUE(groups_[1].subset.repeats);
+  run_->OnGroupReply(
+      groups_[1].call,
+      {.signatures = {"g1", "g2", "g3", "g4"}, .records = Record('z')},
+      actions_);
+  Collect();
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 0U);
+}
+
+TEST_F(RequestGroupsTest, BackupIsNotRepeated) {
+  BeginWithBackup();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  GroupFails(GroupFailure::kLost);
+  ASSERT_EQ(groups_.size(), 2U);
+  run_->OnGroupFailure(groups_[1].call, GroupFailure::kLost, actions_);
+  Collect();
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_EQ(groups_.size(), 2U);
+}
+
+// Guards against callers who wait for a host that lost power, which nothing but
+// its silence shows.
+TEST_F(RequestGroupsTest, BackupRunsTheShardsOfHostThatDoesNotReport) {
+  BeginWithBackup();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  AdvanceTo(milliseconds(140));
+  EXPECT_EQ(groups_.size(), 1U);
+  AdvanceTo(milliseconds(170));
+  EXPECT_EQ(abandoned_, 1U);
+  ASSERT_EQ(groups_.size(), 2U);
+  EXPECT_EQ(groups_[1].host, backup_);
+}
+
+TEST_F(RequestGroupsTest, HostThatReportsIsNotReplaced) {
+  BeginWithBackup();
+  AdvanceTo(milliseconds(120));
+  Progress({"g1"}, Record('z'));
+  AdvanceTo(milliseconds(200));
+  EXPECT_EQ(groups_.size(), 1U);
+  EXPECT_EQ(abandoned_, 0U);
+}
+
+// Guards against more leaves of a shard than the route's attempts, because the
+// lost host and the backup choose different ones.
+TEST_F(RequestGroupsTest, ShardsWithMoreLeavesThanAttemptsAreNotRepeated) {
+  PutLeaf("s5-c", "s5", "b");
+  BeginWithBackup();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  GroupFails(GroupFailure::kLost);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_EQ(groups_.size(), 1U);
+}
+
+// Guards against repeated groups beyond the budget of extra calls.
+TEST_F(RequestGroupsTest, RepeatedGroupTakesItsCallsFromTheBudget) {
+  while (budget_.TrySpend("s5", ExtraCall::kRetry)) {
+  }
+  Make(route_);
+  run_->Narrow({.shards = {4, 5, 6, 7},
+                .allowed_missing = 2,
+                .partial_at = clock_.Now() + milliseconds(80),
+                .repeats = true});
+  run_->Start(actions_);
+  Collect();
+  EXPECT_EQ(started_.size(), 3U);
+  EXPECT_LT(budget_.Level("s4"), 1.0);
+}
+
 // Guards against callers who are told that a request has run when it has not.
 TEST_F(RequestGroupsTest, RefusalOfHostThatRanNothingIsNoRun) {
   Make(route_);
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -102,6 +102,8 @@
                         std::string_view extra_fields) const;
   /// The caller of a request has left.
   void Abandon(std::uint64_t id);
+  /// Gives up a call to a host that is silent.
+  void AbandonGroup(forward::CallId call);
   void CancelCall(forward::CallId call, forward::CallOutcome outcome);
   void Execute(std::uint64_t id, std::vector<forward::RunAction>& actions);
   void SendCall(RunningRequest& request, std::uint64_t id,
--- a/gateway/include/berylreach/gateway/group_codec.h
+++ b/gateway/include/berylreach/gateway/group_codec.h
@@ -26,6 +26,8 @@
   std::size_t may_skip = 0;
   /// Time until an answer without some shards is to be sent.
   std::chrono::milliseconds partial_in{0};
+  /// Another host that may have called the leaves was lost.
+  bool repeats = false;
 
   friend bool operator==(const GroupHeader&, const GroupHeader&) = default;
 };
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -232,8 +232,8 @@
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    Sweep();
     ScheduleSweep();
+    Sweep();
   });
 }
 
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -34,7 +34,7 @@
   if (response->status == kDeclinedStatus)
     return forward::GroupFailure::kDeclined;
   return response->status == kRefusedStatus ? forward::GroupFailure::kRefused
-                                            : forward::GroupFailure::kLost;
+                                            : forward::GroupFailure::kFailed;
 }
 
 /// What the end of a group call says of the host.
@@ -80,7 +80,8 @@
       .shards = header->shards,
       .allowed_missing = header->allowed_missing,
       .may_skip = header->may_skip,
-      .partial_at = clock_.Now() + header->partial_in};
+      .partial_at = clock_.Now() + header->partial_in,
+      .repeats = header->repeats};
   ++counters_.groups_run;
   StartRun(connection, std::move(request), table, *route, &subset);
 }
@@ -96,7 +97,8 @@
       .allowed_missing = action.subset.allowed_missing,
       .may_skip = action.subset.may_skip,
       .partial_in = std::chrono::duration_cast<milliseconds>(
-          action.subset.partial_at - clock_.Now())};
+          action.subset.partial_at - clock_.Now()),
+      .repeats = action.subset.repeats};
   calls_[action.call] = {.request = id,
                          .callee = action.host,
                          .is_group = true,
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -191,7 +191,7 @@
     } else if (const auto* lost =
                    std::get_if<forward::AbandonGroupCall>(&action)) {
       ++counters_.group_failures;
-      CancelCall(lost->call, forward::CallOutcome::kUnreachable);
+      AbandonGroup(lost->call);
     } else {
       Finish(id, std::move(std::get<forward::FinishRequest>(action).reply));
       return;
@@ -418,6 +418,14 @@
     CancelCall(call, forward::CallOutcome::kCancelled);
 }
 
+void Gateway::AbandonGroup(forward::CallId call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  // Other connections to a silent host may have gone silent too.
+  leaf_connections_.CloseIdleOf(found->second.callee->entry().id);
+  CancelCall(call, forward::CallOutcome::kUnreachable);
+}
+
 void Gateway::CancelCall(forward::CallId call, forward::CallOutcome outcome) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
--- a/gateway/lib/group_codec.cc
+++ b/gateway/lib/group_codec.cc
@@ -52,6 +52,7 @@
   root["allowed_missing"] = header.allowed_missing;
   root["may_skip"] = header.may_skip;
   root["partial_in_ms"] = header.partial_in.count();
+  if (header.repeats) root["repeats"] = true;
   root["shards"] = std::move(shards);
   return boost::json::serialize(root);
 }
@@ -71,6 +72,7 @@
   if (!valid) return std::nullopt;
   // Hosts of an older version do not name it.
   if (!Read(object, "may_skip", header.may_skip)) header.may_skip = 0;
+  header.repeats = object.contains("repeats");
   header.partial_in = std::chrono::milliseconds(partial_in_ms);
   return header;
 }
