--- /dev/null
+++ b/gateway/lib/gateway_answers.cc
@@ -0,0 +1,136 @@
+// Final answers to callers and to the hosts for which this one runs groups.
+#include <cstdio>
+#include <utility>
+
+#include "berylreach/gateway/gateway.h"
+#include "berylreach/gateway/group_codec.h"
+#include "berylreach/host/log.h"
+#include "response_bytes.h"
+
+namespace berylreach::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string Seconds(milliseconds span) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f",
+                std::chrono::duration<double>(span).count());
+  return text;
+}
+
+/// Status of a refusal.
+int StatusOf(forward::Refusal refusal) {
+  switch (refusal) {
+    case forward::Refusal::kNotRun:
+      return 503;
+    case forward::Refusal::kMayHaveRun:
+      return 502;
+    case forward::Refusal::kTimedOut:
+    case forward::Refusal::kNone:
+      break;
+  }
+  return 504;
+}
+
+RequestOutcome OutcomeOf(int status, std::size_t missing) {
+  if (status == 503) return RequestOutcome::kRefused;
+  if (status >= 400) return RequestOutcome::kFailed;
+  return missing > 0 ? RequestOutcome::kPartial : RequestOutcome::kWhole;
+}
+
+}  // namespace
+
+void Gateway::Finish(std::uint64_t id, forward::CallerReply reply) {
+  const auto found = requests_.find(id);
+  const RunningRequest request = std::move(found->second);
+  requests_.erase(found);
+  wakeups_.Set(id, std::nullopt);
+  admission_.OnRequestDone(request.admitted_calls);
+  const auto connection = request.connection.lock();
+  if (connection) request_of_.erase(connection.get());
+
+  const forward::RequestRun& run = *request.run;
+  const auto took = clock_.Now() - run.request().received;
+  std::string fields;
+  int status = reply.reply.status;
+  std::string_view reason = reply.reply.reason;
+  if (reply.refusal != forward::Refusal::kNone) {
+    status = StatusOf(reply.refusal);
+    reason = ReasonOf(status);
+    ++(status == 503 ? counters_.refused : counters_.failed);
+    if (reply.retry_after.count() > 0)
+      fields = "Retry-After: " + Seconds(reply.retry_after) + "\r\n";
+    reply.reply.body = reply.cause;
+  } else {
+    ++counters_.answered;
+    fields = std::move(reply.reply.fields);
+  }
+  if (!reply.signatures.empty()) {
+    if (reply.missing > 0) ++counters_.partial;
+    const WireNames& names = settings_.names;
+    fields.append(names.part_signatures).append(": ");
+    fields.append(JoinSignatures(reply.signatures)).append("\r\n");
+    fields.append(names.missing_parts).append(": ");
+    fields.append(std::to_string(reply.missing)).append("\r\n");
+  }
+  // A merged answer or a refusal repeats the id as leaves do, so that other
+  // hosts and callers know whose it is.
+  if (reply.reply.signature.empty()) fields.append(IdLine(run.request().id));
+  metrics_.OnRequest(run.route().name, OutcomeOf(status, reply.missing), took);
+  const bool late = took > run.route().objective;
+  if (late) ++counters_.late;
+  if (status >= 400 || late || reply.missing > 0)
+    LogOutcome(run, status, reply, took);
+  if (!connection || connection->closed()) return;
+  const bool keep_alive = request.keep_alive && !stopping_;
+  std::string bytes =
+      ResponseBytes(status, reason, fields, reply.reply.body, keep_alive);
+  if (request.head) bytes.resize(bytes.size() - reply.reply.body.size());
+  connection->Respond(std::move(bytes), keep_alive);
+}
+
+std::string Gateway::IdLine(std::string_view id) const {
+  return settings_.names.request_id + ": " + std::string(id) + "\r\n";
+}
+
+void Gateway::LogOutcome(const forward::RequestRun& run, int status,
+                         const forward::CallerReply& reply,
+                         base::Duration took) const {
+  host::LogRequest({.id = run.request().id,
+                    .route = run.route().name,
+                    .status = status,
+                    .cause = reply.cause,
+                    .took = took,
+                    .answered = run.answered(),
+                    .parts = run.parts(),
+                    .calls = run.calls_sent(),
+                    .unanswered = run.DescribeUnanswered(),
+                    .group_hosts = run.DescribeHosts(),
+                    .version = configuration_version()});
+}
+
+void Gateway::RefuseAtOnce(ServerConnection& connection,
+                           const HttpRequest& request, int status,
+                           std::string_view cause, milliseconds retry_after) {
+  ++counters_.refused;
+  host::LogRequest(
+      {.id = std::string(request.fields.Find(settings_.names.request_id)),
+       .route = request.target,
+       .status = status,
+       .cause = std::string(cause),
+       .version = configuration_version()});
+  std::string fields;
+  const std::string_view id = request.fields.Find(settings_.names.request_id);
+  if (!id.empty()) fields = IdLine(id);
+  if (retry_after.count() > 0)
+    fields.append("Retry-After: " + Seconds(retry_after) + "\r\n");
+  const bool keep_alive = request.keep_alive && !stopping_;
+  connection.Respond(
+      ResponseBytes(status, ReasonOf(status), fields,
+                    request.method == "HEAD" ? std::string_view() : cause,
+                    keep_alive),
+      keep_alive);
+}
+
+}  // namespace berylreach::gateway
