--- a/forward/lib/coordinators.cc
+++ b/forward/lib/coordinators.cc
@@ -30,9 +30,7 @@
   std::vector<Candidate> candidates;
   candidates.reserve(hosts.size());
   for (const HostEntry& host : hosts) {
-    const auto leaves = leaves_by_zone.find(host.zone);
-    candidates.push_back({host.cores,
-                          leaves == leaves_by_zone.end() ? 0 : leaves->second,
+    candidates.push_back({host.cores, leaves_by_zone.contains(host.zone),
                           base::Hash64(host.name), &host.name});
   }
   std::sort(candidates.begin(), candidates.end(),
--- a/forward/unittests/allowance_test.cc
+++ b/forward/unittests/allowance_test.cc
@@ -12,7 +12,8 @@
 TEST(AllowanceTest, SumIsNeverMoreThanAllowed) {
   for (std::uint64_t seed = 0; seed < 50; ++seed) {
     const auto shares = DivideAllowance(4, {18, 17, 18, 17, 17}, seed);
-    EXPECT_EQ(std::accumulate(shares.begin(), shares.end(), 0U), 4U);
+    EXPECT_EQ(std::accumulate(shares.begin(), shares.end(), std::size_t{0}),
+              4U);
   }
 }
 
