Refuse at once without a callable leaf, and pass over hosts out of reach

After the loss of a zone each sender sent a request to each of its coordinators now and then, to wait 300 ms for a connection. Change: such a request is refused after a quarter of its objective, as not run and with when to come back. A slice goes to a host that can be reached without opening a connection, if there is one; the connections that are held are the probes.

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -156,6 +156,9 @@
   void StartGroups(std::vector<RunAction>& actions);
   void StartPart(ShardPart& part, std::vector<RunAction>& actions);
   bool SendCall(ShardPart& part, bool any, std::vector<RunAction>& actions);
+  /// No leaf of the part may be called now: tries again soon, or fails the part
+  /// if that has gone on for too long.
+  void WaitForLeaf(ShardPart& part);
   void Retry(ShardPart& part, std::vector<RunAction>& actions);
   void Hedge(ShardPart& part, std::vector<RunAction>& actions);
   void FailPart(ShardPart& part);
--- a/forward/include/berylreach/forward/shard_part.h
+++ b/forward/include/berylreach/forward/shard_part.h
@@ -45,6 +45,8 @@
   std::optional<LeafReply> failure;
   /// When a call that found no leaf is tried again.
   std::optional<base::TimePoint> retry_at;
+  /// Since when no leaf may be called.
+  std::optional<base::TimePoint> waiting_since;
 
   std::size_t CountRunningCalls() const;
 
--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "berylreach/forward/configuration.h"
@@ -37,6 +39,12 @@
 
   /// All hosts of the deployment.
   void SetHosts(std::vector<HostEntry> hosts);
+  /// Tells whether a host can be reached without opening a connection. Others
+  /// are passed over while one of these can run the slice, so that no request
+  /// waits to find out whether a lost host is back.
+  void SetReachable(std::function<bool(const LeafRecord&)> reachable) {
+    reachable_ = std::move(reachable);
+  }
 
   /// The groups that other hosts run; this host runs the shards that are in
   /// none of them. `seed` spreads requests over equal hosts.
@@ -93,8 +101,12 @@
   void ShareServices(const Route& route);
   HostRecords RecordsOf(const std::vector<std::string>& names) const;
   HostRecordsByName LinkedHosts() const;
-  std::shared_ptr<LeafRecord> Best(const HostRecords& hosts,
-                                   std::uint64_t seed) const;
+  /// The host that runs the slice, and the one that repeats it.
+  ShardGroup ChooseHosts(const Slice& slice, std::uint64_t seed) const;
+  /// The best of `hosts`, or of those that `reachable_` names if `reachable`;
+  /// null if there is none.
+  std::shared_ptr<LeafRecord> Best(const HostRecords& hosts, std::uint64_t seed,
+                                   bool reachable) const;
   bool FewConnections(const RouteTable& table, const Route& route) const;
   bool IsSlowHere(const Route& route, std::size_t shards) const;
 
@@ -104,6 +116,9 @@
   const LeafDirectory& directory_;
   const LeafSelector& selector_;
   ServiceShares& shares_;
+  std::function<bool(const LeafRecord&)> reachable_ = [](const LeafRecord&) {
+    return true;
+  };
   std::vector<HostEntry> hosts_;
   HostRecordsByName records_;
   std::uint64_t generation_ = 0;
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -20,6 +20,11 @@
 /// for the ways to and from the caller.
 constexpr double kPartialShare = 0.88;
 
+/// Part of the objective for which a request to one leaf waits for a leaf that
+/// may be called. Leaves that are cold or full for longer cannot serve it, and
+/// the caller should come back instead.
+constexpr double kLeafWaitShare = 0.25;
+
 /// Pause before a part without a free leaf looks for one again.
 constexpr milliseconds kNoLeafPause{10};
 /// Pause before a hedge that found no leaf or budget is tried again.
@@ -220,9 +225,10 @@
   const base::TimePoint now = context_.clock.Now();
   auto leaf = context_.selector.Choose(QueryFor(part, any));
   if (leaf == nullptr) {
-    if (part.CountRunningCalls() == 0) part.retry_at = now + kNoLeafPause;
+    if (part.CountRunningCalls() == 0) WaitForLeaf(part);
     return false;
   }
+  part.waiting_since.reset();
   part.tried.push_back(leaf->entry().id);
   const CallId id = context_.next_call();
   part.calls.push_back(
@@ -236,6 +242,20 @@
   return true;
 }
 
+void RequestRun::WaitForLeaf(ShardPart& part) {
+  const base::TimePoint now = context_.clock.Now();
+  if (!part.waiting_since) part.waiting_since = now;
+  // A part of a merged answer may wait as long as the answer does.
+  const bool over =
+      !route_.scatters() &&
+      now - *part.waiting_since >= Share(route_.objective, kLeafWaitShare);
+  if (over) {
+    FailPart(part);
+  } else {
+    part.retry_at = now + kNoLeafPause;
+  }
+}
+
 void RequestRun::Retry(ShardPart& part, std::vector<RunAction>& actions) {
   if (part.CountRunningCalls() > 0) return;
   const bool again =
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -100,16 +100,27 @@
   // A request of a restricted route stays with the host that has it.
   if (!route.scatters() || !route.regions.empty()) return groups;
   for (const Slice& slice : CurrentPlan(table, route).slices) {
-    auto host = Best(slice.primaries, seed);
-    auto backup = Best(slice.backups, seed);
-    if (host == nullptr) host = std::exchange(backup, nullptr);
-    if (host == nullptr) host = Best(slice.others, seed);
-    if (host == nullptr) continue;
-    groups.push_back({std::move(host), std::move(backup), slice.shards});
+    ShardGroup group = ChooseHosts(slice, seed);
+    if (group.host != nullptr) groups.push_back(std::move(group));
   }
   return groups;
 }
 
+ShardGroup ShardPlanner::ChooseHosts(const Slice& slice,
+                                     std::uint64_t seed) const {
+  ShardGroup group{.shards = slice.shards};
+  for (const bool reachable : {true, false}) {
+    auto backup = Best(slice.backups, seed, reachable);
+    group.host = Best(slice.primaries, seed, reachable);
+    if (group.host == nullptr) group.host = std::exchange(backup, nullptr);
+    if (group.host == nullptr) group.host = Best(slice.others, seed, reachable);
+    if (group.host == nullptr) continue;
+    group.backup = std::move(backup);
+    break;
+  }
+  return group;
+}
+
 const ShardPlanner::Plan& ShardPlanner::CurrentPlan(const RouteTable& table,
                                                     const Route& route) {
   const std::uint64_t version = table.configuration().version;
@@ -154,12 +165,14 @@
 }
 
 std::shared_ptr<LeafRecord> ShardPlanner::Best(const HostRecords& hosts,
-                                               std::uint64_t seed) const {
+                                               std::uint64_t seed,
+                                               bool reachable) const {
   const base::TimePoint now = clock_.Now();
   std::shared_ptr<LeafRecord> best;
   auto best_cost = base::Duration::max();
   for (const auto& host : hosts) {
     if (host->IsBackedOff(now) || host->IsSilent(now)) continue;
+    if (reachable && !reachable_(*host)) continue;
     const auto cost = JitteredCost(*host, seed, now);
     if (cost >= best_cost) continue;
     best_cost = cost;
--- a/forward/unittests/request_run_test.cc
+++ b/forward/unittests/request_run_test.cc
@@ -65,6 +65,24 @@
   EXPECT_GT(reply_->retry_after.count(), 0);
 }
 
+// Guards against callers who are held until their time is over for leaves that
+// are cold and may not be called.
+TEST_F(RequestRunTest, RefusesWithinQuarterOfObjectiveWithoutCallableLeaf) {
+  for (const char* leaf : {"f-a", "f-b"}) {
+    const auto record = directory_.Find(leaf);
+    record->SetColdFor(std::chrono::seconds(5), clock_.Now());
+    cold_.OnCall(leaf);
+  }
+  cold_.SetHosts("host", {});
+  Begin(single_, milliseconds(3000));
+  EXPECT_FALSE(reply_);
+  AdvanceTo(single_.objective / 4 + milliseconds(15));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
+  EXPECT_GT(reply_->retry_after.count(), 0);
+  EXPECT_TRUE(started_.empty());
+}
+
 // Guards against callers who may not repeat a request, though its calls never
 // left this host.
 TEST_F(RequestRunTest, RefusalIsNoRunWhenAllCallsAreTakenBack) {
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -249,6 +249,19 @@
   }
 }
 
+// Guards against requests that wait for the connection to a host that has lost
+// power, to find out whether it is back.
+TEST_F(ShardPlannerTest, HostWithoutConnectionIsPassedOver) {
+  std::set<std::string> connected = {"a-2"};
+  planner_.SetReachable([&connected](const LeafRecord& host) {
+    return connected.contains(host.entry().id);
+  });
+  for (std::uint64_t seed = 0; seed < 10; ++seed)
+    EXPECT_EQ(Divide(seed).at(0).host->entry().id, "a-2");
+  connected.clear();
+  EXPECT_EQ(Divide().size(), 1U) << "no host has a connection yet";
+}
+
 // Guards against the first group to each host, which would wait for its
 // connection longer than the request may take.
 TEST_F(ShardPlannerTest, HostsOfPlansAreKnownBeforeTheFirstRequest) {
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -60,6 +60,8 @@
   void Link(const forward::LeafRecord& host);
   /// Whether a call can be sent without opening a connection.
   bool HasIdle(const std::string& leaf) const;
+  /// Whether a connection is open and idle, or the peer answered a moment ago.
+  bool IsReachable(const std::string& leaf) const;
   /// Takes back a call that still waits for its connection; false if it may
   /// have been sent. The connection opens for later calls, and the result of
   /// the call is kWithdrawn, or kNotSent if it cannot be opened.
@@ -90,6 +92,7 @@
     std::size_t open = 0;
     /// The peer is a host to which a connection is held.
     bool linked = false;
+    base::TimePoint reachable_until{};
     /// No connection is opened ahead of a call before.
     base::TimePoint warm_after{};
   };
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -99,6 +99,9 @@
       timer_(io),
       sweep_timer_(io),
       alive_at_(clock.Now()) {
+  planner_.SetReachable([this](const forward::LeafRecord& host) {
+    return leaf_connections_.IsReachable(host.entry().id);
+  });
   health_ = std::make_unique<HealthServer>(
       io, clock, settings_.health_address, [this] { return Ready(); },
       [this] { return Metrics(); });
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -32,6 +32,10 @@
 /// Part of the leaf's own limit for idle connections that is used.
 constexpr double kIdleShare = 0.7;
 
+/// A peer that answered within this time is reachable, though all connections
+/// to it may be in use.
+constexpr milliseconds kReachableAfterAnswer{1000};
+
 /// Time after which an idle connection to another host is closed. Hosts keep
 /// connections of other hosts for longer (PeerServer).
 constexpr milliseconds kLinkIdle{45000};
@@ -133,6 +137,13 @@
   return found != pools_.end() && !found->second.idle.empty();
 }
 
+bool LeafConnections::IsReachable(const std::string& leaf) const {
+  const auto found = pools_.find(leaf);
+  if (found == pools_.end()) return false;
+  const Pool& pool = found->second;
+  return !pool.idle.empty() || clock_.Now() < pool.reachable_until;
+}
+
 void LeafConnections::OnOpened(ClientConnection& connection) {
   const auto found = slots_.find(&connection);
   if (found == slots_.end()) return;
@@ -205,6 +216,7 @@
 }
 
 void LeafConnections::CloseIdleOf(const std::string& leaf) {
+  pools_[leaf].reachable_until = {};
   for (const auto& connection : std::exchange(pools_[leaf].idle, {})) {
     connection->Close();
     Drop(*connection);
@@ -235,6 +247,7 @@
   }
   const forward::CallId call = std::exchange(slot.call, 0);
   by_call_.erase(call);
+  pools_[slot.leaf].reachable_until = clock_.Now() + kReachableAfterAnswer;
   if (reusable) {
     pools_[slot.leaf].idle.push_back(keep);
   } else {
