Count the calls of a declined repetition as extra ones

Cause: found in the closing read: when a group's host is lost and its backup declines, the sender calls the shards itself, and counted these calls as first ones. Change: they are taken from the budget of extra calls like those of the backup. Result: the test failed first (four calls where the budget allows three).

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -154,7 +154,10 @@
   std::chrono::milliseconds ExchangeTime(const LeafRecord& host) const;
   LeafQuery QueryFor(const ShardPart& part, bool any) const;
   void StartGroups(std::vector<RunAction>& actions);
-  void StartPart(ShardPart& part, std::vector<RunAction>& actions);
+  /// Sends the first call of the part from here; an extra one if it `repeats`
+  /// what another host may have called.
+  void StartPart(ShardPart& part, bool repeats,
+                 std::vector<RunAction>& actions);
   bool SendCall(ShardPart& part, bool any, std::vector<RunAction>& actions);
   /// No leaf of the part may be called now: tries again soon, or fails the part
   /// if that has gone on for too long.
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -94,14 +94,15 @@
   if (!groups_.empty()) StartGroups(actions);
   SkipBusyParts();
   for (ShardPart& part : parts_)
-    if (part.state == PartState::kWaiting) StartPart(part, actions);
+    if (part.state == PartState::kWaiting) StartPart(part, repeats_, actions);
   Settle(actions);
 }
 
-void RequestRun::StartPart(ShardPart& part, std::vector<RunAction>& actions) {
+void RequestRun::StartPart(ShardPart& part, bool repeats,
+                           std::vector<RunAction>& actions) {
   if (part.service == nullptr ||
       !context_.selector.HasLeaf(QueryFor(part, true)) ||
-      (repeats_ &&
+      (repeats &&
        !context_.budget.TrySpend(part.service->name, ExtraCall::kRetry))) {
     FailPart(part);
     return;
--- a/forward/lib/request_run_groups.cc
+++ b/forward/lib/request_run_groups.cc
@@ -201,8 +201,9 @@
                              std::vector<RunAction>& actions) {
   for (ShardPart& declined : std::exchange(group.parts, {})) {
     ShardPart& part = parts_.emplace_back(std::move(declined));
-    if (part.service != nullptr) context_.budget.OnRequest(part.service->name);
-    StartPart(part, actions);
+    if (part.service != nullptr && !group.repeats)
+      context_.budget.OnRequest(part.service->name);
+    StartPart(part, group.repeats, actions);
   }
 }
 
--- a/forward/unittests/request_groups_test.cc
+++ b/forward/unittests/request_groups_test.cc
@@ -221,6 +221,20 @@
   EXPECT_LT(budget_.Level("s4"), 1.0);
 }
 
+// Guards against calls beyond the budget after two hosts in turn did not run a
+// group.
+TEST_F(RequestGroupsTest, ShardsThatTheBackupDeclinesAreExtraCalls) {
+  while (budget_.TrySpend("s5", ExtraCall::kRetry)) {
+  }
+  BeginWithBackup();
+  GroupFails(GroupFailure::kLost);
+  ASSERT_EQ(groups_.size(), 2U);
+  started_.clear();
+  run_->OnGroupFailure(groups_[1].call, GroupFailure::kDeclined, actions_);
+  Collect();
+  EXPECT_EQ(started_.size(), 3U) << "s5 has no budget left";
+}
+
 // Guards against callers who are told that a request has run when it has not.
 TEST_F(RequestGroupsTest, RefusalOfHostThatRanNothingIsNoRun) {
   Make(route_);
