Take a host for reachable while its connection is in use

A host whose one connection had a group under way, and had not answered for a second, counted as out of reach, so that about one request in fourteen went to a coordinator that does not own the slice. Change: a call on an open connection makes its host reachable for a second, until it is given up.

--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -60,7 +60,8 @@
   void Link(const forward::LeafRecord& host);
   /// Whether a call can be sent without opening a connection.
   bool HasIdle(const std::string& leaf) const;
-  /// Whether a connection is open and idle, or the peer answered a moment ago.
+  /// Whether a connection is open and idle, or one was in use a moment ago and
+  /// the peer has not been given up since.
   bool IsReachable(const std::string& leaf) const;
   /// Takes back a call that still waits for its connection; false if it may
   /// have been sent. The connection opens for later calls, and the result of
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -32,9 +32,9 @@
 /// Part of the leaf's own limit for idle connections that is used.
 constexpr double kIdleShare = 0.7;
 
-/// A peer that answered within this time is reachable, though all connections
-/// to it may be in use.
-constexpr milliseconds kReachableAfterAnswer{1000};
+/// A peer is reachable for this time after an answer or a call on an open
+/// connection, though all connections to it may be in use.
+constexpr milliseconds kReachableAfterUse{1000};
 
 /// Time after which an idle connection to another host is closed. Hosts keep
 /// connections of other hosts for longer (PeerServer).
@@ -90,6 +90,7 @@
     Slot& slot = slots_[connection.get()];
     slot.call = call.id;
     slot.request_id = std::move(call.request_id);
+    pool.reachable_until = clock_.Now() + kReachableAfterUse;
     by_call_[call.id] = connection.get();
     connection->Send(std::move(call.bytes), call.head, answer_by);
     return;
@@ -247,7 +248,7 @@
   }
   const forward::CallId call = std::exchange(slot.call, 0);
   by_call_.erase(call);
-  pools_[slot.leaf].reachable_until = clock_.Now() + kReachableAfterAnswer;
+  pools_[slot.leaf].reachable_until = clock_.Now() + kReachableAfterUse;
   if (reusable) {
     pools_[slot.leaf].idle.push_back(keep);
   } else {
--- a/gateway/unittests/leaf_connections_test.cc
+++ b/gateway/unittests/leaf_connections_test.cc
@@ -87,6 +87,21 @@
   EXPECT_EQ(server_.accepted(), 1U);
 }
 
+// Guards against requests that leave the host that knows their leaves because
+// its connection is in use.
+TEST_F(LeafConnectionsTest, HostIsReachableWhileItsConnectionIsInUse) {
+  EXPECT_FALSE(connections_.IsReachable("l"));
+  connections_.Link(leaf_);
+  ASSERT_TRUE(RunUntil(io_, [this] { return connections_.HasIdle("l"); }));
+  EXPECT_TRUE(connections_.IsReachable("l"));
+  answers_ = false;
+  Start(1);
+  EXPECT_FALSE(connections_.HasIdle("l"));
+  EXPECT_TRUE(connections_.IsReachable("l"));
+  connections_.CloseIdleOf("l");
+  EXPECT_FALSE(connections_.IsReachable("l"));
+}
+
 TEST_F(LeafConnectionsTest, IdleConnectionToLeafIsClosedAfterSeconds) {
   Start(1);
   ASSERT_TRUE(Done(1));
