Log which attempts are one request, and each call that is cut off

Change: request lines hold a fingerprint of method, host, target, caller and body; a leaf_call_lost line and a counter for each call whose connection ended before the answer. No decision uses them yet.

--- a/forward/include/berylreach/forward/message.h
+++ b/forward/include/berylreach/forward/message.h
@@ -20,6 +20,8 @@
   /// Header fields that go on to leaves, each line with its CRLF.
   std::string fields;
   std::string body;
+  /// Equal for attempts that ask the same for the same caller.
+  std::uint64_t fingerprint = 0;
   base::TimePoint received{};
   /// How long the caller waits from `received`.
   std::chrono::milliseconds patience{0};
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -123,6 +123,8 @@
   void LogOutcome(const forward::RequestRun& run, int status,
                   const forward::CallerReply& reply, base::Duration took) const;
   void OnCallDone(forward::CallId call, LeafConnections::Result result);
+  /// The connection of a call ended before its answer.
+  void OnCallLost(const RunningCall& running);
   void LogBackOff(const forward::LeafRecord& leaf, bool before,
                   const std::string& request) const;
   forward::LeafReply ToLeafReply(HttpResponse response) const;
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -23,6 +23,8 @@
   std::uint64_t leaf_answers = 0;
   std::uint64_t leaf_sheds = 0;
   std::uint64_t leaf_failures = 0;
+  /// Calls whose connection ended before the answer.
+  std::uint64_t leaf_calls_lost = 0;
 };
 
 }  // namespace berylreach::gateway
--- a/gateway/include/berylreach/gateway/wire_names.h
+++ b/gateway/include/berylreach/gateway/wire_names.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace berylreach::gateway {
 
@@ -10,6 +11,8 @@
 struct WireNames {
   /// Id of a caller's attempt; leaves echo it.
   std::string request_id;
+  /// Fields that name the caller.
+  std::vector<std::string> caller;
   /// Milliseconds that the sender waits.
   std::string patience;
   /// Id of the leaf incarnation that may run a call.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -336,6 +336,7 @@
   add("leaf_answers_total", counters_.leaf_answers);
   add("leaf_sheds_total", counters_.leaf_sheds);
   add("leaf_failures_total", counters_.leaf_failures);
+  add("leaf_calls_lost_total", counters_.leaf_calls_lost);
   add("leaf_connections_opened_total", leaf_connections_.counters().opened);
   add("leaf_connections_broken_total", leaf_connections_.counters().broken);
   add("requests_running", requests_.size());
--- a/gateway/lib/gateway_answers.cc
+++ b/gateway/lib/gateway_answers.cc
@@ -4,6 +4,7 @@
 
 #include "berylreach/gateway/gateway.h"
 #include "berylreach/gateway/group_codec.h"
+#include "berylreach/gateway/request_fingerprint.h"
 #include "berylreach/host/log.h"
 #include "response_bytes.h"
 
@@ -98,6 +99,7 @@
                          const forward::CallerReply& reply,
                          base::Duration took) const {
   host::LogRequest({.id = run.request().id,
+                    .fingerprint = FormatFingerprint(run.request().fingerprint),
                     .route = run.route().name,
                     .status = status,
                     .cause = reply.cause,
@@ -116,6 +118,8 @@
   ++counters_.refused;
   host::LogRequest(
       {.id = std::string(request.fields.Find(settings_.names.request_id)),
+       .fingerprint =
+           FormatFingerprint(FingerprintOf(request, settings_.names)),
        .route = request.target,
        .status = status,
        .cause = std::string(cause),
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -6,6 +6,7 @@
 #include "berylreach/base/hash.h"
 #include "berylreach/gateway/gateway.h"
 #include "berylreach/gateway/group_codec.h"
+#include "berylreach/gateway/request_fingerprint.h"
 #include "berylreach/host/log.h"
 #include "group_field.h"
 
@@ -113,6 +114,7 @@
 forward::CallerRequest Gateway::ToCallerRequest(HttpRequest request) const {
   const WireNames& names = settings_.names;
   forward::CallerRequest caller;
+  caller.fingerprint = FingerprintOf(request, names);
   caller.id = std::string(request.fields.Find(names.request_id));
   caller.fields = request.fields.ForwardedLines(
       {names.patience, names.expected_leaf, kGroupField});
@@ -254,6 +256,7 @@
   } else {
     const auto failure = std::get<forward::CallFailure>(result);
     if (failure != forward::CallFailure::kWithdrawn) ++counters_.leaf_failures;
+    if (failure == forward::CallFailure::kMayHaveRun) OnCallLost(running);
     leaf.OnCallEnded(running.sent, now, OutcomeOf(failure));
     LogBackOff(leaf, backed_off, running.request_id);
     if (request == requests_.end()) return;
@@ -262,6 +265,13 @@
   Execute(running.request, actions);
 }
 
+void Gateway::OnCallLost(const RunningCall& running) {
+  ++counters_.leaf_calls_lost;
+  const forward::LeafEntry& leaf = running.callee->entry();
+  host::LogStateChange("leaf_call_lost", leaf.service + " " + leaf.id,
+                       running.request_id);
+}
+
 void Gateway::LogBackOff(const forward::LeafRecord& leaf, bool before,
                          const std::string& request) const {
   if (before || !leaf.IsBackedOff(clock_.Now())) return;
--- a/host/include/berylreach/host/log.h
+++ b/host/include/berylreach/host/log.h
@@ -12,6 +12,8 @@
 /// What is logged of a request that was refused, failed, late or partial.
 struct RequestLine {
   std::string id;
+  /// Equal for attempts that ask the same; empty if there is none.
+  std::string fingerprint;
   /// Name of the route, or the target of a request without one.
   std::string route;
   /// HTTP status of the answer; 0 if the caller left.
--- a/host/lib/log.cc
+++ b/host/lib/log.cc
@@ -94,6 +94,7 @@
 void LogRequest(const RequestLine& request) {
   boost::json::object line = NewLine("request");
   line["id"] = request.id;
+  if (!request.fingerprint.empty()) line["fingerprint"] = request.fingerprint;
   line["route"] = request.route;
   line["status"] = request.status;
   line["cause"] = request.cause;
