Block requests that end their leaves, on all hosts

Cause: forward forgets a request with its attempt. The design's quarantine was not wired into the platform's path. Change: RequestQuarantine counts the leaves that end under a fingerprint, with a check that tells an ended leaf from a lost connection, and tells the other hosts through a record of the store. Within an attempt, calls that were cut off wait until another call completes.

--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -28,6 +28,8 @@
   std::size_t connections = 1;
   /// When the call counts as sent in the leaf's record.
   base::TimePoint sent{};
+  /// The request may have ended a leaf, and no other call of it runs here.
+  bool alone = false;
   /// The leaf is told that the call ends then.
   base::TimePoint deadline{};
 };
@@ -93,6 +95,9 @@
   /// Runs only these shards, for another host: reports what has been answered
   /// from `subset.partial_at` on, and goes on for the rest. Call before Start.
   void Narrow(const ShardSubset& subset);
+  /// A leaf may have ended under an earlier attempt of the request: sends one
+  /// call, and the others when it has completed. Call before Start.
+  void ProbeFirst() { probe_first_ = true; }
 
   void Start(std::vector<RunAction>& actions);
   void OnReply(CallId call, LeafReply reply, std::vector<RunAction>& actions);
@@ -118,6 +123,9 @@
   std::size_t answered() const { return answered_; }
   std::size_t parts() const { return total_; }
   std::size_t calls_sent() const { return calls_sent_; }
+  /// Whether a leaf has lived to answer a call of the run.
+  bool completed_any() const { return completed_any_; }
+  bool any_may_have_run() const { return any_may_have_run_; }
   /// The first few parts without an answer and what became of their calls, for
   /// the log.
   std::string DescribeUnanswered() const;
@@ -162,7 +170,20 @@
   /// No leaf of the part may be called now: tries again soon, or fails the part
   /// if that has gone on for too long.
   void WaitForLeaf(ShardPart& part);
+  /// Whether a retry is within what the route allows and has a leaf.
+  bool MayRetry(const ShardPart& part) const;
   void Retry(ShardPart& part, std::vector<RunAction>& actions);
+  /// Sends the next call of a part that was held back.
+  void Resume(ShardPart& part, std::vector<RunAction>& actions);
+  /// Parts whose call was cut off are held back until another call completes,
+  /// since the request may end each leaf that runs it. When none is left that
+  /// could, one of them is tried alone; if that call is cut off too, all fail.
+  /// A group that runs for another host tries none: that host decides.
+  void ResumeHeld(std::vector<RunAction>& actions);
+  /// Whether something runs or is due that may complete.
+  bool AwaitsAnswer() const;
+  /// A call that shows whether leaves live through the request runs alone.
+  bool MayHedge() const;
   void Hedge(ShardPart& part, std::vector<RunAction>& actions);
   void FailPart(ShardPart& part);
   /// Leaves out the parts whose leaves are busiest and would answer too late,
@@ -219,6 +240,13 @@
   std::size_t failed_ = 0;
   std::size_t calls_sent_ = 0;
   bool any_may_have_run_ = false;
+  bool completed_any_ = false;
+  /// One call is sent first.
+  bool probe_first_ = false;
+  /// Calls are sent one at a time until one completes.
+  bool alone_ = false;
+  /// A call that was sent alone has been cut off.
+  bool lost_alone_ = false;
   bool lost_group_ = false;
   bool finished_ = false;
   /// End of the run: the caller's patience or the route's timeout.
--- a/forward/include/berylreach/forward/shard_part.h
+++ b/forward/include/berylreach/forward/shard_part.h
@@ -45,6 +45,8 @@
   std::optional<LeafReply> failure;
   /// When a call that found no leaf is tried again.
   std::optional<base::TimePoint> retry_at;
+  /// Its next call waits for the end of another part's.
+  bool held = false;
   /// Since when no leaf may be called.
   std::optional<base::TimePoint> waiting_since;
 
--- /dev/null
+++ b/forward/lib/request_quarantine.cc
@@ -0,0 +1,105 @@
+// Evidence against requests that end their leaves.
+#include "berylreach/forward/request_quarantine.h"
+
+#include <iterator>
+#include <utility>
+
+namespace berylreach::forward {
+namespace {
+
+using quarantine::Grant;
+using quarantine::Standing;
+
+/// Completed requests are not remembered: any request may run, until a leaf
+/// ends under it.
+constexpr std::size_t kProvenCapacity = 0;
+
+/// Leaves that ended under one run, one after the other, which show that the
+/// request ends them.
+constexpr std::size_t kFatalEnds = 2;
+
+}  // namespace
+
+RequestQuarantine::RequestQuarantine(const base::Clock& clock)
+    : quarantine_(clock, kProvenCapacity) {}
+
+RunPermit RequestQuarantine::Admit(std::uint64_t fingerprint,
+                                   base::TimePoint until) {
+  switch (quarantine_.StandingOf(fingerprint)) {
+    case Standing::kUnproven:
+    case Standing::kProven:
+      return RunPermit::kFree;
+    case Standing::kBlocked:
+      return RunPermit::kBlocked;
+    case Standing::kSuspect:
+      break;
+  }
+  const Grant grant = quarantine_.TryStartAlone(fingerprint, until);
+  return grant == Grant::kGranted ? RunPermit::kProbeFirst : RunPermit::kBusy;
+}
+
+void RequestQuarantine::OnNotRun(std::uint64_t fingerprint) {
+  quarantine_.OnAloneEnded(fingerprint, /*known=*/true);
+}
+
+bool RequestQuarantine::MayRunForOthers(std::uint64_t fingerprint) const {
+  const Standing standing = quarantine_.StandingOf(fingerprint);
+  return standing == Standing::kUnproven || standing == Standing::kProven;
+}
+
+base::Duration RequestQuarantine::BlockedFor(std::uint64_t fingerprint) const {
+  return quarantine_.ExpiresIn(fingerprint);
+}
+
+void RequestQuarantine::OnCallLost(LostCall call) {
+  Run& run = runs_[call.run];
+  run.fingerprint = call.fingerprint;
+  run.unchecked.push_back(std::move(call));
+}
+
+void RequestQuarantine::OnLeafChecked(const std::string& leaf, bool ended,
+                                      Actions& actions) {
+  for (auto place = runs_.begin(); place != runs_.end();) {
+    Run& run = place->second;
+    const std::size_t checked =
+        std::erase_if(run.unchecked, [&](const LostCall& call) {
+          if (call.leaf != leaf) return false;
+          if (ended) {
+            ++run.ended_leaves;
+            run.ended_leaf_alone = run.ended_leaf_alone || call.alone;
+          }
+          return true;
+        });
+    const bool done = checked > 0 && Conclude(run, actions);
+    place = done ? runs_.erase(place) : std::next(place);
+  }
+}
+
+bool RequestQuarantine::Conclude(Run& run, Actions& actions) {
+  const bool suspect =
+      quarantine_.StandingOf(run.fingerprint) == Standing::kSuspect;
+  if (run.ended_leaf_alone && (suspect || run.ended_leaves >= kFatalEnds)) {
+    quarantine_.OnSecondDeath(run.fingerprint, actions);
+  } else if (run.over && run.ended_leaves > 0) {
+    quarantine_.OnLeafDeath({{.fingerprint = run.fingerprint}}, actions);
+  }
+  return run.over && run.unchecked.empty();
+}
+
+void RequestQuarantine::OnRunEnded(const EndedRun& run, Actions& actions) {
+  if (run.probed_first) {
+    if (run.completed) quarantine_.OnCompletedAlone(run.fingerprint, actions);
+    quarantine_.OnAloneEnded(run.fingerprint,
+                             run.completed || !run.may_have_run);
+  }
+  const auto found = runs_.find(run.run);
+  if (found == runs_.end()) return;
+  found->second.over = true;
+  if (run.completed || Conclude(found->second, actions)) runs_.erase(found);
+}
+
+bool RequestQuarantine::Merge(const model::SuspectEntry& entry) {
+  return quarantine_.Merge({{entry}});
+}
+
+}  // namespace berylreach::forward
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -93,8 +93,15 @@
   }
   if (!groups_.empty()) StartGroups(actions);
   SkipBusyParts();
-  for (ShardPart& part : parts_)
-    if (part.state == PartState::kWaiting) StartPart(part, repeats_, actions);
+  for (ShardPart& part : parts_) {
+    if (part.state != PartState::kWaiting) continue;
+    if (probe_first_) {
+      part.held = true;
+    } else {
+      StartPart(part, repeats_, actions);
+    }
+  }
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -121,12 +128,18 @@
   } else {
     ++part->attempts_used;
     any_may_have_run_ = true;
+    completed_any_ = true;
+  }
+  if (part->state != PartState::kWaiting) {
+    ResumeHeld(actions);
+    Settle(actions);
+    return;
   }
-  if (part->state != PartState::kWaiting) return;
   if (!rejected && reply.success() && !reply.signature.empty()) {
     part->reply = std::move(reply);
     part->state = PartState::kAnswered;
     ++answered_;
+    ResumeHeld(actions);
     Settle(actions);
     return;
   }
@@ -135,6 +148,7 @@
   if (!rejected && !reply.success() && !reply.signature.empty())
     part->failure = std::move(reply);
   Retry(*part, actions);
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -149,8 +163,16 @@
     ++part->attempts_used;
     any_may_have_run_ = true;
   }
-  if (part->state != PartState::kWaiting) return;
-  Retry(*part, actions);
+  if (part->state == PartState::kWaiting) {
+    const bool lost = failure == CallFailure::kMayHaveRun && !completed_any_;
+    lost_alone_ = lost_alone_ || (lost && alone_);
+    if (lost && MayRetry(*part)) {
+      part->held = part->CountRunningCalls() == 0;
+    } else {
+      Retry(*part, actions);
+    }
+  }
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -163,7 +185,7 @@
   }
   AbandonLostGroups(actions);
   for (ShardPart& part : parts_) {
-    if (part.state != PartState::kWaiting) continue;
+    if (part.state != PartState::kWaiting || part.held) continue;
     if (part.retry_at && *part.retry_at <= now) {
       part.retry_at.reset();
       SendCall(part, true, actions);
@@ -171,6 +193,7 @@
       Hedge(part, actions);
     }
   }
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -194,9 +217,9 @@
                   [](const RemoteGroup& group) { return group.running; });
   if (waits_for_group)
     next = std::min(next, now < ReportsDue() ? ReportsDue() : GroupEnd());
-  const bool hedges = route_.idempotent && route_.attempts > 1;
+  const bool hedges = MayHedge();
   for (const ShardPart& part : parts_) {
-    if (part.state != PartState::kWaiting) continue;
+    if (part.state != PartState::kWaiting || part.held) continue;
     if (part.retry_at) next = std::min(next, *part.retry_at);
     if (!hedges || part.calls.empty()) continue;
     const PartCall& last = part.calls.back();
@@ -238,8 +261,12 @@
   const std::size_t connections =
       context_.selector.ConnectionShare(*part.service);
   context_.selector.OnSent(*leaf, now);
-  actions.push_back(
-      StartLeafCall{id, std::move(leaf), connections, now, deadline_});
+  actions.push_back(StartLeafCall{.call = id,
+                                  .leaf = std::move(leaf),
+                                  .connections = connections,
+                                  .sent = now,
+                                  .alone = alone_ && !completed_any_,
+                                  .deadline = deadline_});
   return true;
 }
 
@@ -257,11 +284,15 @@
   }
 }
 
+bool RequestRun::MayRetry(const ShardPart& part) const {
+  return part.MayCallAgain(route_) &&
+         context_.selector.HasLeaf(QueryFor(part, true));
+}
+
 void RequestRun::Retry(ShardPart& part, std::vector<RunAction>& actions) {
   if (part.CountRunningCalls() > 0) return;
   const bool again =
-      part.MayCallAgain(route_) &&
-      context_.selector.HasLeaf(QueryFor(part, true)) &&
+      MayRetry(part) &&
       context_.budget.TrySpend(part.service->name, ExtraCall::kRetry);
   if (!again) {
     FailPart(part);
@@ -270,8 +301,48 @@
   SendCall(part, true, actions);
 }
 
+bool RequestRun::AwaitsAnswer() const {
+  const auto awaits = [](const ShardPart& part) {
+    return part.state == PartState::kWaiting && !part.held;
+  };
+  return std::any_of(parts_.begin(), parts_.end(), awaits) ||
+         std::any_of(groups_.begin(), groups_.end(),
+                     [](const RemoteGroup& group) { return group.running; });
+}
+
+void RequestRun::Resume(ShardPart& part, std::vector<RunAction>& actions) {
+  part.held = false;
+  if (part.calls.empty()) {
+    StartPart(part, repeats_, actions);
+  } else {
+    Retry(part, actions);
+  }
+}
+
+void RequestRun::ResumeHeld(std::vector<RunAction>& actions) {
+  for (ShardPart& part : parts_) {
+    if (finished_ || !part.held) continue;
+    if (completed_any_) {
+      Resume(part, actions);
+    } else if (!lost_alone_ && AwaitsAnswer()) {
+      return;
+    } else if (lost_alone_ || narrowed_) {
+      part.held = false;
+      FailPart(part);
+    } else {
+      alone_ = true;
+      Resume(part, actions);
+    }
+  }
+}
+
+bool RequestRun::MayHedge() const {
+  return route_.idempotent && route_.attempts > 1 &&
+         (!alone_ || completed_any_);
+}
+
 void RequestRun::Hedge(ShardPart& part, std::vector<RunAction>& actions) {
-  if (!route_.idempotent || part.calls.empty()) return;
+  if (!MayHedge() || part.calls.empty()) return;
   PartCall& last = part.calls.back();
   const base::TimePoint now = context_.clock.Now();
   if (!last.running || now < last.hedge_at) return;
--- a/forward/lib/request_run_groups.cc
+++ b/forward/lib/request_run_groups.cc
@@ -127,6 +127,7 @@
   } else {
     LoseGroup(*group, actions);
   }
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -135,6 +136,7 @@
   RemoteGroup* group = FindGroup(call);
   if (group == nullptr || finished_ || !group->running) return;
   if (!TakeGroupReply(*group, std::move(reply))) LoseGroup(*group, actions);
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -158,6 +160,7 @@
       LoseGroup(*group, actions);
       break;
   }
+  ResumeHeld(actions);
   Settle(actions);
 }
 
@@ -166,6 +169,7 @@
   const std::size_t before = group.reply.signatures.size();
   if (answers > group.parts.size() || answers < before) return false;
   any_may_have_run_ = true;
+  if (answers > 0) completed_any_ = true;
   answered_ += answers - before;
   group.reply = std::move(reply);
   group.heard = true;
--- /dev/null
+++ b/forward/lib/suspect_queue.cc
@@ -0,0 +1,52 @@
+// Bounded queue with one place for each fingerprint.
+#include "berylreach/forward/suspect_queue.h"
+
+#include <algorithm>
+
+namespace berylreach::forward {
+namespace {
+
+using model::SuspectEntry;
+using model::SuspectState;
+
+bool IsBlocked(const SuspectEntry& entry) {
+  return entry.state == SuspectState::kBlocked;
+}
+
+}  // namespace
+
+void SuspectQueue::Put(const SuspectEntry& entry) {
+  if (entries_.size() >= kMaxEntries && !entries_.contains(entry.fingerprint)) {
+    if (!IsBlocked(entry)) return;
+    const auto droppable =
+        std::find_if(entries_.begin(), entries_.end(),
+                     [](const auto& item) { return !IsBlocked(item.second); });
+    if (droppable == entries_.end()) return;
+    entries_.erase(droppable);
+  }
+  entries_[entry.fingerprint] = entry;
+}
+
+std::optional<SuspectEntry> SuspectQueue::Take() {
+  const base::TimePoint now = clock_.Now();
+  if (entries_.empty() || now < *NextAt()) return std::nullopt;
+  const auto blocked =
+      std::find_if(entries_.begin(), entries_.end(),
+                   [](const auto& item) { return IsBlocked(item.second); });
+  const auto place = blocked == entries_.end() ? entries_.begin() : blocked;
+  const SuspectEntry entry = place->second;
+  entries_.erase(place);
+  due_ = std::max(due_, now) + kInterval;
+  return entry;
+}
+
+void SuspectQueue::PutBack(const SuspectEntry& entry) {
+  if (!entries_.contains(entry.fingerprint)) Put(entry);
+}
+
+std::optional<base::TimePoint> SuspectQueue::NextAt() const {
+  if (entries_.empty()) return std::nullopt;
+  return due_ - (kBurst - 1) * kInterval;
+}
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/killing_request_test.cc
@@ -0,0 +1,241 @@
+// Runs of requests that end each leaf that begins to run them, and of good
+// requests whose leaves end meanwhile, in virtual time.
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "berylreach/forward/request_quarantine.h"
+#include "run_fixture.h"
+
+namespace berylreach::forward {
+namespace {
+
+class KillingRequestRunTest : public RunFixture {};
+
+// Guards against a first attempt that ends both leaves of each shard.
+TEST_F(KillingRequestRunTest, CutOffCallsAreRepeatedOneAtATime) {
+  Begin(route_);
+  ASSERT_EQ(started_.size(), 4U);
+  for (std::size_t i = 0; i < 3; ++i)
+    Fail(started_[i], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 4U);
+  Fail(started_[3], CallFailure::kMayHaveRun);
+  ASSERT_EQ(started_.size(), 5U);
+  EXPECT_TRUE(started_[4].alone);
+  AdvanceTo(milliseconds(100));
+  EXPECT_EQ(started_.size(), 5U) << "a call that runs alone is not hedged";
+  Fail(started_[4], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 5U);
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_FALSE(run_->completed_any());
+}
+
+// Guards against good requests that suffer when leaves fail together.
+TEST_F(KillingRequestRunTest, CompletedCallFreesTheOthers) {
+  Begin(route_);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  Fail(started_[1], CallFailure::kMayHaveRun);
+  ASSERT_EQ(started_.size(), 4U);
+  Reply(started_[2], Success("record-2--------"));
+  ASSERT_EQ(started_.size(), 6U);
+  EXPECT_FALSE(started_[4].alone);
+  Fail(started_[3], CallFailure::kMayHaveRun);
+  ASSERT_EQ(started_.size(), 7U);
+  for (std::size_t i = 4; i < 7; ++i)
+    Reply(started_[i], Success("record-" + std::to_string(i) + "--------"));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 0U);
+}
+
+TEST_F(KillingRequestRunTest, LoneCallThatCompletesFreesTheOthers) {
+  Begin(route_);
+  for (std::size_t i = 0; i < 4; ++i)
+    Fail(started_[i], CallFailure::kMayHaveRun);
+  ASSERT_EQ(started_.size(), 5U);
+  Reply(started_[4], Success("record-4--------"));
+  EXPECT_EQ(started_.size(), 8U);
+}
+
+TEST_F(KillingRequestRunTest, AnswerOfFailureShowsThatTheLeafLives) {
+  Begin(route_);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  Reply(started_[1], Failure(500, /*not_run=*/false));
+  EXPECT_EQ(started_.size(), 6U);
+  EXPECT_TRUE(run_->completed_any());
+}
+
+// A leaf that refuses a call has not run it and shows nothing.
+TEST_F(KillingRequestRunTest, RejectionDoesNotFreeTheOthers) {
+  Begin(route_);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  Reply(started_[1], Failure(503, /*not_run=*/true));
+  EXPECT_EQ(started_.size(), 5U) << "only the rejected call is repeated";
+  EXPECT_FALSE(run_->completed_any());
+}
+
+TEST_F(KillingRequestRunTest, ProbesWithOneCallAndThenRunsWhole) {
+  Make(route_);
+  run_->ProbeFirst();
+  run_->Start(actions_);
+  Collect();
+  ASSERT_EQ(started_.size(), 1U);
+  EXPECT_TRUE(started_[0].alone);
+  Reply(started_[0], Success("record-0--------"));
+  ASSERT_EQ(started_.size(), 4U);
+  EXPECT_FALSE(started_[1].alone);
+  for (std::size_t i = 1; i < 4; ++i)
+    Reply(started_[i], Success("record-" + std::to_string(i) + "--------"));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->missing, 0U);
+}
+
+TEST_F(KillingRequestRunTest, ProbeThatIsCutOffEndsTheRun) {
+  Make(route_);
+  run_->ProbeFirst();
+  run_->Start(actions_);
+  Collect();
+  ASSERT_EQ(started_.size(), 1U);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 1U);
+  EXPECT_TRUE(reply_);
+}
+
+// Guards against a suspect that fails because the leaves of one shard are away.
+TEST_F(KillingRequestRunTest, ProbeThatIsNotSentMovesOn) {
+  Make(route_);
+  run_->ProbeFirst();
+  run_->Start(actions_);
+  Collect();
+  ASSERT_EQ(started_.size(), 1U);
+  Fail(started_[0], CallFailure::kNotSent);
+  ASSERT_EQ(started_.size(), 2U);
+  Fail(started_[1], CallFailure::kNotSent);
+  ASSERT_EQ(started_.size(), 3U);
+  EXPECT_NE(started_[2].leaf->entry().service,
+            started_[1].leaf->entry().service);
+  EXPECT_FALSE(reply_);
+}
+
+// Guards against one more leaf for each host that runs a part of the request.
+TEST_F(KillingRequestRunTest, GroupForAnotherHostTriesNoCallAlone) {
+  Make(route_);
+  run_->Narrow({.shards = {0, 1},
+                .allowed_missing = 1,
+                .partial_at = clock_.Now() + milliseconds(100)});
+  run_->Start(actions_);
+  Collect();
+  ASSERT_EQ(started_.size(), 2U);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  EXPECT_FALSE(reply_);
+  Fail(started_[1], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 2U);
+  EXPECT_TRUE(reply_);
+}
+
+TEST_F(KillingRequestRunTest, RequestToOneLeafEndsTwo) {
+  Route single = single_;
+  single.idempotent = true;
+  single.attempts = 4;
+  Begin(single);
+  Fail(started_[0], CallFailure::kMayHaveRun);
+  ASSERT_EQ(started_.size(), 2U);
+  Fail(started_[1], CallFailure::kMayHaveRun);
+  EXPECT_EQ(started_.size(), 2U);
+  EXPECT_TRUE(reply_);
+}
+
+// One host of a fleet. Its leaves end under the killing request and are back
+// at once as other incarnations.
+class FleetHost : public RunFixture {
+ public:
+  FleetHost() : RunFixture(/*shards=*/20) {}
+  void TestBody() override {}
+
+  /// Plays one attempt; returns how many leaves ended. What other hosts must
+  /// learn is appended to `words`.
+  int Attempt(const Route& route, std::vector<model::SuspectEntry>& words) {
+    constexpr std::uint64_t fingerprint = 7;
+    const RunPermit permit =
+        quarantine_.Admit(fingerprint, clock_.Now() + milliseconds(1000));
+    if (permit == RunPermit::kBusy || permit == RunPermit::kBlocked) return 0;
+    Make(route);
+    started_.clear();
+    reply_.reset();
+    if (permit == RunPermit::kProbeFirst) run_->ProbeFirst();
+    RequestQuarantine::Actions actions;
+    const std::uint64_t run = ++runs_;
+    run_->Start(actions_);
+    Collect();
+    int ends = 0;
+    while (!reply_ && static_cast<std::size_t>(ends) < started_.size()) {
+      const StartLeafCall call = started_[ends++];
+      const LeafEntry leaf = call.leaf->entry();
+      directory_.Remove(leaf.id);
+      PutLeaf(leaf.id + "'", leaf.service, leaf.zone);
+      quarantine_.OnCallLost({.run = run,
+                              .fingerprint = fingerprint,
+                              .leaf = leaf.id,
+                              .alone = call.alone});
+      Fail(call, CallFailure::kMayHaveRun);
+      quarantine_.OnLeafChecked(leaf.id, /*ended=*/true, actions);
+    }
+    quarantine_.OnRunEnded({.run = run,
+                            .fingerprint = fingerprint,
+                            .probed_first = permit == RunPermit::kProbeFirst,
+                            .completed = run_->completed_any(),
+                            .may_have_run = run_->any_may_have_run()},
+                           actions);
+    for (const quarantine::Action& action : actions)
+      for (const auto& entry :
+           std::get<quarantine::PublishSuspects>(action).update.entries)
+        words.push_back(entry);
+    return ends;
+  }
+
+  void Advance(base::Duration span) { clock_.Advance(span); }
+  void Learn(const model::SuspectEntry& entry) { quarantine_.Merge(entry); }
+  const Route& search() const { return route_; }
+  const Route& fetch() const { return single_; }
+
+ private:
+  RequestQuarantine quarantine_{clock_};
+  std::uint64_t runs_ = 0;
+};
+
+class KillingRequestFleetTest : public testing::TestWithParam<std::size_t> {
+ protected:
+  /// Sends the request to the hosts in turn, at intervals longer than the time
+  /// in which hosts hear of each other's evidence. Returns the ends of leaves.
+  int Play(bool scatters) {
+    std::vector<std::unique_ptr<FleetHost>> hosts;
+    for (std::size_t i = 0; i < GetParam(); ++i)
+      hosts.push_back(std::make_unique<FleetHost>());
+    int ends = 0;
+    for (std::size_t attempt = 0; attempt < 2 * hosts.size(); ++attempt) {
+      FleetHost& host = *hosts[attempt % hosts.size()];
+      std::vector<model::SuspectEntry> words;
+      ends += host.Attempt(scatters ? host.search() : host.fetch(), words);
+      for (const auto& other : hosts) {
+        other->Advance(std::chrono::milliseconds(700));
+        for (const model::SuspectEntry& word : words) other->Learn(word);
+      }
+    }
+    return ends;
+  }
+};
+
+// Guards against a fleet in which each host learns for itself.
+TEST_P(KillingRequestFleetTest, ScatteringRequestEndsOneLeafOfEachShardAndOne) {
+  EXPECT_EQ(Play(/*scatters=*/true), 21);
+}
+
+TEST_P(KillingRequestFleetTest, OneTimeRequestEndsTwoLeaves) {
+  EXPECT_EQ(Play(/*scatters=*/false), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, KillingRequestFleetTest,
+                         testing::Values(6, 85, 200));
+
+}  // namespace
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/suspect_queue_test.cc
@@ -0,0 +1,60 @@
+// Guards against a storm of failing leaves that becomes one of writes, and
+// against blocked requests that are pushed out by others.
+#include "berylreach/forward/suspect_queue.h"
+
+#include <gtest/gtest.h>
+
+#include "berylreach/base/manual_clock.h"
+
+namespace berylreach::forward {
+namespace {
+
+using model::SuspectState;
+
+class SuspectQueueTest : public testing::Test {
+ protected:
+  SuspectQueueTest() { clock_.Advance(std::chrono::hours(1)); }
+
+  static model::SuspectEntry Entry(
+      std::uint64_t fingerprint, SuspectState state = SuspectState::kSuspect) {
+    return {.fingerprint = fingerprint, .state = state, .deaths = 1};
+  }
+
+  base::ManualClock clock_;
+  SuspectQueue queue_{clock_};
+};
+
+TEST_F(SuspectQueueTest, WritesABurstAndThenAtTheRate) {
+  for (std::uint64_t i = 0; i < 20; ++i) queue_.Put(Entry(i));
+  int taken = 0;
+  while (queue_.Take()) ++taken;
+  EXPECT_EQ(taken, SuspectQueue::kBurst);
+  ASSERT_TRUE(queue_.NextAt());
+  EXPECT_EQ(*queue_.NextAt(), clock_.Now() + SuspectQueue::kInterval);
+  clock_.Advance(SuspectQueue::kInterval);
+  EXPECT_TRUE(queue_.Take());
+  EXPECT_FALSE(queue_.Take());
+}
+
+TEST_F(SuspectQueueTest, KeepsTheNewestEntryOfARequest) {
+  queue_.Put(Entry(1));
+  queue_.Put(Entry(1, SuspectState::kBlocked));
+  EXPECT_EQ(queue_.size(), 1U);
+  EXPECT_EQ(queue_.Take()->state, SuspectState::kBlocked);
+  queue_.Put(Entry(1, SuspectState::kBlocked));
+  queue_.PutBack(Entry(1));
+  EXPECT_EQ(queue_.Take()->state, SuspectState::kBlocked);
+}
+
+TEST_F(SuspectQueueTest, IsBoundedAndKeepsBlockedRequests) {
+  queue_.Put(Entry(1, SuspectState::kBlocked));
+  for (std::uint64_t i = 2; i < 1000; ++i) queue_.Put(Entry(i));
+  EXPECT_EQ(queue_.size(), SuspectQueue::kMaxEntries);
+  queue_.Put(Entry(1000, SuspectState::kBlocked));
+  EXPECT_EQ(queue_.size(), SuspectQueue::kMaxEntries);
+  EXPECT_EQ(queue_.Take()->fingerprint, 1U);
+  EXPECT_EQ(queue_.Take()->fingerprint, 1000U);
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -18,6 +18,8 @@
 enum class ExchangeFailure {
   /// No byte of the request was written.
   kNotSent,
+  /// The same, because nothing listens at the address.
+  kRefused,
   /// The connection ended, or the response broke the protocol.
   kBroken,
   /// The time given to the exchange is over.
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "berylreach/base/wakeup_queue.h"
+#include "berylreach/forward/request_quarantine.h"
 #include "berylreach/forward/request_run.h"
 #include "berylreach/forward/shard_planner.h"
 #include "berylreach/forward/table_history.h"
@@ -54,6 +55,16 @@
   /// What this host knows of the deployment is the present state.
   void ConfirmView() { unconfirmed_until_ = {}; }
 
+  /// `publish` tells the other hosts what this one has learned of a request
+  /// that ends its leaves.
+  void SetPublishSuspect(
+      std::function<void(const model::SuspectEntry&)> publish) {
+    publish_suspect_ = std::move(publish);
+  }
+  /// Another host has learned of such a request.
+  void LearnSuspect(const model::SuspectEntry& entry);
+  const forward::RequestQuarantine& quarantine() const { return quarantine_; }
+
   /// Begins a planned stop; `on_stopped` is called at its end.
   void Stop(std::function<void()> on_stopped);
 
@@ -67,6 +78,8 @@
     bool head = false;
     /// Calls that the admission counts.
     std::size_t admitted_calls = 0;
+    /// A leaf may have ended under an earlier attempt.
+    bool probed_first = false;
     /// Digest of the route's shards, if other hosts run groups of them.
     std::uint64_t shard_digest = 0;
   };
@@ -76,6 +89,9 @@
     std::shared_ptr<forward::LeafRecord> callee;
     bool is_group = false;
     std::string request_id;
+    std::uint64_t fingerprint = 0;
+    /// See forward::LostCall.
+    bool alone = false;
     base::TimePoint sent{};
   };
   class HealthServer;
@@ -95,6 +111,13 @@
                 const forward::Route& route,
                 const forward::ShardSubset* subset);
   const std::string& PickService(const forward::Route& route);
+  /// How the request may run, here or `for_other_host`.
+  forward::RunPermit PermitFor(const HttpRequest& request,
+                               std::uint64_t fingerprint, bool for_other_host);
+  /// Refuses a request that may not run now because of what its earlier
+  /// attempts did to leaves.
+  void RefuseSuspect(ServerConnection& connection, const HttpRequest& request,
+                     forward::RunPermit permit, std::uint64_t fingerprint);
   forward::CallerRequest ToCallerRequest(HttpRequest request) const;
   /// The request as a message that names how long the sender waits.
   std::string CallBytes(const forward::CallerRequest& caller,
@@ -123,8 +146,13 @@
   void LogOutcome(const forward::RequestRun& run, int status,
                   const forward::CallerReply& reply, base::Duration took) const;
   void OnCallDone(forward::CallId call, LeafConnections::Result result);
-  /// The connection of a call ended before its answer.
+  /// The connection of a call ended before its answer; finds out whether the
+  /// leaf has ended.
   void OnCallLost(const RunningCall& running);
+  void EndQuarantineRun(std::uint64_t id, const RunningRequest& request);
+  void PublishSuspects(const forward::RequestQuarantine::Actions& actions);
+  static void LogSuspect(const model::SuspectEntry& entry,
+                         const std::string& source);
   void LogBackOff(const forward::LeafRecord& leaf, bool before,
                   const std::string& request) const;
   forward::LeafReply ToLeafReply(HttpResponse response) const;
@@ -157,6 +185,7 @@
   forward::ExtraCallBudget budget_;
   limits::Admission admission_;
   forward::ShardPlanner planner_;
+  forward::RequestQuarantine quarantine_;
   forward::TableHistory tables_;
   forward::RunContext context_;
   bool directory_loaded_ = false;
@@ -183,6 +212,7 @@
   GatewayCounters counters_;
   RequestMetrics metrics_;
 
+  std::function<void(const model::SuspectEntry&)> publish_suspect_;
   std::function<void()> on_paused_;
   /// When the event loop was last seen to run.
   base::TimePoint alive_at_{};
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -12,6 +12,8 @@
   std::uint64_t partial = 0;
   std::uint64_t late = 0;
   std::uint64_t refused = 0;
+  /// Of the refused ones, those of requests that end their leaves.
+  std::uint64_t blocked = 0;
   std::uint64_t failed = 0;
   std::uint64_t abandoned = 0;
   /// Groups of shards that other hosts were asked to run, those without an
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -46,6 +46,9 @@
   /// Receives interim responses of running calls.
   using OnProgress = std::function<void(forward::CallId, const HttpResponse&)>;
 
+  /// Receives whether nothing listens at the leaf's address any more.
+  using OnChecked = std::function<void(bool ended)>;
+
   /// `id_field` is the header field in which peers repeat the id of a request.
   LeafConnections(boost::asio::io_context& io, const base::Clock& clock,
                   std::string id_field, OnDone on_done,
@@ -58,6 +61,9 @@
   /// The same for another host. Its connections stay open while they are idle,
   /// since opening one costs a round trip, and are probed.
   void Link(const forward::LeafRecord& host);
+  /// Finds out by a new connection whether the leaf has ended, which then
+  /// refuses it. Checks of one leaf at the same time share a connection.
+  void Check(const forward::LeafRecord& leaf, OnChecked on_checked);
   /// Whether a call can be sent without opening a connection.
   bool HasIdle(const std::string& leaf) const;
   /// Whether a connection is open and idle, or one was in use a moment ago and
@@ -85,6 +91,8 @@
     forward::CallId call = 0;
     /// Id of the running call's request.
     std::string request_id;
+    /// Opened by Check.
+    bool checks = false;
     /// The peer has repeated an id on this connection.
     bool repeats_ids = false;
   };
@@ -106,8 +114,9 @@
                         ExchangeFailure failure) override;
   void OnOpened(ClientConnection& connection) override;
   void OnIdleClosed(ClientConnection& connection) override;
-  void Open(const forward::LeafRecord& leaf, Pool& pool, LeafCall call,
-            base::TimePoint answer_by);
+  ClientConnection& Open(const forward::LeafRecord& leaf, Pool& pool,
+                         LeafCall call, base::TimePoint answer_by);
+  void FinishChecks(const std::string& leaf, bool ended);
   /// Whether a response belongs to the running call: a copy of an earlier
   /// answer may arrive where the next one is expected.
   bool Answers(Slot& slot, const HttpFields& fields) const;
@@ -123,6 +132,8 @@
   std::unordered_map<std::string, Pool> pools_;
   std::unordered_map<ClientConnection*, Slot> slots_;
   std::unordered_map<forward::CallId, ClientConnection*> by_call_;
+  /// Running checks, by leaf.
+  std::unordered_map<std::string, std::vector<OnChecked>> checks_;
   ConnectionCounters counters_;
 };
 
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -70,7 +70,9 @@
   socket_.async_connect(*endpoint, [self](error_code error) {
     if (self->closed_) return;
     if (error) {
-      self->Fail(ExchangeFailure::kNotSent);
+      self->Fail(error == asio::error::connection_refused
+                     ? ExchangeFailure::kRefused
+                     : ExchangeFailure::kNotSent);
       return;
     }
     self->OnConnected();
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -76,6 +76,7 @@
       admission_(clock, AdmissionFor(settings_.cores)),
       planner_(clock, settings_.host, settings_.location, directory_, selector_,
                shares_),
+      quarantine_(clock),
       tables_(clock),
       context_{clock,
                selector_,
@@ -247,6 +248,7 @@
   OnTimer();
   directory_.Tick();
   cold_.Tick();
+  quarantine_.Tick();
   leaf_connections_.CheckTimeouts();
   leaf_connections_.CloseIdle([this](const std::string& leaf) {
     if (planner_.Knows(leaf)) return true;
@@ -327,6 +329,8 @@
   add("partial_total", counters_.partial);
   add("late_total", counters_.late);
   add("refused_total", counters_.refused);
+  add("blocked_total", counters_.blocked);
+  add("suspect_requests", quarantine_.size());
   add("failed_total", counters_.failed);
   add("abandoned_total", counters_.abandoned);
   add("groups_sent_total", counters_.groups_sent);
--- a/gateway/lib/gateway_answers.cc
+++ b/gateway/lib/gateway_answers.cc
@@ -51,6 +51,7 @@
   const auto connection = request.connection.lock();
   if (connection) request_of_.erase(connection.get());
 
+  EndQuarantineRun(id, request);
   const forward::RequestRun& run = *request.run;
   const auto took = clock_.Now() - run.request().received;
   std::string fields;
--- /dev/null
+++ b/gateway/lib/gateway_quarantine.cc
@@ -0,0 +1,100 @@
+// Requests that end the leaves that run them.
+#include <utility>
+
+#include "berylreach/gateway/gateway.h"
+#include "berylreach/gateway/request_fingerprint.h"
+#include "berylreach/host/log.h"
+
+namespace berylreach::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// When a caller may come back whose request is running alone; by then its
+/// outcome is known, unless its leaf is slow.
+constexpr milliseconds kBusyRetryAfter{200};
+
+const char* EventOf(model::SuspectState state) {
+  switch (state) {
+    case model::SuspectState::kSuspect:
+      return "request_suspect";
+    case model::SuspectState::kCleared:
+      return "request_cleared";
+    case model::SuspectState::kBlocked:
+      break;
+  }
+  return "request_blocked";
+}
+
+}  // namespace
+
+void Gateway::RefuseSuspect(ServerConnection& connection,
+                            const HttpRequest& request,
+                            forward::RunPermit permit,
+                            std::uint64_t fingerprint) {
+  ++counters_.blocked;
+  if (permit == forward::RunPermit::kBusy) {
+    RefuseAtOnce(connection, request, 503,
+                 "a leaf ended under this request, which runs alone now",
+                 kBusyRetryAfter);
+    return;
+  }
+  RefuseAtOnce(connection, request, 503, "leaves ended under this request",
+               std::chrono::duration_cast<milliseconds>(
+                   quarantine_.BlockedFor(fingerprint)));
+}
+
+void Gateway::OnCallLost(const RunningCall& running) {
+  ++counters_.leaf_calls_lost;
+  const forward::LeafEntry& leaf = running.callee->entry();
+  host::LogStateChange("leaf_call_lost", leaf.service + " " + leaf.id,
+                       running.request_id);
+  // A request that is over has completed or is lost with its host.
+  if (!requests_.contains(running.request)) return;
+  quarantine_.OnCallLost({.run = running.request,
+                          .fingerprint = running.fingerprint,
+                          .leaf = leaf.id,
+                          .alone = running.alone});
+  leaf_connections_.Check(*running.callee, [this, id = leaf.id](bool ended) {
+    forward::RequestQuarantine::Actions actions;
+    quarantine_.OnLeafChecked(id, ended, actions);
+    PublishSuspects(actions);
+  });
+}
+
+void Gateway::EndQuarantineRun(std::uint64_t id,
+                               const RunningRequest& request) {
+  const forward::RequestRun& run = *request.run;
+  forward::RequestQuarantine::Actions actions;
+  quarantine_.OnRunEnded({.run = id,
+                          .fingerprint = run.request().fingerprint,
+                          .probed_first = request.probed_first,
+                          .completed = run.completed_any(),
+                          .may_have_run = run.any_may_have_run()},
+                         actions);
+  PublishSuspects(actions);
+}
+
+void Gateway::PublishSuspects(
+    const forward::RequestQuarantine::Actions& actions) {
+  for (const quarantine::Action& action : actions) {
+    const auto& update = std::get<quarantine::PublishSuspects>(action).update;
+    for (const model::SuspectEntry& entry : update.entries) {
+      LogSuspect(entry, settings_.host);
+      if (publish_suspect_) publish_suspect_(entry);
+    }
+  }
+}
+
+void Gateway::LearnSuspect(const model::SuspectEntry& entry) {
+  if (quarantine_.Merge(entry)) LogSuspect(entry, "another host");
+}
+
+void Gateway::LogSuspect(const model::SuspectEntry& entry,
+                         const std::string& source) {
+  host::LogStateChange(EventOf(entry.state),
+                       FormatFingerprint(entry.fingerprint),
+                       std::to_string(entry.deaths) + " ends, by " + source);
+}
+
+}  // namespace berylreach::gateway
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -74,11 +74,20 @@
                        const forward::ShardSubset* subset) {
   const std::string_view caller_id =
       request.fields.Find(settings_.names.request_id);
+  const std::uint64_t fingerprint = FingerprintOf(request, settings_.names);
+  const forward::RunPermit permit =
+      PermitFor(request, fingerprint, subset != nullptr);
+  if (permit == forward::RunPermit::kBusy ||
+      permit == forward::RunPermit::kBlocked) {
+    RefuseSuspect(connection, request, permit, fingerprint);
+    return;
+  }
+  const bool probe_first = permit == forward::RunPermit::kProbeFirst;
   std::vector<forward::ShardGroup> groups;
   std::size_t calls = route.scatters() ? route.shards.size() : 1;
   if (subset != nullptr) {
     calls = subset->shards.size();
-  } else {
+  } else if (!probe_first) {
     groups = planner_.Divide(*table, route, base::Hash64(caller_id));
     for (const forward::ShardGroup& group : groups)
       calls -= group.shards.size() - 1;
@@ -86,6 +95,7 @@
   const limits::AdmissionDecision decision =
       admission_.Admit(route.priority, calls);
   if (!decision.admitted) {
+    if (probe_first) quarantine_.OnNotRun(fingerprint);
     RefuseAtOnce(connection, request, 503, "host is full",
                  decision.retry_after);
     return;
@@ -96,6 +106,7 @@
   running.keep_alive = request.keep_alive;
   running.head = request.method == "HEAD";
   running.admitted_calls = calls;
+  running.probed_first = probe_first;
   if (!groups.empty()) running.shard_digest = ShardDigest(route);
   running.run = std::make_unique<forward::RequestRun>(
       context_, table, route, PickService(route),
@@ -106,11 +117,23 @@
   } else {
     running.run->Delegate(groups);
   }
+  if (probe_first) running.run->ProbeFirst();
   std::vector<forward::RunAction> actions;
   running.run->Start(actions);
   Execute(id, actions);
 }
 
+forward::RunPermit Gateway::PermitFor(const HttpRequest& request,
+                                      std::uint64_t fingerprint,
+                                      bool for_other_host) {
+  if (for_other_host)
+    return quarantine_.MayRunForOthers(fingerprint) ? forward::RunPermit::kFree
+                                                    : forward::RunPermit::kBusy;
+  const auto patience =
+      ParsePatience(request.fields.Find(settings_.names.patience));
+  return quarantine_.Admit(fingerprint, clock_.Now() + patience);
+}
+
 forward::CallerRequest Gateway::ToCallerRequest(HttpRequest request) const {
   const WireNames& names = settings_.names;
   forward::CallerRequest caller;
@@ -191,6 +214,8 @@
   calls_[action.call] = {.request = id,
                          .callee = action.leaf,
                          .request_id = caller.id,
+                         .fingerprint = caller.fingerprint,
+                         .alone = action.alone,
                          .sent = action.sent};
   if (request.run->route().scatters())
     shard_used_[action.leaf->entry().service] = action.sent;
@@ -265,13 +290,6 @@
   Execute(running.request, actions);
 }
 
-void Gateway::OnCallLost(const RunningCall& running) {
-  ++counters_.leaf_calls_lost;
-  const forward::LeafEntry& leaf = running.callee->entry();
-  host::LogStateChange("leaf_call_lost", leaf.service + " " + leaf.id,
-                       running.request_id);
-}
-
 void Gateway::LogBackOff(const forward::LeafRecord& leaf, bool before,
                          const std::string& request) const {
   if (before || !leaf.IsBackedOff(clock_.Now())) return;
@@ -297,6 +315,7 @@
   LogOutcome(run, 0, {.cause = "the caller left"},
              clock_.Now() - run.request().received);
   admission_.OnRequestDone(request->second.admitted_calls);
+  EndQuarantineRun(id, request->second);
   requests_.erase(request);
   wakeups_.Set(id, std::nullopt);
   // The caller wants no answer any more, so its leaves need not work on.
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -57,6 +57,7 @@
 forward::CallFailure ToCallFailure(ExchangeFailure failure) {
   switch (failure) {
     case ExchangeFailure::kNotSent:
+    case ExchangeFailure::kRefused:
       return forward::CallFailure::kNotSent;
     case ExchangeFailure::kTimedOut:
       return forward::CallFailure::kTimedOut;
@@ -104,8 +105,9 @@
   Open(leaf, pool, std::move(call), answer_by);
 }
 
-void LeafConnections::Open(const forward::LeafRecord& leaf, Pool& pool,
-                           LeafCall call, base::TimePoint answer_by) {
+ClientConnection& LeafConnections::Open(const forward::LeafRecord& leaf,
+                                        Pool& pool, LeafCall call,
+                                        base::TimePoint answer_by) {
   auto connection = std::make_shared<ClientConnection>(io_, *this, clock_);
   slots_[connection.get()] = {.connection = connection,
                               .leaf = leaf.entry().id,
@@ -118,6 +120,24 @@
   if (pool.linked) connection->KeepProbing(kLinkProbe);
   connection->Open(leaf.entry().address, std::move(call.bytes), call.head,
                    clock_.Now() + kConnectTimeout, answer_by);
+  return *connection;
+}
+
+void LeafConnections::Check(const forward::LeafRecord& leaf,
+                            OnChecked on_checked) {
+  const std::string& id = leaf.entry().id;
+  std::vector<OnChecked>& waiting = checks_[id];
+  waiting.push_back(std::move(on_checked));
+  if (waiting.size() > 1) return;
+  ClientConnection& connection =
+      Open(leaf, pools_[id], {}, clock_.Now() + kConnectTimeout);
+  slots_.at(&connection).checks = true;
+}
+
+void LeafConnections::FinishChecks(const std::string& leaf, bool ended) {
+  const auto waiting = checks_.extract(leaf);
+  if (waiting.empty()) return;
+  for (const OnChecked& on_checked : waiting.mapped()) on_checked(ended);
 }
 
 void LeafConnections::Warm(const forward::LeafRecord& leaf) {
@@ -150,6 +170,10 @@
   if (found == slots_.end()) return;
   Slot& slot = found->second;
   pools_[slot.leaf].idle.push_back(slot.connection);
+  if (std::exchange(slot.checks, false)) {
+    FinishChecks(std::string(slot.leaf), /*ended=*/false);
+    return;
+  }
   const forward::CallId withdrawn = std::exchange(slot.call, 0);
   if (withdrawn == 0) return;
   by_call_.erase(withdrawn);
@@ -279,10 +303,12 @@
   if (found == slots_.end()) return;
   const forward::CallId call = found->second.call;
   const std::string leaf = found->second.leaf;
+  const bool checks = found->second.checks;
   ++counters_.broken;
   Drop(connection);
   // Other connections to a leaf that fell silent may have gone silent too.
   if (failure == ExchangeFailure::kTimedOut) CloseIdleOf(leaf);
+  if (checks) FinishChecks(leaf, failure == ExchangeFailure::kRefused);
   if (call == 0) return;
   on_done_(call, ToCallFailure(failure));
 }
--- a/gateway/unittests/leaf_connections_test.cc
+++ b/gateway/unittests/leaf_connections_test.cc
@@ -203,5 +203,25 @@
   EXPECT_TRUE(RunUntil(io_, [this] { return server_.open() == 0; }));
 }
 
+// Guards against a leaf that is taken for ended because a connection to it was
+// reset or an answer was lost.
+TEST_F(LeafConnectionsTest, CheckTellsEndedLeavesFromLivingOnes) {
+  std::vector<bool> ended;
+  const auto check = [&] {
+    connections_.Check(leaf_,
+                       [&ended](bool result) { ended.push_back(result); });
+  };
+  check();
+  check();
+  ASSERT_TRUE(RunUntil(io_, [&] { return ended.size() == 2; }));
+  EXPECT_EQ(ended, (std::vector<bool>{false, false}));
+  EXPECT_EQ(connections_.counters().opened, 1U) << "checks share a connection";
+  EXPECT_TRUE(connections_.HasIdle("l")) << "which serves the next call";
+  server_.Stop();
+  check();
+  ASSERT_TRUE(RunUntil(io_, [&] { return ended.size() == 3; }));
+  EXPECT_TRUE(ended[2]);
+}
+
 }  // namespace
 }  // namespace berylreach::gateway
