Hold up a suspect request only until its answer is due

Callers saw 312 refusals (of 30,029 requests) while it was a suspect: its lone call met a silent leaf, the others waited for the caller's whole patience, and 2 s more because a run without an answer was taken for one whose leaf may have ended. Change: the lone run holds up others until the route's objective, and its outcome is known as soon as no lost call of it waits for the check of its leaf.

--- a/forward/include/berylreach/forward/request_quarantine.h
+++ b/forward/include/berylreach/forward/request_quarantine.h
@@ -43,7 +43,6 @@
   bool probed_first = false;
   /// A leaf completed one of its calls.
   bool completed = false;
-  bool may_have_run = false;
 };
 
 /// Counts, per fingerprint and over all hosts, the leaves that ended under a
@@ -57,9 +56,11 @@
 
   explicit RequestQuarantine(const base::Clock& clock);
 
-  /// Decides on an attempt that lasts until `until` at most. kProbeFirst must
-  /// be followed by OnRunEnded or OnNotRun.
-  RunPermit Admit(std::uint64_t fingerprint, base::TimePoint until);
+  /// Decides on an attempt. If it may run as a suspect, no other one does until
+  /// its outcome is known or `answer_due`, so that a leaf that stays silent
+  /// does not hold up the others. kProbeFirst must be followed by OnRunEnded or
+  /// OnNotRun.
+  RunPermit Admit(std::uint64_t fingerprint, base::TimePoint answer_due);
   /// The attempt was refused for another reason.
   void OnNotRun(std::uint64_t fingerprint);
   /// Whether shards of the request may be run for another host, which may not
@@ -87,6 +88,7 @@
     std::vector<LostCall> unchecked;
     std::size_t ended_leaves = 0;
     bool ended_leaf_alone = false;
+    bool probed_first = false;
     bool over = false;
   };
 
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -125,7 +125,6 @@
   std::size_t calls_sent() const { return calls_sent_; }
   /// Whether a leaf has lived to answer a call of the run.
   bool completed_any() const { return completed_any_; }
-  bool any_may_have_run() const { return any_may_have_run_; }
   /// The first few parts without an answer and what became of their calls, for
   /// the log.
   std::string DescribeUnanswered() const;
--- a/forward/lib/request_quarantine.cc
+++ b/forward/lib/request_quarantine.cc
@@ -24,7 +24,7 @@
     : quarantine_(clock, kProvenCapacity) {}
 
 RunPermit RequestQuarantine::Admit(std::uint64_t fingerprint,
-                                   base::TimePoint until) {
+                                   base::TimePoint answer_due) {
   switch (quarantine_.StandingOf(fingerprint)) {
     case Standing::kUnproven:
     case Standing::kProven:
@@ -34,7 +34,7 @@
     case Standing::kSuspect:
       break;
   }
-  const Grant grant = quarantine_.TryStartAlone(fingerprint, until);
+  const Grant grant = quarantine_.TryStartAlone(fingerprint, answer_due);
   return grant == Grant::kGranted ? RunPermit::kProbeFirst : RunPermit::kBusy;
 }
 
@@ -83,18 +83,23 @@
   } else if (run.over && run.ended_leaves > 0) {
     quarantine_.OnLeafDeath({{.fingerprint = run.fingerprint}}, actions);
   }
-  return run.over && run.unchecked.empty();
+  if (!run.over || !run.unchecked.empty()) return false;
+  if (run.probed_first)
+    quarantine_.OnAloneEnded(run.fingerprint, /*known=*/true);
+  return true;
 }
 
 void RequestQuarantine::OnRunEnded(const EndedRun& run, Actions& actions) {
-  if (run.probed_first) {
-    if (run.completed) quarantine_.OnCompletedAlone(run.fingerprint, actions);
-    quarantine_.OnAloneEnded(run.fingerprint,
-                             run.completed || !run.may_have_run);
-  }
+  if (run.probed_first && run.completed)
+    quarantine_.OnCompletedAlone(run.fingerprint, actions);
   const auto found = runs_.find(run.run);
+  const bool outcome_known =
+      run.completed || found == runs_.end() || found->second.unchecked.empty();
+  if (run.probed_first && outcome_known)
+    quarantine_.OnAloneEnded(run.fingerprint, /*known=*/true);
   if (found == runs_.end()) return;
   found->second.over = true;
+  found->second.probed_first = run.probed_first;
   if (run.completed || Conclude(found->second, actions)) runs_.erase(found);
 }
 
--- a/forward/unittests/killing_request_test.cc
+++ b/forward/unittests/killing_request_test.cc
@@ -183,8 +183,7 @@
     quarantine_.OnRunEnded({.run = run,
                             .fingerprint = fingerprint,
                             .probed_first = permit == RunPermit::kProbeFirst,
-                            .completed = run_->completed_any(),
-                            .may_have_run = run_->any_may_have_run()},
+                            .completed = run_->completed_any()},
                            actions);
     for (const quarantine::Action& action : actions)
       for (const auto& entry :
--- a/forward/unittests/request_quarantine_test.cc
+++ b/forward/unittests/request_quarantine_test.cc
@@ -31,8 +31,7 @@
     quarantine_.OnRunEnded({.run = run,
                             .fingerprint = kRequest,
                             .probed_first = probed_first,
-                            .completed = completed,
-                            .may_have_run = true},
+                            .completed = completed},
                            actions_);
   }
   model::SuspectEntry Published() const {
@@ -141,6 +140,32 @@
   EXPECT_EQ(Admit(), RunPermit::kProbeFirst);
 }
 
+// Guards against a popular request that is held up because the leaf of its
+// lone call is silent.
+TEST_F(RequestQuarantineTest, SilentLeafHoldsUpASuspectUntilItsAnswerIsDue) {
+  Lose(1, "a");
+  Check("a", true);
+  End(1, false);
+  ASSERT_EQ(Admit(), RunPermit::kProbeFirst);
+  EXPECT_EQ(Admit(), RunPermit::kBusy);
+  clock_.Advance(milliseconds(1000));
+  EXPECT_EQ(Admit(), RunPermit::kProbeFirst);
+  End(2, false, /*probed_first=*/true);
+  EXPECT_EQ(Admit(), RunPermit::kProbeFirst) << "its time is over, none ended";
+}
+
+TEST_F(RequestQuarantineTest, LostCallHoldsUpASuspectUntilItsLeafIsChecked) {
+  Lose(1, "a");
+  Check("a", true);
+  End(1, false);
+  ASSERT_EQ(Admit(), RunPermit::kProbeFirst);
+  Lose(2, "b", /*alone=*/true);
+  End(2, false, /*probed_first=*/true);
+  EXPECT_EQ(Admit(), RunPermit::kBusy);
+  Check("b", false);
+  EXPECT_EQ(Admit(), RunPermit::kProbeFirst);
+}
+
 TEST_F(RequestQuarantineTest, BlockEndsAfterItsTime) {
   Lose(1, "a");
   Lose(1, "b", /*alone=*/true);
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -112,7 +112,7 @@
                 const forward::ShardSubset* subset);
   const std::string& PickService(const forward::Route& route);
   /// How the request may run, here or `for_other_host`.
-  forward::RunPermit PermitFor(const HttpRequest& request,
+  forward::RunPermit PermitFor(const forward::Route& route,
                                std::uint64_t fingerprint, bool for_other_host);
   /// Refuses a request that may not run now because of what its earlier
   /// attempts did to leaves.
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -69,8 +69,7 @@
   quarantine_.OnRunEnded({.run = id,
                           .fingerprint = run.request().fingerprint,
                           .probed_first = request.probed_first,
-                          .completed = run.completed_any(),
-                          .may_have_run = run.any_may_have_run()},
+                          .completed = run.completed_any()},
                          actions);
   PublishSuspects(actions);
 }
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -76,7 +76,7 @@
       request.fields.Find(settings_.names.request_id);
   const std::uint64_t fingerprint = FingerprintOf(request, settings_.names);
   const forward::RunPermit permit =
-      PermitFor(request, fingerprint, subset != nullptr);
+      PermitFor(route, fingerprint, subset != nullptr);
   if (permit == forward::RunPermit::kBusy ||
       permit == forward::RunPermit::kBlocked) {
     RefuseSuspect(connection, request, permit, fingerprint);
@@ -123,15 +123,13 @@
   Execute(id, actions);
 }
 
-forward::RunPermit Gateway::PermitFor(const HttpRequest& request,
+forward::RunPermit Gateway::PermitFor(const forward::Route& route,
                                       std::uint64_t fingerprint,
                                       bool for_other_host) {
-  if (for_other_host)
-    return quarantine_.MayRunForOthers(fingerprint) ? forward::RunPermit::kFree
-                                                    : forward::RunPermit::kBusy;
-  const auto patience =
-      ParsePatience(request.fields.Find(settings_.names.patience));
-  return quarantine_.Admit(fingerprint, clock_.Now() + patience);
+  if (!for_other_host)
+    return quarantine_.Admit(fingerprint, clock_.Now() + route.objective);
+  return quarantine_.MayRunForOthers(fingerprint) ? forward::RunPermit::kFree
+                                                  : forward::RunPermit::kBusy;
 }
 
 forward::CallerRequest Gateway::ToCallerRequest(HttpRequest request) const {
