Heed leaves that say they leave or ask for a pause

Cause: only discovery told a host that a leaf leaves, which lags, and a 503 with Retry-After counted as one shed call, so that the next calls went on. Change: both words are decoded once and kept in the leaf's record, for the incarnation (id and start), over older listings, lapsed entries and the loss of the store. A leaving leaf gets no new call; a paused one none until the latest end that it has named, then one at a time until it has answered. Callers are told at once when no leaf is left, with the earliest end. The start of a leaf is read from its entry, so that one that is back under its id starts clean.

--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -43,13 +43,17 @@
   /// The zones that take no new calls.
   void SetEvacuatedZones(std::set<std::string> zones);
 
+  /// The leaf has said that it leaves. That holds for the incarnation, also if
+  /// discovery lists it again.
+  void MarkLeaving(const std::string& id);
+
   void OnStoreLost();
   void OnStoreRegained();
   /// Removes entries whose grace has ended.
   void Tick();
 
-  /// Leaves of a service that may take calls; draining, gone and evacuated
-  /// ones are left out.
+  /// Leaves of a service that may take calls; draining, leaving, gone and
+  /// evacuated ones are left out.
   std::vector<std::shared_ptr<LeafRecord>> Usable(
       const std::string& service) const;
 
@@ -76,12 +80,24 @@
   bool InGrace() const;
   bool IsUsable(const LeafRecord& leaf) const;
   void Erase(const std::string& id);
+  /// Keeps what a leaf has said of itself while it is not listed.
+  void Remember(const LeafRecord& leaf);
+  void Recall(LeafRecord& leaf);
+
+  /// What a leaf that is not listed any more has said of itself.
+  struct FormerLeaf {
+    std::int64_t born_unix_ms = 0;
+    bool leaving = false;
+    base::TimePoint paused_until{};
+    base::TimePoint forget_at{};
+  };
 
   const base::Clock& clock_;
   Location location_;
   std::unordered_map<std::string, std::shared_ptr<LeafRecord>> leaves_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<LeafRecord>>>
       by_service_;
+  std::unordered_map<std::string, FormerLeaf> former_;
   std::set<std::string> evacuated_;
   /// Ids that the store no longer lists but that may only have lapsed.
   std::set<std::string> lapsed_;
--- a/forward/include/berylreach/forward/leaf_entry.h
+++ b/forward/include/berylreach/forward/leaf_entry.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace berylreach::forward {
@@ -17,6 +18,9 @@
   std::string zone;
   std::size_t slots = 1;
   bool draining = false;
+  /// When the process started, by its own clock; 0 if it does not say. A leaf
+  /// may start again under its former id.
+  std::int64_t born_unix_ms = 0;
   /// How much longer the leaf stayed cold when the entry was written.
   std::chrono::milliseconds cold_left{0};
 
--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -54,6 +54,18 @@
   void MarkGone() { gone_ = true; }
   bool gone() const { return gone_; }
 
+  /// The leaf leaves: it gets no new calls, whatever discovery says.
+  void MarkLeaving() { leaving_ = true; }
+  bool leaving() const { return leaving_; }
+
+  /// The leaf wants no calls before `until`; of several ends the latest holds.
+  /// Afterwards it gets one call at a time until it has answered one.
+  void PauseUntil(base::TimePoint until);
+  bool IsPaused(base::TimePoint now) const { return now < paused_until_; }
+  base::TimePoint paused_until() const { return paused_until_; }
+  /// Whether what the leaf has said of itself allows a call now.
+  bool AcceptsCall(base::TimePoint now) const;
+
   void OnCallSent(base::TimePoint now);
   /// `sent` is the time given to OnCallSent.
   void OnCallEnded(base::TimePoint sent, base::TimePoint now,
@@ -99,6 +111,10 @@
   Distance distance_;
   std::string region_;
   bool gone_ = false;
+  bool leaving_ = false;
+  base::TimePoint paused_until_{};
+  /// No call since the pause has been answered.
+  bool on_trial_ = false;
   base::TimePoint cold_until_{};
   /// Sending times of running calls, in order.
   std::deque<base::TimePoint> sent_at_;
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -44,7 +44,12 @@
   /// A call to the leaf is sent at `now`.
   void OnSent(LeafRecord& leaf, base::TimePoint now) const;
 
-  /// Whether the service has a leaf that may be called at some time.
+  /// Time until a leaf of the service ends its pause; zero if one is not
+  /// paused, the longest duration if there is no leaf.
+  base::Duration PauseLeft(const LeafQuery& query) const;
+
+  /// Whether the service has a leaf that is not paused and may be called at
+  /// some time.
   bool HasLeaf(const LeafQuery& query) const;
 
   /// Whether the service has a leaf that is not known to be unresponsive.
--- a/forward/include/berylreach/forward/message.h
+++ b/forward/include/berylreach/forward/message.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,10 @@
   bool not_run = false;
   /// Another incarnation answered than the one addressed.
   bool other_leaf = false;
+  /// The leaf is leaving and wants no new calls.
+  bool leaving = false;
+  /// The leaf wants no calls of this host for so long.
+  std::optional<std::chrono::milliseconds> pause;
 
   bool success() const { return status >= 200 && status < 300; }
 };
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -210,6 +210,9 @@
   void FinishSingle(std::vector<RunAction>& actions);
   void Refuse(Refusal refusal, std::string cause,
               std::vector<RunAction>& actions);
+  /// Time until enough parts have a leaf whose pause is over; zero if enough
+  /// have one now, or too few would have.
+  std::chrono::milliseconds PauseLeft() const;
   /// Takes back the running calls that have not been sent; false if one may
   /// have been.
   bool WithdrawCalls();
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -5,6 +5,21 @@
 #include <utility>
 
 namespace berylreach::forward {
+namespace {
+
+/// Time for which a leaf that is not listed may still be listed by an older
+/// read.
+constexpr std::chrono::minutes kFormerLeafLifetime{10};
+
+/// Whether two entries of one id are of the same process.
+bool SameIncarnation(const LeafEntry& a, const LeafEntry& b) {
+  const bool same_start = a.born_unix_ms == b.born_unix_ms ||
+                          a.born_unix_ms == 0 || b.born_unix_ms == 0;
+  return same_start && a.service == b.service && a.address == b.address &&
+         a.zone == b.zone;
+}
+
+}  // namespace
 
 std::string Location::RegionOf(const std::string& other_zone) const {
   const auto found = region_of_zone.find(other_zone);
@@ -27,8 +42,10 @@
   const auto found = leaves_.find(entry.id);
   if (found != leaves_.end()) {
     const LeafEntry& known = found->second->entry();
-    if (known.service == entry.service && known.address == entry.address &&
-        known.zone == entry.zone) {
+    // An older read of discovery.
+    if (entry.born_unix_ms != 0 && entry.born_unix_ms < known.born_unix_ms)
+      return;
+    if (SameIncarnation(known, entry)) {
       if (known.draining != entry.draining) ++generation_;
       found->second->Update(std::move(entry), clock_.Now());
       return;
@@ -38,6 +55,7 @@
   auto record = std::make_shared<LeafRecord>(
       entry, location_.DistanceOf(entry.zone), location_.RegionOf(entry.zone),
       clock_.Now());
+  Recall(*record);
   ++generation_;
   by_service_[entry.service].push_back(record);
   leaves_.emplace(entry.id, std::move(record));
@@ -69,6 +87,30 @@
   evacuated_ = std::move(zones);
 }
 
+void LeafDirectory::MarkLeaving(const std::string& id) {
+  const auto found = leaves_.find(id);
+  if (found == leaves_.end()) return;
+  found->second->MarkLeaving();
+  ++generation_;
+}
+
+void LeafDirectory::Remember(const LeafRecord& leaf) {
+  const base::TimePoint now = clock_.Now();
+  if (!leaf.leaving() && !leaf.IsPaused(now)) return;
+  former_[leaf.entry().id] = {.born_unix_ms = leaf.entry().born_unix_ms,
+                              .leaving = leaf.leaving(),
+                              .paused_until = leaf.paused_until(),
+                              .forget_at = now + kFormerLeafLifetime};
+}
+
+void LeafDirectory::Recall(LeafRecord& leaf) {
+  const auto former = former_.find(leaf.entry().id);
+  if (former == former_.end()) return;
+  if (former->second.born_unix_ms != leaf.entry().born_unix_ms) return;
+  if (former->second.leaving) leaf.MarkLeaving();
+  leaf.PauseUntil(former->second.paused_until);
+}
+
 void LeafDirectory::OnStoreLost() { store_lost_ = true; }
 
 void LeafDirectory::OnStoreRegained() {
@@ -78,6 +120,10 @@
 }
 
 void LeafDirectory::Tick() {
+  const base::TimePoint now = clock_.Now();
+  std::erase_if(former_, [now](const auto& former) {
+    return former.second.forget_at <= now;
+  });
   if (InGrace() || lapsed_.empty()) return;
   for (const std::string& id : std::exchange(lapsed_, {})) Erase(id);
 }
@@ -93,6 +139,7 @@
   leaves_.erase(found);
   ++generation_;
   record->MarkGone();
+  Remember(*record);
   std::erase(by_service_[record->entry().service], record);
 }
 
@@ -102,7 +149,7 @@
 }
 
 bool LeafDirectory::IsUsable(const LeafRecord& leaf) const {
-  return !leaf.gone() && !leaf.entry().draining &&
+  return !leaf.gone() && !leaf.leaving() && !leaf.entry().draining &&
          !evacuated_.contains(leaf.entry().zone);
 }
 
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -67,6 +67,17 @@
   cold_until_ = now + left;
 }
 
+void LeafRecord::PauseUntil(base::TimePoint until) {
+  if (until <= paused_until_) return;
+  paused_until_ = until;
+  on_trial_ = true;
+}
+
+bool LeafRecord::AcceptsCall(base::TimePoint now) const {
+  if (leaving_ || IsPaused(now)) return false;
+  return !on_trial_ || sent_at_.empty();
+}
+
 void LeafRecord::OnCallSent(base::TimePoint now) { sent_at_.push_back(now); }
 
 void LeafRecord::OnCallEnded(base::TimePoint sent, base::TimePoint now,
@@ -85,6 +96,7 @@
     unreachable_until_ = {};
   }
   if (outcome == CallOutcome::kAnswered) {
+    if (sent >= paused_until_) on_trial_ = false;
     base::Duration sample = now - sent;
     if (mean_ == base::Duration::zero()) {
       mean_ = sample;
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -62,7 +62,7 @@
   const auto consider = [&](const std::shared_ptr<LeafRecord>& leaf) {
     if (!AllowedRegion(query, *leaf)) return;
     if (Contains(query.tried, leaf->entry().id)) return;
-    if (leaf->running() >= connections) return;
+    if (leaf->running() >= connections || !leaf->AcceptsCall(now)) return;
     const bool doubtful = leaf->IsBackedOff(now) || leaf->IsSilent(now);
     if (doubtful && !query.any) return;
     if (leaf->IsCold(now) &&
@@ -84,14 +84,27 @@
 }
 
 bool LeafSelector::HasLeaf(const LeafQuery& query) const {
-  return AnyLeaf(query, [](const LeafRecord&) { return true; });
+  const base::TimePoint now = clock_.Now();
+  return AnyLeaf(query,
+                 [now](const LeafRecord& leaf) { return !leaf.IsPaused(now); });
 }
 
 bool LeafSelector::HasResponsiveLeaf(const LeafQuery& query) const {
   const base::TimePoint now = clock_.Now();
   return AnyLeaf(query, [now](const LeafRecord& leaf) {
-    return !leaf.IsUnresponsive(now);
+    return !leaf.IsPaused(now) && !leaf.IsUnresponsive(now);
+  });
+}
+
+base::Duration LeafSelector::PauseLeft(const LeafQuery& query) const {
+  const base::TimePoint now = clock_.Now();
+  auto left = base::Duration::max();
+  AnyLeaf(query, [&left, now](const LeafRecord& leaf) {
+    left = std::min(
+        left, std::max(base::Duration::zero(), leaf.paused_until() - now));
+    return false;
   });
+  return left;
 }
 
 template <typename Condition>
--- a/forward/lib/request_run_answer.cc
+++ b/forward/lib/request_run_answer.cc
@@ -102,9 +102,32 @@
       seed_ % static_cast<std::uint64_t>(kRetryAfter.count()));
   reply.retry_after = lost_group_ ? kLostGroupRetryAfter
                                   : kRetryAfter / 2 + milliseconds(spread);
+  if (const auto pause = PauseLeft(); pause.count() > 0)
+    reply.retry_after = pause + milliseconds(spread);
   actions.push_back(FinishRequest{std::move(reply)});
 }
 
+milliseconds RequestRun::PauseLeft() const {
+  std::vector<base::Duration> pauses;
+  std::size_t servable = total_ - parts_.size();
+  for (const ShardPart& part : parts_) {
+    const auto left =
+        part.service == nullptr
+            ? base::Duration::max()
+            : context_.selector.PauseLeft(
+                  {.service = part.service, .regions = &route_.regions});
+    if (left == base::Duration::zero()) {
+      ++servable;
+    } else if (left != base::Duration::max()) {
+      pauses.push_back(left);
+    }
+  }
+  if (IsEnough(servable) || servable + pauses.size() < least_parts_)
+    return milliseconds(0);
+  std::sort(pauses.begin(), pauses.end());
+  return std::chrono::ceil<milliseconds>(pauses[least_parts_ - servable - 1]);
+}
+
 bool RequestRun::WithdrawCalls() {
   bool all = true;
   for (const ShardPart& part : parts_)
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -153,6 +153,10 @@
   void PublishSuspects(const forward::RequestQuarantine::Actions& actions);
   static void LogSuspect(const model::SuspectEntry& entry,
                          const std::string& source);
+  static void LogMalformedPause(const RunningCall& running,
+                                const HttpFields& fields);
+  /// Takes over what a leaf says of itself in an answer.
+  void HeedLeaf(const RunningCall& running, const forward::LeafReply& reply);
   void LogBackOff(const forward::LeafRecord& leaf, bool before,
                   const std::string& request) const;
   forward::LeafReply ToLeafReply(HttpResponse response) const;
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -25,6 +25,9 @@
   std::uint64_t leaf_answers = 0;
   std::uint64_t leaf_sheds = 0;
   std::uint64_t leaf_failures = 0;
+  /// Leaves that said that they leave, and pauses that leaves asked for.
+  std::uint64_t leaves_leaving = 0;
+  std::uint64_t leaf_pauses = 0;
   /// Calls whose connection ended before the answer.
   std::uint64_t leaf_calls_lost = 0;
 };
--- a/gateway/include/berylreach/gateway/http_message.h
+++ b/gateway/include/berylreach/gateway/http_message.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,8 @@
   /// The value of the first field of that name, without regard to case; empty
   /// if there is none.
   std::string_view Find(std::string_view name) const;
+  /// The values of all fields of that name.
+  std::vector<std::string_view> FindAll(std::string_view name) const;
   bool Has(std::string_view name) const;
 
   /// The fields that concern both ends of a message and not one connection
@@ -50,4 +53,19 @@
 /// it says nothing.
 std::chrono::seconds KeepAliveTimeout(const HttpFields& fields);
 
+/// What Retry-After fields ask for.
+struct RetryAfter {
+  /// The longest time in seconds, whole or with a fraction, cut to a bound.
+  std::optional<std::chrono::milliseconds> wait;
+  /// A field held something else; it counts as absent.
+  bool malformed = false;
+
+  friend bool operator==(const RetryAfter&, const RetryAfter&) = default;
+};
+
+/// Longest time that one answer can ask for.
+inline constexpr std::chrono::minutes kLongestRetryAfter{10};
+
+RetryAfter ParseRetryAfter(const HttpFields& fields);
+
 }  // namespace berylreach::gateway
--- a/gateway/include/berylreach/gateway/wire_names.h
+++ b/gateway/include/berylreach/gateway/wire_names.h
@@ -21,6 +21,8 @@
   std::string signature;
   /// Present if the leaf did not run the call.
   std::string not_run;
+  /// Present if the leaf is leaving.
+  std::string leaving;
   /// Signatures of the merged parts.
   std::string part_signatures;
   /// Number of shards that are not in a merged answer.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -274,7 +274,8 @@
   });
   for (const auto& [shard, used] : shard_used_) {
     directory_.ForEachUsable(shard, [this, now](const auto& leaf) {
-      if (!leaf->IsBackedOff(now)) leaf_connections_.Warm(*leaf);
+      if (!leaf->IsBackedOff(now) && !leaf->IsPaused(now))
+        leaf_connections_.Warm(*leaf);
     });
   }
   planner_.PlanAhead(*tables_.present());
@@ -340,6 +341,8 @@
   add("leaf_answers_total", counters_.leaf_answers);
   add("leaf_sheds_total", counters_.leaf_sheds);
   add("leaf_failures_total", counters_.leaf_failures);
+  add("leaves_leaving_total", counters_.leaves_leaving);
+  add("leaf_pauses_total", counters_.leaf_pauses);
   add("leaf_calls_lost_total", counters_.leaf_calls_lost);
   add("leaf_connections_opened_total", leaf_connections_.counters().opened);
   add("leaf_connections_broken_total", leaf_connections_.counters().broken);
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -228,6 +228,9 @@
   reply.signature = std::string(response.fields.Find(names.signature));
   reply.not_run = response.fields.Has(names.not_run);
   reply.other_leaf = response.status == 421;
+  reply.leaving = !reply.other_leaf && response.fields.Has(names.leaving);
+  if (response.status == 503)
+    reply.pause = ParseRetryAfter(response.fields).wait;
   reply.fields = response.fields.ForwardedLines({});
   reply.body = std::move(response.body);
   return reply;
@@ -254,7 +257,9 @@
   const auto request = requests_.find(running.request);
   auto* response = std::get_if<HttpResponse>(&result);
   if (response != nullptr) {
+    if (response->status == 503) LogMalformedPause(running, response->fields);
     forward::LeafReply reply = ToLeafReply(std::move(*response));
+    HeedLeaf(running, reply);
     forward::CallOutcome outcome = forward::CallOutcome::kFailed;
     if (reply.other_leaf) {
       outcome = forward::CallOutcome::kReplaced;
@@ -288,6 +293,35 @@
   Execute(running.request, actions);
 }
 
+void Gateway::LogMalformedPause(const RunningCall& running,
+                                const HttpFields& fields) {
+  if (!ParseRetryAfter(fields).malformed) return;
+  const forward::LeafEntry& leaf = running.callee->entry();
+  host::LogStateChange("leaf_pause_malformed", leaf.service + " " + leaf.id,
+                       std::string(fields.Find("retry-after")));
+}
+
+void Gateway::HeedLeaf(const RunningCall& running,
+                       const forward::LeafReply& reply) {
+  forward::LeafRecord& leaf = *running.callee;
+  const std::string name = leaf.entry().service + " " + leaf.entry().id;
+  if (reply.leaving && !leaf.leaving()) {
+    ++counters_.leaves_leaving;
+    directory_.MarkLeaving(leaf.entry().id);
+    // The leaf may have been listed anew meanwhile.
+    leaf.MarkLeaving();
+    host::LogStateChange("leaf_leaving", name, running.request_id);
+  }
+  if (!reply.pause) return;
+  const base::TimePoint until = clock_.Now() + *reply.pause;
+  if (until <= leaf.paused_until()) return;
+  ++counters_.leaf_pauses;
+  leaf.PauseUntil(until);
+  host::LogStateChange(
+      "leaf_paused", name,
+      std::to_string(reply.pause->count()) + " ms, " + running.request_id);
+}
+
 void Gateway::LogBackOff(const forward::LeafRecord& leaf, bool before,
                          const std::string& request) const {
   if (before || !leaf.IsBackedOff(clock_.Now())) return;
--- a/gateway/lib/http_message.cc
+++ b/gateway/lib/http_message.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <cmath>
+#include <system_error>
 
 namespace berylreach::gateway {
 namespace {
@@ -36,6 +38,13 @@
   return {};
 }
 
+std::vector<std::string_view> HttpFields::FindAll(std::string_view name) const {
+  std::vector<std::string_view> values;
+  for (const auto& [key, value] : fields_)
+    if (Same(key, name)) values.push_back(value);
+  return values;
+}
+
 bool HttpFields::Has(std::string_view name) const {
   return std::any_of(fields_.begin(), fields_.end(), [name](const auto& field) {
     return Same(field.first, name);
@@ -72,4 +81,29 @@
   return std::chrono::seconds(std::max(0, seconds));
 }
 
+RetryAfter ParseRetryAfter(const HttpFields& fields) {
+  RetryAfter result;
+  for (const std::string_view value : fields.FindAll("retry-after")) {
+    double seconds = 0;
+    const char* end = value.data() + value.size();
+    const auto parsed =
+        std::from_chars(value.data(), end, seconds, std::chars_format::fixed);
+    // Digits too many for the type are a number all the same.
+    const bool too_large = parsed.ec == std::errc::result_out_of_range;
+    const bool number = (parsed.ec == std::errc() || too_large) &&
+                        parsed.ptr == end && !value.starts_with('-') &&
+                        std::isfinite(seconds);
+    if (!number) {
+      result.malformed = true;
+      continue;
+    }
+    const std::chrono::duration<double> longest = kLongestRetryAfter;
+    const std::chrono::duration<double> wait(
+        too_large ? longest.count() : std::min(seconds, longest.count()));
+    result.wait = std::max(result.wait.value_or(std::chrono::milliseconds(0)),
+                           std::chrono::ceil<std::chrono::milliseconds>(wait));
+  }
+  return result;
+}
+
 }  // namespace berylreach::gateway
--- a/gateway/unittests/gateway_test.cc
+++ b/gateway/unittests/gateway_test.cc
@@ -87,6 +87,7 @@
                       .expected_leaf = "X-Leaf",
                       .signature = "X-Sig",
                       .not_run = "X-Not",
+                      .leaving = "X-Leaving",
                       .part_signatures = "X-Sigs",
                       .missing_parts = "X-Missing"};
     hosts_.push_back({name, settings.peer_address, zone, 1});
@@ -193,6 +194,46 @@
   EXPECT_TRUE(client.Expect("HTTP/1.1 400"));
 }
 
+// Guards against calls to a leaf that has said that it leaves.
+TEST_F(GatewayTest, LeafThatSaysItLeavesGetsNoFurtherCalls) {
+  leaves_["o"].response =
+      Response(200, "X-Sig: sigo\r\nX-Leaving: 1\r\n", "done");
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/o/1"));
+  EXPECT_TRUE(client.Expect("\r\n\r\ndone")) << "the answer is passed on";
+  Load(*gateway);
+  RawClient later(io_, callers_["g"]);
+  later.Send(Request("/o/1"));
+  EXPECT_TRUE(later.Expect("HTTP/1.1 503"));
+  EXPECT_EQ(leaves_["o"].requests.size(), 1U);
+}
+
+// Guards against calls within the time for which a leaf wants none.
+TEST_F(GatewayTest, LeafThatAsksForAPauseGetsNoCallsUntilItsEnd) {
+  leaves_["o"].response = Response(503, "X-Not: 1\r\nRetry-After: 7.5\r\n", "");
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  for (int i = 0; i < 3; ++i) {
+    RawClient client(io_, callers_["g"]);
+    client.Send(Request("/o/1"));
+    ASSERT_TRUE(client.Expect("HTTP/1.1 503"));
+    EXPECT_TRUE(client.Expect("Retry-After: 7."));
+  }
+  EXPECT_EQ(leaves_["o"].requests.size(), 1U);
+  leaves_["o"].response = Response(200, "X-Sig: sigo\r\n", "done");
+  // The host takes the moved clock for a pause of its own.
+  bool paused = false;
+  gateway->SetOnPaused([&paused] { paused = true; });
+  clock_.Advance(std::chrono::seconds(8));
+  ASSERT_TRUE(RunUntil(io_, [&paused] { return paused; }));
+  gateway->ConfirmView();
+  RawClient client(io_, callers_["g"]);
+  client.Send(Request("/o/1"));
+  EXPECT_TRUE(client.Expect("\r\n\r\ndone"));
+}
+
 // Guards against an answer to another request that is passed on.
 TEST_F(GatewayTest, AnswerWithAnotherIdIsNotPassedOn) {
   leaves_["o"].response = Response(200, "X-Sig: s\r\nX-Id: other\r\n", "wrong");
--- a/gateway/unittests/http_message_test.cc
+++ b/gateway/unittests/http_message_test.cc
@@ -27,6 +27,42 @@
   EXPECT_EQ(KeepAliveTimeout(fields).count(), 12);
 }
 
+TEST(RetryAfterTest, ReadsSecondsWithAndWithoutFraction) {
+  HttpFields fields;
+  EXPECT_EQ(ParseRetryAfter(fields), RetryAfter{});
+  fields.Add("Retry-After", "0.25");
+  EXPECT_EQ(ParseRetryAfter(fields).wait, std::chrono::milliseconds(250));
+  fields.Add("Retry-After", "3");
+  EXPECT_EQ(ParseRetryAfter(fields).wait, std::chrono::seconds(3))
+      << "the longest holds";
+  fields.Add("Retry-After", "2");
+  EXPECT_EQ(ParseRetryAfter(fields).wait, std::chrono::seconds(3));
+}
+
+TEST(RetryAfterTest, CutsEnormousValues) {
+  for (const char* text : {"86400000", "1000000000000000000000000000000000"}) {
+    HttpFields fields;
+    fields.Add("Retry-After", text);
+    EXPECT_EQ(ParseRetryAfter(fields).wait, kLongestRetryAfter) << text;
+    EXPECT_FALSE(ParseRetryAfter(fields).malformed) << text;
+  }
+}
+
+// Guards against a leaf that is left out, or a process that ends, for a value
+// that is no time.
+TEST(RetryAfterTest, IgnoresWhatIsNoTime) {
+  for (const char* text : {"", "-1", "soon", "1s", "nan", "inf", "1e3", "0x10",
+                           "Fri, 04 Dec 2026 14:00:00 GMT"}) {
+    HttpFields fields;
+    fields.Add("Retry-After", text);
+    EXPECT_EQ(ParseRetryAfter(fields),
+              (RetryAfter{.wait = std::nullopt, .malformed = true}))
+        << text;
+    fields.Add("Retry-After", "1");
+    EXPECT_EQ(ParseRetryAfter(fields).wait, std::chrono::seconds(1)) << text;
+  }
+}
+
 TEST(FeedCodecTest, ChangeSetsComeBackWhole) {
   const forward::ChangeSet set{
       .revision = 9,
