Tell hosts of requests that end their leaves without the store too

Cause: the store alone carried the evidence; while it is away each host would let the request end leaves for itself. A queue bounds how fast.

--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -66,6 +66,11 @@
   /// Whether `host` is another host of the deployment.
   bool Knows(const std::string& host) const { return records_.contains(host); }
 
+  /// Names of all hosts, and the record of another one; null if it is not
+  /// known.
+  std::vector<std::string> HostNames() const;
+  std::shared_ptr<LeafRecord> Find(const std::string& host) const;
+
   /// Hosts of a region that run requests, best first.
   std::vector<std::string> Coordinators(const std::string& region) const;
 
--- /dev/null
+++ b/forward/lib/choose_listeners.cc
@@ -0,0 +1,30 @@
+// Choice by rendezvous weight.
+#include "berylreach/forward/choose_listeners.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "berylreach/base/hash.h"
+#include "berylreach/base/rendezvous.h"
+
+namespace berylreach::forward {
+
+std::vector<std::string> ChooseListeners(const std::string& self,
+                                         std::vector<std::string> hosts,
+                                         std::uint64_t news) {
+  std::erase(hosts, self);
+  const std::uint64_t seed = base::RendezvousWeight(news, base::Hash64(self));
+  const auto weight = [seed](const std::string& host) {
+    return base::RendezvousWeight(seed, base::Hash64(host));
+  };
+  const std::size_t count = std::min(kListeners, hosts.size());
+  std::partial_sort(hosts.begin(),
+                    hosts.begin() + static_cast<std::ptrdiff_t>(count),
+                    hosts.end(), [&](const auto& a, const auto& b) {
+                      return std::pair(weight(a), a) > std::pair(weight(b), b);
+                    });
+  hosts.resize(count);
+  return hosts;
+}
+
+}  // namespace berylreach::forward
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -93,6 +93,17 @@
   shares_.SetHosts(hosts_.size());
 }
 
+std::vector<std::string> ShardPlanner::HostNames() const {
+  std::vector<std::string> names;
+  for (const HostEntry& host : hosts_) names.push_back(host.name);
+  return names;
+}
+
+std::shared_ptr<LeafRecord> ShardPlanner::Find(const std::string& host) const {
+  const auto found = records_.find(host);
+  return found == records_.end() ? nullptr : found->second;
+}
+
 std::vector<ShardGroup> ShardPlanner::Divide(const RouteTable& table,
                                              const Route& route,
                                              std::uint64_t seed) {
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "berylreach/forward/request_quarantine.h"
 #include "berylreach/forward/request_run.h"
 #include "berylreach/forward/shard_planner.h"
+#include "berylreach/forward/suspect_queue.h"
 #include "berylreach/forward/table_history.h"
 #include "berylreach/gateway/feed_server.h"
 #include "berylreach/gateway/gateway_counters.h"
@@ -61,7 +62,7 @@
       std::function<void(const model::SuspectEntry&)> publish) {
     publish_suspect_ = std::move(publish);
   }
-  /// Another host has learned of such a request.
+  /// Another host has learned of such a request, by the store.
   void LearnSuspect(const model::SuspectEntry& entry);
   const forward::RequestQuarantine& quarantine() const { return quarantine_; }
 
@@ -150,6 +151,14 @@
   /// leaf has ended.
   void OnCallLost(const RunningCall& running);
   void EndQuarantineRun(std::uint64_t id, const RunningRequest& request);
+  /// Passes news of such requests on to other hosts, as fast as its bound
+  /// allows.
+  void TellHosts();
+  void TellHost(const forward::LeafRecord& host,
+                const model::SuspectEntry& entry);
+  /// Another host passes such news on.
+  void OnToldOfSuspect(ServerConnection& connection,
+                       const HttpRequest& request);
   void PublishSuspects(const forward::RequestQuarantine::Actions& actions);
   static void LogSuspect(const model::SuspectEntry& entry,
                          const std::string& source);
@@ -190,6 +199,8 @@
   limits::Admission admission_;
   forward::ShardPlanner planner_;
   forward::RequestQuarantine quarantine_;
+  /// What other hosts are to be told directly.
+  forward::SuspectQueue news_;
   forward::TableHistory tables_;
   forward::RunContext context_;
   bool directory_loaded_ = false;
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -77,6 +77,7 @@
       planner_(clock, settings_.host, settings_.location, directory_, selector_,
                shares_),
       quarantine_(clock),
+      news_(clock),
       tables_(clock),
       context_{clock,
                selector_,
@@ -249,6 +250,7 @@
   directory_.Tick();
   cold_.Tick();
   quarantine_.Tick();
+  TellHosts();
   leaf_connections_.CheckTimeouts();
   leaf_connections_.CloseIdle([this](const std::string& leaf) {
     if (planner_.Knows(leaf)) return true;
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -3,6 +3,7 @@
 
 #include "berylreach/gateway/gateway.h"
 #include "berylreach/gateway/group_codec.h"
+#include "berylreach/gateway/suspect_codec.h"
 #include "berylreach/host/log.h"
 #include "group_field.h"
 
@@ -59,6 +60,10 @@
     feed_.OnRequest(connection, request.target);
     return;
   }
+  if (request.target == kSuspectPath) {
+    OnToldOfSuspect(connection, request);
+    return;
+  }
   const auto header = ParseGroupHeader(request.fields.Find(kGroupField));
   const forward::Route* route = nullptr;
   // Another version will do if the digest shows the same shards.
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -1,15 +1,21 @@
 // Requests that end the leaves that run them.
 #include <utility>
 
+#include "berylreach/forward/choose_listeners.h"
 #include "berylreach/gateway/gateway.h"
 #include "berylreach/gateway/request_fingerprint.h"
+#include "berylreach/gateway/suspect_codec.h"
 #include "berylreach/host/log.h"
+#include "response_bytes.h"
 
 namespace berylreach::gateway {
 namespace {
 
 using std::chrono::milliseconds;
 
+/// Time for a host to take news.
+constexpr milliseconds kTellLimit{1000};
+
 /// When a caller may come back whose request is running alone; by then its
 /// outcome is known, unless its leaf is slow.
 constexpr milliseconds kBusyRetryAfter{200};
@@ -81,8 +87,50 @@
     for (const model::SuspectEntry& entry : update.entries) {
       LogSuspect(entry, settings_.host);
       if (publish_suspect_) publish_suspect_(entry);
+      news_.Put(entry);
     }
   }
+  TellHosts();
+}
+
+void Gateway::TellHosts() {
+  while (const auto entry = news_.Take()) {
+    const std::vector<std::string> listeners = forward::ChooseListeners(
+        settings_.host, planner_.HostNames(), entry->fingerprint);
+    for (const std::string& listener : listeners)
+      if (const auto host = planner_.Find(listener)) TellHost(*host, *entry);
+  }
+}
+
+void Gateway::TellHost(const forward::LeafRecord& host,
+                       const model::SuspectEntry& entry) {
+  // The answer is of no interest: no call waits for it.
+  LeafCall message;
+  message.id = next_id_++;
+  message.request_id = FormatFingerprint(entry.fingerprint);
+  message.connections = host.entry().slots;
+  message.deadline = clock_.Now() + kTellLimit;
+  const std::string body = FormatSuspect(entry);
+  message.bytes = "POST " + std::string(kSuspectPath) + " HTTP/1.1\r\n" +
+                  IdLine(message.request_id) +
+                  "Content-Length: " + std::to_string(body.size()) +
+                  "\r\n\r\n" + body;
+  leaf_connections_.Start(host, std::move(message));
+}
+
+void Gateway::OnToldOfSuspect(ServerConnection& connection,
+                              const HttpRequest& request) {
+  const auto entry = ParseSuspect(request.body);
+  const int status = entry ? 200 : 400;
+  connection.Respond(
+      ResponseBytes(status, ReasonOf(status),
+                    IdLine(request.fields.Find(settings_.names.request_id)), "",
+                    true),
+      true);
+  if (!entry || !quarantine_.Merge(*entry)) return;
+  LogSuspect(*entry, "another host");
+  news_.Put(*entry);
+  TellHosts();
 }
 
 void Gateway::LearnSuspect(const model::SuspectEntry& entry) {
--- a/gateway/unittests/gateway_test.cc
+++ b/gateway/unittests/gateway_test.cc
@@ -93,6 +93,7 @@
     hosts_.push_back({name, settings.peer_address, zone, 1});
     callers_[name] = settings.caller_address;
     health_[name] = settings.health_address;
+    peers_[name] = settings.peer_address;
     return std::make_unique<Gateway>(io_, clock_, settings);
   }
 
@@ -135,6 +136,7 @@
   std::vector<forward::HostEntry> hosts_;
   std::map<std::string, std::string> callers_;
   std::map<std::string, std::string> health_;
+  std::map<std::string, std::string> peers_;
   std::unique_ptr<Gateway> near_;
   std::unique_ptr<Gateway> far_;
 };
@@ -194,6 +196,28 @@
   EXPECT_TRUE(client.Expect("HTTP/1.1 400"));
 }
 
+// Guards against hosts that each let a request end leaves while the store is
+// away.
+TEST_F(GatewayTest, HostsTellEachOtherOfRequestsThatEndLeaves) {
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  leaves_["o"].server.reset();
+  std::unique_ptr<TestServer>& server = leaves_["o"].server;
+  server = std::make_unique<TestServer>(
+      io_, clock_,
+      [&server](ServerConnection&, const HttpRequest&) { server->Stop(); });
+  Load(*near_);
+  Load(*far_);
+  RawClient client(io_, callers_["near"]);
+  client.Send(Request("/o/lethal"));
+  EXPECT_TRUE(client.Expect("HTTP/1.1 502"));
+  EXPECT_TRUE(RunUntil(io_, [this] { return far_->quarantine().size() == 1; }));
+  RawClient peer(io_, peers_["far"]);
+  peer.Send("POST /suspect HTTP/1.1\r\nX-Id: r\r\nContent-Length: 2\r\n\r\n{}");
+  EXPECT_TRUE(peer.Expect("HTTP/1.1 400"));
+}
+
 // Guards against calls to a leaf that has said that it leaves.
 TEST_F(GatewayTest, LeafThatSaysItLeavesGetsNoFurtherCalls) {
   leaves_["o"].response =
--- /dev/null
+++ b/gateway/unittests/suspect_codec_test.cc
@@ -0,0 +1,39 @@
+// Entries of requests that end their leaves.
+#include "berylreach/gateway/suspect_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace berylreach::gateway {
+namespace {
+
+TEST(SuspectCodecTest, EntriesComeBackWhole) {
+  for (const auto state :
+       {model::SuspectState::kSuspect, model::SuspectState::kCleared,
+        model::SuspectState::kBlocked}) {
+    const model::SuspectEntry entry{.fingerprint = 0xfedcba9876543210,
+                                    .state = state,
+                                    .deaths = 2,
+                                    .expires_in = std::chrono::minutes(10)};
+    EXPECT_EQ(ParseSuspect(FormatSuspect(entry)), entry);
+  }
+}
+
+// Other writers may use the same keys of the store.
+TEST(SuspectCodecTest, OtherTextsAreNoEntries) {
+  for (const char* text :
+       {"", "{}", "[]", R"({"fingerprint":"1","state":"blocked"})",
+        R"({"fingerprint":"000000000000001f","state":"odd","ended_leaves":1,
+            "expires_in_ms":1})",
+        R"({"fingerprint":"000000000000001g","state":"blocked",
+            "ended_leaves":1,"expires_in_ms":1})",
+        R"({"fingerprint":"000000000000001f","state":"blocked",
+            "ended_leaves":"x","expires_in_ms":1})",
+        R"({"fingerprint":"000000000000001f","state":"blocked",
+            "ended_leaves":-1,"expires_in_ms":1})",
+        R"({"fingerprint":"000000000000001f","state":"blocked",
+            "ended_leaves":1,"expires_in_ms":1e300})"})
+    EXPECT_EQ(ParseSuspect(text), std::nullopt) << text;
+}
+
+}  // namespace
+}  // namespace berylreach::gateway
