--- /dev/null
+++ b/gateway/unittests/gateway_groups_test.cc
@@ -0,0 +1,126 @@
+// Groups of shards that hosts run for each other.
+#include "berylreach/gateway/gateway.h"
+#include "gateway_fixture.h"
+
+namespace berylreach::gateway {
+namespace {
+
+class GatewayGroupsTest : public GatewayFixture {};
+
+TEST_F(GatewayGroupsTest, RegionWithoutLeavesLeavesShardsToAnotherHost) {
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(client.Expect("X-Sigs: sig0, sig1"));
+  EXPECT_EQ(leaves_["s0"].requests.size(), 1U);
+  EXPECT_TRUE(HasSentLeafCalls("near", 2));
+}
+
+// Guards against a group that an older configuration decides in another way.
+TEST_F(GatewayGroupsTest,
+       HostWithOlderConfigurationOfTheRouteRunsNothingForOthers) {
+  MakeNearAndFar();
+  Load(*near_);
+  configuration_.version = 4;
+  configuration_.routes[0].attempts = 1;
+  Load(*far_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(HasSentLeafCalls("near", 0));
+}
+
+// Guards against small hosts that run all shards by themselves whenever a
+// change of other routes is on its way.
+TEST_F(GatewayGroupsTest, HostWithAnotherVersionOfTheSameRouteRunsItsShards) {
+  MakeNearAndFar();
+  Load(*near_);
+  configuration_.version = 4;
+  configuration_.routes[1].timeout = milliseconds(9000);
+  Load(*far_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(HasSentLeafCalls("near", 2));
+}
+
+// Guards against small hosts that run all shards by themselves while a new set
+// of shards is on its way to them.
+TEST_F(GatewayGroupsTest, HostRunsShardsOfTheConfigurationThatItJustReplaced) {
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  configuration_.version = 4;
+  configuration_.routes[0].shards = {"s1", "s0"};
+  near_->SetConfiguration(configuration_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(HasSentLeafCalls("near", 2));
+}
+
+// Guards against an answer in time that lacks what another host has ready.
+TEST_F(GatewayGroupsTest, AnswersInTimeWithWhatAnotherHostHas) {
+  configuration_.routes[0].objective = milliseconds(1000);
+  configuration_.routes[0].least_coverage = 0.5;
+  leaves_["s1"].response.clear();
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect("\r\n\r\n" + kLow));
+  EXPECT_TRUE(client.Expect("X-Sigs: sig0\r\n"));
+  EXPECT_TRUE(client.Expect("X-Missing: 1"));
+}
+
+// Guards against a second run, beyond the route's attempts, after the host
+// that ran a request was lost.
+TEST_F(GatewayGroupsTest, ShardsOfLostHostAreNotCalledHere) {
+  leaves_["s0"].response.clear();
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  ASSERT_TRUE(
+      RunUntil(io_, [this] { return !leaves_["s0"].requests.empty(); }));
+  near_.reset();
+  EXPECT_TRUE(client.Expect("HTTP/1.1 502"));
+  EXPECT_EQ(leaves_["s0"].requests.size(), 1U);
+}
+
+// Guards against parts of other shards than those the sender means.
+TEST_F(GatewayGroupsTest, HostWithOtherShardsRunsNothingForOthers) {
+  MakeNearAndFar();
+  Load(*far_);
+  configuration_.version = 4;
+  configuration_.routes[0].shards = {"s1", "s0"};
+  Load(*near_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  EXPECT_TRUE(client.Expect(kHigh + kLow));
+  EXPECT_TRUE(HasSentLeafCalls("near", 0));
+}
+
+// Guards against leaves of another host's group that work on for a caller that
+// has left.
+TEST_F(GatewayGroupsTest, CallerThatLeavesCancelsTheCallsOfOtherHosts) {
+  leaves_["s0"].response.clear();
+  MakeNearAndFar();
+  Load(*near_);
+  Load(*far_);
+  RawClient client(io_, callers_["far"]);
+  client.Send(Request("/s/1"));
+  ASSERT_TRUE(
+      RunUntil(io_, [this] { return !leaves_["s0"].requests.empty(); }));
+  client.Close();
+  EXPECT_TRUE(
+      RunUntil(io_, [this] { return leaves_["s0"].server->open() == 0; }));
+}
+
+}  // namespace
+}  // namespace berylreach::gateway
