--- a/transport/lib/http_server.cc
+++ b/transport/lib/http_server.cc
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::milliseconds kLongestSweepInterval{500};
 
+/// Pause after a failed accept, since descriptors may stay short for a while.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
 }  // namespace
 
 HttpServer::Impl::Impl(IoThread& io_thread, HttpServerOptions server_options,
@@ -60,11 +63,24 @@
       [self = shared_from_this(), listener](const ErrorCode& error,
                                             tcp::socket socket) {
         if (self->stopping) return;
-        if (!error) self->OnAccept(listener, std::move(socket));
+        if (error) {
+          self->AcceptLater(listener);
+          return;
+        }
+        self->OnAccept(listener, std::move(socket));
         self->Accept(listener);
       });
 }
 
+void HttpServer::Impl::AcceptLater(std::size_t listener) {
+  const auto timer =
+      std::make_shared<asio::steady_timer>(context, kAcceptPause);
+  timer->async_wait([self = shared_from_this(), listener,
+                     timer](const ErrorCode&) {
+    if (!self->stopping) self->Accept(listener);
+  });
+}
+
 void HttpServer::Impl::OnAccept(std::size_t listener, tcp::socket socket) {
   const std::uint64_t id = next_connection++;
   auto connection =
--- a/transport/lib/http_server_impl.h
+++ b/transport/lib/http_server_impl.h
@@ -57,6 +57,7 @@
  private:
   std::optional<BindError> Listen(const std::string& address);
   void Accept(std::size_t listener);
+  void AcceptLater(std::size_t listener);
   void OnAccept(std::size_t listener, tcp::socket socket);
   void Sweep();
 
--- a/transport/unittests/http_server_test.cc
+++ b/transport/unittests/http_server_test.cc
@@ -3,8 +3,13 @@
 #include "berylreach/transport/http_server.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <chrono>
+#include <ctime>
 #include <string>
+#include <thread>
 
 #include "collector.h"
 #include "test_socket.h"
@@ -147,5 +152,30 @@
   EXPECT_EQ(second.error().address, server_->addresses()[0]);
 }
 
+// Guards against a loop that takes all processor time while descriptors are
+// short.
+TEST_F(HttpServerTest, PausesAfterAFailedAccept) {
+  constexpr double used_share = 0.3;
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  rlimit lowered = before;
+  // The client gets the last descriptor.
+  const int next = dup(0);
+  close(next);
+  lowered.rlim_cur = static_cast<rlim_t>(next) + 1;
+  setrlimit(RLIMIT_NOFILE, &lowered);
+  TestSocket client = Connect();
+  const std::clock_t begin = std::clock();
+  constexpr std::chrono::milliseconds span{300};
+  std::this_thread::sleep_for(span);
+  const double used = static_cast<double>(std::clock() - begin) /
+                      static_cast<double>(CLOCKS_PER_SEC);
+  setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_LT(used, used_share * std::chrono::duration<double>(span).count());
+  client.Write(Post("/a", "1"));
+  const auto requests = requests_.Wait(1);
+  ASSERT_EQ(requests.size(), 1U);
+}
+
 }  // namespace
 }  // namespace berylreach::transport
