Send lone calls on connections of their own

Cause: its lone call went out on an idle connection to a leaf that had ended a moment before; the end of the connection arrived after the call was written, so that the call counted as lost under a leaf that ended. Change: a lone call opens its connection, which fails as not sent if nothing listens.

--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -25,6 +25,9 @@
   bool head = false;
   /// The call must not be lost on a connection that the leaf is closing.
   bool needs_fresh_connection = false;
+  /// The call opens a connection, so that its leaf is known to live when it is
+  /// sent: a leaf that has ended may not have closed idle ones yet.
+  bool needs_new_connection = false;
   /// Connections that may be open to the leaf.
   std::size_t connections = 1;
   base::TimePoint deadline{};
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -204,6 +204,8 @@
   call.request_id = caller.id;
   call.head = request.head;
   call.needs_fresh_connection = !request.run->route().idempotent;
+  // Otherwise a leaf that had ended before would count as ended by the request.
+  call.needs_new_connection = action.alone;
   call.connections = action.connections;
   call.deadline = action.deadline;
   call.bytes = CallBytes(
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -87,6 +87,7 @@
   const std::string& id = leaf.entry().id;
   Pool& pool = pools_[id];
   const base::TimePoint answer_by = call.deadline + kAnswerMargin;
+  if (call.needs_new_connection) CloseIdleOf(id);
   if (auto connection = TakeIdle(pool, call)) {
     Slot& slot = slots_[connection.get()];
     slot.call = call.id;
--- a/gateway/unittests/leaf_connections_test.cc
+++ b/gateway/unittests/leaf_connections_test.cc
@@ -203,6 +203,25 @@
   EXPECT_TRUE(RunUntil(io_, [this] { return server_.open() == 0; }));
 }
 
+// Guards against a call that counts as lost under a leaf that had ended before
+// it was sent, since the end of an idle connection is not known at once.
+TEST_F(LeafConnectionsTest, CallThatNeedsANewConnectionUsesNoIdleOne) {
+  Start(1);
+  ASSERT_TRUE(Done(1));
+  ASSERT_TRUE(connections_.HasIdle("l"));
+  server_.Stop();
+  connections_.Start(leaf_, {.id = 2,
+                             .request_id = "r2",
+                             .bytes = "GET / HTTP/1.1\r\n\r\n",
+                             .needs_new_connection = true,
+                             .connections = 2,
+                             .deadline = clock_.Now() + kWaitLimit});
+  ASSERT_TRUE(Done(2));
+  ASSERT_TRUE(std::holds_alternative<forward::CallFailure>(done_[1].second));
+  EXPECT_EQ(std::get<forward::CallFailure>(done_[1].second),
+            forward::CallFailure::kNotSent);
+}
+
 // Guards against a leaf that is taken for ended because a connection to it was
 // reset or an answer was lost.
 TEST_F(LeafConnectionsTest, CheckTellsEndedLeavesFromLivingOnes) {
