Take any other start of a leaf for another incarnation

Found in the closing read: an entry with an earlier start than the one known was ignored as an older read, but a machine's clock may be set back between two starts of its leaf, which would then never be called at its new address.

--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -42,9 +42,6 @@
   const auto found = leaves_.find(entry.id);
   if (found != leaves_.end()) {
     const LeafEntry& known = found->second->entry();
-    // An older read of discovery.
-    if (entry.born_unix_ms != 0 && entry.born_unix_ms < known.born_unix_ms)
-      return;
     if (SameIncarnation(known, entry)) {
       if (known.draining != entry.draining) ++generation_;
       found->second->Update(std::move(entry), clock_.Now());
