Bind a leaf's word to the incarnation that said it

Found in the closing read: an answer that arrived after its leaf's entry had been replaced marked the present incarnation of that id as leaving, and one that arrived after the entry had gone was forgotten. LateWordHoldsForTheIncarnationThatSaidIt shows both; it could not be compiled against the former interface, so it was not seen failing.

--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -43,9 +43,10 @@
   /// The zones that take no new calls.
   void SetEvacuatedZones(std::set<std::string> zones);
 
-  /// The leaf has said that it leaves. That holds for the incarnation, also if
-  /// discovery lists it again.
-  void MarkLeaving(const std::string& id);
+  /// The leaf has said that it leaves, or that it wants no calls before
+  /// `until`. That holds for the incarnation, also if discovery lists it again.
+  void MarkLeaving(LeafRecord& leaf);
+  void Pause(LeafRecord& leaf, base::TimePoint until);
 
   void OnStoreLost();
   void OnStoreRegained();
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -84,11 +84,15 @@
   evacuated_ = std::move(zones);
 }
 
-void LeafDirectory::MarkLeaving(const std::string& id) {
-  const auto found = leaves_.find(id);
-  if (found == leaves_.end()) return;
-  found->second->MarkLeaving();
+void LeafDirectory::MarkLeaving(LeafRecord& leaf) {
+  leaf.MarkLeaving();
   ++generation_;
+  if (leaf.gone()) Remember(leaf);
+}
+
+void LeafDirectory::Pause(LeafRecord& leaf, base::TimePoint until) {
+  leaf.PauseUntil(until);
+  if (leaf.gone()) Remember(leaf);
 }
 
 void LeafDirectory::Remember(const LeafRecord& leaf) {
--- a/forward/unittests/leaf_words_test.cc
+++ b/forward/unittests/leaf_words_test.cc
@@ -39,7 +39,7 @@
 
 TEST_F(LeafWordsTest, LeavingLeafGetsNoNewCalls) {
   const auto generation = directory_.generation();
-  directory_.MarkLeaving("s0-a");
+  directory_.MarkLeaving(Leaf("s0-a"));
   EXPECT_NE(directory_.generation(), generation);
   EXPECT_FALSE(IsCalled("s0", "s0-a"));
   EXPECT_TRUE(IsCalled("s0", "s0-b"));
@@ -55,7 +55,7 @@
 // Discovery lags, and an older read may list the leaf as ready again.
 TEST_F(LeafWordsTest, DiscoveryDoesNotTakeTheWordBack) {
   PutBorn("s0-a", 5);
-  directory_.MarkLeaving("s0-a");
+  directory_.MarkLeaving(Leaf("s0-a"));
   PutBorn("s0-a", 5);
   EXPECT_FALSE(IsCalled("s0", "s0-a"));
   directory_.OnStoreLost();
@@ -75,11 +75,27 @@
 // The clock of a leaf's machine may be set back between two starts.
 TEST_F(LeafWordsTest, AnotherStartIsAnotherIncarnationWhateverItsTime) {
   PutBorn("s0-a", 9);
-  directory_.MarkLeaving("s0-a");
+  directory_.MarkLeaving(Leaf("s0-a"));
   PutBorn("s0-a", 5);
   EXPECT_TRUE(IsCalled("s0", "s0-a"));
 }
 
+// An answer may come after the leaf's entry has gone, or has been replaced.
+TEST_F(LeafWordsTest, LateWordHoldsForTheIncarnationThatSaidIt) {
+  PutBorn("s0-a", 5);
+  const auto former = directory_.Find("s0-a");
+  PutBorn("s0-a", 9);
+  directory_.MarkLeaving(*former);
+  EXPECT_TRUE(IsCalled("s0", "s0-a"));
+  PutBorn("s0-a", 5);
+  EXPECT_FALSE(IsCalled("s0", "s0-a"));
+  const auto removed = directory_.Find("s0-b");
+  directory_.Remove("s0-b");
+  directory_.Pause(*removed, clock_.Now() + seconds(5));
+  PutLeaf("s0-b", "s0", "b");
+  EXPECT_FALSE(IsCalled("s0", "s0-b"));
+}
+
 TEST_F(LeafWordsTest, AnswersOfALeavingLeafAreUsed) {
   Begin(route_);
   Leaf("s0-a").MarkLeaving();
@@ -148,8 +164,8 @@
 }
 
 TEST_F(LeafWordsTest, AllLeavingIsRefusedAtOnce) {
-  directory_.MarkLeaving("f-a");
-  directory_.MarkLeaving("f-b");
+  directory_.MarkLeaving(Leaf("f-a"));
+  directory_.MarkLeaving(Leaf("f-b"));
   Begin(single_, milliseconds(3000));
   ASSERT_TRUE(reply_);
   EXPECT_EQ(reply_->refusal, Refusal::kNotRun);
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -309,16 +309,14 @@
   const std::string name = leaf.entry().service + " " + leaf.entry().id;
   if (reply.leaving && !leaf.leaving()) {
     ++counters_.leaves_leaving;
-    directory_.MarkLeaving(leaf.entry().id);
-    // The leaf may have been listed anew meanwhile.
-    leaf.MarkLeaving();
+    directory_.MarkLeaving(leaf);
     host::LogStateChange("leaf_leaving", name, running.request_id);
   }
   if (!reply.pause) return;
   const base::TimePoint until = clock_.Now() + *reply.pause;
   if (until <= leaf.paused_until()) return;
   ++counters_.leaf_pauses;
-  leaf.PauseUntil(until);
+  directory_.Pause(leaf, until);
   host::LogStateChange(
       "leaf_paused", name,
       std::to_string(reply.pause->count()) + " ms, " + running.request_id);
--- a/transport/lib/http_server.cc
+++ b/transport/lib/http_server.cc
@@ -75,10 +75,10 @@
 void HttpServer::Impl::AcceptLater(std::size_t listener) {
   const auto timer =
       std::make_shared<asio::steady_timer>(context, kAcceptPause);
-  timer->async_wait([self = shared_from_this(), listener,
-                     timer](const ErrorCode&) {
-    if (!self->stopping) self->Accept(listener);
-  });
+  timer->async_wait(
+      [self = shared_from_this(), listener, timer](const ErrorCode&) {
+        if (!self->stopping) self->Accept(listener);
+      });
 }
 
 void HttpServer::Impl::OnAccept(std::size_t listener, tcp::socket socket) {
