--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,7 +16,8 @@
 compiler=(clang++)
 if command -v ccache >/dev/null; then compiler=(ccache clang++); fi
 
-for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group}_codec.cc \
+for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,suspect}_codec.cc \
+  gateway/lib/{request_fingerprint,http_message}.cc \
   platform/lib/{codec,platform_settings,store_item}.cc forward/lib/{leaf_directory,leaf_record}.cc; do
   object="$out/$(echo "$source" | tr / -).o"
   echo "$source $object"
@@ -61,7 +62,8 @@
   printf '3{"node_name":"n","zone":"z","region":"r","listen":{"front":"1.1.1.1:1","ready":"1.1.1.1:2"},"port_range":[1],"platform":{"addr":"a"}}' >"$values/settings"
   printf '4{"address":"1.1.1.1:1","zone":"z","cores":1}' >"$values/host"
   printf '5{"revision":1,"whole":true,"changes":[{"key":"a","value":"aGk="}]}' >"$values/feed"
-  printf '6{"version":1,"digest":2,"shards":[0,3],"allowed_missing":1,"partial_in_ms":80}' >"$values/group"
+  printf '6{"fingerprint":"000000000000001f","state":"blocked","ended_leaves":2,"expires_in_ms":600000}' >"$values/suspect"
+  printf '7{"version":1,"digest":2,"shards":[0,3],"allowed_missing":1,"partial_in_ms":80}' >"$values/group"
 }
 
 seeds
