Compute the fingerprint of a request once

Found in the last read: each request's content was hashed when it was admitted and again when its run was made, and each call kept a copy that its request has. Change: the first one is handed on.

--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -90,7 +90,6 @@
     std::shared_ptr<forward::LeafRecord> callee;
     bool is_group = false;
     std::string request_id;
-    std::uint64_t fingerprint = 0;
     /// See forward::LostCall.
     bool alone = false;
     base::TimePoint sent{};
@@ -119,7 +118,8 @@
   /// attempts did to leaves.
   void RefuseSuspect(ServerConnection& connection, const HttpRequest& request,
                      forward::RunPermit permit, std::uint64_t fingerprint);
-  forward::CallerRequest ToCallerRequest(HttpRequest request) const;
+  forward::CallerRequest ToCallerRequest(HttpRequest request,
+                                         std::uint64_t fingerprint) const;
   /// The request as a message that names how long the sender waits.
   std::string CallBytes(const forward::CallerRequest& caller,
                         base::TimePoint deadline,
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -56,11 +56,13 @@
   host::LogStateChange("leaf_call_lost", leaf.service + " " + leaf.id,
                        running.request_id);
   // A request that is over has completed or is lost with its host.
-  if (!requests_.contains(running.request)) return;
-  quarantine_.OnCallLost({.run = running.request,
-                          .fingerprint = running.fingerprint,
-                          .leaf = leaf.id,
-                          .alone = running.alone});
+  const auto request = requests_.find(running.request);
+  if (request == requests_.end()) return;
+  quarantine_.OnCallLost(
+      {.run = running.request,
+       .fingerprint = request->second.run->request().fingerprint,
+       .leaf = leaf.id,
+       .alone = running.alone});
   leaf_connections_.Check(*running.callee, [this, id = leaf.id](bool ended) {
     forward::RequestQuarantine::Actions actions;
     quarantine_.OnLeafChecked(id, ended, actions);
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -110,7 +110,7 @@
   if (!groups.empty()) running.shard_digest = ShardDigest(route);
   running.run = std::make_unique<forward::RequestRun>(
       context_, table, route, PickService(route),
-      ToCallerRequest(std::move(request)));
+      ToCallerRequest(std::move(request), fingerprint));
   request_of_[&connection] = id;
   if (subset != nullptr) {
     running.run->Narrow(*subset);
@@ -132,10 +132,11 @@
                                                   : forward::RunPermit::kBusy;
 }
 
-forward::CallerRequest Gateway::ToCallerRequest(HttpRequest request) const {
+forward::CallerRequest Gateway::ToCallerRequest(
+    HttpRequest request, std::uint64_t fingerprint) const {
   const WireNames& names = settings_.names;
   forward::CallerRequest caller;
-  caller.fingerprint = FingerprintOf(request, names);
+  caller.fingerprint = fingerprint;
   caller.id = std::string(request.fields.Find(names.request_id));
   caller.fields = request.fields.ForwardedLines(
       {names.patience, names.expected_leaf, kGroupField});
@@ -214,7 +215,6 @@
   calls_[action.call] = {.request = id,
                          .callee = action.leaf,
                          .request_id = caller.id,
-                         .fingerprint = caller.fingerprint,
                          .alone = action.alone,
                          .sent = action.sent};
   if (request.run->route().scatters())
