--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -9,6 +9,8 @@
 namespace json = boost::json;
 
 constexpr milliseconds kStartTime{15000};
+constexpr double kHostCores = 0.25;
+constexpr double kBigHostCores = 0.5;
 
 }  // namespace
 
@@ -77,6 +79,7 @@
           .zone = zone.name,
           .region = zone.region,
           .ip = ip_,
+          .cores = i < zone.big_hosts ? kBigHostCores : kHostCores,
           .zones = regions};
       hosts_.push_back(std::make_unique<Host>(folder_.path(), place, index++,
                                               plan_.bounds, store_.address()));
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -15,11 +15,13 @@
 
 namespace review {
 
-/// A zone and how many hosts it has.
+/// A zone and how many hosts it has. The first `big_hosts` of them have more of
+/// a core than the others.
 struct Zone {
   std::string name;
   std::string region;
   int hosts = 0;
+  int big_hosts = 0;
 };
 
 /// What a deployment consists of.
--- a/review/standins/host.cc
+++ b/review/standins/host.cc
@@ -45,7 +45,7 @@
   settings["seeds"] = boost::json::array();
   settings["bootstrap"] = true;
   settings["counts_as_loss"] = false;
-  settings["limits"] = {{"cpu_share", 0.25},
+  settings["limits"] = {{"cpu_share", place.cores},
                         {"cores", 1},
                         {"ram_mb", 260},
                         {"max_fds", 4100},
--- a/review/standins/host.h
+++ b/review/standins/host.h
@@ -17,6 +17,8 @@
     std::string zone;
     std::string region;
     std::string ip;
+    /// Share of a core.
+    double cores = 0.25;
     /// Zones of the deployment, each with its region.
     boost::json::object zones;
   };
--- a/review/standins/leaf.h
+++ b/review/standins/leaf.h
@@ -21,6 +21,7 @@
 
   const std::string& id() const { return id_; }
   const std::string& service() const { return service_; }
+  const std::string& zone() const { return zone_; }
   /// Writes the leaf's entry to the store.
   void Register(Store& store) const;
   /// Crashes with its machine: nothing is answered, refused or reset until the
