--- a/review/standins/case_support.h
+++ b/review/standins/case_support.h
@@ -1,8 +1,10 @@
 // What the cases share: the temporary folder, the record and the callers.
 #pragma once
 
+#include <exception>
 #include <fstream>
 #include <functional>
+#include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -87,4 +89,20 @@
 /// Whether the environment asks for the run with the disruption.
 bool WithTrouble();
 
+/// The main function of a case: runs it with the path of its record as the only
+/// argument.
+template <typename Case>
+int RunCase(int argc, char** argv) {
+  if (argc != 2) {
+    std::cerr << "usage: " << argv[0] << " RECORD\n";
+    return kNotRun;
+  }
+  try {
+    return Case(argv[1]).Run();
+  } catch (const std::exception& error) {
+    std::cerr << "cannot run: " << error.what() << "\n";
+    return kNotRun;
+  }
+}
+
 }  // namespace review
--- a/review/standins/freeze_case.cc
+++ b/review/standins/freeze_case.cc
@@ -126,9 +126,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: freeze_case RECORD\n";
-    return review::kNotRun;
-  }
-  return review::FreezeCase(argv[1]).Run();
+  return review::RunCase<review::FreezeCase>(argc, argv);
 }
--- a/review/standins/host.cc
+++ b/review/standins/host.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -66,6 +67,8 @@
 void Host::Start() {
   pid_ = fork();
   if (pid_ != 0) return;
+  // The process must not outlive the test, however that ends.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int log = open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
--- a/review/standins/listing_case.cc
+++ b/review/standins/listing_case.cc
@@ -132,9 +132,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: listing_case RECORD\n";
-    return review::kNotRun;
-  }
-  return review::ListingCase(argv[1]).Run();
+  return review::RunCase<review::ListingCase>(argc, argv);
 }
--- a/review/standins/lost_watch_case.cc
+++ b/review/standins/lost_watch_case.cc
@@ -100,9 +100,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: lost_watch_case RECORD\n";
-    return review::kNotRun;
-  }
-  return review::LostWatchCase(argv[1]).Run();
+  return review::RunCase<review::LostWatchCase>(argc, argv);
 }
--- a/review/standins/poison_case.cc
+++ b/review/standins/poison_case.cc
@@ -141,9 +141,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: poison_case RECORD\n";
-    return review::kNotRun;
-  }
-  return review::PoisonCase(argv[1]).Run();
+  return review::RunCase<review::PoisonCase>(argc, argv);
 }
--- a/review/standins/version_case.cc
+++ b/review/standins/version_case.cc
@@ -84,9 +84,5 @@
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: version_case RECORD\n";
-    return review::kNotRun;
-  }
-  return review::VersionCase(argv[1]).Run();
+  return review::RunCase<review::VersionCase>(argc, argv);
 }
