Decide on reads of the store in a state machine without network

Cause: the revision moved when the first page arrived, and the code that ended a read after an unanswered renewal did not know of the listing.

Change: forward::StoreReader takes answers, losses, pauses and renewals as events and returns the next read as actions. Its revision moves only in the step that applies the records. A listing that loses a page goes on with that page. The waits and delays are as before, but for the retry after a long timeout, which counts from the start of the read.

--- /dev/null
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -0,0 +1,196 @@
+// State machine of a host's reads of the deployment's records in the store:
+// listings, watches, feeds of other hosts, and the retries of lost reads.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/forward/change_log.h"
+#include "berylreach/forward/host_entry.h"
+
+namespace berylreach::forward {
+
+/// One page of a listing, or the changes reported by a watch.
+struct StorePage {
+  std::vector<RecordChange> changes;
+  /// Revision of the store when it built the page.
+  std::uint64_t revision = 0;
+  /// More pages follow; the next one starts after the last key.
+  bool truncated = false;
+
+  friend bool operator==(const StorePage&, const StorePage&) = default;
+};
+
+/// Action: read the page of records whose keys sort after `after`.
+struct ReadPage {
+  /// Only the records of registered hosts instead of all records.
+  bool hosts_only = false;
+  std::string after;
+  std::chrono::milliseconds timeout{};
+};
+
+/// Action: read the changes after `revision`. If there are none, the store
+/// waits up to `wait` for the first one.
+struct ReadChanges {
+  std::uint64_t revision = 0;
+  std::chrono::milliseconds wait{};
+  std::chrono::milliseconds timeout{};
+};
+
+/// Action: read the changes after `revision` from the feed of another host.
+struct ReadFeed {
+  HostEntry host;
+  std::uint64_t revision = 0;
+  /// Whether the host may delay its response until there are changes.
+  bool wait = true;
+};
+
+/// Action: drop the read in flight, from the store or from another host.
+struct CancelRead {};
+
+/// Action: call OnWakeUp after `delay`, instead of an earlier wake-up.
+struct WakeUpAfter {
+  std::chrono::milliseconds delay{};
+};
+
+/// Action: replace all records by a complete listing.
+struct ReplaceRecords {
+  std::map<std::string, std::string> records;
+  std::uint64_t revision = 0;
+};
+
+/// Action: apply changes of records.
+struct ApplyRecordChanges {
+  std::vector<RecordChange> changes;
+  /// Revision that the changes lead to; empty for the records of hosts that are
+  /// read before the first listing.
+  std::optional<std::uint64_t> revision;
+};
+
+/// Action: set whether followers may rely on this host's view of the store.
+struct SetFeedFresh {
+  bool fresh = false;
+};
+
+/// Action: log a failed read. `status` is 0 if there was no response.
+struct LogFailedRead {
+  std::string read;
+  int status = 0;
+  base::Duration waited{};
+};
+
+/// Action: handle the loss of the store.
+struct ReportStoreLost {
+  std::string read;
+  int status = 0;
+};
+
+/// Action: handle the return of the store.
+struct ReportStoreRegained {
+  std::string read;
+  base::Duration waited{};
+};
+
+/// Action: report that the view is current after a pause of this process.
+struct ConfirmView {};
+
+using StoreReadAction =
+    std::variant<ReadPage, ReadChanges, ReadFeed, CancelRead, WakeUpAfter,
+                 ReplaceRecords, ApplyRecordChanges, SetFeedFresh,
+                 LogFailedRead, ReportStoreLost, ReportStoreRegained,
+                 ConfirmView>;
+
+/// Decides what a host reads next, from whom, and how long it waits for it, so
+/// that its view of the records soon equals the store's after any disturbance.
+/// One read or wake-up is pending at a time. Each event appends its actions to
+/// `actions`; the caller executes them in order and then calls StartNextRead.
+/// Not thread-safe.
+class StoreReader {
+ public:
+  using Actions = std::vector<StoreReadAction>;
+
+  StoreReader(const base::Clock& clock, HostEntry self);
+
+  /// Starts a read unless a read or a wake-up is pending. `hosts` are the
+  /// registered hosts known so far.
+  void StartNextRead(const std::vector<HostEntry>& hosts, Actions& actions);
+
+  /// Handle the answers to reads of the store.
+  void OnPage(StorePage page, Actions& actions);
+  void OnChanges(StorePage page, Actions& actions);
+  /// Handles the store's answer that it has discarded the changes after this
+  /// host's revision.
+  void OnHistoryGone();
+  /// Handles a read of the store that failed or was answered with another
+  /// status than success. `status` is 0 if there was no response.
+  void OnReadFailed(int status, Actions& actions);
+  /// Handle the result of a read of another host's feed.
+  void OnFeedAnswer(ChangeSet changes, Actions& actions);
+  void OnFeedFailed();
+  void OnWakeUp();
+  /// Handles a renewal of this host's lease that the store has not answered.
+  void OnRenewalUnanswered(Actions& actions);
+  /// Handles the end of a pause of this process: answers to reads in flight may
+  /// have been sent before the pause.
+  void OnProcessPaused(Actions& actions);
+
+  /// Store revision up to which all changes have been applied; 0 if there is no
+  /// view yet.
+  std::uint64_t revision() const { return revision_; }
+
+ private:
+  enum class Pending { kNone, kHosts, kListing, kChanges, kFeed, kWakeUp };
+
+  /// A listing of which pages are still missing.
+  struct Listing {
+    std::map<std::string, std::string> records;
+    /// Revision of the first page. The pages are not one snapshot, so the
+    /// changes since then must be read after the listing.
+    std::uint64_t revision = 0;
+    /// The next page starts after this key.
+    std::string after;
+  };
+
+  void StartPage(bool hosts_only, Actions& actions);
+  void StartChanges(Actions& actions);
+  void OnHostsPage(StorePage page, Actions& actions);
+  void OnListingPage(StorePage page, Actions& actions);
+  /// Handles the failure of `read`, which must have been ended.
+  void RetryLater(const std::string& read, int status, Actions& actions);
+  void MarkStoreLost(const std::string& read, int status, Actions& actions);
+  void MarkStoreAnswered(const std::string& read, Actions& actions);
+  void ConfirmIfAwaited(Actions& actions);
+  void Wait(std::chrono::milliseconds delay, Actions& actions);
+  bool FeedFailed(const std::string& host) const;
+  std::chrono::milliseconds RetryDelay() const;
+  base::Duration Waited() const { return clock_.Now() - read_sent_at_; }
+  std::string NameOfPendingRead() const;
+
+  const base::Clock& clock_;
+  const HostEntry self_;
+  Pending pending_ = Pending::kNone;
+  base::TimePoint read_sent_at_{};
+  std::uint64_t revision_ = 0;
+  /// The last key of the host records read so far, or empty once all are known.
+  std::optional<std::string> hosts_after_ = "";
+  std::optional<Listing> listing_ = Listing{};
+  /// The host whose feed is being read, and hosts that could not serve their
+  /// feed, each with the time until which it is not asked again.
+  std::string feed_host_;
+  std::map<std::string, base::TimePoint> failed_feeds_;
+  /// Whether a pause of this process must be followed by a read without wait.
+  bool confirming_ = false;
+  /// Whether the latest read was answered, by the store or by the host whose
+  /// feed it was. Changes are reported.
+  bool store_available_ = true;
+  /// Number of consecutive failed reads, up to a maximum.
+  int failures_ = 0;
+};
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/lib/store_reader.cc
@@ -0,0 +1,263 @@
+// Transitions between the reads of the store.
+#include "berylreach/forward/store_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "berylreach/forward/choose_feed_host.h"
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longest wait of one watch. It is short because a store that was away may
+/// have dropped the watch without closing the connection, which probes of the
+/// connection do not detect.
+constexpr milliseconds kWatchWait{4000};
+/// Time that a watch may take beyond its own wait.
+constexpr milliseconds kWatchTimeoutMargin{1500};
+/// Wait of a read of changes that asks the store to answer at once.
+constexpr milliseconds kNoWait{1};
+
+/// Timeout of a listing's page, which may hold 1 MB.
+constexpr milliseconds kPageTimeout{2500};
+/// Timeout of reads that the store answers at once.
+constexpr milliseconds kShortTimeout{1500};
+
+/// Delay after a change before the next watch, so that further changes arrive
+/// in one batch. The platform counts each call, and changes must take effect on
+/// all hosts within a few seconds.
+constexpr milliseconds kChangeBatchDelay{500};
+
+/// Time for which a host that could not serve its feed is not asked again.
+/// kFailedFeedPauseAtStartup applies while this host has no view.
+constexpr milliseconds kFailedFeedPause{5000};
+constexpr milliseconds kFailedFeedPauseAtStartup{1000};
+
+/// Bounds of the time between the starts of consecutive failed reads, which
+/// doubles with each failure.
+constexpr milliseconds kMinRetryInterval{200};
+constexpr milliseconds kMaxRetryInterval{1000};
+constexpr int kMaxCountedFailures = 4;
+/// Shortest delay of a retry. A read that has timed out has already waited.
+constexpr milliseconds kMinRetryDelay{100};
+/// A host without a view cannot serve requests yet, so it retries sooner.
+constexpr milliseconds kStartupRetryDelay{150};
+
+}  // namespace
+
+StoreReader::StoreReader(const base::Clock& clock, HostEntry self)
+    : clock_(clock), self_(std::move(self)) {}
+
+void StoreReader::StartNextRead(const std::vector<HostEntry>& hosts,
+                                Actions& actions) {
+  if (pending_ != Pending::kNone) return;
+  read_sent_at_ = clock_.Now();
+  if (hosts_after_) {
+    StartPage(true, actions);
+    return;
+  }
+  const auto feed = ChooseFeedHost(
+      self_, hosts,
+      [this](const std::string& host) { return FeedFailed(host); });
+  if (feed) {
+    pending_ = Pending::kFeed;
+    feed_host_ = feed->name;
+    // A host that follows another one serves no followers, since they would
+    // have to wait for that host in turn.
+    actions.push_back(SetFeedFresh{false});
+    actions.push_back(ReadFeed{*feed, revision_, !confirming_});
+  } else if (listing_) {
+    StartPage(false, actions);
+  } else {
+    StartChanges(actions);
+  }
+}
+
+void StoreReader::StartPage(bool hosts_only, Actions& actions) {
+  pending_ = hosts_only ? Pending::kHosts : Pending::kListing;
+  actions.push_back(ReadPage{
+      hosts_only, hosts_only ? *hosts_after_ : listing_->after, kPageTimeout});
+}
+
+void StoreReader::StartChanges(Actions& actions) {
+  pending_ = Pending::kChanges;
+  if (confirming_) {
+    actions.push_back(ReadChanges{revision_, kNoWait, kShortTimeout});
+  } else {
+    actions.push_back(
+        ReadChanges{revision_, kWatchWait, kWatchWait + kWatchTimeoutMargin});
+  }
+}
+
+void StoreReader::OnPage(StorePage page, Actions& actions) {
+  MarkStoreAnswered(NameOfPendingRead(), actions);
+  if (std::exchange(pending_, Pending::kNone) == Pending::kHosts) {
+    OnHostsPage(std::move(page), actions);
+  } else {
+    OnListingPage(std::move(page), actions);
+  }
+}
+
+void StoreReader::OnHostsPage(StorePage page, Actions& actions) {
+  if (page.truncated && !page.changes.empty()) {
+    hosts_after_ = page.changes.back().key;
+  } else {
+    hosts_after_.reset();
+  }
+  actions.push_back(ApplyRecordChanges{std::move(page.changes), std::nullopt});
+}
+
+void StoreReader::OnListingPage(StorePage page, Actions& actions) {
+  if (listing_->after.empty()) listing_->revision = page.revision;
+  std::string last_key;
+  for (RecordChange& item : page.changes) {
+    last_key = item.key;
+    if (item.value) listing_->records[item.key] = std::move(*item.value);
+  }
+  if (page.truncated && !last_key.empty()) {
+    listing_->after = last_key;
+    return;
+  }
+  // Only now are all changes up to the listing's revision applied. Watching
+  // from there any sooner would lose them.
+  revision_ = listing_->revision;
+  actions.push_back(ReplaceRecords{std::move(listing_->records), revision_});
+  listing_.reset();
+  actions.push_back(SetFeedFresh{true});
+  ConfirmIfAwaited(actions);
+}
+
+void StoreReader::OnChanges(StorePage page, Actions& actions) {
+  MarkStoreAnswered(NameOfPendingRead(), actions);
+  std::erase_if(failed_feeds_, [this](const auto& feed) {
+    return feed.second <= clock_.Now();
+  });
+  pending_ = Pending::kNone;
+  const bool changed = !page.changes.empty();
+  revision_ = std::max(revision_, page.revision);
+  actions.push_back(ApplyRecordChanges{std::move(page.changes), revision_});
+  ConfirmIfAwaited(actions);
+  actions.push_back(SetFeedFresh{true});
+  if (changed) Wait(kChangeBatchDelay, actions);
+}
+
+void StoreReader::OnHistoryGone() {
+  pending_ = Pending::kNone;
+  listing_ = Listing{};
+}
+
+void StoreReader::OnReadFailed(int status, Actions& actions) {
+  RetryLater(NameOfPendingRead(), status, actions);
+}
+
+void StoreReader::OnFeedAnswer(ChangeSet changes, Actions& actions) {
+  failed_feeds_.erase(feed_host_);
+  MarkStoreAnswered(NameOfPendingRead(), actions);
+  pending_ = Pending::kNone;
+  // The other host's view is complete, so no listing is needed any more.
+  if (revision_ != 0 || changes.is_full_listing) listing_.reset();
+  if (changes.is_full_listing) {
+    std::map<std::string, std::string> records;
+    for (RecordChange& change : changes.changes)
+      if (change.value) records[change.key] = std::move(*change.value);
+    revision_ = changes.revision;
+    actions.push_back(ReplaceRecords{std::move(records), revision_});
+  } else {
+    revision_ = std::max(revision_, changes.revision);
+    actions.push_back(
+        ApplyRecordChanges{std::move(changes.changes), revision_});
+  }
+  ConfirmIfAwaited(actions);
+}
+
+void StoreReader::OnFeedFailed() {
+  pending_ = Pending::kNone;
+  failed_feeds_[feed_host_] =
+      clock_.Now() +
+      (revision_ == 0 ? kFailedFeedPauseAtStartup : kFailedFeedPause);
+}
+
+void StoreReader::OnWakeUp() {
+  if (pending_ == Pending::kWakeUp) pending_ = Pending::kNone;
+}
+
+void StoreReader::OnRenewalUnanswered(Actions& actions) {
+  if (!store_available_ || pending_ == Pending::kFeed) return;
+  if (pending_ == Pending::kWakeUp) {
+    MarkStoreLost("renewal", 0, actions);
+    return;
+  }
+  actions.push_back(CancelRead{});
+  RetryLater("renewal", 0, actions);
+}
+
+void StoreReader::OnProcessPaused(Actions& actions) {
+  actions.push_back(SetFeedFresh{false});
+  actions.push_back(CancelRead{});
+  pending_ = Pending::kNone;
+  confirming_ = true;
+  // Pages read before the pause may be much older than those after it.
+  if (listing_) listing_ = Listing{};
+}
+
+void StoreReader::RetryLater(const std::string& read, int status,
+                             Actions& actions) {
+  failures_ = std::min(failures_ + 1, kMaxCountedFailures);
+  actions.push_back(LogFailedRead{read, status, Waited()});
+  MarkStoreLost(read, status, actions);
+  Wait(RetryDelay(), actions);
+}
+
+void StoreReader::MarkStoreLost(const std::string& read, int status,
+                                Actions& actions) {
+  actions.push_back(SetFeedFresh{false});
+  if (std::exchange(store_available_, false))
+    actions.push_back(ReportStoreLost{read, status});
+}
+
+void StoreReader::MarkStoreAnswered(const std::string& read, Actions& actions) {
+  failures_ = 0;
+  if (!std::exchange(store_available_, true))
+    actions.push_back(ReportStoreRegained{read, Waited()});
+}
+
+void StoreReader::ConfirmIfAwaited(Actions& actions) {
+  if (std::exchange(confirming_, false)) actions.push_back(ConfirmView{});
+}
+
+void StoreReader::Wait(milliseconds delay, Actions& actions) {
+  pending_ = Pending::kWakeUp;
+  actions.push_back(WakeUpAfter{delay});
+}
+
+bool StoreReader::FeedFailed(const std::string& host) const {
+  const auto found = failed_feeds_.find(host);
+  return found != failed_feeds_.end() && clock_.Now() < found->second;
+}
+
+milliseconds StoreReader::RetryDelay() const {
+  if (revision_ == 0) return kStartupRetryDelay;
+  const milliseconds interval =
+      std::min(kMaxRetryInterval, kMinRetryInterval * (1 << (failures_ - 1)));
+  const auto waited = std::chrono::duration_cast<milliseconds>(Waited());
+  return std::max(kMinRetryDelay, interval - waited);
+}
+
+std::string StoreReader::NameOfPendingRead() const {
+  switch (pending_) {
+    case Pending::kHosts:
+    case Pending::kListing:
+      return "range";
+    case Pending::kFeed:
+      return "feed";
+    case Pending::kNone:
+    case Pending::kChanges:
+    case Pending::kWakeUp:
+      break;
+  }
+  return "watch";
+}
+
+}  // namespace berylreach::forward
