Keep a watch lost in an outage of the store from outlasting it

Cause: a watch sent while the store is silent is lost with its answer, and the host waited 5.6 s for it although the store had returned 0.5 s after it was sent. Then it retried only after up to 1 s more, since the delay doubles with each failure. The unanswered renewal that ends a watch came each 3 s, so that the next watch was sent and lost as well. Ruled out: a lost listing (no store_history_gone in the logs), adoption (all seven versions are adopted in order once they arrive), feeds (no host follows another on these sites).

Change: a host waits for the store only if the latest read was one of the store and was answered. Else it asks the store to answer at once, with a timeout of 1.3 s, which doubles only if renewals are answered meanwhile (a slow store). Hosts that read the store renew their lease each second. A watch lasts contact_ms less 2 s, so that one that is lost unnoticed ends within the bound of the deployment.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -115,7 +115,10 @@
  public:
   using Actions = std::vector<StoreReadAction>;
 
-  StoreReader(const base::Clock& clock, HostEntry self);
+  /// `max_staleness` bounds the time after a disturbance of the store in which
+  /// this host may miss changes.
+  StoreReader(const base::Clock& clock, HostEntry self,
+              std::chrono::milliseconds max_staleness);
 
   /// Starts a read unless a read or a wake-up is pending. `hosts` are the
   /// registered hosts known so far.
@@ -134,8 +137,10 @@
   void OnFeedAnswer(ChangeSet changes, Actions& actions);
   void OnFeedFailed();
   void OnWakeUp();
-  /// Handles a renewal of this host's lease that the store has not answered.
+  /// Handle the result of a renewal of this host's lease, which shows whether
+  /// the store answers at all.
   void OnRenewalUnanswered(Actions& actions);
+  void OnRenewalAnswered() { renewal_answered_at_ = clock_.Now(); }
   /// Handles the end of a pause of this process: answers to reads in flight may
   /// have been sent before the pause.
   void OnProcessPaused(Actions& actions);
@@ -143,6 +148,8 @@
   /// Store revision up to which all changes have been applied; 0 if there is no
   /// view yet.
   std::uint64_t revision() const { return revision_; }
+  /// Whether this host currently reads the store and not another host's feed.
+  bool reads_store() const { return pending_ != Pending::kFeed; }
 
  private:
   enum class Pending { kNone, kHosts, kListing, kChanges, kFeed, kWakeUp };
@@ -169,11 +176,14 @@
   void Wait(std::chrono::milliseconds delay, Actions& actions);
   bool FeedFailed(const std::string& host) const;
   std::chrono::milliseconds RetryDelay() const;
+  /// Adapts the timeout of short reads after one has timed out.
+  void AdaptShortTimeout();
   base::Duration Waited() const { return clock_.Now() - read_sent_at_; }
   std::string NameOfPendingRead() const;
 
   const base::Clock& clock_;
   const HostEntry self_;
+  const std::chrono::milliseconds watch_wait_;
   Pending pending_ = Pending::kNone;
   base::TimePoint read_sent_at_{};
   std::uint64_t revision_ = 0;
@@ -189,8 +199,13 @@
   /// Whether the latest read was answered, by the store or by the host whose
   /// feed it was. Changes are reported.
   bool store_available_ = true;
+  /// Whether the latest read was one of the store and was answered. Only then
+  /// does this host wait long for the next answer of the store.
+  bool store_answered_last_ = true;
   /// Number of consecutive failed reads, up to a maximum.
   int failures_ = 0;
+  std::chrono::milliseconds short_timeout_;
+  base::TimePoint renewal_answered_at_{};
 };
 
 }  // namespace berylreach::forward
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -14,16 +14,23 @@
 /// Longest wait of one watch. It is short because a store that was away may
 /// have dropped the watch without closing the connection, which probes of the
 /// connection do not detect.
-constexpr milliseconds kWatchWait{4000};
+constexpr milliseconds kMaxWatchWait{4000};
+constexpr milliseconds kMinWatchWait{500};
 /// Time that a watch may take beyond its own wait.
 constexpr milliseconds kWatchTimeoutMargin{1500};
+/// Time that a lost watch may take beyond its wait until the changes are
+/// applied: the margin, a check of timeouts, the retry and its round trip.
+constexpr milliseconds kLostWatchOverhead{2000};
 /// Wait of a read of changes that asks the store to answer at once.
 constexpr milliseconds kNoWait{1};
 
 /// Timeout of a listing's page, which may hold 1 MB.
 constexpr milliseconds kPageTimeout{2500};
-/// Timeout of reads that the store answers at once.
-constexpr milliseconds kShortTimeout{1500};
+/// Timeout of reads that the store answers at once, while it is unknown whether
+/// it answers. A read that was sent before the store returned is lost, so this
+/// is most of the time by which this host's view lags behind the return.
+constexpr milliseconds kShortTimeout{1300};
+constexpr milliseconds kMaxShortTimeout{5000};
 
 /// Delay after a change before the next watch, so that further changes arrive
 /// in one batch. The platform counts each call, and changes must take effect on
@@ -47,8 +54,13 @@
 
 }  // namespace
 
-StoreReader::StoreReader(const base::Clock& clock, HostEntry self)
-    : clock_(clock), self_(std::move(self)) {}
+StoreReader::StoreReader(const base::Clock& clock, HostEntry self,
+                         milliseconds max_staleness)
+    : clock_(clock),
+      self_(std::move(self)),
+      watch_wait_(std::clamp(max_staleness - kLostWatchOverhead, kMinWatchWait,
+                             kMaxWatchWait)),
+      short_timeout_(kShortTimeout) {}
 
 void StoreReader::StartNextRead(const std::vector<HostEntry>& hosts,
                                 Actions& actions) {
@@ -64,6 +76,7 @@
   if (feed) {
     pending_ = Pending::kFeed;
     feed_host_ = feed->name;
+    store_answered_last_ = false;
     // A host that follows another one serves no followers, since they would
     // have to wait for that host in turn.
     actions.push_back(SetFeedFresh{false});
@@ -77,22 +90,26 @@
 
 void StoreReader::StartPage(bool hosts_only, Actions& actions) {
   pending_ = hosts_only ? Pending::kHosts : Pending::kListing;
-  actions.push_back(ReadPage{
-      hosts_only, hosts_only ? *hosts_after_ : listing_->after, kPageTimeout});
+  actions.push_back(
+      ReadPage{hosts_only, hosts_only ? *hosts_after_ : listing_->after,
+               store_answered_last_ ? kPageTimeout : short_timeout_});
 }
 
 void StoreReader::StartChanges(Actions& actions) {
   pending_ = Pending::kChanges;
-  if (confirming_) {
-    actions.push_back(ReadChanges{revision_, kNoWait, kShortTimeout});
+  // A watch that is sent while the store is away is lost, and this host would
+  // wait for it although the store has returned.
+  if (confirming_ || !store_answered_last_) {
+    actions.push_back(ReadChanges{revision_, kNoWait, short_timeout_});
   } else {
     actions.push_back(
-        ReadChanges{revision_, kWatchWait, kWatchWait + kWatchTimeoutMargin});
+        ReadChanges{revision_, watch_wait_, watch_wait_ + kWatchTimeoutMargin});
   }
 }
 
 void StoreReader::OnPage(StorePage page, Actions& actions) {
   MarkStoreAnswered(NameOfPendingRead(), actions);
+  store_answered_last_ = true;
   if (std::exchange(pending_, Pending::kNone) == Pending::kHosts) {
     OnHostsPage(std::move(page), actions);
   } else {
@@ -131,6 +148,7 @@
 
 void StoreReader::OnChanges(StorePage page, Actions& actions) {
   MarkStoreAnswered(NameOfPendingRead(), actions);
+  store_answered_last_ = true;
   std::erase_if(failed_feeds_, [this](const auto& feed) {
     return feed.second <= clock_.Now();
   });
@@ -149,6 +167,8 @@
 }
 
 void StoreReader::OnReadFailed(int status, Actions& actions) {
+  if (status == 0 && !store_answered_last_ && Waited() >= short_timeout_)
+    AdaptShortTimeout();
   RetryLater(NameOfPendingRead(), status, actions);
 }
 
@@ -213,12 +233,14 @@
 void StoreReader::MarkStoreLost(const std::string& read, int status,
                                 Actions& actions) {
   actions.push_back(SetFeedFresh{false});
+  store_answered_last_ = false;
   if (std::exchange(store_available_, false))
     actions.push_back(ReportStoreLost{read, status});
 }
 
 void StoreReader::MarkStoreAnswered(const std::string& read, Actions& actions) {
   failures_ = 0;
+  short_timeout_ = kShortTimeout;
   if (!std::exchange(store_available_, true))
     actions.push_back(ReportStoreRegained{read, Waited()});
 }
@@ -245,6 +267,16 @@
   return std::max(kMinRetryDelay, interval - waited);
 }
 
+void StoreReader::AdaptShortTimeout() {
+  // A renewal that was answered meanwhile shows that the store is slow and not
+  // away, or that it returned after the read was sent.
+  if (renewal_answered_at_ > read_sent_at_) {
+    short_timeout_ = std::min(kMaxShortTimeout, 2 * short_timeout_);
+  } else {
+    short_timeout_ = kShortTimeout;
+  }
+}
+
 std::string StoreReader::NameOfPendingRead() const {
   switch (pending_) {
     case Pending::kHosts:
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -1,15 +1,80 @@
-// Guards against a host that misses changes of the deployment for good after
-// the store was away.
+// Guards against a host whose view of the deployment lags behind the store, or
+// misses changes for good, after the store was away.
 #include "berylreach/forward/store_reader.h"
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "store_simulation.h"
 
 namespace berylreach::forward {
 namespace {
 
-constexpr milliseconds kLimit{10000};
+constexpr milliseconds kMaxStaleness{5000};
+/// Longest time from the return of the store until all hosts are current, if
+/// the outage was long enough to be noticed.
+constexpr milliseconds kRecoveryTime{2000};
+/// An outage of this length covers a renewal of each reading host and its
+/// timeout.
+constexpr milliseconds kNoticedOutage{2800};
+
+/// Plays an outage of the store and a change just after it. Returns the time
+/// from the store's return until all hosts have the change.
+std::optional<milliseconds> RecoveryTime(int hosts, StoreCondition condition,
+                                         milliseconds start,
+                                         milliseconds length) {
+  StoreSimulation simulation(hosts, kMaxStaleness);
+  simulation.time.RunFor(start);
+  simulation.store.SetCondition(condition);
+  simulation.time.RunFor(length);
+  simulation.store.SetCondition(StoreCondition::kServing);
+  simulation.store.Put("leaf3", "1");
+  return simulation.TimeUntilCurrent(2 * kMaxStaleness);
+}
+
+class OutageTest
+    : public testing::TestWithParam<std::tuple<int, StoreCondition>> {};
+
+// Guards against a watch that was sent during an outage, is lost in it and
+// keeps the host from reading again after the store's return (CONFIG incident).
+TEST_P(OutageTest, LostWatchDoesNotOutlastTheOutage) {
+  const auto [hosts, condition] = GetParam();
+  constexpr milliseconds step{100};
+  constexpr milliseconds watch_period{4500};
+  for (milliseconds start{0}; start < watch_period; start += step) {
+    for (const milliseconds length :
+         {kNoticedOutage, milliseconds(3700), milliseconds(4500),
+          milliseconds(7400), milliseconds(11300)}) {
+      const auto time = RecoveryTime(hosts, condition, start, length);
+      ASSERT_TRUE(time) << start.count() << " " << length.count();
+      ASSERT_LE(*time, kRecoveryTime) << start.count() << " " << length.count();
+    }
+  }
+}
+
+// Guards against a watch that a short outage drops unnoticed and that outlasts
+// the bound of the deployment.
+TEST_P(OutageTest, UnnoticedOutageEndsWithinTheBound) {
+  const auto [hosts, condition] = GetParam();
+  constexpr milliseconds step{100};
+  constexpr milliseconds watch_period{4500};
+  for (milliseconds start{0}; start < watch_period; start += step) {
+    for (milliseconds length = step; length < kNoticedOutage;
+         length += 5 * step) {
+      const auto time = RecoveryTime(hosts, condition, start, length);
+      ASSERT_TRUE(time) << start.count() << " " << length.count();
+      ASSERT_LE(*time, kMaxStaleness) << start.count() << " " << length.count();
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Conditions, OutageTest,
+    testing::Combine(testing::Values(1, 6, 8),
+                     testing::Values(StoreCondition::kSilent,
+                                     StoreCondition::kBusy,
+                                     StoreCondition::kReset)));
 
 // Guards against a host that watches from a listing's revision although it has
 // not applied the listing, because an outage cut it short: it would miss all
@@ -18,7 +83,7 @@
   constexpr milliseconds listing_time{400};
   constexpr milliseconds step{5};
   for (milliseconds until{0}; until < listing_time; until += step) {
-    StoreSimulation simulation(8);
+    StoreSimulation simulation(8, kMaxStaleness);
     simulation.store.SetCondition(StoreCondition::kSilent);
     simulation.time.RunFor(seconds(5));
     simulation.store.Put("leaf3", "1");
@@ -28,9 +93,127 @@
     simulation.store.SetCondition(StoreCondition::kSilent);
     simulation.time.RunFor(milliseconds(4500));
     simulation.store.SetCondition(StoreCondition::kServing);
-    ASSERT_TRUE(simulation.TimeUntilCurrent(kLimit)) << until.count();
+    const auto time = simulation.TimeUntilCurrent(2 * kMaxStaleness);
+    ASSERT_TRUE(time) << until.count();
+    ASSERT_LE(*time, kMaxStaleness) << until.count();
+  }
+}
+
+// Guards against short timeouts that end each read of a store that is slow for
+// a long time.
+TEST(StoreReaderTest, SlowStoreIsStillRead) {
+  for (const milliseconds answer_time :
+       {milliseconds(300), milliseconds(1200), milliseconds(2000)}) {
+    StoreSimulation simulation(6, kMaxStaleness);
+    simulation.store.SetAnswerTime(answer_time);
+    simulation.time.RunFor(seconds(20));
+    simulation.store.Put("leaf3", "1");
+    EXPECT_TRUE(simulation.TimeUntilCurrent(seconds(20)))
+        << answer_time.count();
   }
 }
 
+// Guards against a deployment with a small bound whose hosts wait for a lost
+// watch as long as those of others.
+TEST(StoreReaderTest, WatchesFitTheBoundOfTheDeployment) {
+  const base::ManualClock clock;
+  for (const auto& [bound, wait] :
+       {std::pair{milliseconds(3000), milliseconds(1000)},
+        std::pair{milliseconds(5000), milliseconds(3000)},
+        std::pair{milliseconds(8000), milliseconds(4000)}}) {
+    StoreReader reader(clock, {.name = "h", .zone = "z"}, bound);
+    StoreReader::Actions actions;
+    reader.StartNextRead({}, actions);
+    reader.OnPage({.revision = 3}, actions);
+    reader.StartNextRead({}, actions);
+    reader.OnPage({.revision = 3}, actions);
+    actions.clear();
+    reader.StartNextRead({}, actions);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<ReadChanges>(actions.front()).wait, wait);
+  }
+}
+
+/// Disturbs the store and the hosts at random times, in series that overlap.
+class RandomDisturbances {
+ public:
+  RandomDisturbances(StoreSimulation& simulation, std::uint32_t seed)
+      : simulation_(simulation), random_(seed) {}
+
+  void Run(int count) {
+    for (int i = 0; i < count; ++i) {
+      Disturb();
+      simulation_.time.RunFor(milliseconds(Number(0, 1500)));
+    }
+    simulation_.store.SetCondition(StoreCondition::kServing);
+    simulation_.store.SetAnswerTime(milliseconds(4));
+  }
+
+ private:
+  int Number(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random_);
+  }
+
+  void Disturb() {
+    SimulatedStore& store = simulation_.store;
+    const std::string leaf = "leaf" + std::to_string(Number(0, 15));
+    switch (Number(0, 8)) {
+      case 0:
+        store.SetCondition(StoreCondition::kSilent);
+        break;
+      case 1:
+        store.SetCondition(StoreCondition::kBusy);
+        break;
+      case 2:
+        store.SetCondition(StoreCondition::kReset);
+        break;
+      case 3:
+        store.Compact();
+        break;
+      case 4:
+        store.SetAnswerTime(milliseconds(Number(4, 600)));
+        break;
+      case 5:
+        simulation_
+            .hosts[Number(0, static_cast<int>(simulation_.hosts.size()) - 1)]
+            ->Freeze(milliseconds(Number(1600, 4000)));
+        break;
+      case 6:
+        store.Delete(leaf);
+        break;
+      default:
+        store.SetCondition(StoreCondition::kServing);
+        store.Put(leaf, std::to_string(Number(0, 1000000)));
+        break;
+    }
+  }
+
+  StoreSimulation& simulation_;
+  std::mt19937 random_;
+};
+
+class RandomDisturbancesTest : public testing::TestWithParam<int> {};
+
+// Guards against any order of disturbances after which a host's view stays
+// behind the store's.
+TEST_P(RandomDisturbancesTest, ViewsEqualTheStoreSoonAfterTheLastOne) {
+  constexpr int seeds = 200;
+  // A host that froze last is away for 4 s itself.
+  constexpr milliseconds longest_freeze{4000};
+  for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+    StoreSimulation simulation(GetParam(), kMaxStaleness);
+    RandomDisturbances(simulation, seed).Run(25);
+    const auto time = simulation.TimeUntilCurrent(3 * kMaxStaleness);
+    ASSERT_TRUE(time) << "seed " << seed;
+    ASSERT_LE(*time, longest_freeze + kMaxStaleness) << "seed " << seed;
+    // A current view alone does not show that the host would miss nothing.
+    simulation.store.Put("leaf1", "last");
+    ASSERT_TRUE(simulation.TimeUntilCurrent(kMaxStaleness)) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, RandomDisturbancesTest,
+                         testing::Values(1, 6, 8));
+
 }  // namespace
 }  // namespace berylreach::forward
--- a/forward/unittests/store_simulation.h
+++ b/forward/unittests/store_simulation.h
@@ -198,12 +198,12 @@
 
   /// `find` returns a running host.
   SimulatedHost(VirtualTime& time, SimulatedStore& store, HostEntry entry,
-                Find find)
+                milliseconds max_staleness, Find find)
       : time_(time),
         store_(store),
         entry_(std::move(entry)),
         find_(std::move(find)),
-        reader_(time.clock(), entry_) {}
+        reader_(time.clock(), entry_, max_staleness) {}
 
   void Start() {
     Step([](StoreReader::Actions&) {});
@@ -420,9 +420,13 @@
       ++renewal_;
       renewal_answered_ = answered;
       Step([this, answered](StoreReader::Actions& actions) {
-        if (!answered) reader_.OnRenewalUnanswered(actions);
+        if (answered) {
+          reader_.OnRenewalAnswered();
+        } else {
+          reader_.OnRenewalUnanswered(actions);
+        }
       });
-      After(entry_.cores > 1 ? kRenewIntervalOfReaders : kRenewInterval,
+      After(reader_.reads_store() ? kRenewIntervalOfReaders : kRenewInterval,
             [this] { Renew(); });
     };
     time_.After(kOneWay, [this, end] {
@@ -461,7 +465,7 @@
  public:
   /// With more than four hosts two of them, "reader0" and "reader1", read the
   /// store, and the others follow these.
-  explicit StoreSimulation(int host_count) {
+  StoreSimulation(int host_count, milliseconds max_staleness) {
     for (int i = 0; i < 9; ++i) store.Put("leaf" + std::to_string(i), "0");
     for (int i = 0; i < host_count; ++i) {
       const std::string name =
@@ -469,7 +473,7 @@
       store.Put(SimulatedHost::kHostPrefix + name, "");
       hosts.push_back(std::make_unique<SimulatedHost>(
           time, store, HostEntry{name, name, "z", i < 2 ? 2.0 : 0.5},
-          [this](const std::string& wanted) {
+          max_staleness, [this](const std::string& wanted) {
             const auto found = by_name_.find(wanted);
             return found == by_name_.end() ? nullptr : found->second;
           }));
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -29,8 +29,6 @@
   void OnRequest(ServerConnection& connection, std::string_view target);
 
   forward::ChangeLog& log() { return log_; }
-  /// Whether another host has requested changes recently.
-  bool HasFollowers() const;
   /// Responds to the waiting followers for which the log has changes.
   void Publish();
   /// Sets whether this host's view of the store is fresh. When it becomes
@@ -52,7 +50,6 @@
   const base::Clock& clock_;
   forward::ChangeLog log_;
   bool fresh_ = false;
-  base::TimePoint last_request_{};
   std::vector<PendingPoll> pending_polls_;
 };
 
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -15,10 +15,6 @@
 /// of changes from elsewhere within seconds.
 constexpr std::chrono::seconds kMaxPollTime{2};
 
-/// A follower polls again right after each response, so a follower that has not
-/// polled for this time is gone.
-constexpr std::chrono::seconds kFollowerLifetime{6};
-
 void Respond(ServerConnection& connection, int status, std::string_view body) {
   connection.Respond(ResponseBytes(status, ReasonOf(status), "", body, true),
                      true);
@@ -34,7 +30,6 @@
 void FeedServer::OnRequest(ServerConnection& connection,
                            std::string_view target) {
   constexpr std::string_view parameter = "after=";
-  last_request_ = clock_.Now();
   std::uint64_t revision = 0;
   const std::size_t at = target.find(parameter);
   if (at != std::string_view::npos) {
@@ -62,11 +57,6 @@
   return true;
 }
 
-bool FeedServer::HasFollowers() const {
-  return last_request_ != base::TimePoint() &&
-         clock_.Now() - last_request_ < kFollowerLifetime;
-}
-
 void FeedServer::Publish() {
   for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
     const auto connection = poll.connection.lock();
