Do not take a renewal lost in an outage for a second outage

Change: a renewal that was sent before the latest answered read of the store is no evidence any more. RenewalLostInAnOutageIsNoSecondOutage counted 2 losses before and counts 1 now.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -138,8 +138,8 @@
   void OnFeedFailed();
   void OnWakeUp();
   /// Handle the result of a renewal of this host's lease, which shows whether
-  /// the store answers at all.
-  void OnRenewalUnanswered(Actions& actions);
+  /// the store answers at all. `sent` is the time at which it was sent.
+  void OnRenewalUnanswered(base::TimePoint sent, Actions& actions);
   void OnRenewalAnswered() { renewal_answered_at_ = clock_.Now(); }
   /// Handles the end of a pause of this process: answers to reads in flight may
   /// have been sent before the pause.
@@ -206,6 +206,8 @@
   int failures_ = 0;
   std::chrono::milliseconds short_timeout_;
   base::TimePoint renewal_answered_at_{};
+  /// When the store has last answered a read.
+  base::TimePoint store_answered_at_{};
 };
 
 }  // namespace berylreach::forward
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -110,6 +110,7 @@
 void StoreReader::OnPage(StorePage page, Actions& actions) {
   MarkStoreAnswered(NameOfPendingRead(), actions);
   store_answered_last_ = true;
+  store_answered_at_ = clock_.Now();
   if (std::exchange(pending_, Pending::kNone) == Pending::kHosts) {
     OnHostsPage(std::move(page), actions);
   } else {
@@ -149,6 +150,7 @@
 void StoreReader::OnChanges(StorePage page, Actions& actions) {
   MarkStoreAnswered(NameOfPendingRead(), actions);
   store_answered_last_ = true;
+  store_answered_at_ = clock_.Now();
   std::erase_if(failed_feeds_, [this](const auto& feed) {
     return feed.second <= clock_.Now();
   });
@@ -203,8 +205,10 @@
   if (pending_ == Pending::kWakeUp) pending_ = Pending::kNone;
 }
 
-void StoreReader::OnRenewalUnanswered(Actions& actions) {
+void StoreReader::OnRenewalUnanswered(base::TimePoint sent, Actions& actions) {
   if (!store_available_ || pending_ == Pending::kFeed) return;
+  // The store has returned since; the renewal was lost before.
+  if (store_answered_at_ > sent) return;
   if (pending_ == Pending::kWakeUp) {
     MarkStoreLost("renewal", 0, actions);
     return;
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -99,6 +99,20 @@
   }
 }
 
+// Guards against a renewal that was lost in an outage and ends a read after the
+// store's return, as if the store were away again.
+TEST(StoreReaderTest, RenewalLostInAnOutageIsNoSecondOutage) {
+  for (const milliseconds length :
+       {milliseconds(4500), milliseconds(5000), milliseconds(5500)}) {
+    StoreSimulation simulation(1, kMaxStaleness);
+    simulation.store.SetCondition(StoreCondition::kSilent);
+    simulation.time.RunFor(length);
+    simulation.store.SetCondition(StoreCondition::kServing);
+    simulation.time.RunFor(seconds(10));
+    EXPECT_EQ(simulation.hosts.front()->reported_losses(), 1) << length.count();
+  }
+}
+
 // Guards against short timeouts that end each read of a store that is slow for
 // a long time.
 TEST(StoreReaderTest, SlowStoreIsStillRead) {
--- a/forward/unittests/store_simulation.h
+++ b/forward/unittests/store_simulation.h
@@ -221,7 +221,8 @@
   }
 
   bool is_current() const { return view_ == store_.items(); }
-  const std::map<std::string, std::string>& view() const { return view_; }
+  /// Number of times that the reader has reported the loss of the store.
+  int reported_losses() const { return reported_losses_; }
 
  private:
   static constexpr milliseconds kOneWay{20};
@@ -409,21 +410,22 @@
     }
   }
   void Run(const LogFailedRead&) {}
-  void Run(const ReportStoreLost&) {}
+  void Run(const ReportStoreLost&) { ++reported_losses_; }
   void Run(const ReportStoreRegained&) {}
   void Run(const ConfirmView&) {}
 
   void Renew() {
     const std::uint64_t renewal = ++renewal_;
-    const auto end = [this, renewal](bool answered) {
+    const base::TimePoint sent = time_.clock().Now();
+    const auto end = [this, renewal, sent](bool answered) {
       if (renewal != renewal_) return;
       ++renewal_;
       renewal_answered_ = answered;
-      Step([this, answered](StoreReader::Actions& actions) {
+      Step([this, answered, sent](StoreReader::Actions& actions) {
         if (answered) {
           reader_.OnRenewalAnswered();
         } else {
-          reader_.OnRenewalUnanswered(actions);
+          reader_.OnRenewalUnanswered(sent, actions);
         }
       });
       After(reader_.reads_store() ? kRenewIntervalOfReaders : kRenewInterval,
@@ -458,6 +460,7 @@
   std::uint64_t renewal_ = 0;
   bool renewal_answered_ = true;
   base::TimePoint frozen_until_{};
+  int reported_losses_ = 0;
 };
 
 /// A deployment with a store and hosts of one zone.
