Decode and log the rate limits that leaves state

Server-Limit was decoded nowhere, so that neither logs nor metrics showed when a leaf limits its calls or which hosts know of it. The adapter names the header, the gateway parses it into LeafReply::rate_limit, the leaf's record keeps it as it keeps its other statements, and its begin and end have a log line. Nothing acts on it yet.

--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -55,6 +55,8 @@
   /// even if discovery lists the leaf again.
   void MarkLeaving(LeafRecord& leaf);
   void Pause(LeafRecord& leaf, base::TimePoint until);
+  /// Records the rate limit that a leaf has stated in its latest answer.
+  void SetRateLimit(LeafRecord& leaf, std::optional<double> rate);
 
   /// Record that the store became unreachable, or reachable again.
   void OnStoreLost();
@@ -104,6 +106,7 @@
     std::int64_t started_unix_ms = 0;
     bool leaving = false;
     base::TimePoint paused_until{};
+    std::optional<double> rate_limit;
     base::TimePoint forget_at{};
   };
 
--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -73,6 +73,11 @@
   /// including the limit of one call at a time after a pause.
   bool AcceptsCall(base::TimePoint now) const;
 
+  /// Records the calls per second that the leaf accepts from all hosts
+  /// together, or that it has ended its limit.
+  void SetRateLimit(std::optional<double> rate) { rate_limit_ = rate; }
+  std::optional<double> rate_limit() const { return rate_limit_; }
+
   /// Records that a call was sent at `now`.
   void OnCallSent(base::TimePoint now);
   /// Records that a call ended at `now`; `sent` must be the time that was
@@ -127,6 +132,7 @@
   bool removed_ = false;
   bool leaving_ = false;
   base::TimePoint paused_until_{};
+  std::optional<double> rate_limit_;
   /// Whether the leaf was paused and has answered no call that was sent after
   /// the pause.
   bool on_trial_ = false;
--- a/forward/include/berylreach/forward/message.h
+++ b/forward/include/berylreach/forward/message.h
@@ -43,6 +43,9 @@
   bool wrong_incarnation = false;
   /// The leaf is leaving and accepts no new calls.
   bool leaving = false;
+  /// Calls per second that the leaf accepts from all hosts together, until it
+  /// states another limit or none; empty if it states none.
+  std::optional<double> rate_limit;
   /// Time for which the leaf accepts no more calls of this host; empty if it
   /// states none.
   std::optional<std::chrono::milliseconds> requested_pause;
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -95,12 +95,18 @@
   if (leaf.removed()) SaveStatements(leaf);
 }
 
+void LeafDirectory::SetRateLimit(LeafRecord& leaf, std::optional<double> rate) {
+  leaf.SetRateLimit(rate);
+  if (leaf.removed()) SaveStatements(leaf);
+}
+
 void LeafDirectory::SaveStatements(const LeafRecord& leaf) {
   const base::TimePoint now = clock_.Now();
-  if (!leaf.leaving() && !leaf.IsPaused(now)) return;
+  if (!leaf.leaving() && !leaf.IsPaused(now) && !leaf.rate_limit()) return;
   former_[leaf.entry().id] = {.started_unix_ms = leaf.entry().started_unix_ms,
                               .leaving = leaf.leaving(),
                               .paused_until = leaf.paused_until(),
+                              .rate_limit = leaf.rate_limit(),
                               .forget_at = now + kFormerLeafLifetime};
 }
 
@@ -110,6 +116,7 @@
   if (former->second.started_unix_ms != leaf.entry().started_unix_ms) return;
   if (former->second.leaving) leaf.MarkLeaving();
   leaf.PauseUntil(former->second.paused_until);
+  leaf.SetRateLimit(former->second.rate_limit);
 }
 
 void LeafDirectory::OnStoreLost() { store_lost_ = true; }
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -194,10 +194,11 @@
   /// Logs a Retry-After field that cannot be parsed.
   static void LogMalformedRetryAfter(const RunningCall& running,
                                      const HttpFields& fields);
-  /// Applies what a leaf says about itself in a response: that it is leaving or
-  /// requests a pause.
+  /// Applies what a leaf says about itself in a response: that it is leaving,
+  /// requests a pause or limits the rate of calls.
   void ApplyLeafNotices(const RunningCall& running,
                         const forward::LeafReply& reply);
+  void ApplyRateLimit(const RunningCall& running, std::optional<double> rate);
   /// Logs that the leaf is backed off, unless it already was.
   void LogBackOff(const forward::LeafRecord& leaf, bool was_backed_off,
                   const std::string& request) const;
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -35,6 +35,8 @@
   /// requested by Retry-After.
   std::uint64_t leaves_leaving = 0;
   std::uint64_t leaf_pauses = 0;
+  /// Rate limits that leaves have begun to state.
+  std::uint64_t leaf_rate_limits = 0;
   /// Calls whose connection was lost before the response.
   std::uint64_t leaf_calls_lost = 0;
 };
--- a/gateway/include/berylreach/gateway/http_message.h
+++ b/gateway/include/berylreach/gateway/http_message.h
@@ -70,4 +70,10 @@
 
 RetryAfter ParseRetryAfter(const HttpFields& fields);
 
+/// Returns the smallest number of calls per second among the fields called
+/// `name`; empty if there is none. Fields that hold anything but a decimal
+/// number of at least zero are ignored.
+std::optional<double> ParseRateLimit(const HttpFields& fields,
+                                     std::string_view name);
+
 }  // namespace berylreach::gateway
--- a/gateway/include/berylreach/gateway/wire_names.h
+++ b/gateway/include/berylreach/gateway/wire_names.h
@@ -23,6 +23,8 @@
   std::string not_run;
   /// Present if the leaf is leaving.
   std::string leaving;
+  /// Calls per second that the leaf accepts from all hosts together.
+  std::string rate_limit;
   /// Signatures of the responses that were merged.
   std::string part_signatures;
   /// Number of shards missing from a merged response.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -355,6 +355,7 @@
   add("leaf_failures_total", counters_.leaf_failures);
   add("leaves_leaving_total", counters_.leaves_leaving);
   add("leaf_pauses_total", counters_.leaf_pauses);
+  add("leaf_rate_limits_total", counters_.leaf_rate_limits);
   add("leaf_calls_lost_total", counters_.leaf_calls_lost);
   add("leaf_connections_opened_total", leaf_connections_.counters().opened);
   add("leaf_connections_broken_total", leaf_connections_.counters().broken);
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -239,6 +239,7 @@
       !reply.wrong_incarnation && response.fields.Has(names.leaving);
   if (response.status == 503)
     reply.requested_pause = ParseRetryAfter(response.fields).wait;
+  reply.rate_limit = ParseRateLimit(response.fields, names.rate_limit);
   reply.fields = response.fields.ForwardedLines({});
   reply.body = std::move(response.body);
   return reply;
@@ -319,6 +320,7 @@
     directory_.MarkLeaving(leaf);
     host::LogStateChange("leaf_leaving", name, running.request_id);
   }
+  if (!reply.wrong_incarnation) ApplyRateLimit(running, reply.rate_limit);
   if (!reply.requested_pause) return;
   const base::TimePoint until = clock_.Now() + *reply.requested_pause;
   if (until <= leaf.paused_until()) return;
@@ -329,6 +331,25 @@
                            " ms, " + running.request_id);
 }
 
+void Gateway::ApplyRateLimit(const RunningCall& running,
+                             std::optional<double> rate) {
+  forward::LeafRecord& leaf = *running.callee;
+  if (rate == leaf.rate_limit()) return;
+  // A leaf may state a slightly different limit in each answer.
+  if (rate.has_value() != leaf.rate_limit().has_value()) {
+    const std::string name = leaf.entry().service + " " + leaf.entry().id;
+    if (rate) {
+      ++counters_.leaf_rate_limits;
+      host::LogStateChange(
+          "leaf_rate_limited", name,
+          std::to_string(*rate) + " per s, " + running.request_id);
+    } else {
+      host::LogStateChange("leaf_rate_limit_ended", name, running.request_id);
+    }
+  }
+  directory_.SetRateLimit(leaf, rate);
+}
+
 void Gateway::LogBackOff(const forward::LeafRecord& leaf, bool was_backed_off,
                          const std::string& request) const {
   if (was_backed_off || !leaf.IsBackedOff(clock_.Now())) return;
--- a/gateway/lib/http_message.cc
+++ b/gateway/lib/http_message.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <system_error>
 
 namespace berylreach::gateway {
@@ -27,6 +28,20 @@
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
 
+/// Parses a decimal number of at least zero. One with too many digits for the
+/// type is the largest number.
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed =
+      std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  if (parsed.ptr != end || text.starts_with('-')) return std::nullopt;
+  if (parsed.ec == std::errc::result_out_of_range)
+    return std::numeric_limits<double>::max();
+  if (parsed.ec != std::errc() || !std::isfinite(number)) return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
 void HttpFields::Add(std::string_view name, std::string_view value) {
@@ -87,26 +102,28 @@
 RetryAfter ParseRetryAfter(const HttpFields& fields) {
   RetryAfter result;
   for (const std::string_view value : fields.FindAll("retry-after")) {
-    double seconds = 0;
-    const char* end = value.data() + value.size();
-    const auto parsed =
-        std::from_chars(value.data(), end, seconds, std::chars_format::fixed);
-    // A number with too many digits for the type is still valid.
-    const bool too_large = parsed.ec == std::errc::result_out_of_range;
-    const bool number = (parsed.ec == std::errc() || too_large) &&
-                        parsed.ptr == end && !value.starts_with('-') &&
-                        std::isfinite(seconds);
-    if (!number) {
+    const auto seconds = ParseDecimal(value);
+    if (!seconds) {
       result.malformed = true;
       continue;
     }
     const std::chrono::duration<double> longest = kMaxRetryAfter;
     const std::chrono::duration<double> wait(
-        too_large ? longest.count() : std::min(seconds, longest.count()));
+        std::min(*seconds, longest.count()));
     result.wait = std::max(result.wait.value_or(std::chrono::milliseconds(0)),
                            std::chrono::ceil<std::chrono::milliseconds>(wait));
   }
   return result;
 }
 
+std::optional<double> ParseRateLimit(const HttpFields& fields,
+                                     std::string_view name) {
+  std::optional<double> limit;
+  for (const std::string_view value : fields.FindAll(name)) {
+    const auto rate = ParseDecimal(value);
+    if (rate) limit = std::min(*rate, limit.value_or(*rate));
+  }
+  return limit;
+}
+
 }  // namespace berylreach::gateway
--- a/gateway/unittests/http_message_test.cc
+++ b/gateway/unittests/http_message_test.cc
@@ -63,6 +63,22 @@
   }
 }
 
+// Guards against a limit that is lost, or taken as zero, because of a value
+// that is not a number.
+TEST(RateLimitTest, ReadsTheSmallestNumber) {
+  HttpFields fields;
+  EXPECT_EQ(ParseRateLimit(fields, "x-limit"), std::nullopt);
+  for (const char* text : {"", "-1", "many", "nan", "inf", "1/s"}) {
+    fields.Add("X-Limit", text);
+    EXPECT_EQ(ParseRateLimit(fields, "x-limit"), std::nullopt) << text;
+  }
+  fields.Add("X-Limit", "17.9");
+  fields.Add("X-Limit", "20");
+  EXPECT_EQ(ParseRateLimit(fields, "x-limit"), 17.9);
+  fields.Add("X-Limit", "0");
+  EXPECT_EQ(ParseRateLimit(fields, "x-limit"), 0.0);
+}
+
 TEST(FeedCodecTest, ChangeSetsRoundTrip) {
   const forward::ChangeSet set{
       .revision = 9,
