Keep all hosts together within the rate limit that a leaf states

Cause: nothing heeded the statement; a leaf was chosen by its latency alone, and a leaf in need answers as fast as others.

Change: forward::LeafRateLimit gives each host a share of each limit as a token bucket, and LeafSelector passes over a leaf whose bucket is empty, for first calls, hedges, retries and groups alike. Shares follow from what all hosts know, without messages: hosts of the leaf's region weigh four times those of others; for divided services the owners hold most. The buckets hold one second of the limit and 4 calls together; where that is less than a call a host, the first hosts by rendezvous weight hold one each, and the others make a trial call in a slot of their own, so that they notice the limit's end. When all leaves of a service are used up, a request is refused at once with the time of the next call, and a scattered one leaves the shard out at once.

Weighed: equal shares (half of a limit unused, since hosts call the leaves of their own region); shares by demand that hosts tell each other (messages for each leaf and second, and nothing to go by for a host that is cut off).

Bound: 4 s hold at most 5 limits and 4 calls, and half a limit of trials, of the 6 limits and 5 calls allowed.

--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -9,6 +9,7 @@
 #include "berylreach/forward/cold_call_limit.h"
 #include "berylreach/forward/configuration.h"
 #include "berylreach/forward/leaf_directory.h"
+#include "berylreach/forward/leaf_rate_limit.h"
 #include "berylreach/forward/service_shares.h"
 
 namespace berylreach::forward {
@@ -39,7 +40,8 @@
  public:
   /// The arguments must outlive the selector.
   LeafSelector(const base::Clock& clock, LeafDirectory& directory,
-               ColdCallLimit& cold, const ServiceShares& shares);
+               ColdCallLimit& cold, LeafRateLimit& rate,
+               const ServiceShares& shares);
 
   /// Returns the best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
@@ -47,16 +49,17 @@
   /// Records that a call to the leaf is sent at `now`.
   void OnSent(LeafRecord& leaf, base::TimePoint now) const;
 
-  /// Time until the first pause of a leaf of the service ends: zero if a leaf
-  /// is not paused, the longest duration if the service has no leaf.
+  /// Time until the first leaf of the service permits a call by its statements
+  /// (pauses and rate limits): zero if one does so soon, the longest duration
+  /// if the service has no leaf.
   base::Duration PauseLeft(const LeafQuery& query) const;
 
-  /// Whether the service has a leaf that is not paused, even if it may not be
-  /// called at this moment.
+  /// Whether a leaf of the service permits a call by its statements, now or
+  /// soon, even if it may not be called at this moment.
   bool HasUnpausedLeaf(const LeafQuery& query) const;
 
-  /// Whether the service has a leaf that is neither paused nor known to be
-  /// unresponsive.
+  /// Whether the service has a leaf as for HasUnpausedLeaf that is not known to
+  /// be unresponsive.
   bool HasResponsiveLeaf(const LeafQuery& query) const;
 
   /// Whether the service has at most `count` leaves, so that several hosts
@@ -74,12 +77,16 @@
   std::size_t ConnectionShare(const Service& service) const;
 
  private:
+  /// Time until the leaf permits a call by its statements; zero if soon.
+  base::Duration StatedPauseLeft(const LeafRecord& leaf,
+                                 base::TimePoint now) const;
   template <typename Condition>
   bool AnyLeaf(const LeafQuery& query, Condition condition) const;
 
   const base::Clock& clock_;
   LeafDirectory& directory_;
   ColdCallLimit& cold_;
+  LeafRateLimit& rate_;
   const ServiceShares& shares_;
 };
 
--- a/forward/include/berylreach/forward/service_shares.h
+++ b/forward/include/berylreach/forward/service_shares.h
@@ -63,6 +63,10 @@
   void ClearCallingHosts() { calling_hosts_.clear(); }
 
   std::size_t hosts() const { return hosts_; }
+  /// Whether the requests of `service` are divided among hosts.
+  bool IsDivided(const std::string& service) const {
+    return calling_hosts_.contains(service);
+  }
   /// Returns the fraction of a limit of `service` that this host may use, 0 to
   /// 1. `role_shares` applies to services whose requests are divided; the
   /// limits of other services are shared equally among all hosts.
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -14,6 +14,10 @@
 /// Maximum random increase of a leaf's expected latency, as a fraction.
 constexpr double kMaxJitter = 0.1;
 
+/// A request waits this long for a leaf whose rate limit permits no call yet,
+/// instead of being refused or answered without the leaf's shard.
+constexpr std::chrono::milliseconds kShortWait{30};
+
 /// Minimum number of connections of one host to a leaf. With fewer, most calls
 /// would need a new connection.
 constexpr std::size_t kMinUsefulConnections = 2;
@@ -52,8 +56,13 @@
 }
 
 LeafSelector::LeafSelector(const base::Clock& clock, LeafDirectory& directory,
-                           ColdCallLimit& cold, const ServiceShares& shares)
-    : clock_(clock), directory_(directory), cold_(cold), shares_(shares) {}
+                           ColdCallLimit& cold, LeafRateLimit& rate,
+                           const ServiceShares& shares)
+    : clock_(clock),
+      directory_(directory),
+      cold_(cold),
+      rate_(rate),
+      shares_(shares) {}
 
 std::shared_ptr<LeafRecord> LeafSelector::Choose(const LeafQuery& query) const {
   const base::TimePoint now = clock_.Now();
@@ -64,6 +73,7 @@
     if (!IsAllowedRegion(query, *leaf)) return;
     if (Contains(query.tried, leaf->entry().id)) return;
     if (leaf->running() >= connections || !leaf->AcceptsCall(now)) return;
+    if (rate_.MayCallAt(*leaf, now) > now) return;
     const bool unhealthy = leaf->IsBackedOff(now) || leaf->HasOverdueCall(now);
     if (unhealthy && !query.allow_unhealthy) return;
     if (leaf->IsCold(now) &&
@@ -82,32 +92,43 @@
 void LeafSelector::OnSent(LeafRecord& leaf, base::TimePoint now) const {
   leaf.OnCallSent(now);
   if (leaf.IsCold(now)) cold_.OnCall(leaf.entry().id);
+  if (leaf.rate_limit()) rate_.OnCall(leaf, now);
 }
 
 bool LeafSelector::HasUnpausedLeaf(const LeafQuery& query) const {
   const base::TimePoint now = clock_.Now();
-  return AnyLeaf(query,
-                 [now](const LeafRecord& leaf) { return !leaf.IsPaused(now); });
+  return AnyLeaf(query, [this, now](const LeafRecord& leaf) {
+    return StatedPauseLeft(leaf, now) == base::Duration::zero();
+  });
 }
 
 bool LeafSelector::HasResponsiveLeaf(const LeafQuery& query) const {
   const base::TimePoint now = clock_.Now();
-  return AnyLeaf(query, [now](const LeafRecord& leaf) {
-    return !leaf.IsPaused(now) && !leaf.IsUnresponsive(now);
+  return AnyLeaf(query, [this, now](const LeafRecord& leaf) {
+    return StatedPauseLeft(leaf, now) == base::Duration::zero() &&
+           !leaf.IsUnresponsive(now);
   });
 }
 
 base::Duration LeafSelector::PauseLeft(const LeafQuery& query) const {
   const base::TimePoint now = clock_.Now();
   auto left = base::Duration::max();
-  AnyLeaf(query, [&left, now](const LeafRecord& leaf) {
-    left = std::min(
-        left, std::max(base::Duration::zero(), leaf.paused_until() - now));
+  AnyLeaf(query, [this, &left, now](const LeafRecord& leaf) {
+    left = std::min(left, StatedPauseLeft(leaf, now));
     return false;
   });
   return left;
 }
 
+base::Duration LeafSelector::StatedPauseLeft(const LeafRecord& leaf,
+                                             base::TimePoint now) const {
+  const base::Duration paused =
+      std::max(base::Duration::zero(), leaf.paused_until() - now);
+  const base::Duration limited = rate_.MayCallAt(leaf, now) - now;
+  if (limited <= kShortWait) return paused;
+  return std::max(paused, limited);
+}
+
 template <typename Condition>
 bool LeafSelector::AnyLeaf(const LeafQuery& query, Condition condition) const {
   bool any = false;
--- a/forward/unittests/run_fixture.h
+++ b/forward/unittests/run_fixture.h
@@ -25,7 +25,8 @@
                             .region_of_zone = {{"a", "ra"}, {"b", "rb"}}}),
         cold_(clock_, {.overage = 1.5, .slack = 5}),
         shares_(clock_),
-        selector_(clock_, directory_, cold_, shares_),
+        rate_(shares_),
+        selector_(clock_, directory_, cold_, rate_, shares_),
         budget_(clock_, {.ratio = 0.2, .slack = 50}, shares_),
         context_{clock_,
                  selector_,
@@ -157,6 +158,7 @@
   LeafDirectory directory_;
   ColdCallLimit cold_;
   ServiceShares shares_;
+  LeafRateLimit rate_;
   LeafSelector selector_;
   ExtraCallBudget budget_;
   CallId calls_ = 0;
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -24,7 +24,8 @@
         directory_(clock_, location_),
         cold_(clock_, {}),
         shares_(clock_),
-        selector_(clock_, directory_, cold_, shares_),
+        rate_(shares_),
+        selector_(clock_, directory_, cold_, rate_, shares_),
         planner_(clock_, "c-1", location_, directory_, selector_, shares_) {
     clock_.Advance(std::chrono::hours(1));
     for (int i = 0; i < 4; ++i) {
@@ -83,6 +84,7 @@
   LeafDirectory directory_;
   ColdCallLimit cold_;
   ServiceShares shares_;
+  LeafRateLimit rate_;
   LeafSelector selector_;
   ShardPlanner planner_;
   Route route_;
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -236,6 +236,7 @@
   FeedServer feed_;
   forward::ColdCallLimit cold_call_limit_;
   forward::ServiceShares service_shares_;
+  forward::LeafRateLimit leaf_rate_limit_;
   forward::LeafSelector selector_;
   forward::ExtraCallBudget extra_call_budget_;
   limits::Admission admission_;
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -76,7 +76,9 @@
       feed_(clock),
       cold_call_limit_(clock, settings_.cold_calls),
       service_shares_(clock),
-      selector_(clock, directory_, cold_call_limit_, service_shares_),
+      leaf_rate_limit_(service_shares_),
+      selector_(clock, directory_, cold_call_limit_, leaf_rate_limit_,
+                service_shares_),
       extra_call_budget_(clock, settings_.extra_calls, service_shares_),
       admission_(clock, AdmissionFor(settings_.cores)),
       planner_(clock, settings_.host, settings_.location, directory_, selector_,
@@ -139,6 +141,7 @@
   std::vector<std::string> names;
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
   cold_call_limit_.SetHosts(settings_.host, std::move(names));
+  leaf_rate_limit_.SetHosts(settings_.host, settings_.location, hosts);
   host::LogStateChange("hosts", std::to_string(hosts.size()), "");
   planner_.SetHosts(std::move(hosts));
 }
@@ -257,6 +260,7 @@
   OnTimer();
   directory_.Tick();
   cold_call_limit_.Tick();
+  leaf_rate_limit_.Tick(clock_.Now());
   quarantine_.Tick();
   NotifyHosts();
   leaf_connections_.CheckTimeouts();
