Show that a response cut anywhere is never taken for complete

Other operators report a leaf that stopped in the middle of its answer's head and closed: clients got a 200 with an empty or short body, framed as whole.

It cannot happen here: ResponseCutAnywhereIsBroken cuts a response with a length, one in chunks and the head of one that ends with its connection at each byte; each time the exchange fails, and no answer is reported. A body without a length that ends with a proper close is complete by the protocol, and one that is reset is not (tested before).

--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -180,6 +180,28 @@
   EXPECT_EQ(*recorder_.failure, ExchangeFailure::kBroken);
 }
 
+// Guards against a response that is taken for complete although the server
+// stopped in the middle of its head or body and closed the connection.
+TEST_F(ClientConnectionTest, ResponseCutAnywhereIsBroken) {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Sig: abc\r\n";
+  const std::string with_length = head + "Content-Length: 4\r\n\r\nbody";
+  const std::string chunked =
+      head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  const std::string until_close = head + "\r\n";
+  for (const std::string& response : {with_length, chunked, until_close}) {
+    for (std::size_t size = 0; size < response.size(); ++size) {
+      recorder_ = {};
+      peer_.reset();
+      Open();
+      PeerSends(response.substr(0, size));
+      PeerCloses();
+      ASSERT_TRUE(Failed()) << response.substr(0, size);
+      EXPECT_EQ(*recorder_.failure, ExchangeFailure::kBroken);
+      EXPECT_FALSE(recorder_.response) << response.substr(0, size);
+    }
+  }
+}
+
 TEST_F(ClientConnectionTest, MalformedResponseIsBroken) {
   Open();
   PeerSends("garbage garbage garbage\r\n\r\n");
