End the acceptance of a planned stop within a short grace period

Other operators report that requests which came late in the grace of a planned stop were taken, passed on and cut without an answer.

With the grace of the known deployments (6 s) it cannot happen: new requests are refused as not run from 3 s on, and what still runs at 5.2 s gets its final answer. LateRequestsOfAPlannedStopGetAnswers shows it for non-idempotent requests every 0.4 s on open connections and for one that was half sent; it passed before.

With a grace of less than 3.4 s it could: requests were accepted for 3 s whatever the grace, and the process was still running when it was over. ShortGracePeriodEndsAcceptanceInTime failed before (3,001 ms of 2,000) and passes now: acceptance ends after half of the grace at the latest.

--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -222,6 +222,8 @@
   void DetectProcessPause();
   bool ViewMayBeStale() const;
   forward::CallerLimits Limits() const;
+  /// Time after a planned stop begins for which requests are still accepted.
+  std::chrono::milliseconds AcceptanceAfterStop() const;
   /// Advances the planned stop: stops accepting, closes idle connections, ends
   /// the last requests and reports the end of the stop.
   void ContinueStop();
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -32,7 +32,8 @@
 constexpr std::chrono::seconds kKeepWarmAfterUse{10};
 
 /// Time after a stop begins for which new connections are accepted: load
-/// balancers may need this long to notice that the host is not ready.
+/// balancers may need this long to notice that the host is not ready. At most
+/// half of the grace period, so that accepted requests can end.
 constexpr milliseconds kAcceptAfterStop{3000};
 /// How long before the end of the stop grace period the process exits, so that
 /// the platform does not kill it; and how long before that end the last
@@ -211,7 +212,7 @@
     RefuseAtOnce(connection, request, 404, "no route", milliseconds(0));
     return;
   }
-  if (stopping_ && clock_.Now() >= stop_started_ + kAcceptAfterStop) {
+  if (stopping_ && clock_.Now() >= stop_started_ + AcceptanceAfterStop()) {
     RefuseAtOnce(connection, request, 503, "stopping", milliseconds(50));
     return;
   }
@@ -309,9 +310,13 @@
                        std::to_string(requests_.size()) + " requests running");
 }
 
+milliseconds Gateway::AcceptanceAfterStop() const {
+  return std::min<milliseconds>(kAcceptAfterStop, settings_.stop_grace / 2);
+}
+
 void Gateway::ContinueStop() {
   const base::Duration elapsed = clock_.Now() - stop_started_;
-  if (elapsed < kAcceptAfterStop) return;
+  if (elapsed < AcceptanceAfterStop()) return;
   if (caller_listener_->is_open()) caller_listener_->Close();
   // A copy, since a connection that closes is removed from connections_.
   std::vector<std::shared_ptr<ServerConnection>> all;
--- a/gateway/unittests/gateway_fixture.h
+++ b/gateway/unittests/gateway_fixture.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,7 @@
                          .region = "r" + zone,
                          .region_of_zone = {{"a", "ra"}, {"b", "rb"}}};
     settings.cores = 1;
+    if (stop_grace_) settings.stop_grace = *stop_grace_;
     settings.record_bytes = 16;
     settings.names = {.request_id = "X-Id",
                       .caller_timeout = "X-Wait",
@@ -92,6 +94,7 @@
                       .signature = "X-Sig",
                       .not_run = "X-Not",
                       .leaving = "X-Leaving",
+                      .rate_limit = "X-Limit",
                       .part_signatures = "X-Sigs",
                       .missing_parts = "X-Missing"};
     hosts_.push_back({name, settings.peer_address, zone, 1});
@@ -134,6 +137,8 @@
                           std::to_string(calls) + "\n");
   }
 
+  /// Replaces the default grace period of hosts that are made.
+  std::optional<milliseconds> stop_grace_;
   OffsetClock clock_;
   asio::io_context io_;
   forward::Configuration configuration_;
--- a/gateway/unittests/gateway_test.cc
+++ b/gateway/unittests/gateway_test.cc
@@ -249,5 +249,77 @@
   EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
 }
 
+// Guards against requests that come late in a planned stop on an open
+// connection, are passed on to a leaf, and end without an answer when the
+// process exits.
+TEST_F(GatewayTest, LateRequestsOfAPlannedStopGetAnswers) {
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  leaves_["o"].response.clear();
+  const auto connect = [this] {
+    auto client = std::make_unique<RawClient>(io_, callers_["g"]);
+    // A first request shows that the connection is open and kept.
+    client->Send(Request("/s/1"));
+    EXPECT_TRUE(client->Expect(kLow));
+    return client;
+  };
+  std::vector<std::unique_ptr<RawClient>> clients(7);
+  for (auto& client : clients) client = connect();
+  const auto slow_sender = connect();
+  bool stopped = false;
+  gateway->Stop([&stopped] { stopped = true; });
+  const auto begin = std::chrono::steady_clock::now();
+  const auto wait_until = [&](milliseconds since_stop) {
+    RunUntil(io_, [&] {
+      return std::chrono::steady_clock::now() - begin >= since_stop;
+    });
+  };
+  constexpr milliseconds spacing{400};
+  for (std::size_t i = 0; i < clients.size(); ++i) {
+    wait_until(spacing * i);
+    clients[i]->Send(Request("/o/1"));
+  }
+  // This request is complete only after the host has stopped accepting.
+  const std::string request = Request("/o/1");
+  slow_sender->Send(request.substr(0, request.size() / 2));
+  wait_until(milliseconds(4000));
+  slow_sender->Send(request.substr(request.size() / 2));
+  EXPECT_TRUE(slow_sender->Expect("HTTP/1.1 503"));
+  // The leaf may have run the first one; later ones need not be passed on.
+  EXPECT_TRUE(clients.front()->Expect("HTTP/1.1 504"));
+  for (const auto& client : clients) {
+    EXPECT_TRUE(client->Expect("HTTP/1.1 50"));
+    EXPECT_TRUE(client->ExpectEnd());
+  }
+  EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
+}
+
+// Guards against a host that still accepts requests when its grace period,
+// which may be short, is over.
+TEST_F(GatewayTest, ShortGracePeriodEndsAcceptanceInTime) {
+  stop_grace_ = milliseconds(2000);
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  leaves_["o"].response.clear();
+  RawClient running(io_, callers_["g"]);
+  running.Send(Request("/o/1"));
+  RawClient late(io_, callers_["g"]);
+  const std::string request = Request("/o/1");
+  late.Send(request.substr(0, request.size() / 2));
+  ASSERT_TRUE(RunUntil(io_, [this] { return !leaves_["o"].requests.empty(); }));
+  bool stopped = false;
+  gateway->Stop([&stopped] { stopped = true; });
+  const auto begin = std::chrono::steady_clock::now();
+  RunUntil(io_, [&] {
+    return std::chrono::steady_clock::now() - begin >= milliseconds(1100);
+  });
+  late.Send(request.substr(request.size() / 2));
+  EXPECT_TRUE(late.Expect("HTTP/1.1 503"));
+  EXPECT_TRUE(running.Expect("HTTP/1.1 504"));
+  EXPECT_TRUE(RunUntil(io_, [&stopped] { return stopped; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, *stop_grace_);
+  EXPECT_EQ(leaves_["o"].requests.size(), 1U);
+}
+
 }  // namespace
 }  // namespace berylreach::gateway
