Reject leaf entries whose address cannot be connected to

Other operators report one odd entry among those of the leaves (very deeply nested, a number too large, a port out of range): machines that read the list ended again and again, or stopped following it.

Here none ended or stopped following: nesting is limited to 32 levels by the parser, numbers are clamped, and an entry that cannot be read names no leaf. But an entry whose port is out of range named a usable leaf, which got calls that failed at once.

--- /dev/null
+++ b/gateway/include/berylreach/gateway/endpoint_address.h
@@ -0,0 +1,11 @@
+// Check of the addresses at which leaves and hosts accept connections.
+#pragma once
+
+#include <string>
+
+namespace berylreach::gateway {
+
+/// Whether `address` is an "IP:port" to which a connection can be opened.
+bool IsEndpointAddress(const std::string& address);
+
+}  // namespace berylreach::gateway
