Let followers of a host that does not answer ask the store next

Change: after a feed read without an answer the next read is a short one of the store; after a refusal, which comes at once, it is still the other reader's feed. So a follower's view is at most 3.5 s old while the store answers.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -133,9 +133,10 @@
   /// Handles a read of the store that failed or was answered with another
   /// status than success. `status` is 0 if there was no response.
   void OnReadFailed(int status, Actions& actions);
-  /// Handle the result of a read of another host's feed.
+  /// Handle the result of a read of another host's feed. `answered` is whether
+  /// the host has answered at all.
   void OnFeedAnswer(ChangeSet changes, Actions& actions);
-  void OnFeedFailed();
+  void OnFeedFailed(bool answered);
   void OnWakeUp();
   /// Handle the result of a renewal of this host's lease, which shows whether
   /// the store answers at all. `sent` is the time at which it was sent.
@@ -194,6 +195,9 @@
   /// feed, each with the time until which it is not asked again.
   std::string feed_host_;
   std::map<std::string, base::TimePoint> failed_feeds_;
+  /// Whether the latest feed read had no answer. The next read is then one of
+  /// the store.
+  bool feed_silent_ = false;
   /// Whether a pause of this process must be followed by a read without wait.
   bool confirming_ = false;
   /// Whether the latest read was answered, by the store or by the host whose
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -70,9 +70,12 @@
     StartPage(true, actions);
     return;
   }
-  const auto feed = ChooseFeedHost(
-      self_, hosts,
-      [this](const std::string& host) { return FeedFailed(host); });
+  const auto feed =
+      std::exchange(feed_silent_, false)
+          ? std::nullopt
+          : ChooseFeedHost(self_, hosts, [this](const std::string& host) {
+              return FeedFailed(host);
+            });
   if (feed) {
     pending_ = Pending::kFeed;
     feed_host_ = feed->name;
@@ -194,8 +197,12 @@
   ConfirmIfAwaited(actions);
 }
 
-void StoreReader::OnFeedFailed() {
+void StoreReader::OnFeedFailed(bool answered) {
   pending_ = Pending::kNone;
+  store_answered_last_ = false;
+  // Waiting for another host that may not answer either would let the view of
+  // this host become too old.
+  feed_silent_ = !answered;
   failed_feeds_[feed_host_] =
       clock_.Now() +
       (revision_ == 0 ? kFailedFeedPauseAtStartup : kFailedFeedPause);
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -113,6 +113,28 @@
   }
 }
 
+// Guards against a follower that waits for two frozen readers in turn, and
+// sends requests to an evacuated zone meanwhile (review, case 5).
+TEST(StoreReaderTest, FollowersOfFrozenReadersLearnFromTheStore) {
+  constexpr milliseconds freeze{3500};
+  constexpr milliseconds step{300};
+  constexpr milliseconds max_age{3500};
+  for (milliseconds second{0}; second < freeze; second += step) {
+    for (milliseconds change{0}; change < seconds(3); change += step) {
+      StoreSimulation simulation(8, kMaxStaleness);
+      simulation.hosts[0]->Freeze(freeze);
+      simulation.time.After(second,
+                            [&] { simulation.hosts[1]->Freeze(freeze); });
+      simulation.time.After(change,
+                            [&] { simulation.store.Put("leaf3", "1"); });
+      simulation.time.RunFor(change + max_age);
+      for (std::size_t follower = 2; follower < 8; ++follower)
+        ASSERT_TRUE(simulation.hosts[follower]->is_current())
+            << second.count() << " " << change.count() << " " << follower;
+    }
+  }
+}
+
 // Guards against short timeouts that end each read of a store that is slow for
 // a long time.
 TEST(StoreReaderTest, SlowStoreIsStillRead) {
--- a/forward/unittests/store_simulation.h
+++ b/forward/unittests/store_simulation.h
@@ -334,14 +334,15 @@
 
   void Run(const ReadFeed& read) {
     const std::uint64_t id = ++read_;
-    const auto end = [this, id](const std::optional<ChangeSet>& changes) {
+    const auto end = [this, id](const std::optional<ChangeSet>& changes,
+                                bool answered = true) {
       if (id != read_) return;
       ++read_;
       Step([&](StoreReader::Actions& actions) {
         if (changes) {
           reader_.OnFeedAnswer(*changes, actions);
         } else {
-          reader_.OnFeedFailed();
+          reader_.OnFeedFailed(answered);
         }
       });
     };
@@ -353,7 +354,8 @@
         });
       });
     }
-    After(kFeedTimeout + kTimeoutCheckInterval, [end] { end(std::nullopt); });
+    After(kFeedTimeout + kTimeoutCheckInterval,
+          [end] { end(std::nullopt, false); });
   }
 
   void OnPoll(const ReadFeed& read,
