--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -17,7 +17,7 @@
 if command -v ccache >/dev/null; then compiler=(ccache clang++); fi
 
 for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,suspect}_codec.cc \
-  gateway/lib/{request_fingerprint,http_message}.cc \
+  gateway/lib/{endpoint_address,request_fingerprint,http_message}.cc \
   platform/lib/{codec,platform_settings,store_page}.cc forward/lib/{leaf_directory,leaf_record}.cc; do
   object="$out/$(echo "$source" | tr / -).o"
   echo "$source $object"
