--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -172,7 +172,9 @@
   /// Handles the failure of `read`, which must have been ended.
   void RetryLater(const std::string& read, int status, Actions& actions);
   void MarkStoreLost(const std::string& read, int status, Actions& actions);
-  void MarkStoreAnswered(const std::string& read, Actions& actions);
+  void OnStoreAnswered(Actions& actions);
+  /// Handles an answer to the pending read, of the store or of another host.
+  void MarkAvailable(Actions& actions);
   void ConfirmIfAwaited(Actions& actions);
   void Wait(std::chrono::milliseconds delay, Actions& actions);
   bool FeedFailed(const std::string& host) const;
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -111,9 +111,7 @@
 }
 
 void StoreReader::OnPage(StorePage page, Actions& actions) {
-  MarkStoreAnswered(NameOfPendingRead(), actions);
-  store_answered_last_ = true;
-  store_answered_at_ = clock_.Now();
+  OnStoreAnswered(actions);
   if (std::exchange(pending_, Pending::kNone) == Pending::kHosts) {
     OnHostsPage(std::move(page), actions);
   } else {
@@ -151,9 +149,7 @@
 }
 
 void StoreReader::OnChanges(StorePage page, Actions& actions) {
-  MarkStoreAnswered(NameOfPendingRead(), actions);
-  store_answered_last_ = true;
-  store_answered_at_ = clock_.Now();
+  OnStoreAnswered(actions);
   std::erase_if(failed_feeds_, [this](const auto& feed) {
     return feed.second <= clock_.Now();
   });
@@ -179,7 +175,7 @@
 
 void StoreReader::OnFeedAnswer(ChangeSet changes, Actions& actions) {
   failed_feeds_.erase(feed_host_);
-  MarkStoreAnswered(NameOfPendingRead(), actions);
+  MarkAvailable(actions);
   pending_ = Pending::kNone;
   // The other host's view is complete, so no listing is needed any more.
   if (revision_ != 0 || changes.is_full_listing) listing_.reset();
@@ -199,7 +195,6 @@
 
 void StoreReader::OnFeedFailed(bool answered) {
   pending_ = Pending::kNone;
-  store_answered_last_ = false;
   // Waiting for another host that may not answer either would let the view of
   // this host become too old.
   feed_silent_ = !answered;
@@ -249,11 +244,17 @@
     actions.push_back(ReportStoreLost{read, status});
 }
 
-void StoreReader::MarkStoreAnswered(const std::string& read, Actions& actions) {
+void StoreReader::OnStoreAnswered(Actions& actions) {
+  store_answered_last_ = true;
+  store_answered_at_ = clock_.Now();
+  MarkAvailable(actions);
+}
+
+void StoreReader::MarkAvailable(Actions& actions) {
   failures_ = 0;
   short_timeout_ = kShortTimeout;
   if (!std::exchange(store_available_, true))
-    actions.push_back(ReportStoreRegained{read, Waited()});
+    actions.push_back(ReportStoreRegained{NameOfPendingRead(), Waited()});
 }
 
 void StoreReader::ConfirmIfAwaited(Actions& actions) {
