--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -43,6 +43,8 @@
   /// Sets the hosts that share budgets and leaf connections, including this
   /// one.
   void SetHosts(std::vector<forward::HostEntry> hosts);
+  /// Number of hosts that share them.
+  std::size_t HostCount() const { return service_shares_.hosts(); }
   forward::LeafDirectory& directory() { return directory_; }
   /// The change feed that this host serves to the hosts that follow it.
   FeedServer& feed() { return feed_; }
