Split the simulation of the store by class and give it zones

The test's simulation stood in one file of 517 lines and had one zone, hosts that ran from the start, and one condition of the store for all hosts. Now the clock, the store, a host and the deployment have a file each; hosts register when they start and can be killed, and the store can fail for single hosts. The tests that use it are unchanged but for the number of hosts by zone, and pass as before.

--- /dev/null
+++ b/forward/unittests/simulated_host.h
@@ -0,0 +1,329 @@
+// A host that follows the records of the store, in virtual time.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "berylreach/forward/change_log.h"
+#include "berylreach/forward/store_reader.h"
+#include "simulated_store.h"
+#include "virtual_time.h"
+
+namespace berylreach::forward {
+
+/// A host that executes the actions of its reader.
+class SimulatedHost {
+ public:
+  using Find = std::function<SimulatedHost*(const std::string& name)>;
+
+  /// `find` returns a host by its name.
+  SimulatedHost(VirtualTime& time, SimulatedStore& store, HostEntry entry,
+                milliseconds max_staleness, Find find)
+      : time_(time),
+        store_(store),
+        entry_(std::move(entry)),
+        max_staleness_(max_staleness),
+        find_(std::move(find)) {
+    reader_.emplace(time_.clock(), entry_, max_staleness_);
+  }
+
+  /// Starts the process, which registers and knows nothing yet.
+  void Start() {
+    running_ = true;
+    store_.Put(RecordKey(), RecordOf(entry_));
+    Step([](StoreReader::Actions&) {});
+    Renew();
+  }
+  /// Ends the process. Its record stays until its lease would have expired.
+  void Kill() {
+    running_ = false;
+    ++read_;
+    ++renewal_;
+    polls_.clear();
+    fresh_ = false;
+    view_.clear();
+    log_ = ChangeLog();
+    reader_.emplace(time_.clock(), entry_, max_staleness_);
+  }
+  /// Stops the process for `duration`. What arrives meanwhile is handled
+  /// afterwards.
+  void Freeze(base::Duration duration) {
+    frozen_until_ = time_.Now() + duration;
+    time_.After(duration, [this] {
+      if (!running_) return;
+      Step([this](StoreReader::Actions& actions) {
+        reader_->OnProcessPaused(actions);
+      });
+    });
+  }
+
+  const HostEntry& entry() const { return entry_; }
+  bool running() const { return running_; }
+  bool frozen() const { return time_.Now() < frozen_until_; }
+  bool is_current() const { return view_ == store_.items(); }
+  /// Store revision up to which this host knows all changes; 0 if it has no
+  /// view yet.
+  std::uint64_t revision() const { return reader_->revision(); }
+  std::string RecordKey() const {
+    return SimulatedStore::kHostPrefix + entry_.name;
+  }
+  /// Number of times that the reader has reported the loss of the store.
+  int reported_losses() const { return reported_losses_; }
+
+ private:
+  static constexpr milliseconds kOneWay{20};
+  static constexpr milliseconds kTimeoutCheckInterval{200};
+  static constexpr milliseconds kRenewInterval{3000};
+  static constexpr milliseconds kRenewIntervalOfReaders{1000};
+  static constexpr milliseconds kRenewTimeout{1500};
+  static constexpr milliseconds kRepeatedRenewTimeout{2500};
+  static constexpr milliseconds kFeedTimeout{3000};
+  static constexpr milliseconds kMaxPollTime{2000};
+
+  struct Poll {
+    std::uint64_t revision = 0;
+    std::function<void(std::optional<ChangeSet>)> reply;
+  };
+
+  /// Runs `run` after `delay`, or once the host is not frozen any more.
+  void After(base::Duration delay, std::function<void()> run) {
+    time_.After(delay, [this, run = std::move(run)]() mutable {
+      if (frozen()) {
+        After(frozen_until_ - time_.Now(), std::move(run));
+      } else {
+        run();
+      }
+    });
+  }
+
+  template <typename Event>
+  void Step(Event event) {
+    StoreReader::Actions actions;
+    event(actions);
+    Run(actions);
+    actions.clear();
+    std::vector<HostEntry> hosts;
+    for (const auto& [key, value] : view_)
+      if (key.starts_with(SimulatedStore::kHostPrefix))
+        hosts.push_back(HostFromRecord(key, value));
+    reader_->StartNextRead(hosts, actions);
+    Run(actions);
+  }
+
+  static std::string RecordOf(const HostEntry& host) {
+    return host.zone + " " + std::to_string(host.cores);
+  }
+
+  static HostEntry HostFromRecord(const std::string& key,
+                                  const std::string& value) {
+    const std::string name =
+        key.substr(std::string(SimulatedStore::kHostPrefix).size());
+    const std::size_t space = value.find(' ');
+    return {.name = name,
+            .address = name,
+            .zone = value.substr(0, space),
+            .cores = std::stod(value.substr(space + 1))};
+  }
+
+  void Run(const StoreReader::Actions& actions) {
+    for (const StoreReadAction& action : actions)
+      std::visit([this](const auto& typed) { Run(typed); }, action);
+  }
+
+  /// Sends a call to the store; `handle` gets the answer unless the read has
+  /// been ended meanwhile.
+  void ReadStore(
+      milliseconds timeout,
+      const std::function<void(SimulatedStore::Reply)>& send,
+      std::function<void(StoreAnswer, StoreReader::Actions&)> handle) {
+    const std::uint64_t read = ++read_;
+    const auto end = [this, read, handle](const StoreAnswer& answer) {
+      if (read != read_) return;
+      ++read_;
+      Step([&](StoreReader::Actions& actions) { handle(answer, actions); });
+    };
+    time_.After(kOneWay, [this, send, end] {
+      send([this, end](const StoreAnswer& answer) {
+        After(kOneWay, [end, answer] { end(answer); });
+      });
+    });
+    After(timeout + kTimeoutCheckInterval, [end] { end({0, {}}); });
+  }
+
+  void Run(const ReadPage& read) {
+    ReadStore(
+        read.timeout,
+        [this, read](SimulatedStore::Reply reply) {
+          store_.Page(entry_.name,
+                      read.hosts_only ? SimulatedStore::kHostPrefix : "",
+                      read.after, std::move(reply));
+        },
+        [this](StoreAnswer answer, StoreReader::Actions& actions) {
+          if (answer.status == 200) {
+            reader_->OnPage(std::move(answer.page), actions);
+          } else {
+            reader_->OnReadFailed(answer.status, actions);
+          }
+        });
+  }
+
+  void Run(const ReadChanges& read) {
+    ReadStore(
+        read.timeout,
+        [this, read](SimulatedStore::Reply reply) {
+          store_.Changes(entry_.name, read.revision, read.wait,
+                         std::move(reply));
+        },
+        [this](StoreAnswer answer, StoreReader::Actions& actions) {
+          if (answer.status == 200) {
+            reader_->OnChanges(std::move(answer.page), actions);
+          } else if (answer.status == 410) {
+            reader_->OnHistoryGone();
+          } else {
+            reader_->OnReadFailed(answer.status, actions);
+          }
+        });
+  }
+
+  void Run(const ReadFeed& read) {
+    const std::uint64_t id = ++read_;
+    const auto end = [this, id](const std::optional<ChangeSet>& changes,
+                                bool answered = true) {
+      if (id != read_) return;
+      ++read_;
+      Step([&](StoreReader::Actions& actions) {
+        if (changes) {
+          reader_->OnFeedAnswer(*changes, actions);
+        } else {
+          reader_->OnFeedFailed(answered);
+        }
+      });
+    };
+    SimulatedHost* host = find_(read.host.name);
+    if (host != nullptr && !host->running()) {
+      // The connection is refused.
+      After(2 * kOneWay, [end] { end(std::nullopt, false); });
+    } else if (host != nullptr) {
+      host->After(kOneWay, [this, host, read, end] {
+        host->OnPoll(read, [this, end](const std::optional<ChangeSet>& set) {
+          After(kOneWay, [end, set] { end(set); });
+        });
+      });
+    }
+    After(kFeedTimeout + kTimeoutCheckInterval,
+          [end] { end(std::nullopt, false); });
+  }
+
+  void OnPoll(const ReadFeed& read,
+              std::function<void(std::optional<ChangeSet>)> reply) {
+    if (!running_) return;
+    if (!fresh_) {
+      reply(std::nullopt);
+    } else if (const auto set = log_.Since(read.revision)) {
+      reply(set);
+    } else if (!read.wait) {
+      reply(ChangeSet{.revision = read.revision});
+    } else {
+      const std::uint64_t id = next_poll_++;
+      polls_[id] = {read.revision, std::move(reply)};
+      After(kMaxPollTime, [this, id] {
+        const auto poll = polls_.extract(id);
+        if (poll)
+          poll.mapped().reply(ChangeSet{.revision = poll.mapped().revision});
+      });
+    }
+  }
+
+  void Run(const CancelRead&) { ++read_; }
+  void Run(const WakeUpAfter& wake_up) {
+    const std::uint64_t read = ++read_;
+    After(wake_up.delay, [this, read] {
+      if (read != read_) return;
+      Step([this](StoreReader::Actions&) { reader_->OnWakeUp(); });
+    });
+  }
+  void Run(const ReplaceRecords& listing) {
+    view_ = listing.records;
+    log_.Reset(listing.records, listing.revision);
+  }
+  void Run(const ApplyRecordChanges& changes) {
+    for (const RecordChange& change : changes.changes) {
+      if (change.value) {
+        view_[change.key] = *change.value;
+      } else {
+        view_.erase(change.key);
+      }
+    }
+    if (changes.revision) log_.Append(changes.changes, *changes.revision);
+  }
+  void Run(const SetFeedFresh& freshness) {
+    fresh_ = freshness.fresh;
+    for (auto& [id, poll] : std::exchange(polls_, {})) {
+      if (!fresh_) {
+        poll.reply(std::nullopt);
+      } else if (const auto set = log_.Since(poll.revision)) {
+        poll.reply(set);
+      } else {
+        polls_[id] = std::move(poll);
+      }
+    }
+  }
+  void Run(const LogFailedRead&) {}
+  void Run(const ReportStoreLost&) { ++reported_losses_; }
+  void Run(const ReportStoreRegained&) {}
+  void Run(const ConfirmView&) {}
+
+  void Renew() {
+    const std::uint64_t renewal = ++renewal_;
+    const base::TimePoint sent = time_.Now();
+    const auto end = [this, renewal, sent](bool answered) {
+      if (renewal != renewal_) return;
+      ++renewal_;
+      renewal_answered_ = answered;
+      Step([this, answered, sent](StoreReader::Actions& actions) {
+        if (answered) {
+          reader_->OnRenewalAnswered();
+        } else {
+          reader_->OnRenewalUnanswered(sent, actions);
+        }
+      });
+      After(reader_->reads_store() ? kRenewIntervalOfReaders : kRenewInterval,
+            [this] { Renew(); });
+    };
+    time_.After(kOneWay, [this, end] {
+      store_.Renew(entry_.name, [this, end](const StoreAnswer& answer) {
+        After(kOneWay, [end, answer] { end(answer.status != 0); });
+      });
+    });
+    After((renewal_answered_ ? kRenewTimeout : kRepeatedRenewTimeout) +
+              kTimeoutCheckInterval,
+          [end] { end(false); });
+  }
+
+  VirtualTime& time_;
+  SimulatedStore& store_;
+  HostEntry entry_;
+  milliseconds max_staleness_;
+  Find find_;
+  std::optional<StoreReader> reader_;
+  std::map<std::string, std::string> view_;
+  ChangeLog log_;
+  bool fresh_ = false;
+  std::map<std::uint64_t, Poll> polls_;
+  std::uint64_t next_poll_ = 0;
+  std::uint64_t read_ = 0;
+  std::uint64_t renewal_ = 0;
+  bool renewal_answered_ = true;
+  base::TimePoint frozen_until_{};
+  bool running_ = false;
+  int reported_losses_ = 0;
+};
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/unittests/simulated_store.h
@@ -0,0 +1,214 @@
+// The metadata store in virtual time, with its outages.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "berylreach/forward/store_reader.h"
+#include "virtual_time.h"
+
+namespace berylreach::forward {
+
+enum class StoreCondition {
+  kServing,
+  /// Calls get no answer, and waiting watches are forgotten.
+  kSilent,
+  /// Calls get 503, and waiting watches are cut.
+  kBusy,
+  /// Connections are reset.
+  kReset
+};
+
+/// Status of a call and its page; status 0 stands for a reset connection.
+struct StoreAnswer {
+  int status = 0;
+  StorePage page;
+};
+
+/// Calls are counted, and name the host that makes them.
+class SimulatedStore {
+ public:
+  using Reply = std::function<void(StoreAnswer)>;
+
+  /// Keys of leaf and host records begin with these prefixes.
+  static constexpr char kHostPrefix[] = "hosts/";
+
+  explicit SimulatedStore(VirtualTime& time) : time_(time) {}
+
+  void Put(const std::string& key, const std::string& value) {
+    items_[key] = value;
+    Record({key, value});
+  }
+  void Delete(const std::string& key) {
+    if (items_.erase(key) > 0) Record({key, std::nullopt});
+  }
+  /// Discards the history and cuts the waiting watches.
+  void Compact() {
+    history_.clear();
+    oldest_revision_ = revision_;
+    CutWatches(0);
+  }
+  void SetCondition(StoreCondition condition) {
+    condition_ = condition;
+    condition_for_.clear();
+    DropWatches(condition, [](const Watch&) { return true; });
+  }
+  /// Sets the condition for the calls of one host, until the next call of
+  /// SetCondition.
+  void SetConditionFor(const std::string& host, StoreCondition condition) {
+    condition_for_[host] = condition;
+    DropWatches(condition,
+                [&host](const Watch& watch) { return watch.host == host; });
+  }
+  /// Forgets the waiting watches without an answer, as if their connections
+  /// had been lost on the way.
+  void ForgetWatches() { watches_.clear(); }
+  /// Sets the time from the arrival of a call until its answer arrives.
+  void SetAnswerTime(milliseconds time) { answer_time_ = time; }
+
+  const std::map<std::string, std::string>& items() const { return items_; }
+  std::uint64_t revision() const { return revision_; }
+  /// When the first change after `revision` was made; nothing if there is none.
+  std::optional<base::TimePoint> ChangedAfter(std::uint64_t revision) const {
+    const auto found = changed_at_.upper_bound(revision);
+    return found == changed_at_.end() ? std::nullopt
+                                      : std::optional(found->second);
+  }
+  std::size_t calls() const { return calls_; }
+  std::size_t renewals() const { return renewals_; }
+  /// Number of pages sent.
+  std::size_t pages() const { return pages_; }
+
+  void Page(const std::string& host, const std::string& prefix,
+            const std::string& after, Reply reply) {
+    if (!Arrive(host, reply)) return;
+    ++pages_;
+    StoreAnswer answer{200, {.revision = revision_}};
+    for (const auto& [key, value] : items_) {
+      if (!key.starts_with(prefix) || key <= after) continue;
+      if (answer.page.changes.size() == kPageSize) {
+        answer.page.truncated = true;
+        break;
+      }
+      answer.page.changes.push_back({key, value});
+    }
+    Answer(host, reply, std::move(answer));
+  }
+
+  void Changes(const std::string& host, std::uint64_t revision,
+               milliseconds wait, Reply reply) {
+    if (!Arrive(host, reply)) return;
+    if (revision < oldest_revision_) {
+      Answer(host, reply, {410, {}});
+    } else if (revision < revision_) {
+      Answer(host, reply, ChangesSince(revision));
+    } else {
+      const std::uint64_t id = next_watch_++;
+      watches_[id] = {host, revision, std::move(reply)};
+      time_.After(wait, [this, id] { AnswerWatch(id); });
+    }
+  }
+
+  void Renew(const std::string& host, Reply reply) {
+    ++renewals_;
+    if (Arrive(host, reply)) Answer(host, reply, {200, {}});
+  }
+
+ private:
+  static constexpr std::size_t kPageSize = 4;
+
+  struct Watch {
+    std::string host;
+    std::uint64_t revision = 0;
+    Reply reply;
+  };
+
+  void Record(RecordChange change) {
+    history_.emplace_back(++revision_, std::move(change));
+    changed_at_[revision_] = time_.Now();
+    for (const std::uint64_t id : WatchIds()) AnswerWatch(id);
+  }
+
+  std::vector<std::uint64_t> WatchIds() const {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, watch] : watches_) ids.push_back(id);
+    return ids;
+  }
+
+  void AnswerWatch(std::uint64_t id) {
+    const auto watch = watches_.extract(id);
+    if (!watch) return;
+    Answer(watch.mapped().host, watch.mapped().reply,
+           ChangesSince(watch.mapped().revision));
+  }
+
+  StoreAnswer ChangesSince(std::uint64_t revision) const {
+    StoreAnswer answer{200, {.revision = revision_}};
+    for (const auto& [at, change] : history_)
+      if (at > revision) answer.page.changes.push_back(change);
+    return answer;
+  }
+
+  /// Ends the watches for which `selects` returns true in the way of
+  /// `condition`.
+  template <typename Selects>
+  void DropWatches(StoreCondition condition, Selects selects) {
+    if (condition == StoreCondition::kServing) return;
+    for (const std::uint64_t id : WatchIds()) {
+      if (!selects(watches_.at(id))) continue;
+      const auto watch = watches_.extract(id);
+      if (condition != StoreCondition::kSilent)
+        watch.mapped().reply(
+            {condition == StoreCondition::kBusy ? 503 : 0, {}});
+    }
+  }
+
+  void CutWatches(int status) {
+    for (const auto& [id, watch] : std::exchange(watches_, {}))
+      watch.reply({status, {}});
+  }
+
+  StoreCondition ConditionFor(const std::string& host) const {
+    const auto found = condition_for_.find(host);
+    return found == condition_for_.end() ? condition_ : found->second;
+  }
+
+  /// Counts a call. Returns whether the store takes it.
+  bool Arrive(const std::string& host, const Reply& reply) {
+    ++calls_;
+    const StoreCondition condition = ConditionFor(host);
+    if (condition == StoreCondition::kBusy) reply({503, {}});
+    if (condition == StoreCondition::kReset) reply({0, {}});
+    return condition == StoreCondition::kServing;
+  }
+
+  /// Sends the answer; it is lost if the store is silent by then.
+  void Answer(const std::string& host, const Reply& reply, StoreAnswer answer) {
+    time_.After(answer_time_, [this, host, reply, answer = std::move(answer)] {
+      if (ConditionFor(host) != StoreCondition::kSilent) reply(answer);
+    });
+  }
+
+  VirtualTime& time_;
+  std::map<std::string, std::string> items_;
+  std::vector<std::pair<std::uint64_t, RecordChange>> history_;
+  std::map<std::uint64_t, base::TimePoint> changed_at_;
+  std::map<std::uint64_t, Watch> watches_;
+  std::uint64_t next_watch_ = 0;
+  std::uint64_t revision_ = 1;
+  std::uint64_t oldest_revision_ = 0;
+  StoreCondition condition_ = StoreCondition::kServing;
+  std::map<std::string, StoreCondition> condition_for_;
+  milliseconds answer_time_{4};
+  std::size_t calls_ = 0;
+  std::size_t renewals_ = 0;
+  std::size_t pages_ = 0;
+};
+
+}  // namespace berylreach::forward
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -24,7 +24,7 @@
 std::optional<milliseconds> RecoveryTime(int hosts, StoreCondition condition,
                                          milliseconds start,
                                          milliseconds length) {
-  StoreSimulation simulation(hosts, kMaxStaleness);
+  StoreSimulation simulation({hosts}, kMaxStaleness);
   simulation.time.RunFor(start);
   simulation.store.SetCondition(condition);
   simulation.time.RunFor(length);
@@ -83,7 +83,7 @@
   constexpr milliseconds listing_time{400};
   constexpr milliseconds step{5};
   for (milliseconds until{0}; until < listing_time; until += step) {
-    StoreSimulation simulation(8, kMaxStaleness);
+    StoreSimulation simulation({8}, kMaxStaleness);
     simulation.store.SetCondition(StoreCondition::kSilent);
     simulation.time.RunFor(seconds(5));
     simulation.store.Put("leaf3", "1");
@@ -104,7 +104,7 @@
 TEST(StoreReaderTest, RenewalLostInAnOutageIsNoSecondOutage) {
   for (const milliseconds length :
        {milliseconds(4500), milliseconds(5000), milliseconds(5500)}) {
-    StoreSimulation simulation(1, kMaxStaleness);
+    StoreSimulation simulation({1}, kMaxStaleness);
     simulation.store.SetCondition(StoreCondition::kSilent);
     simulation.time.RunFor(length);
     simulation.store.SetCondition(StoreCondition::kServing);
@@ -121,7 +121,7 @@
   constexpr milliseconds max_age{3500};
   for (milliseconds second{0}; second < freeze; second += step) {
     for (milliseconds change{0}; change < seconds(3); change += step) {
-      StoreSimulation simulation(8, kMaxStaleness);
+      StoreSimulation simulation({8}, kMaxStaleness);
       simulation.hosts[0]->Freeze(freeze);
       simulation.time.After(second,
                             [&] { simulation.hosts[1]->Freeze(freeze); });
@@ -140,7 +140,7 @@
 TEST(StoreReaderTest, SlowStoreIsStillRead) {
   for (const milliseconds answer_time :
        {milliseconds(300), milliseconds(1200), milliseconds(2000)}) {
-    StoreSimulation simulation(6, kMaxStaleness);
+    StoreSimulation simulation({6}, kMaxStaleness);
     simulation.store.SetAnswerTime(answer_time);
     simulation.time.RunFor(seconds(20));
     simulation.store.Put("leaf3", "1");
@@ -237,7 +237,7 @@
   // A host that froze last is away for 4 s itself.
   constexpr milliseconds longest_freeze{4000};
   for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
-    StoreSimulation simulation(GetParam(), kMaxStaleness);
+    StoreSimulation simulation({GetParam()}, kMaxStaleness);
     RandomDisturbances(simulation, seed).Run(25);
     const auto time = simulation.TimeUntilCurrent(3 * kMaxStaleness);
     ASSERT_TRUE(time) << "seed " << seed;
