--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -41,13 +41,14 @@
     Step([](StoreReader::Actions&) {});
     Renew();
   }
-  /// Ends the process. Its record stays until its lease would have expired.
+  /// Ends the process, whose connections are closed. Its record stays.
   void Kill() {
     running_ = false;
     ++read_;
     ++renewal_;
-    polls_.clear();
     fresh_ = false;
+    for (const auto& [id, poll] : std::exchange(polls_, {}))
+      poll.reply(std::nullopt);
     view_.clear();
     log_ = ChangeLog();
     reader_.emplace(time_.clock(), entry_, max_staleness_);
--- a/forward/unittests/simulated_store.h
+++ b/forward/unittests/simulated_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,11 +67,30 @@
     DropWatches(condition,
                 [&host](const Watch& watch) { return watch.host == host; });
   }
+  /// Cuts a host off from the store, or connects it again. Its calls and
+  /// their answers are lost meanwhile; its watches go on waiting.
+  void SetCutOff(const std::string& host, bool cut_off) {
+    if (cut_off) {
+      cut_off_.insert(host);
+    } else {
+      cut_off_.erase(host);
+    }
+  }
+  bool IsCutOff(const std::string& host) const {
+    return cut_off_.contains(host);
+  }
+  void ConnectAll() { cut_off_.clear(); }
+  /// Whether the store fails for some hosts or is slow.
+  bool IsDisturbed() const {
+    return condition_ != StoreCondition::kServing || !condition_for_.empty() ||
+           answer_time_ != kUsualAnswerTime;
+  }
   /// Forgets the waiting watches without an answer, as if their connections
   /// had been lost on the way.
   void ForgetWatches() { watches_.clear(); }
   /// Sets the time from the arrival of a call until its answer arrives.
   void SetAnswerTime(milliseconds time) { answer_time_ = time; }
+  void ResetAnswerTime() { answer_time_ = kUsualAnswerTime; }
 
   const std::map<std::string, std::string>& items() const { return items_; }
   std::uint64_t revision() const { return revision_; }
@@ -80,6 +100,7 @@
     return found == changed_at_.end() ? std::nullopt
                                       : std::optional(found->second);
   }
+  /// Number of calls, renewals included.
   std::size_t calls() const { return calls_; }
   std::size_t renewals() const { return renewals_; }
   /// Number of pages sent.
@@ -116,12 +137,14 @@
   }
 
   void Renew(const std::string& host, Reply reply) {
+    if (!Arrive(host, reply)) return;
     ++renewals_;
-    if (Arrive(host, reply)) Answer(host, reply, {200, {}});
+    Answer(host, reply, {200, {}});
   }
 
  private:
   static constexpr std::size_t kPageSize = 4;
+  static constexpr milliseconds kUsualAnswerTime{4};
 
   struct Watch {
     std::string host;
@@ -181,6 +204,7 @@
 
   /// Counts a call. Returns whether the store takes it.
   bool Arrive(const std::string& host, const Reply& reply) {
+    if (IsCutOff(host)) return false;
     ++calls_;
     const StoreCondition condition = ConditionFor(host);
     if (condition == StoreCondition::kBusy) reply({503, {}});
@@ -191,7 +215,8 @@
   /// Sends the answer; it is lost if the store is silent by then.
   void Answer(const std::string& host, const Reply& reply, StoreAnswer answer) {
     time_.After(answer_time_, [this, host, reply, answer = std::move(answer)] {
-      if (ConditionFor(host) != StoreCondition::kSilent) reply(answer);
+      if (ConditionFor(host) != StoreCondition::kSilent && !IsCutOff(host))
+        reply(answer);
     });
   }
 
@@ -205,7 +230,8 @@
   std::uint64_t oldest_revision_ = 0;
   StoreCondition condition_ = StoreCondition::kServing;
   std::map<std::string, StoreCondition> condition_for_;
-  milliseconds answer_time_{4};
+  std::set<std::string> cut_off_;
+  milliseconds answer_time_ = kUsualAnswerTime;
   std::size_t calls_ = 0;
   std::size_t renewals_ = 0;
   std::size_t pages_ = 0;
