Let followers ask the store after any failed feed

A follower could miss an evacuation for 5.87 s, where 5 s are allowed, while the store answered it: one host that reads the store for it was cut off from the store, which that host notices after up to 2.7 s, and the other one was frozen, so that the follower waited another 3.2 s for it.

Cause: after a refusal the follower asked the other reader, since a refusal comes at once; but the refusal itself may come late. Ruled out: the short read of the store, which was never sent.

Change: after any failed feed the next read is a short one of the store. Only a host without a view, which serves no callers, still tries the other reader after a refusal. Calls: one read for each follower of a host that loses the store, at most once in the 5 s for which that host is not asked again.

Evidence, in virtual time: FollowersOfACutOffAndAFrozenReaderLearnFromTheStore varies the freeze over 4 s and the change over 3 s; it failed before, with 5,870 ms at worst in a trial, and 3,270 ms after.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -197,9 +197,8 @@
   /// feed, each with the time until which it is not asked again.
   std::string feed_host_;
   std::map<std::string, base::TimePoint> failed_feeds_;
-  /// Whether the latest feed read had no answer. The next read is then one of
-  /// the store.
-  bool feed_silent_ = false;
+  /// Whether the next read is one of the store instead of another feed.
+  bool ask_store_next_ = false;
   /// Whether a pause of this process must be followed by a read without wait.
   bool confirming_ = false;
   /// Whether the latest read was answered, by the store or by the host whose
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -71,7 +71,7 @@
     return;
   }
   const auto feed =
-      std::exchange(feed_silent_, false)
+      std::exchange(ask_store_next_, false)
           ? std::nullopt
           : ChooseFeedHost(self_, hosts, [this](const std::string& host) {
               return FeedFailed(host);
@@ -195,9 +195,10 @@
 
 void StoreReader::OnFeedFailed(bool answered) {
   pending_ = Pending::kNone;
-  // Waiting for another host that may not answer either would let the view of
-  // this host become too old.
-  feed_silent_ = !answered;
+  // The view of this host is older than that of the host which failed, and
+  // another host may not answer for a while either. A host without a view
+  // serves no callers yet and may wait for it.
+  ask_store_next_ = revision_ != 0 || !answered;
   failed_feeds_[feed_host_] =
       clock_.Now() +
       (revision_ == 0 ? kFailedFeedPauseAtStartup : kFailedFeedPause);
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -111,6 +111,26 @@
   }
 }
 
+// Guards against a follower that waits in turn for a reader which does not know
+// yet that it is cut off from the store, and for one that is frozen.
+TEST(StoreReaderTest, FollowersOfACutOffAndAFrozenReaderLearnFromTheStore) {
+  constexpr milliseconds step{300};
+  for (milliseconds freeze{0}; freeze < seconds(4); freeze += step) {
+    for (milliseconds change{0}; change < seconds(3); change += step) {
+      StoreSimulation simulation({8}, kMaxStaleness);
+      simulation.store.SetCutOff(simulation.hosts[0]->entry().name, true);
+      simulation.time.After(
+          freeze, [&] { simulation.hosts[1]->Freeze(milliseconds(3500)); });
+      simulation.time.After(change,
+                            [&] { simulation.store.Put("leaf3", "1"); });
+      simulation.time.RunFor(change + kMaxFollowerAge);
+      for (std::size_t follower = 2; follower < 8; ++follower)
+        ASSERT_TRUE(simulation.hosts[follower]->is_current())
+            << freeze.count() << " " << change.count() << " " << follower;
+    }
+  }
+}
+
 // Guards against short timeouts that end each read of a store that is slow for
 // a long time.
 TEST(StoreReaderTest, SlowStoreIsStillRead) {
