End a watch when the store refuses a renewal of the lease

The store may serve some hosts and refuse others (503, 429), and forget their waiting watches without closing the connection.

Cause: only a renewal without an answer ended a watch; one that was refused counted as a sign that the store serves this host. Ruled out: a watch that the refusing store cuts, which is read again after 0.2 s (LostWatchDoesNotOutlastTheOutage with kBusy passed before).

Change: each renewal that is not served ends the watch, and short reads follow. Cost: none while renewals are served; else a short read in 0.2 to 1 s from each host that reads the store.

A refusing store is also one of the conditions of the other outage tests and of the random disturbances.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -139,8 +139,9 @@
   void OnFeedFailed(bool answered);
   void OnWakeUp();
   /// Handle the result of a renewal of this host's lease, which shows whether
-  /// the store answers at all. `sent` is the time at which it was sent.
-  void OnRenewalUnanswered(base::TimePoint sent, Actions& actions);
+  /// the store serves this host at all. `sent` is the time at which it was
+  /// sent, and `status` is 0 if there was no response.
+  void OnRenewalFailed(base::TimePoint sent, int status, Actions& actions);
   void OnRenewalAnswered() { renewal_answered_at_ = clock_.Now(); }
   /// Handles the end of a pause of this process: answers to reads in flight may
   /// have been sent before the pause.
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -208,16 +208,17 @@
   if (pending_ == Pending::kWakeUp) pending_ = Pending::kNone;
 }
 
-void StoreReader::OnRenewalUnanswered(base::TimePoint sent, Actions& actions) {
+void StoreReader::OnRenewalFailed(base::TimePoint sent, int status,
+                                  Actions& actions) {
   if (!store_available_ || pending_ == Pending::kFeed) return;
   // The store has returned since; the renewal was lost before.
   if (store_answered_at_ > sent) return;
   if (pending_ == Pending::kWakeUp) {
-    MarkStoreLost("renewal", 0, actions);
+    MarkStoreLost("renewal", status, actions);
     return;
   }
   actions.push_back(CancelRead{});
-  RetryLater("renewal", 0, actions);
+  RetryLater("renewal", status, actions);
 }
 
 void StoreReader::OnProcessPaused(Actions& actions) {
--- a/forward/unittests/cut_listing_test.cc
+++ b/forward/unittests/cut_listing_test.cc
@@ -73,6 +73,7 @@
                                      std::vector{6, 5}),
                      testing::Values(StoreCondition::kSilent,
                                      StoreCondition::kBusy,
+                                     StoreCondition::kRefusing,
                                      StoreCondition::kReset),
                      testing::Bool()));
 
--- a/forward/unittests/random_disturbances_test.cc
+++ b/forward/unittests/random_disturbances_test.cc
@@ -47,8 +47,8 @@
 
   StoreCondition AnyCondition() {
     return std::array{StoreCondition::kServing, StoreCondition::kSilent,
-                      StoreCondition::kBusy,
-                      StoreCondition::kReset}[Number(0, 3)];
+                      StoreCondition::kBusy, StoreCondition::kRefusing,
+                      StoreCondition::kReset}[Number(0, 4)];
   }
 
   SimulatedHost& AnyHost() {
--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -284,15 +284,15 @@
   void Renew() {
     const std::uint64_t renewal = ++renewal_;
     const base::TimePoint sent = time_.Now();
-    const auto end = [this, renewal, sent](bool answered) {
+    const auto end = [this, renewal, sent](int status) {
       if (renewal != renewal_) return;
       ++renewal_;
-      renewal_answered_ = answered;
-      Step([this, answered, sent](StoreReader::Actions& actions) {
-        if (answered) {
+      renewal_answered_ = status != 0;
+      Step([this, status, sent](StoreReader::Actions& actions) {
+        if (status == 200) {
           reader_->OnRenewalAnswered();
         } else {
-          reader_->OnRenewalUnanswered(sent, actions);
+          reader_->OnRenewalFailed(sent, status, actions);
         }
       });
       After(reader_->reads_store() ? kRenewIntervalOfReaders : kRenewInterval,
@@ -300,12 +300,12 @@
     };
     time_.After(kOneWay, [this, end] {
       store_.Renew(entry_.name, [this, end](const StoreAnswer& answer) {
-        After(kOneWay, [end, answer] { end(answer.status != 0); });
+        After(kOneWay, [end, answer] { end(answer.status); });
       });
     });
     After((renewal_answered_ ? kRenewTimeout : kRepeatedRenewTimeout) +
               kTimeoutCheckInterval,
-          [end] { end(false); });
+          [end] { end(0); });
   }
 
   VirtualTime& time_;
--- a/forward/unittests/simulated_store.h
+++ b/forward/unittests/simulated_store.h
@@ -22,6 +22,8 @@
   kSilent,
   /// Calls get 503, and waiting watches are cut.
   kBusy,
+  /// Calls get 503, and waiting watches are forgotten.
+  kRefusing,
   /// Connections are reset.
   kReset
 };
@@ -186,7 +188,9 @@
     for (const std::uint64_t id : WatchIds()) {
       if (!selects(watches_.at(id))) continue;
       const auto watch = watches_.extract(id);
-      if (condition != StoreCondition::kSilent)
+      const bool cut = condition == StoreCondition::kBusy ||
+                       condition == StoreCondition::kReset;
+      if (cut)
         watch.mapped().reply(
             {condition == StoreCondition::kBusy ? 503 : 0, {}});
     }
@@ -207,7 +211,9 @@
     if (IsCutOff(host)) return false;
     ++calls_;
     const StoreCondition condition = ConditionFor(host);
-    if (condition == StoreCondition::kBusy) reply({503, {}});
+    if (condition == StoreCondition::kBusy ||
+        condition == StoreCondition::kRefusing)
+      reply({503, {}});
     if (condition == StoreCondition::kReset) reply({0, {}});
     return condition == StoreCondition::kServing;
   }
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -74,8 +74,23 @@
     testing::Combine(testing::Values(1, 6, 8),
                      testing::Values(StoreCondition::kSilent,
                                      StoreCondition::kBusy,
+                                     StoreCondition::kRefusing,
                                      StoreCondition::kReset)));
 
+// Guards against a host that waits for a watch which the store has forgotten,
+// although the store refuses its renewals at that time.
+TEST(StoreReaderTest, RefusedRenewalEndsAWatch) {
+  constexpr milliseconds step{100};
+  constexpr milliseconds watch_period{3500};
+  // Covers a renewal of each host.
+  constexpr milliseconds outage{1100};
+  for (milliseconds start{0}; start < watch_period; start += step) {
+    const auto time = RecoveryTime(6, StoreCondition::kRefusing, start, outage);
+    ASSERT_TRUE(time) << start.count();
+    ASSERT_LE(*time, kRecoveryTime) << start.count();
+  }
+}
+
 // Guards against a renewal that was lost in an outage and ends a read after the
 // store's return, as if the store were away again.
 TEST(StoreReaderTest, RenewalLostInAnOutageIsNoSecondOutage) {
