--- a/config/unittests/stored_records_test.cc
+++ b/config/unittests/stored_records_test.cc
@@ -41,6 +41,19 @@
   EXPECT_EQ(DecodeHeadRecord(EncodeHeadRecord({})).value, model::HeadRecord{});
 }
 
+// Guards against documents or epochs that are taken for the same one because
+// their numbers are rounded or clamped.
+TEST(HeadRecordCodecTest, VersionsAndEpochsAreExact) {
+  for (const std::uint64_t number :
+       {1000000000001U, 9007199254740993U, kLarge}) {
+    model::HeadRecord head = SampleHead();
+    head.epoch = number;
+    head.document.version = number - 1;
+    head.history.front().document.version = number - 2;
+    EXPECT_EQ(DecodeHeadRecord(EncodeHeadRecord(head)).value, head) << number;
+  }
+}
+
 // Many JSON parsers round numbers above 2^53.
 TEST(HeadRecordCodecTest, WritesRandomNumbersAsHexadecimalStrings) {
   const std::string text = EncodeHeadRecord(SampleHead());
--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -103,7 +103,7 @@
 
   /// What a leaf that is no longer listed has stated about itself.
   struct FormerLeaf {
-    std::int64_t started_unix_ms = 0;
+    std::uint64_t started_unix_ms = 0;
     bool leaving = false;
     base::TimePoint paused_until{};
     std::optional<double> rate_limit;
--- a/forward/include/berylreach/forward/leaf_entry.h
+++ b/forward/include/berylreach/forward/leaf_entry.h
@@ -20,7 +20,7 @@
   bool draining = false;
   /// Start time of the process in Unix milliseconds by its own clock; 0 if the
   /// leaf does not state it. A restarted leaf may use its former id again.
-  std::int64_t started_unix_ms = 0;
+  std::uint64_t started_unix_ms = 0;
   /// Remaining time for which the leaf was cold when the entry was written.
   std::chrono::milliseconds cold_left{0};
 
--- a/gateway/unittests/group_codec_test.cc
+++ b/gateway/unittests/group_codec_test.cc
@@ -16,6 +16,17 @@
   EXPECT_EQ(ParseGroupHeader(FormatGroupHeader(header)), header);
 }
 
+// Guards against hosts that run a group on another configuration, because the
+// versions or digests of two are rounded to the same number.
+TEST(GroupCodecTest, VersionsAndDigestsAreExact) {
+  for (const std::uint64_t number :
+       {1000000000001U, 9007199254740993U, 18446744073709551615U}) {
+    const GroupHeader header{
+        .version = number, .digest = number - 1, .shards = {0}};
+    EXPECT_EQ(ParseGroupHeader(FormatGroupHeader(header)), header) << number;
+  }
+}
+
 // Guards against a group without shards or with the same shard twice, whose
 // answer would misstate the coverage.
 TEST(GroupCodecTest, MalformedHeadersAreRejected) {
--- a/gateway/unittests/http_message_test.cc
+++ b/gateway/unittests/http_message_test.cc
@@ -87,6 +87,15 @@
   EXPECT_EQ(ParseChangeSet(FormatChangeSet(set)), set);
 }
 
+// Guards against a follower that asks for changes after a rounded revision.
+TEST(FeedCodecTest, RevisionsAreExact) {
+  for (const std::uint64_t revision :
+       {1000000000001U, 9007199254740993U, 18446744073709551615U}) {
+    const forward::ChangeSet set{.revision = revision};
+    EXPECT_EQ(ParseChangeSet(FormatChangeSet(set)), set) << revision;
+  }
+}
+
 // Guards against applying changes that could not be read completely.
 TEST(FeedCodecTest, MalformedSetsAreRejected) {
   for (const char* text :
--- a/transport/unittests/store_client_test.cc
+++ b/transport/unittests/store_client_test.cc
@@ -90,6 +90,23 @@
   EXPECT_EQ(results[1].outcome, StoreOutcome::kAbsent);
 }
 
+// Guards against a compare-and-swap or a watch with a rounded revision.
+TEST_F(StoreClientTest, RevisionsAreExact) {
+  ASSERT_TRUE(client_->Send({1, StoreOperation::kRead, "k", {}, 0, {}}));
+  TestSocket socket = store_.Accept();
+  socket.ReadHttp();
+  socket.Write(
+      Answer("200 OK",
+             R"([{"Key":"k","Value":"","ModifyIndex":18446744073709551615}])"));
+  const auto results = results_.Wait(1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].revision, 18446744073709551615U);
+  ASSERT_TRUE(client_->Send(
+      {2, StoreOperation::kCompareAndSwap, "k", "v", results[0].revision, {}}));
+  EXPECT_TRUE(
+      socket.ReadHttp().starts_with("PUT /v1/kv/k?cas=18446744073709551615 "));
+}
+
 TEST_F(StoreClientTest, PendingWatchDoesNotDelayWrites) {
   ASSERT_TRUE(client_->Send({1,
                              StoreOperation::kWatch,
