Ask all hosts of an environment at the same time

Cause: each host was asked after the one before had answered or timed out. Now up to 100 requests are sent at the same time, and silent hosts cost one timeout in all.

--- a/tools/berylctl/include/berylreach/berylctl/beast_http_client.h
+++ b/tools/berylctl/include/berylreach/berylctl/beast_http_client.h
@@ -7,15 +7,16 @@
 
 namespace berylreach::berylctl {
 
-/// Sends each request on a connection of its own and blocks until the response
-/// has arrived.
+/// Sends each request on a connection of its own and blocks until all responses
+/// have arrived.
 class BeastHttpClient final : public HttpClient {
  public:
   /// `timeout` bounds each request from connecting to the end of its response.
   explicit BeastHttpClient(std::chrono::milliseconds timeout)
       : timeout_(timeout) {}
 
-  std::optional<HttpResponse> Send(const HttpRequest& request) override;
+  std::vector<HttpResult> SendAll(
+      const std::vector<HttpRequest>& requests) override;
 
  private:
   std::chrono::milliseconds timeout_;
--- a/tools/berylctl/include/berylreach/berylctl/fleet.h
+++ b/tools/berylctl/include/berylreach/berylctl/fleet.h
@@ -23,12 +23,14 @@
   std::optional<config::HostStatus> status;
 };
 
-/// Fetches the status of one host.
-HostView FetchStatus(HttpClient& http, const model::Member& member);
-
-/// Fetches the timeline of one host; nothing if it did not respond.
-std::optional<config::HostTimeline> FetchTimeline(HttpClient& http,
-                                                  const model::Member& member);
+/// Fetches the status of each member, in the order of `members`.
+std::vector<HostView> FetchStatuses(HttpClient& http,
+                                    const std::vector<model::Member>& members);
+
+/// Fetches the timeline of each member, in the order of `members`; nothing for
+/// a host that did not respond.
+std::vector<std::optional<config::HostTimeline>> FetchTimelines(
+    HttpClient& http, const std::vector<model::Member>& members);
 
 /// Whether the host has `wanted` or a later version in force, or holds no lease
 /// and thus cannot serve under an older version.
--- a/tools/berylctl/include/berylreach/berylctl/http_client.h
+++ b/tools/berylctl/include/berylreach/berylctl/http_client.h
@@ -3,6 +3,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace berylreach::berylctl {
 
@@ -23,14 +25,24 @@
   std::string body;
 };
 
+/// The response to a request; nothing if no complete response arrived within
+/// the client's timeout. The server may have executed the request nevertheless.
+using HttpResult = std::optional<HttpResponse>;
+
 /// Sends requests. An interface, so that tests need no network.
 class HttpClient {
  public:
   virtual ~HttpClient() = default;
 
-  /// Returns nothing if no complete response arrived within the client's
-  /// timeout. The server may have executed the request nevertheless.
-  virtual std::optional<HttpResponse> Send(const HttpRequest& request) = 0;
+  /// Sends requests at the same time, so that servers which do not respond
+  /// delay the results by one timeout in all. Returns the results in the order
+  /// of the requests.
+  virtual std::vector<HttpResult> SendAll(
+      const std::vector<HttpRequest>& requests) = 0;
+
+  HttpResult Send(const HttpRequest& request) {
+    return std::move(SendAll({request}).front());
+  }
 };
 
 }  // namespace berylreach::berylctl
--- a/tools/berylctl/lib/beast_http_client.cc
+++ b/tools/berylctl/lib/beast_http_client.cc
@@ -1,12 +1,14 @@
 // HTTP client of berylctl on Boost.Beast.
 #include "berylreach/berylctl/beast_http_client.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <memory>
 #include <utility>
 
 #include "berylreach/config/address.h"
@@ -19,6 +21,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// Maximum number of requests that are sent at the same time.
+constexpr std::size_t kMaxConnections = 100;
+
 /// Returns a completion handler that calls `next` unless the operation failed.
 template <typename Next>
 auto OnSuccess(Next next) {
@@ -31,21 +36,27 @@
 /// because synchronous ones ignore the timeout of the stream.
 class Exchange {
  public:
-  explicit Exchange(std::chrono::milliseconds timeout) : stream_(context_) {
+  Exchange(asio::io_context& context, std::chrono::milliseconds timeout)
+      : stream_(context) {
     stream_.expires_after(timeout);
     parser_.body_limit(config::kMaxHostBodyBytes);
   }
 
-  std::optional<HttpResponse> Run(const config::Address& address,
-                                  const HttpRequest& request) {
+  void Start(const HttpRequest& request) {
+    const auto address = config::ParseAddress(request.address);
+    if (!address) return;
     beast::error_code error;
-    const auto ip = asio::ip::make_address(address.ip, error);
-    if (error) return std::nullopt;
+    const auto ip = asio::ip::make_address(address->ip, error);
+    if (error) return;
     Prepare(request);
-    stream_.async_connect({ip, address.port}, OnSuccess([this] { Write(); }));
-    context_.run();
+    stream_.async_connect({ip, address->port}, OnSuccess([this] { Write(); }));
+  }
+
+  /// The result, once the context has run out of work.
+  HttpResult Result() {
     if (!done_) return std::nullopt;
-    return HttpResponse{parser_.get().result_int(), parser_.get().body()};
+    return HttpResponse{parser_.get().result_int(),
+                        std::move(parser_.get().body())};
   }
 
  private:
@@ -68,7 +79,6 @@
                      OnSuccess([this] { done_ = true; }));
   }
 
-  asio::io_context context_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
@@ -78,10 +88,23 @@
 
 }  // namespace
 
-std::optional<HttpResponse> BeastHttpClient::Send(const HttpRequest& request) {
-  const auto address = config::ParseAddress(request.address);
-  if (!address) return std::nullopt;
-  return Exchange(timeout_).Run(*address, request);
+std::vector<HttpResult> BeastHttpClient::SendAll(
+    const std::vector<HttpRequest>& requests) {
+  std::vector<HttpResult> results;
+  while (results.size() < requests.size()) {
+    const std::size_t end =
+        std::min(requests.size(), results.size() + kMaxConnections);
+    asio::io_context context;
+    std::vector<std::unique_ptr<Exchange>> exchanges;
+    for (std::size_t i = results.size(); i < end; ++i) {
+      exchanges.push_back(std::make_unique<Exchange>(context, timeout_));
+      exchanges.back()->Start(requests[i]);
+    }
+    context.run();
+    for (const auto& exchange : exchanges)
+      results.push_back(exchange->Result());
+  }
+  return results;
 }
 
 }  // namespace berylreach::berylctl
--- a/tools/berylctl/lib/fleet.cc
+++ b/tools/berylctl/lib/fleet.cc
@@ -13,21 +13,38 @@
 /// against the rate limits of the platform.
 constexpr std::chrono::seconds kHeadReadInterval{1};
 
-std::optional<std::string> Get(HttpClient& http, const model::Member& member,
-                               const std::string& target) {
-  auto response = http.Send({member.http_address, "GET", target, ""});
-  if (!response || response->status != kOkStatus) return std::nullopt;
-  return std::move(response->body);
+/// Sends a GET request for `target` to each member. Returns the bodies of the
+/// successful responses, in the order of `members`.
+std::vector<std::optional<std::string>> GetFromAll(
+    HttpClient& http, const std::vector<model::Member>& members,
+    const std::string& target) {
+  std::vector<HttpRequest> requests;
+  for (const model::Member& member : members)
+    requests.push_back({member.http_address, "GET", target, ""});
+  std::vector<std::optional<std::string>> bodies;
+  for (HttpResult& result : http.SendAll(requests)) {
+    auto& body = bodies.emplace_back();
+    if (result && result->status == kOkStatus) body = std::move(result->body);
+  }
+  return bodies;
+}
+
+std::optional<config::HostStatus> ParseStatus(
+    const std::optional<std::string>& body, const model::Member& member) {
+  if (!body) return std::nullopt;
+  auto parsed = config::ParseHostStatus(*body);
+  // Another process may have bound the address of a host that has exited.
+  if (!parsed.value || parsed.value->host != member.host) return std::nullopt;
+  return std::move(parsed.value);
 }
 
 std::vector<HostView> LaggingHosts(HttpClient& http,
                                    const std::vector<model::Member>& members,
                                    const model::DocumentRef& wanted) {
-  std::vector<HostView> lagging;
-  for (const model::Member& member : members) {
-    HostView view = FetchStatus(http, member);
-    if (!HasInForce(view, wanted)) lagging.push_back(std::move(view));
-  }
+  std::vector<HostView> lagging = FetchStatuses(http, members);
+  std::erase_if(lagging, [&wanted](const HostView& view) {
+    return HasInForce(view, wanted);
+  });
   return lagging;
 }
 
@@ -44,22 +61,23 @@
 
 }  // namespace
 
-HostView FetchStatus(HttpClient& http, const model::Member& member) {
-  HostView view{member, std::nullopt};
-  const auto body = Get(http, member, "/v1/status");
-  if (!body) return view;
-  auto parsed = config::ParseHostStatus(*body);
-  // Another process may have bound the address of a host that has exited.
-  if (parsed.value && parsed.value->host == member.host)
-    view.status = std::move(parsed.value);
-  return view;
+std::vector<HostView> FetchStatuses(HttpClient& http,
+                                    const std::vector<model::Member>& members) {
+  const auto bodies = GetFromAll(http, members, "/v1/status");
+  std::vector<HostView> views;
+  for (std::size_t i = 0; i < members.size(); ++i)
+    views.push_back({members[i], ParseStatus(bodies[i], members[i])});
+  return views;
 }
 
-std::optional<config::HostTimeline> FetchTimeline(HttpClient& http,
-                                                  const model::Member& member) {
-  const auto body = Get(http, member, "/v1/timeline?after=0");
-  if (!body) return std::nullopt;
-  return config::ParseHostTimeline(*body).value;
+std::vector<std::optional<config::HostTimeline>> FetchTimelines(
+    HttpClient& http, const std::vector<model::Member>& members) {
+  std::vector<std::optional<config::HostTimeline>> timelines;
+  for (const auto& body : GetFromAll(http, members, "/v1/timeline?after=0")) {
+    auto& timeline = timelines.emplace_back();
+    if (body) timeline = config::ParseHostTimeline(*body).value;
+  }
+  return timelines;
 }
 
 bool HasInForce(const HostView& view, const model::DocumentRef& wanted) {
--- a/tools/berylctl/lib/promote_command.cc
+++ b/tools/berylctl/lib/promote_command.cc
@@ -19,8 +19,7 @@
                   environment + " does not have version " +
                       std::to_string(head.document.version) +
                       " in force on all its hosts"};
-  for (const model::Member& member : head.members) {
-    const HostView view = FetchStatus(runtime.http, member);
+  for (const HostView& view : FetchStatuses(runtime.http, head.members)) {
     const bool in_force = view.status && view.status->has_lease &&
                           view.status->document == head.document;
     if (!in_force) failure.hosts.push_back(DescribeLag(view));
--- a/tools/berylctl/lib/status_command.cc
+++ b/tools/berylctl/lib/status_command.cc
@@ -57,8 +57,7 @@
                 << record.document.hash << ")\n";
   Failure lag = LagFailure(record.document);
   json::array hosts;
-  for (const model::Member& member : record.members) {
-    const HostView view = FetchStatus(runtime.http, member);
+  for (const HostView& view : FetchStatuses(runtime.http, record.members)) {
     if (!options.json) Print(view, runtime.out);
     hosts.push_back(ViewToJson(view));
     if (!HasInForce(view, record.document))
--- a/tools/berylctl/lib/timeline_command.cc
+++ b/tools/berylctl/lib/timeline_command.cc
@@ -45,14 +45,15 @@
   BOOST_OUTCOME_TRY(auto head, store.ReadHead());
   Failure incomplete{ExitCode::kHostsLag, "not all hosts answered"};
   std::vector<HostEvent> events;
-  for (const model::Member& member : head.record.members) {
-    auto timeline = FetchTimeline(runtime.http, member);
-    if (!timeline) {
-      incomplete.hosts.push_back(DescribeLag({member, std::nullopt}));
+  const std::vector<model::Member>& members = head.record.members;
+  auto timelines = FetchTimelines(runtime.http, members);
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    if (!timelines[i]) {
+      incomplete.hosts.push_back(DescribeLag({members[i], std::nullopt}));
       continue;
     }
-    for (model::TimelineEvent& event : timeline->events)
-      events.push_back({member.host.value, std::move(event)});
+    for (model::TimelineEvent& event : timelines[i]->events)
+      events.push_back({members[i].host.value, std::move(event)});
   }
   std::sort(events.begin(), events.end(), IsBefore);
   json::array list;
--- a/tools/berylctl/unittests/beast_http_client_test.cc
+++ b/tools/berylctl/unittests/beast_http_client_test.cc
@@ -90,6 +90,27 @@
   EXPECT_THAT(received, HasSubstr("Content-Length: 5\r\n"));
 }
 
+// Guards against an operator who waits for one frozen host after another.
+TEST(BeastHttpClientTest, SilentServersDelayTheResultsByOneTimeout) {
+  constexpr milliseconds timeout{300};
+  BeastHttpClient client{timeout};
+  SingleRequestServer first("\r\n\r\n", "");
+  SingleRequestServer second("\r\n\r\n", "");
+  SingleRequestServer third("\r\n\r\n", "");
+  SingleRequestServer answering(
+      "\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue");
+  const auto start = std::chrono::steady_clock::now();
+  const auto results = client.SendAll({{first.address(), "GET", "/", ""},
+                                       {second.address(), "GET", "/", ""},
+                                       {third.address(), "GET", "/", ""},
+                                       {answering.address(), "GET", "/", ""}});
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 3 * timeout);
+  ASSERT_EQ(results.size(), 4U);
+  EXPECT_FALSE(results[0] || results[1] || results[2]);
+  ASSERT_TRUE(results[3]);
+  EXPECT_EQ(results[3]->body, "true");
+}
+
 // The client must return nothing if the server is silent, if the response ends
 // before its Content-Length, and for an address that is not IP:port.
 TEST(BeastHttpClientTest, FailsOnTimeoutTruncatedResponseAndInvalidAddress) {
--- a/tools/berylctl/unittests/fake_platform.h
+++ b/tools/berylctl/unittests/fake_platform.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "berylreach/berylctl/http_client.h"
 
@@ -26,13 +27,12 @@
     std::uint64_t revision = 0;
   };
 
-  std::optional<HttpResponse> Send(const HttpRequest& request) override {
-    if (request.address != kStoreAddress) return CallHost(request);
-    if (store_down) return std::nullopt;
-    const std::string path = request.target.substr(7);
-    if (request.method == "GET") return Read(path);
-    return Swap(path.substr(0, path.find('?')), request.body,
-                std::stoull(path.substr(path.find('=') + 1)));
+  std::vector<HttpResult> SendAll(
+      const std::vector<HttpRequest>& requests) override {
+    std::vector<HttpResult> results;
+    for (const HttpRequest& request : requests)
+      results.push_back(Respond(request));
+    return results;
   }
 
   void Put(const std::string& key, std::string value) {
@@ -60,6 +60,15 @@
   std::function<void()> before_host_call;
 
  private:
+  HttpResult Respond(const HttpRequest& request) {
+    if (request.address != kStoreAddress) return CallHost(request);
+    if (store_down) return std::nullopt;
+    const std::string path = request.target.substr(7);
+    if (request.method == "GET") return Read(path);
+    return Swap(path.substr(0, path.find('?')), request.body,
+                std::stoull(path.substr(path.find('=') + 1)));
+  }
+
   std::optional<HttpResponse> CallHost(const HttpRequest& request) {
     if (before_host_call) before_host_call();
     const auto found = host_responses.find({request.address, request.target});
