Show that two silent hosts in turn delay a request no longer than one

The deadline of both is the same, two objectives after the request was received: the test passed at once, so nothing was changed.

--- a/forward/unittests/request_groups_test.cc
+++ b/forward/unittests/request_groups_test.cc
@@ -276,6 +276,20 @@
   EXPECT_EQ(abandoned_, 1U);
 }
 
+// Guards against callers who wait for one frozen host after another.
+TEST_F(RequestGroupsTest, TwoSilentHostsInTurnDelayTheRefusalNoLonger) {
+  StartWithBackup();
+  for (const StartLeafCall& call : std::vector(started_))
+    Reply(call, Success(Record('a')));
+  AdvanceTo(milliseconds(170));
+  ASSERT_EQ(groups_.size(), 2U) << "the backup has not been asked";
+  EXPECT_FALSE(reply_);
+  AdvanceTo(milliseconds(301));
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->refusal, Refusal::kMayHaveRun);
+  EXPECT_EQ(abandoned_, 2U);
+}
+
 // Guards against delegating a group although the transit of its messages takes
 // longer than the objective.
 TEST_F(RequestGroupsTest, KeepsShardsThatAnotherHostCannotAnswerInTime) {
