--- a/membership/include/berylreach/membership/head_watch.h
+++ b/membership/include/berylreach/membership/head_watch.h
@@ -16,7 +16,6 @@
 /// the store may return soon after.
 class HeadWatch {
  public:
-
   /// Whether a watch should be issued now.
   bool ShouldIssue(base::TimePoint now) const;
 
