Send one-time calls to leaves whose connections were not just reset

Cause: a reset of an idle or a running connection told the host nothing about the leaf. Its next call opened a new connection, which a silent machine does not answer, and a one-time call that may have run is not sent again.

Ruled out: the back-off after three failures, since each leaf lost only one or two calls.

Change: a reset makes a leaf doubtful for 2 s, or until it answers something that was sent later. Calls that cannot be repeated go to a doubtful leaf only if there is no other. A connection that the leaf closes properly is no such sign.

--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -22,8 +22,10 @@
   kAnswered,
   /// The leaf refused without running the call.
   kShed,
-  /// An answer with a failure status, an invalid answer, or a lost connection.
+  /// An answer with a failure status or without a signature.
   kFailed,
+  /// The connection ended before a valid answer.
+  kLost,
   /// The connection could not be opened, or the leaf did not answer.
   kUnreachable,
   /// The answer shows that another process now uses the address.
@@ -85,6 +87,16 @@
   void OnCallEnded(base::TimePoint sent, base::TimePoint now,
                    CallOutcome outcome);
 
+  /// Records that a connection to the leaf was reset: its process may have
+  /// ended, and the next connection may get no answer for a while.
+  void OnConnectionReset(base::TimePoint now) { reset_at_ = now; }
+  /// Records that the leaf has answered a call or a health check that was sent
+  /// at `sent`.
+  void OnAnswerTo(base::TimePoint sent);
+  /// Whether a connection was reset recently and the leaf has answered nothing
+  /// that was sent since. A call that must not be lost goes to another leaf.
+  bool IsDoubtful(base::TimePoint now) const;
+
   /// Expected latency of a new call, including the load of this host's running
   /// calls and penalties for recent failures, an overdue call and a cold leaf.
   base::Duration Cost(base::TimePoint now) const;
@@ -148,6 +160,8 @@
   base::TimePoint retry_at_{};
   /// Same as retry_at_, but set only if the leaf could not be reached.
   base::TimePoint unreachable_until_{};
+  /// When a connection was last reset; empty once the leaf has answered since.
+  std::optional<base::TimePoint> reset_at_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -27,6 +27,9 @@
   /// Whether a leaf with an overdue call, or one that is backed off, may be
   /// selected.
   bool allow_unhealthy = true;
+  /// Whether a doubtful leaf is selected only if there is no other, since the
+  /// call cannot be repeated.
+  bool avoid_doubtful = false;
 };
 
 /// Expected latency of `leaf` plus a small fraction that depends on `seed`, so
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -39,6 +39,9 @@
 /// Time without an answer after which a leaf is considered hung; pauses of a
 /// process are shorter.
 constexpr milliseconds kUnresponsiveAfter{500};
+/// Time for which a leaf is doubtful after a reset unless it answers: about as
+/// long as a process takes to restart.
+constexpr milliseconds kDoubtTime{2000};
 /// Penalty for cold leaves, which are slower and should be used last.
 constexpr milliseconds kColdPenalty{60};
 
@@ -90,6 +93,10 @@
   const auto found = std::find(sent_at_.begin(), sent_at_.end(), sent);
   if (found != sent_at_.end()) sent_at_.erase(found);
   if (outcome == CallOutcome::kCancelled) return;
+  if (outcome == CallOutcome::kLost) OnConnectionReset(now);
+  if (outcome == CallOutcome::kAnswered || outcome == CallOutcome::kShed ||
+      outcome == CallOutcome::kFailed)
+    OnAnswerTo(sent);
   const double decayed = failure_rate_ * std::exp(-Seconds(now - last_sample_) /
                                                   kFailureDecaySeconds);
   const bool failed = outcome != CallOutcome::kAnswered;
@@ -119,7 +126,8 @@
     }
   }
   last_sample_ = now;
-  if (outcome == CallOutcome::kFailed || outcome == CallOutcome::kUnreachable) {
+  if (outcome == CallOutcome::kFailed || outcome == CallOutcome::kLost ||
+      outcome == CallOutcome::kUnreachable) {
     ++consecutive_failures_;
     if (outcome == CallOutcome::kUnreachable ||
         consecutive_failures_ >= kFailuresBeforeBackoff) {
@@ -131,6 +139,14 @@
   }
 }
 
+void LeafRecord::OnAnswerTo(base::TimePoint sent) {
+  if (reset_at_ && sent >= *reset_at_) reset_at_.reset();
+}
+
+bool LeafRecord::IsDoubtful(base::TimePoint now) const {
+  return reset_at_ && now < *reset_at_ + kDoubtTime;
+}
+
 base::Duration LeafRecord::DefaultLatency() const {
   switch (distance_) {
     case Distance::kSameZone:
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -14,6 +14,10 @@
 /// Maximum random increase of a leaf's expected latency, as a fraction.
 constexpr double kMaxJitter = 0.1;
 
+/// Added to the expected latency of a leaf that is selected only if there is no
+/// other.
+constexpr std::chrono::seconds kAvoidedLeafPenalty{1};
+
 /// A request waits this long for a leaf whose rate limit permits no call yet,
 /// instead of being refused or answered without the leaf's shard.
 constexpr std::chrono::milliseconds kShortWait{30};
@@ -80,7 +84,8 @@
         !cold_.MayCall(leaf->entry().id, query.service->cold_rate))
       return;
     base::Duration cost = JitteredCost(*leaf, query.seed, now);
-    if (leaf->IsBackedOff(now)) cost += std::chrono::seconds(1);
+    const bool doubtful = query.avoid_doubtful && leaf->IsDoubtful(now);
+    if (leaf->IsBackedOff(now) || doubtful) cost += kAvoidedLeafPenalty;
     if (cost >= best_cost) return;
     best_cost = cost;
     best = leaf;
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -251,7 +251,8 @@
           .regions = &route_.regions,
           .tried = &subrequest.tried,
           .seed = seed_,
-          .allow_unhealthy = allow_unhealthy};
+          .allow_unhealthy = allow_unhealthy,
+          .avoid_doubtful = !route_.idempotent};
 }
 
 bool RequestRun::SendCall(Subrequest& subrequest, bool allow_unhealthy,
--- a/forward/unittests/leaf_record_test.cc
+++ b/forward/unittests/leaf_record_test.cc
@@ -99,6 +99,27 @@
   EXPECT_EQ(leaf_.running(), 0U);
 }
 
+// Guards against a call that must not be lost on a leaf that is just being
+// restarted.
+TEST_F(LeafRecordTest, ResetMakesALeafDoubtfulUntilItAnswersALaterCall) {
+  EXPECT_FALSE(leaf_.IsDoubtful(clock_.Now()));
+  const base::TimePoint before = clock_.Now();
+  RunCall(milliseconds(10), CallOutcome::kLost);
+  EXPECT_TRUE(leaf_.IsDoubtful(clock_.Now()));
+  leaf_.OnAnswerTo(before);
+  EXPECT_TRUE(leaf_.IsDoubtful(clock_.Now()))
+      << "the former process may have answered an earlier call";
+  RunCall(milliseconds(10));
+  EXPECT_FALSE(leaf_.IsDoubtful(clock_.Now()));
+}
+
+// Guards against a leaf that is avoided although no call shows that it is down.
+TEST_F(LeafRecordTest, DoubtEnds) {
+  leaf_.OnConnectionReset(clock_.Now());
+  EXPECT_TRUE(leaf_.IsDoubtful(clock_.Now() + milliseconds(1999)));
+  EXPECT_FALSE(leaf_.IsDoubtful(clock_.Now() + milliseconds(2000)));
+}
+
 TEST_F(LeafRecordTest, ColdForTheTimeInTheEntry) {
   leaf_.Update({.id = "l", .service = "s", .cold_left = milliseconds(3000)},
                clock_.Now());
--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -43,8 +43,9 @@
   /// A connection that was opened without a request is connected and idle.
   virtual void OnOpened(ClientConnection& connection) = 0;
   /// An idle connection was closed, by the peer or because the peer sent bytes
-  /// that no request asked for.
-  virtual void OnIdleClosed(ClientConnection& connection) = 0;
+  /// that no request asked for. `reset` is true if the peer did not close it
+  /// properly, as when its process ends.
+  virtual void OnIdleClosed(ClientConnection& connection, bool reset) = 0;
 };
 
 /// An HTTP/1.1 client connection that carries one exchange (a request and its
--- a/gateway/include/berylreach/gateway/http_client.h
+++ b/gateway/include/berylreach/gateway/http_client.h
@@ -49,7 +49,7 @@
   void OnExchangeFailed(ClientConnection& connection,
                         ExchangeFailure failure) override;
   void OnOpened(ClientConnection&) override {}
-  void OnIdleClosed(ClientConnection& connection) override;
+  void OnIdleClosed(ClientConnection& connection, bool reset) override;
   void Answer(HttpAnswer answer);
 
   boost::asio::io_context& io_;
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -57,11 +57,14 @@
   /// counts as a crash.
   using OnChecked = std::function<void(bool crashed)>;
 
+  /// Receives the id of a leaf or host that has reset an idle connection.
+  using OnReset = std::function<void(const std::string& peer)>;
+
   /// `id_field` is the name of the header field in which peers echo the request
   /// id.
   LeafConnections(boost::asio::io_context& io, const base::Clock& clock,
                   std::string id_field, OnDone on_done,
-                  OnProgress on_progress = {});
+                  OnProgress on_progress = {}, OnReset on_reset = {});
   ~LeafConnections() override;
 
   /// Sends a call over an idle connection or a new one. The call fails with
@@ -128,7 +131,7 @@
   void OnExchangeFailed(ClientConnection& connection,
                         ExchangeFailure failure) override;
   void OnOpened(ClientConnection& connection) override;
-  void OnIdleClosed(ClientConnection& connection) override;
+  void OnIdleClosed(ClientConnection& connection, bool reset) override;
   /// Opens a connection for `call`, or without a call if its id is 0.
   ClientConnection& Open(const forward::LeafRecord& leaf, Pool& pool,
                          OutgoingCall call, base::TimePoint response_deadline);
@@ -150,6 +153,7 @@
   ReceiveQuota quota_;
   OnDone on_done_;
   OnProgress on_progress_;
+  OnReset on_reset_;
   std::unordered_map<std::string, Pool> pools_;
   std::unordered_map<ClientConnection*, PooledConnection> connections_;
   std::unordered_map<forward::CallId, ClientConnection*> connection_by_call_;
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -192,7 +192,7 @@
       // These bytes belong to no request, so responses on this connection can
       // no longer be matched to requests.
       Close();
-      handler_.OnIdleClosed(*this);
+      handler_.OnIdleClosed(*this, /*reset=*/false);
       return;
     }
     if (!CountBytes(size)) {
@@ -263,7 +263,7 @@
 void ClientConnection::OnEnd(bool clean) {
   if (!busy_) {
     Close();
-    handler_.OnIdleClosed(*this);
+    handler_.OnIdleClosed(*this, /*reset=*/!clean);
     return;
   }
   error_code error;
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -105,6 +105,10 @@
           },
           [this](forward::CallId call, const HttpResponse& response) {
             OnGroupProgress(call, response);
+          },
+          [this](const std::string& peer) {
+            const auto leaf = directory_.Find(peer);
+            if (leaf != nullptr) leaf->OnConnectionReset(clock_.Now());
           }),
       timer_(io),
       periodic_timer_(io),
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -31,7 +31,7 @@
 forward::CallOutcome OutcomeOf(forward::CallFailure failure) {
   switch (failure) {
     case forward::CallFailure::kMayHaveRun:
-      return forward::CallOutcome::kFailed;
+      return forward::CallOutcome::kLost;
     case forward::CallFailure::kWithdrawn:
       return forward::CallOutcome::kCancelled;
     case forward::CallFailure::kNotSent:
--- a/gateway/lib/http_client.cc
+++ b/gateway/lib/http_client.cc
@@ -68,7 +68,7 @@
   Answer({});
 }
 
-void HttpClient::OnIdleClosed(ClientConnection&) { connection_.reset(); }
+void HttpClient::OnIdleClosed(ClientConnection&, bool) { connection_.reset(); }
 
 void HttpClient::Answer(HttpAnswer answer) {
   if (on_answer_) std::exchange(on_answer_, nullptr)(std::move(answer));
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -74,13 +74,15 @@
 
 LeafConnections::LeafConnections(boost::asio::io_context& io,
                                  const base::Clock& clock, std::string id_field,
-                                 OnDone on_done, OnProgress on_progress)
+                                 OnDone on_done, OnProgress on_progress,
+                                 OnReset on_reset)
     : io_(io),
       clock_(clock),
       id_field_(std::move(id_field)),
       quota_(kMaxIncompleteBytes),
       on_done_(std::move(on_done)),
-      on_progress_(std::move(on_progress)) {}
+      on_progress_(std::move(on_progress)),
+      on_reset_(std::move(on_reset)) {}
 
 LeafConnections::~LeafConnections() {
   for (auto& [key, pooled] : connections_) pooled.connection->Close();
@@ -324,9 +326,13 @@
   on_done_(call, ToCallFailure(failure));
 }
 
-void LeafConnections::OnIdleClosed(ClientConnection& connection) {
+void LeafConnections::OnIdleClosed(ClientConnection& connection, bool reset) {
   const auto shared = connection.shared_from_this();
+  const auto found = connections_.find(&connection);
+  if (found == connections_.end()) return;
+  const std::string peer = found->second.leaf;
   Remove(connection);
+  if (reset && on_reset_) on_reset_(peer);
 }
 
 }  // namespace berylreach::gateway
--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -27,7 +27,10 @@
     failure = why;
   }
   void OnOpened(ClientConnection&) override { opened = true; }
-  void OnIdleClosed(ClientConnection&) override { idle_closed = true; }
+  void OnIdleClosed(ClientConnection&, bool reset) override {
+    idle_closed = true;
+    idle_reset = reset;
+  }
 
   std::optional<HttpResponse> response;
   std::vector<std::string> interim;
@@ -35,6 +38,7 @@
   bool reusable = false;
   bool opened = false;
   bool idle_closed = false;
+  bool idle_reset = false;
 };
 
 class ClientConnectionTest : public testing::Test {
@@ -149,6 +153,25 @@
   EXPECT_TRUE(RunUntil(io_, [this] { return recorder_.idle_closed; }));
 }
 
+// Guards against missing that a leaf's process has ended, and against taking a
+// connection that the leaf closes for its idle time for such a sign.
+TEST_F(ClientConnectionTest, IdleConnectionTellsAResetFromAClose) {
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+  ASSERT_TRUE(Answered());
+  PeerCloses();
+  ASSERT_TRUE(RunUntil(io_, [this] { return recorder_.idle_closed; }));
+  EXPECT_FALSE(recorder_.idle_reset);
+  recorder_ = {};
+  peer_.reset();
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+  ASSERT_TRUE(Answered());
+  PeerResets();
+  ASSERT_TRUE(RunUntil(io_, [this] { return recorder_.idle_closed; }));
+  EXPECT_TRUE(recorder_.idle_reset);
+}
+
 TEST_F(ClientConnectionTest, ResponseWithoutLengthEndsWithTheConnection) {
   Open();
   PeerSends("HTTP/1.1 200 OK\r\n\r\nall of it");
