--- a/forward/include/berylreach/forward/choose_gossip_peers.h
+++ b/forward/include/berylreach/forward/choose_gossip_peers.h
@@ -14,6 +14,14 @@
 /// fleet.
 inline constexpr std::size_t kGossipFanout = 12;
 
+/// Number of hosts that check the leaves of a held request for the others.
+inline constexpr std::size_t kLeafCheckers = 3;
+
+/// Whether `self` is one of the `hosts` that check the leaves of a held request
+/// with this fingerprint. All hosts that know the same `hosts` agree on them.
+bool ChecksLeavesOf(std::uint64_t fingerprint, const std::string& self,
+                    const std::vector<std::string>& hosts);
+
 /// Returns the members of `hosts` to which `self` forwards the update with the
 /// hash `update_hash`. The choice differs for each sender and each update.
 std::vector<std::string> ChooseGossipPeers(const std::string& self,
--- a/forward/include/berylreach/forward/configuration.h
+++ b/forward/include/berylreach/forward/configuration.h
@@ -57,6 +57,8 @@
 /// A set of interchangeable leaves.
 struct Service {
   std::string name;
+  /// Path of the leaves' health check; empty if they have none.
+  std::string health_path;
   /// Maximum number of connections that one leaf accepts from all hosts
   /// together.
   std::size_t max_connections = 1;
--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "berylreach/base/clock.h"
@@ -37,8 +39,19 @@
   static constexpr base::Duration kStoreReturnGrace = std::chrono::milliseconds(
       2500);  // 2 s of the platform plus a margin for delivery
 
+  /// Called when an incarnation is listed for the first time.
+  using OnListed = std::function<void(const LeafEntry& leaf)>;
+  /// Called when an incarnation is no longer listed: `replaced` tells whether
+  /// another one has its id.
+  using OnUnlisted = std::function<void(const LeafRecord& leaf, bool replaced)>;
+
   LeafDirectory(const base::Clock& clock, Location location);
 
+  void SetObservers(OnListed on_listed, OnUnlisted on_unlisted) {
+    on_listed_ = std::move(on_listed);
+    on_unlisted_ = std::move(on_unlisted);
+  }
+
   /// Adds an entry or updates the record of the same incarnation. A new
   /// incarnation with the same id replaces the record.
   void Put(LeafEntry entry);
@@ -95,7 +108,7 @@
   bool InGracePeriod() const;
   bool IsUsable(const LeafRecord& leaf) const;
   /// Removes the record and saves what the leaf has stated about itself.
-  void Erase(const std::string& id);
+  void Erase(const std::string& id, bool replaced);
   /// Save and restore what a leaf has stated about itself, for the time in
   /// which it is not listed.
   void SaveStatements(const LeafRecord& leaf);
@@ -112,6 +125,8 @@
 
   const base::Clock& clock_;
   Location location_;
+  OnListed on_listed_;
+  OnUnlisted on_unlisted_;
   std::unordered_map<std::string, std::shared_ptr<LeafRecord>> leaves_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<LeafRecord>>>
       by_service_;
--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -87,14 +87,15 @@
   void OnCallEnded(base::TimePoint sent, base::TimePoint now,
                    CallOutcome outcome);
 
-  /// Records that a connection to the leaf was reset: its process may have
-  /// ended, and the next connection may get no answer for a while.
-  void OnConnectionReset(base::TimePoint now) { reset_at_ = now; }
+  /// Records that the leaf may be down, since a connection to it was reset or
+  /// another host got no answer from it: the next connection may get no answer
+  /// for a while.
+  void MarkDoubtful(base::TimePoint now) { doubtful_since_ = now; }
   /// Records that the leaf has answered a call or a health check that was sent
   /// at `sent`.
   void OnAnswerTo(base::TimePoint sent);
-  /// Whether a connection was reset recently and the leaf has answered nothing
-  /// that was sent since. A call that must not be lost goes to another leaf.
+  /// Whether the leaf was marked recently and has answered nothing that was
+  /// sent since. A call that must not be lost goes to another leaf.
   bool IsDoubtful(base::TimePoint now) const;
 
   /// Expected latency of a new call, including the load of this host's running
@@ -160,8 +161,8 @@
   base::TimePoint retry_at_{};
   /// Same as retry_at_, but set only if the leaf could not be reached.
   base::TimePoint unreachable_until_{};
-  /// When a connection was last reset; empty once the leaf has answered since.
-  std::optional<base::TimePoint> reset_at_;
+  /// When the leaf was last marked; empty once it has answered since.
+  std::optional<base::TimePoint> doubtful_since_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/request_quarantine.h
+++ b/forward/include/berylreach/forward/request_quarantine.h
@@ -2,13 +2,16 @@
 // leaf that runs it.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "berylreach/base/clock.h"
+#include "berylreach/forward/leaf_observation.h"
 #include "berylreach/quarantine/quarantine.h"
 
 namespace berylreach::forward {
@@ -22,20 +25,27 @@
   /// Refused: another attempt of the request is already running with a single
   /// call.
   kBusy,
+  /// Refused: a single call of the request was lost, and it is not known yet
+  /// whether its leaf has crashed.
+  kHeld,
   /// Refused: the request has crashed leaves and must not run.
   kBlocked,
 };
 
-/// A call whose connection was lost before the answer.
+/// A call that ended without an answer, or has had none for so long that its
+/// leaf may have crashed.
 struct LostCall {
   /// Identifies the run within this process.
   std::uint64_t run = 0;
   std::uint64_t fingerprint = 0;
-  /// Id of the leaf incarnation.
+  /// Id of the leaf incarnation, and its address.
   std::string leaf;
+  std::string address;
   /// No other call of the request was running, and an earlier leaf may have
   /// crashed while it ran the request.
   bool sole_call = false;
+
+  friend bool operator==(const LostCall&, const LostCall&) = default;
 };
 
 /// Outcome of a run.
@@ -49,15 +59,24 @@
 };
 
 /// Counts the leaves that crashed while they ran a request, by fingerprint and
-/// over all hosts, and decides how the request may run. A lost connection by
-/// itself is no evidence: a check must also find that the leaf's process has
-/// ended. A request that completes on any leaf is not held responsible for
+/// over all hosts, and decides how the request may run.
+///
+/// A lost call by itself is no evidence: an observation must also show that the
+/// leaf's process has ended, which may take seconds. Until then the request is
+/// under suspicion at all hosts: its next attempt starts with one call, and if
+/// that is lost too, further attempts are held back until the fate of the leaf
+/// is known. A request that completes on any leaf is not held responsible for
 /// other leaves that crashed at the same time, for example when many leaves
 /// fail together. Not thread-safe.
 class RequestQuarantine {
  public:
   using Actions = std::vector<quarantine::Action>;
 
+  /// Longest time for which the fate of a leaf is waited for. Discovery drops a
+  /// silent leaf after three heartbeats, and most leaves are back after some
+  /// seconds.
+  static constexpr std::chrono::seconds kEvidenceWait{8};
+
   explicit RequestQuarantine(const base::Clock& clock);
 
   /// Decides how an attempt may run. A suspect request may run one attempt at a
@@ -71,45 +90,129 @@
   /// Whether shards of the request may be run for another host, which may not
   /// know yet that the request is suspect.
   bool MayRunForOthers(std::uint64_t fingerprint) const;
-  /// Time until a blocked request may be sent again.
-  base::Duration BlockedFor(std::uint64_t fingerprint) const;
+  /// Time until a blocked or held request may be sent again.
+  base::Duration RefusedFor(std::uint64_t fingerprint) const;
 
-  /// Records a lost call, which counts as evidence only after OnLeafChecked.
+  /// Records a lost call, which counts as evidence only after an observation of
+  /// its leaf.
   void OnCallLost(LostCall call);
-  /// Records whether the process of a leaf with lost calls has `crashed`.
+  /// Records calls of a run that goes on without any answer, so that other
+  /// hosts learn of them before the run ends.
+  void OnCallsUnanswered(std::vector<LostCall> calls);
+  /// Whether the fate of any leaf with lost calls is waited for. Otherwise
+  /// observations have no effect.
+  bool AwaitsObservations() const {
+    return !runs_.empty() || !suspicions_.empty();
+  }
   /// Appends what other hosts must learn to `actions`.
-  void OnLeafChecked(const std::string& leaf, bool crashed, Actions& actions);
+  void OnLeafObserved(const LeafObservation& observation, Actions& actions);
+  /// Records that discovery lists the incarnation `leaf` at `address`, so that
+  /// no other incarnation runs there any more.
+  void OnLeafListed(const std::string& leaf, const std::string& address,
+                    Actions& actions);
   /// Records the end of a run. Appends what other hosts must learn to
   /// `actions`.
   void OnRunEnded(const EndedRun& run, Actions& actions);
+  /// Forgets lost calls, since this process did not run for a while: calls may
+  /// have been lost for this reason.
+  void OnProcessPaused();
 
-  /// Merges an entry of another host; returns false if it was already known.
-  bool Merge(const model::SuspectEntry& entry);
+  /// Returns the leaves that should be checked now: those with lost calls of
+  /// runs that no leaf has answered, and those that are checked for other
+  /// hosts. Each leaf is returned at intervals, a few at a time.
+  std::vector<std::string> LeavesToCheck();
 
-  /// Removes expired entries.
-  void Tick() { quarantine_.Tick(); }
+  /// Merges an entry of another host; returns false if it was already known.
+  /// `checks_leaves` is whether this host helps to find out the fate of the
+  /// leaves of a held request, since the other host may be unable to reach
+  /// them.
+  bool Merge(const model::SuspectEntry& entry, bool checks_leaves = false);
+
+  /// Removes expired entries, and appends suspicions that other hosts must
+  /// learn to `actions`.
+  void Tick(Actions& actions);
   std::size_t size() const { return quarantine_.Entries().entries.size(); }
 
  private:
+  /// A lost call whose leaf's fate is not known yet.
+  struct UnresolvedCall {
+    LostCall call;
+    base::TimePoint lost_at{};
+  };
+
   /// The evidence from one run.
   struct Run {
     std::uint64_t fingerprint = 0;
-    /// Lost calls whose leaves have not been checked yet.
-    std::vector<LostCall> unchecked;
+    std::vector<UnresolvedCall> unresolved;
     std::size_t crashed_leaves = 0;
     bool crashed_as_sole_call = false;
     bool probed_first = false;
     bool finished = false;
+    /// When other hosts must learn of the lost calls, unless the fate of their
+    /// leaves is known by then.
+    std::optional<base::TimePoint> publish_at;
   };
 
+  /// Calls of a request were lost, and it is not known whether their leaves
+  /// have crashed.
+  struct Suspicion {
+    base::TimePoint until{};
+    /// No attempt is admitted before this time.
+    base::TimePoint held_until{};
+    /// Other hosts know of it.
+    bool shared = false;
+    /// Leaves of a held request that this host checks for another one, and the
+    /// time at which it learned of them.
+    std::vector<std::string> leaves_of_others;
+    base::TimePoint learned_at{};
+  };
+
+  /// A suspicion was lifted. Entries of other hosts that still suspect the
+  /// request have no effect for a while, since they may be late ones.
+  struct Lifted {
+    base::TimePoint until{};
+    /// Such an entry has come. Its host may suspect the request anew, so it
+    /// must learn of the next call that completes.
+    bool reports_completion = false;
+  };
+
+  /// Applies `fate_of`, which takes an unresolved call, to all runs.
+  template <typename FateOf>
+  void ResolveCalls(FateOf fate_of, Actions& actions);
   /// Makes the request suspect or blocked if the evidence of the run suffices,
   /// and appends what other hosts must learn; returns true if no more evidence
   /// can follow.
   bool Conclude(Run& run, Actions& actions);
-
+  /// Puts the request of a run with unresolved calls under suspicion.
+  void Suspect(const Run& run);
+  /// Lifts the suspicion of a request, since its lost calls are explained;
+  /// `completed` is whether this is because a call has completed.
+  void LiftSuspicion(std::uint64_t fingerprint, bool completed,
+                     Actions& actions);
+  /// Forgets the calls of a request that were lost before one completed.
+  /// Returns whether there were any.
+  bool ForgetLostCalls(std::uint64_t fingerprint);
+  bool IsSuspected(std::uint64_t fingerprint) const;
+  bool IsHeld(std::uint64_t fingerprint) const;
+  bool HasUnresolvedCalls(std::uint64_t fingerprint) const;
+  void PublishSuspicion(std::uint64_t fingerprint, Actions& actions);
+  /// Leaves of the request's sole calls, or of its other ones, whose fate is
+  /// not known.
+  std::vector<std::string> UnresolvedLeaves(std::uint64_t fingerprint,
+                                            bool sole_calls) const;
+  bool MergeSuspicion(const model::SuspectEntry& entry, bool checks_leaves);
+  /// Applies an observation to held requests of other hosts.
+  void ResolveForOthers(const LeafObservation& observation, Actions& actions);
+
+  const base::Clock& clock_;
   quarantine::Quarantine quarantine_;
   /// Runs with lost calls by run id.
   std::unordered_map<std::uint64_t, Run> runs_;
+  std::unordered_map<std::uint64_t, Suspicion> suspicions_;
+  /// Requests whose suspicion was lifted a moment ago.
+  std::unordered_map<std::uint64_t, Lifted> lifted_;
+  /// When a leaf may be checked again, by id.
+  std::unordered_map<std::string, base::TimePoint> next_checks_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -141,6 +141,9 @@
   std::size_t calls_sent() const { return calls_sent_; }
   /// Whether a leaf has completed a call of the run, with success or failure.
   bool completed_any() const { return completed_any_; }
+  /// Calls that should have been answered by now, of a request that no leaf has
+  /// answered; their leaves have answered no other call of this host since.
+  std::vector<SubrequestCall> OverdueCalls() const;
   /// Describes the first few unanswered subrequests and the state of their
   /// calls, for the log.
   std::string DescribeUnanswered() const;
--- a/forward/include/berylreach/forward/subrequest.h
+++ b/forward/include/berylreach/forward/subrequest.h
@@ -21,6 +21,8 @@
   base::TimePoint sent{};
   base::TimePoint hedge_at{};
   bool running = true;
+  /// See StartLeafCall.
+  bool sole_call = false;
 };
 
 /// The subrequest to one shard, or to the single service of a route that does
--- a/forward/lib/choose_gossip_peers.cc
+++ b/forward/lib/choose_gossip_peers.cc
@@ -28,4 +28,15 @@
   return hosts;
 }
 
+bool ChecksLeavesOf(std::uint64_t fingerprint, const std::string& self,
+                    const std::vector<std::string>& hosts) {
+  const auto weight = [fingerprint](const std::string& host) {
+    return base::RendezvousWeight(fingerprint, base::Hash64(host));
+  };
+  const auto preferred = std::count_if(
+      hosts.begin(), hosts.end(),
+      [&](const std::string& host) { return weight(host) > weight(self); });
+  return static_cast<std::size_t>(preferred) < kLeafCheckers;
+}
+
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -47,7 +47,7 @@
       found->second->Update(std::move(entry), clock_.Now());
       return;
     }
-    Erase(entry.id);
+    Erase(entry.id, /*replaced=*/true);
   }
   auto record = std::make_shared<LeafRecord>(
       entry, location_.DistanceOf(entry.zone), location_.RegionOf(entry.zone),
@@ -56,6 +56,7 @@
   ++generation_;
   by_service_[entry.service].push_back(record);
   leaves_.emplace(entry.id, std::move(record));
+  if (on_listed_) on_listed_(entry);
 }
 
 void LeafDirectory::Remove(const std::string& id) {
@@ -64,7 +65,7 @@
     expired_.insert(id);
     return;
   }
-  Erase(id);
+  Erase(id, /*replaced=*/false);
 }
 
 void LeafDirectory::Replace(std::vector<LeafEntry> entries) {
@@ -133,14 +134,15 @@
     return former.second.forget_at <= now;
   });
   if (InGracePeriod() || expired_.empty()) return;
-  for (const std::string& id : std::exchange(expired_, {})) Erase(id);
+  for (const std::string& id : std::exchange(expired_, {}))
+    Erase(id, /*replaced=*/false);
 }
 
 bool LeafDirectory::InGracePeriod() const {
   return store_lost_ || clock_.Now() < grace_until_;
 }
 
-void LeafDirectory::Erase(const std::string& id) {
+void LeafDirectory::Erase(const std::string& id, bool replaced) {
   const auto found = leaves_.find(id);
   if (found == leaves_.end()) return;
   const std::shared_ptr<LeafRecord> record = found->second;
@@ -149,6 +151,7 @@
   record->MarkRemoved();
   SaveStatements(*record);
   std::erase(by_service_[record->entry().service], record);
+  if (on_unlisted_) on_unlisted_(*record, replaced);
 }
 
 std::size_t LeafDirectory::CountOf(const std::string& service) const {
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -93,7 +93,7 @@
   const auto found = std::find(sent_at_.begin(), sent_at_.end(), sent);
   if (found != sent_at_.end()) sent_at_.erase(found);
   if (outcome == CallOutcome::kCancelled) return;
-  if (outcome == CallOutcome::kLost) OnConnectionReset(now);
+  if (outcome == CallOutcome::kLost) MarkDoubtful(now);
   if (outcome == CallOutcome::kAnswered || outcome == CallOutcome::kShed ||
       outcome == CallOutcome::kFailed)
     OnAnswerTo(sent);
@@ -140,11 +140,11 @@
 }
 
 void LeafRecord::OnAnswerTo(base::TimePoint sent) {
-  if (reset_at_ && sent >= *reset_at_) reset_at_.reset();
+  if (doubtful_since_ && sent >= *doubtful_since_) doubtful_since_.reset();
 }
 
 bool LeafRecord::IsDoubtful(base::TimePoint now) const {
-  return reset_at_ && now < *reset_at_ + kDoubtTime;
+  return doubtful_since_ && now < *doubtful_since_ + kDoubtTime;
 }
 
 base::Duration LeafRecord::DefaultLatency() const {
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -238,6 +238,17 @@
   return next;
 }
 
+std::vector<SubrequestCall> RequestRun::OverdueCalls() const {
+  std::vector<SubrequestCall> overdue;
+  if (completed_any_) return overdue;
+  const base::TimePoint now = context_.clock.Now();
+  for (const Subrequest& subrequest : subrequests_)
+    for (const SubrequestCall& call : subrequest.calls)
+      if (call.running && call.leaf->HasOverdueCall(now))
+        overdue.push_back(call);
+  return overdue;
+}
+
 RequestRun::FoundCall RequestRun::FindCall(CallId call) {
   for (Subrequest& subrequest : subrequests_)
     for (SubrequestCall& sent_call : subrequest.calls)
@@ -266,8 +277,12 @@
   subrequest.waiting_since.reset();
   subrequest.tried.push_back(leaf->entry().id);
   const CallId id = context_.next_call();
-  subrequest.calls.push_back(
-      {id, leaf, now, now + leaf->HedgeDelay(now), /*running=*/true});
+  const bool sole_call = sole_call_ && !completed_any_;
+  subrequest.calls.push_back({.id = id,
+                              .leaf = leaf,
+                              .sent = now,
+                              .hedge_at = now + leaf->HedgeDelay(now),
+                              .sole_call = sole_call});
   ++calls_sent_;
   const std::size_t max_connections =
       context_.selector.ConnectionShare(*subrequest.service);
@@ -276,7 +291,7 @@
                                   .leaf = std::move(leaf),
                                   .max_connections = max_connections,
                                   .sent = now,
-                                  .sole_call = sole_call_ && !completed_any_,
+                                  .sole_call = sole_call,
                                   .deadline = deadline_});
   return true;
 }
--- a/forward/lib/suspect_queue.cc
+++ b/forward/lib/suspect_queue.cc
@@ -24,7 +24,10 @@
     if (droppable == entries_.end()) return;
     entries_.erase(droppable);
   }
-  entries_[entry.fingerprint] = entry;
+  SuspectEntry& queued = entries_[entry.fingerprint];
+  // A mere suspicion must not replace a crash that is still to be sent.
+  if (entry.crashes == 0 && queued.crashes > 0) return;
+  queued = entry;
 }
 
 std::optional<SuspectEntry> SuspectQueue::Take() {
--- a/forward/unittests/choose_gossip_peers_test.cc
+++ b/forward/unittests/choose_gossip_peers_test.cc
@@ -56,6 +56,26 @@
   EXPECT_TRUE(ChooseGossipPeers("host-0", Fleet(1), 7).empty());
 }
 
+// Guards against a load on restarting leaves that grows with the fleet, and
+// against leaves that no host checks.
+TEST(ChooseGossipPeersTest, ThreeHostsCheckTheLeavesOfAHeldRequest) {
+  for (const std::size_t count : {1U, 2U, 6U, 200U}) {
+    const std::vector<std::string> hosts = Fleet(count);
+    std::set<std::string> all_checkers;
+    for (std::uint64_t fingerprint = 1; fingerprint <= 50; ++fingerprint) {
+      std::size_t checkers = 0;
+      for (const std::string& host : hosts) {
+        if (!ChecksLeavesOf(fingerprint, host, hosts)) continue;
+        ++checkers;
+        all_checkers.insert(host);
+      }
+      EXPECT_EQ(checkers, std::min(count, kLeafCheckers));
+    }
+    EXPECT_GT(all_checkers.size(), std::min<std::size_t>(count, 50) / 2)
+        << "requests are spread over the hosts";
+  }
+}
+
 class FleetSizeTest : public testing::TestWithParam<std::size_t> {};
 
 TEST_P(FleetSizeTest, UpdateReachesNearlyAllHostsInAFewSteps) {
--- a/forward/unittests/killing_request_test.cc
+++ b/forward/unittests/killing_request_test.cc
@@ -195,7 +195,8 @@
                               .leaf = leaf.id,
                               .sole_call = call.sole_call});
       Fail(call, CallFailure::kMayHaveRun);
-      quarantine_.OnLeafChecked(leaf.id, /*crashed=*/true, actions);
+      quarantine_.OnLeafObserved(
+          {.leaf = leaf.id, .sign = LeafSign::kConnectionRefused}, actions);
     }
     quarantine_.OnRunEnded({.run = run,
                             .fingerprint = fingerprint,
--- a/forward/unittests/leaf_record_test.cc
+++ b/forward/unittests/leaf_record_test.cc
@@ -115,7 +115,7 @@
 
 // Guards against a leaf that is avoided although no call shows that it is down.
 TEST_F(LeafRecordTest, DoubtEnds) {
-  leaf_.OnConnectionReset(clock_.Now());
+  leaf_.MarkDoubtful(clock_.Now());
   EXPECT_TRUE(leaf_.IsDoubtful(clock_.Now() + milliseconds(1999)));
   EXPECT_FALSE(leaf_.IsDoubtful(clock_.Now() + milliseconds(2000)));
 }
--- a/forward/unittests/request_quarantine_test.cc
+++ b/forward/unittests/request_quarantine_test.cc
@@ -28,8 +28,14 @@
                             .leaf = leaf,
                             .sole_call = sole_call});
   }
+  /// Observes that the leaf has crashed, or that it answers a later call.
   void CheckLeaf(const std::string& leaf, bool crashed) {
-    quarantine_.OnLeafChecked(leaf, crashed, actions_);
+    if (!crashed) clock_.Advance(kRestartListedWithin + milliseconds(1));
+    quarantine_.OnLeafObserved(
+        {.leaf = leaf,
+         .sign = crashed ? LeafSign::kConnectionRefused : LeafSign::kAnswered,
+         .at = clock_.Now()},
+        actions_);
   }
   void EndRun(std::uint64_t run, bool completed, bool probed_first = false) {
     quarantine_.OnRunEnded({.run = run,
@@ -74,7 +80,7 @@
   CheckLeaf("b", true);
   EXPECT_EQ(Published().state, model::SuspectState::kBlocked);
   EXPECT_EQ(Admit(), RunPermit::kBlocked);
-  EXPECT_GT(quarantine_.BlockedFor(kRequest), std::chrono::minutes(9));
+  EXPECT_GT(quarantine_.RefusedFor(kRequest), std::chrono::minutes(9));
 }
 
 // Guards against a request that is not blocked because the check of the second
@@ -179,11 +185,220 @@
   ASSERT_EQ(Admit(), RunPermit::kProbeFirst);
   LoseCall(2, "b", /*sole_call=*/true);
   EndRun(2, false, /*probed_first=*/true);
-  EXPECT_EQ(Admit(), RunPermit::kBusy);
+  EXPECT_EQ(Admit(), RunPermit::kHeld);
   CheckLeaf("b", false);
   EXPECT_EQ(Admit(), RunPermit::kProbeFirst);
 }
 
+// Guards against a second attempt that runs without restrictions because the
+// first leaf's fate is found out late: it starts with one call at once.
+TEST_F(RequestQuarantineTest, LostCallsMakeTheNextAttemptStartWithOneCall) {
+  LoseCall(1, "a");
+  LoseCall(1, "b");
+  EndRun(1, false);
+  EXPECT_TRUE(actions_.empty()) << "a check may explain the calls at once";
+  EXPECT_EQ(Admit(), RunPermit::kProbeFirst);
+}
+
+// Guards against other hosts that run the request without restrictions while
+// the fate of its leaves is unknown.
+TEST_F(RequestQuarantineTest, SuspicionThatLastsIsSharedAndLifted) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  EXPECT_EQ(Admit(), RunPermit::kHeld);
+  EXPECT_GT(quarantine_.RefusedFor(kRequest), milliseconds(0));
+  clock_.Advance(milliseconds(500));
+  quarantine_.Tick(actions_);
+  ASSERT_EQ(actions_.size(), 1U);
+  const model::SuspectEntry shared = Published();
+  EXPECT_EQ(shared.crashes, 0U);
+  EXPECT_EQ(shared.state, model::SuspectState::kSuspect);
+  EXPECT_GT(shared.hold_for, milliseconds(7000));
+  EXPECT_EQ(shared.unanswered_leaves, std::vector<std::string>{"a"});
+  quarantine_.Tick(actions_);
+  EXPECT_EQ(actions_.size(), 1U) << "it is shared once";
+
+  RequestQuarantine other(clock_);
+  EXPECT_TRUE(other.Merge(shared));
+  EXPECT_FALSE(other.Merge(shared)) << "already known";
+  EXPECT_EQ(other.Admit(kRequest, clock_.Now() + milliseconds(300)),
+            RunPermit::kHeld);
+  EXPECT_FALSE(other.MayRunForOthers(kRequest));
+
+  CheckLeaf("a", false);
+  ASSERT_EQ(actions_.size(), 2U);
+  EXPECT_EQ(Published().state, model::SuspectState::kCleared);
+  EXPECT_TRUE(other.Merge(Published()));
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+  EXPECT_EQ(other.Admit(kRequest, clock_.Now() + milliseconds(300)),
+            RunPermit::kUnrestricted);
+}
+
+// Guards against a host that finds out nothing because its own link to the leaf
+// is cut: hosts that check for it report what they see.
+TEST_F(RequestQuarantineTest, OtherHostsFindOutTheFateOfAHeldRequestsLeaves) {
+  const model::SuspectEntry held{.fingerprint = kRequest,
+                                 .expires_in = std::chrono::seconds(8),
+                                 .hold_for = std::chrono::seconds(8),
+                                 .unanswered_leaves = {"a"}};
+  RequestQuarantine bystander(clock_);
+  ASSERT_TRUE(bystander.Merge(held, /*checks_leaves=*/false));
+  EXPECT_TRUE(bystander.LeavesToCheck().empty());
+  ASSERT_TRUE(quarantine_.Merge(held, /*checks_leaves=*/true));
+  EXPECT_EQ(quarantine_.LeavesToCheck(), std::vector<std::string>{"a"});
+  EXPECT_TRUE(quarantine_.LeavesToCheck().empty()) << "checked at intervals";
+  clock_.Advance(milliseconds(500));
+  EXPECT_EQ(quarantine_.LeavesToCheck(), std::vector<std::string>{"a"});
+  CheckLeaf("a", true);
+  ASSERT_FALSE(actions_.empty());
+  EXPECT_EQ(Published().state, model::SuspectState::kBlocked)
+      << "the call was sent alone after another one had been lost";
+}
+
+// Guards against requests that are blocked because a host was paused: its
+// connections time out or are closed meanwhile.
+TEST_F(RequestQuarantineTest, PausedHostForgetsItsLostCalls) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  ASSERT_TRUE(quarantine_.AwaitsObservations());
+  quarantine_.OnProcessPaused();
+  EXPECT_FALSE(quarantine_.AwaitsObservations());
+  CheckLeaf("a", true);
+  EXPECT_TRUE(actions_.empty());
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// Guards against a request that is refused for ever because a leaf that did not
+// answer shows no sign at all.
+TEST_F(RequestQuarantineTest, UnexplainedCallIsForgottenInTime) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  clock_.Advance(RequestQuarantine::kEvidenceWait);
+  quarantine_.Tick(actions_);
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+  EXPECT_FALSE(quarantine_.AwaitsObservations());
+}
+
+// Guards against good requests that are blocked because their leaves were
+// stopped as planned while they ran them.
+TEST_F(RequestQuarantineTest, PlannedEndOfALeafIsNoCrash) {
+  for (const char* leaf : {"a", "b"}) {
+    LoseCall(1, leaf);
+    quarantine_.OnLeafObserved({.leaf = leaf,
+                                .sign = LeafSign::kUnlisted,
+                                .at = clock_.Now(),
+                                .was_leaving = true},
+                               actions_);
+  }
+  EndRun(1, false);
+  EXPECT_TRUE(actions_.empty());
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// Guards against a restarted leaf that is taken for the process that left the
+// call unanswered, since discovery lists the new incarnation a little later.
+TEST_F(RequestQuarantineTest, AnswerSoonAfterTheLossExplainsNothing) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  clock_.Advance(kRestartListedWithin);
+  quarantine_.OnLeafObserved(
+      {.leaf = "a", .sign = LeafSign::kAnswered, .at = clock_.Now()}, actions_);
+  EXPECT_EQ(Admit(), RunPermit::kHeld);
+  quarantine_.OnLeafObserved(
+      {.leaf = "a", .sign = LeafSign::kReplaced, .at = clock_.Now()}, actions_);
+  ASSERT_FALSE(actions_.empty());
+  EXPECT_EQ(Published().crashes, 1U);
+}
+
+// Guards against a crash that is noticed late because the run of the request
+// has not ended: other hosts learn of unanswered calls before.
+TEST_F(RequestQuarantineTest, UnansweredCallsOfARunThatGoesOnAreShared) {
+  quarantine_.OnCallsUnanswered(
+      {{.run = 1, .fingerprint = kRequest, .leaf = "a", .sole_call = true}});
+  clock_.Advance(milliseconds(500));
+  quarantine_.Tick(actions_);
+  ASSERT_EQ(actions_.size(), 1U);
+  EXPECT_GT(Published().hold_for, milliseconds(0));
+  EndRun(1, /*completed=*/true);
+  EXPECT_EQ(Published().state, model::SuspectState::kCleared);
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// Guards against a good one-time request that another host sends to a leaf that
+// has fallen silent, since it has no connection to it that could be reset.
+TEST_F(RequestQuarantineTest, SharedSuspicionNamesTheLeavesThatMayBeDown) {
+  LoseCall(1, "a");
+  LoseCall(1, "b", /*sole_call=*/true);
+  EndRun(1, false);
+  clock_.Advance(milliseconds(100));
+  quarantine_.Tick(actions_);
+  ASSERT_EQ(actions_.size(), 1U);
+  EXPECT_EQ(Published().unanswered_leaves, std::vector<std::string>{"b"});
+  EXPECT_EQ(Published().doubtful_leaves, std::vector<std::string>{"a"});
+}
+
+// Guards against a popular good request that is blocked because two leaves
+// crash: it completed after their calls were lost (the soak, seed 727).
+TEST_F(RequestQuarantineTest, CompletionAfterALossExplainsIt) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  LoseCall(2, "b");
+  EndRun(2, false);
+  EndRun(3, /*completed=*/true);
+  CheckLeaf("a", true);
+  CheckLeaf("b", true);
+  EXPECT_TRUE(actions_.empty());
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// The same for a completion at another host.
+TEST_F(RequestQuarantineTest, CompletionAtAnotherHostExplainsALoss) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  EXPECT_TRUE(quarantine_.Merge({.fingerprint = kRequest,
+                                 .state = model::SuspectState::kCleared,
+                                 .completed = true}));
+  CheckLeaf("a", true);
+  EXPECT_TRUE(actions_.empty());
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// Guards against losing evidence because another call is explained.
+TEST_F(RequestQuarantineTest, ExplainedCallAtAnotherHostExplainsNoOther) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  quarantine_.Merge(
+      {.fingerprint = kRequest, .state = model::SuspectState::kCleared});
+  CheckLeaf("a", true);
+  ASSERT_FALSE(actions_.empty());
+  EXPECT_EQ(Published().crashes, 1U);
+}
+
+// Guards against hosts that tell each other of a suspicion in circles after it
+// was lifted (the soak, seed 727).
+TEST_F(RequestQuarantineTest, LateEntryDoesNotRenewALiftedSuspicion) {
+  const model::SuspectEntry held{.fingerprint = kRequest,
+                                 .expires_in = std::chrono::seconds(8),
+                                 .hold_for = std::chrono::seconds(8),
+                                 .unanswered_leaves = {"a"}};
+  const model::SuspectEntry cleared{.fingerprint = kRequest,
+                                    .state = model::SuspectState::kCleared,
+                                    .completed = true};
+  ASSERT_TRUE(quarantine_.Merge(held));
+  ASSERT_TRUE(quarantine_.Merge(cleared));
+  EXPECT_FALSE(quarantine_.Merge(held));
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+  EndRun(1, /*completed=*/true);
+  ASSERT_EQ(actions_.size(), 1U)
+      << "the entry was not late, but of a host that suspects the request anew";
+  EXPECT_TRUE(Published().completed);
+  EndRun(2, /*completed=*/true);
+  EXPECT_EQ(actions_.size(), 1U);
+  clock_.Advance(milliseconds(1000));
+  quarantine_.Tick(actions_);
+  EXPECT_TRUE(quarantine_.Merge(held)) << "a new suspicion";
+}
+
 // Guards against a request that stays blocked forever.
 TEST_F(RequestQuarantineTest, BlockExpires) {
   LoseCall(1, "a");
@@ -193,7 +408,7 @@
   EndRun(1, false);
   ASSERT_EQ(Admit(), RunPermit::kBlocked);
   clock_.Advance(quarantine::Quarantine::kEntryLifetime);
-  quarantine_.Tick();
+  quarantine_.Tick(actions_);
   EXPECT_EQ(quarantine_.size(), 0U);
   EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
 }
--- a/forward/unittests/suspect_queue_test.cc
+++ b/forward/unittests/suspect_queue_test.cc
@@ -61,5 +61,16 @@
   EXPECT_EQ(queue_.Take()->fingerprint, 1000U);
 }
 
+// Guards against a crash that other hosts never learn of because a suspicion
+// with the same fingerprint follows it.
+TEST_F(SuspectQueueTest, SuspicionDoesNotReplaceACrash) {
+  queue_.Put(Entry(1));
+  queue_.Put({.fingerprint = 1, .crashes = 0});
+  const auto taken = queue_.Take();
+  ASSERT_TRUE(taken);
+  EXPECT_EQ(taken->crashes, 1U);
+  EXPECT_FALSE(queue_.Take());
+}
+
 }  // namespace
 }  // namespace berylreach::forward
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -89,6 +89,8 @@
     /// The request runs on one leaf first, because a leaf may have crashed
     /// while it ran an earlier attempt.
     bool probed_first = false;
+    /// Number of unanswered calls that the quarantine has been told of.
+    std::size_t reported_unanswered = 0;
     /// ShardDigest of the route, set if other hosts run groups of its shards.
     std::uint64_t shard_digest = 0;
   };
@@ -104,6 +106,11 @@
     bool sole_call = false;
     base::TimePoint sent{};
   };
+  /// A health check of a leaf that may have crashed.
+  struct HealthCheck {
+    std::shared_ptr<forward::LeafRecord> leaf;
+    base::TimePoint sent{};
+  };
   class HealthServer;
   class PeerServer;
 
@@ -178,8 +185,21 @@
   /// Handles a call whose connection was lost before the response; checks
   /// whether the leaf has crashed.
   void OnCallLost(const RunningCall& running);
+  /// Reports requests to the quarantine that no leaf has answered for long.
+  void ReportUnansweredCalls();
   /// Reports the end of a request's run to the quarantine.
   void EndQuarantineRun(std::uint64_t id, const RunningRequest& request);
+  /// Checks leaves that may have crashed while they ran a request.
+  void CheckSuspectLeaves();
+  void SendHealthCheck(const std::shared_ptr<forward::LeafRecord>& leaf);
+  void OnHealthCheckDone(const HealthCheck& check,
+                         const LeafConnections::Result& result);
+  /// Reports an observation of a leaf to the quarantine. `at` is explained at
+  /// LeafObservation.
+  void ObserveLeaf(const forward::LeafRecord& leaf, forward::LeafSign sign,
+                   base::TimePoint at);
+  /// Reports to the quarantine which incarnations discovery lists.
+  void ObserveDirectory();
   /// Sends queued suspect entries to other hosts, as fast as the queue's rate
   /// limit allows.
   void NotifyHosts();
@@ -260,6 +280,7 @@
   std::unordered_map<ServerConnection*, std::uint64_t> request_by_connection_;
   std::unordered_map<std::uint64_t, RunningRequest> requests_;
   std::unordered_map<forward::CallId, RunningCall> calls_;
+  std::unordered_map<forward::CallId, HealthCheck> health_checks_;
   std::uint64_t next_id_ = 1;
   /// Number of requests of each route that has several services, by route name;
   /// used to distribute them by weight.
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -53,9 +53,15 @@
   /// Receives the interim responses of running calls.
   using OnProgress = std::function<void(forward::CallId, const HttpResponse&)>;
 
-  /// Receives whether nothing listens at the leaf's address any more, which
-  /// counts as a crash.
-  using OnChecked = std::function<void(bool crashed)>;
+  /// Result of opening a connection to a leaf.
+  enum class ConnectResult {
+    kOpened,
+    /// Nothing listens at the leaf's address.
+    kRefused,
+    /// Neither: the connection was reset, or there was no response in time.
+    kFailed,
+  };
+  using OnConnected = std::function<void(ConnectResult)>;
 
   /// Receives the id of a leaf or host that has reset an idle connection.
   using OnReset = std::function<void(const std::string& peer)>;
@@ -76,9 +82,10 @@
   /// stays open while idle, because opening one costs a round trip, and sends
   /// TCP keep-alive probes.
   void KeepConnected(const forward::LeafRecord& host);
-  /// Checks by a new connection whether the leaf has crashed; if so, the
-  /// connection is refused. Concurrent checks of one leaf share a connection.
-  void CheckAlive(const forward::LeafRecord& leaf, OnChecked on_checked);
+  /// Opens a connection to the leaf to see whether anything listens at its
+  /// address. Concurrent trials of one leaf share a connection, which then
+  /// serves calls.
+  void TryConnect(const forward::LeafRecord& leaf, OnConnected on_connected);
   /// Whether a call could be sent over an idle connection.
   bool HasIdle(const std::string& leaf) const;
   /// Whether a connection to the peer is idle, or was in use a moment ago and
@@ -108,8 +115,8 @@
     forward::CallId call = 0;
     /// Id of the running call's request.
     std::string request_id;
-    /// Opened by CheckAlive.
-    bool is_check = false;
+    /// Opened by TryConnect.
+    bool is_trial = false;
     /// The peer has echoed a request id on this connection.
     bool echoes_ids = false;
   };
@@ -135,8 +142,8 @@
   /// Opens a connection for `call`, or without a call if its id is 0.
   ClientConnection& Open(const forward::LeafRecord& leaf, Pool& pool,
                          OutgoingCall call, base::TimePoint response_deadline);
-  /// Reports the result of a check to all its callbacks.
-  void ReportChecks(const std::string& leaf, bool crashed);
+  /// Reports the result of a trial to all its callbacks.
+  void ReportConnectResult(const std::string& leaf, ConnectResult result);
   /// Whether a response belongs to the running call. A duplicate of an earlier
   /// response may arrive where the next one is expected.
   bool MatchesRequest(PooledConnection& pooled, const HttpFields& fields) const;
@@ -157,8 +164,8 @@
   std::unordered_map<std::string, Pool> pools_;
   std::unordered_map<ClientConnection*, PooledConnection> connections_;
   std::unordered_map<forward::CallId, ClientConnection*> connection_by_call_;
-  /// Callbacks of running checks, by leaf id.
-  std::unordered_map<std::string, std::vector<OnChecked>> pending_checks_;
+  /// Callbacks of running trials, by leaf id.
+  std::unordered_map<std::string, std::vector<OnConnected>> pending_trials_;
   ConnectionCounters counters_;
 };
 
--- a/gateway/include/berylreach/gateway/wire_names.h
+++ b/gateway/include/berylreach/gateway/wire_names.h
@@ -17,6 +17,8 @@
   std::string caller_timeout;
   /// Id of the only leaf incarnation that may run the call.
   std::string expected_leaf;
+  /// Id of the leaf incarnation that answers a health check.
+  std::string leaf_id;
   /// A leaf's signature of its response.
   std::string signature;
   /// Present if the leaf did not run the call.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -108,11 +108,12 @@
           },
           [this](const std::string& peer) {
             const auto leaf = directory_.Find(peer);
-            if (leaf != nullptr) leaf->OnConnectionReset(clock_.Now());
+            if (leaf != nullptr) leaf->MarkDoubtful(clock_.Now());
           }),
       timer_(io),
       periodic_timer_(io),
       last_active_at_(clock.Now()) {
+  ObserveDirectory();
   planner_.SetReachable([this](const forward::LeafRecord& host) {
     return leaf_connections_.IsReachable(host.entry().id);
   });
@@ -173,6 +174,7 @@
   host::LogStateChange("paused", settings_.host,
                        std::to_string(paused.count()) + " ms");
   view_stale_until_ = now + kMaxConfirmWait;
+  quarantine_.OnProcessPaused();
   if (on_process_paused_) on_process_paused_();
 }
 
@@ -266,8 +268,11 @@
   directory_.Tick();
   cold_call_limit_.Tick();
   leaf_rate_limit_.Tick(clock_.Now());
-  quarantine_.Tick();
-  NotifyHosts();
+  ReportUnansweredCalls();
+  forward::RequestQuarantine::Actions actions;
+  quarantine_.Tick(actions);
+  PublishSuspects(actions);
+  CheckSuspectLeaves();
   leaf_connections_.CheckTimeouts();
   leaf_connections_.CloseIdle([this](const std::string& leaf) {
     if (planner_.IsKnownHost(leaf)) return true;
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -1,5 +1,6 @@
 // Handles requests that are suspected of crashing the leaves that run them, and
 // exchanges entries about them with other hosts.
+#include <limits>
 #include <utility>
 
 #include "berylreach/forward/choose_gossip_peers.h"
@@ -22,6 +23,13 @@
 /// slow.
 constexpr milliseconds kBusyRetryAfter{200};
 
+/// Time without any answer to a request after which its leaves may have crashed
+/// silently, as a machine without power does. Pauses of a process are shorter.
+constexpr milliseconds kUnansweredAfter{500};
+
+/// Timeout of a health check, which waits for a slot as any call does.
+constexpr milliseconds kHealthCheckTimeout{400};
+
 const char* EventOf(model::SuspectState state) {
   switch (state) {
     case model::SuspectState::kSuspect:
@@ -34,6 +42,16 @@
   return "request_blocked";
 }
 
+forward::LostCall ToLostCall(std::uint64_t run_id,
+                             const forward::RequestRun& run,
+                             const forward::SubrequestCall& call) {
+  return {.run = run_id,
+          .fingerprint = run.request().fingerprint,
+          .leaf = call.leaf->entry().id,
+          .address = call.leaf->entry().address,
+          .sole_call = call.sole_call};
+}
+
 }  // namespace
 
 void Gateway::RefuseSuspect(ServerConnection& connection,
@@ -41,15 +59,16 @@
                             forward::RunPermit permit,
                             std::uint64_t fingerprint) {
   ++counters_.blocked;
+  std::string_view cause = "leaves ended under this request";
+  auto retry_after = std::chrono::duration_cast<milliseconds>(
+      quarantine_.RefusedFor(fingerprint));
   if (permit == forward::RunPermit::kBusy) {
-    RefuseAtOnce(connection, request, 503,
-                 "a leaf ended under this request, which runs alone now",
-                 kBusyRetryAfter);
-    return;
+    cause = "a leaf ended under this request, which runs alone now";
+    retry_after = kBusyRetryAfter;
+  } else if (permit == forward::RunPermit::kHeld) {
+    cause = "a leaf that ran this request does not answer";
   }
-  RefuseAtOnce(connection, request, 503, "leaves ended under this request",
-               std::chrono::duration_cast<milliseconds>(
-                   quarantine_.BlockedFor(fingerprint)));
+  RefuseAtOnce(connection, request, 503, cause, retry_after);
 }
 
 void Gateway::OnCallLost(const RunningCall& running) {
@@ -66,18 +85,38 @@
       {.run = running.request,
        .fingerprint = request->second.run->request().fingerprint,
        .leaf = leaf.id,
+       .address = leaf.address,
        .sole_call = running.sole_call});
-  leaf_connections_.CheckAlive(
-      *running.callee, [this, id = leaf.id](bool crashed) {
-        forward::RequestQuarantine::Actions actions;
-        quarantine_.OnLeafChecked(id, crashed, actions);
-        PublishSuspects(actions);
+  leaf_connections_.TryConnect(
+      *running.callee,
+      [this, callee = running.callee](LeafConnections::ConnectResult result) {
+        if (result == LeafConnections::ConnectResult::kRefused)
+          ObserveLeaf(*callee, forward::LeafSign::kConnectionRefused,
+                      clock_.Now());
       });
 }
 
+void Gateway::ReportUnansweredCalls() {
+  const base::TimePoint now = clock_.Now();
+  for (auto& [id, request] : requests_) {
+    const forward::RequestRun& run = *request.run;
+    if (run.completed_any() || now < run.request().received + kUnansweredAfter)
+      continue;
+    std::vector<forward::LostCall> calls;
+    for (const forward::SubrequestCall& call : run.OverdueCalls())
+      if (call.leaf->IsUnresponsive(now))
+        calls.push_back(ToLostCall(id, run, call));
+    if (calls.size() <= request.reported_unanswered) continue;
+    request.reported_unanswered = calls.size();
+    quarantine_.OnCallsUnanswered(std::move(calls));
+  }
+}
+
 void Gateway::EndQuarantineRun(std::uint64_t id,
                                const RunningRequest& request) {
   const forward::RequestRun& run = *request.run;
+  for (const forward::SubrequestCall& call : run.OverdueCalls())
+    quarantine_.OnCallLost(ToLostCall(id, run, call));
   forward::RequestQuarantine::Actions actions;
   quarantine_.OnRunEnded({.run = id,
                           .fingerprint = run.request().fingerprint,
@@ -85,6 +124,82 @@
                           .completed = run.completed_any()},
                          actions);
   PublishSuspects(actions);
+  CheckSuspectLeaves();
+}
+
+void Gateway::CheckSuspectLeaves() {
+  for (const std::string& id : quarantine_.LeavesToCheck()) {
+    const std::shared_ptr<forward::LeafRecord> leaf = directory_.Find(id);
+    if (leaf == nullptr) continue;
+    leaf_connections_.TryConnect(
+        *leaf, [this, leaf](LeafConnections::ConnectResult result) {
+          if (result == LeafConnections::ConnectResult::kRefused) {
+            ObserveLeaf(*leaf, forward::LeafSign::kConnectionRefused,
+                        clock_.Now());
+          } else if (result == LeafConnections::ConnectResult::kOpened) {
+            SendHealthCheck(leaf);
+          }
+        });
+  }
+}
+
+void Gateway::SendHealthCheck(
+    const std::shared_ptr<forward::LeafRecord>& leaf) {
+  const auto& table = tables_.current();
+  const forward::Service* service =
+      table ? table->FindService(leaf->entry().service) : nullptr;
+  if (service == nullptr || service->health_path.empty()) return;
+  OutgoingCall call;
+  call.id = next_id_++;
+  call.bytes = "GET " + service->health_path +
+               " HTTP/1.1\r\nHost: " + leaf->entry().address + "\r\n\r\n";
+  call.max_connections = std::numeric_limits<std::size_t>::max();
+  call.deadline = clock_.Now() + kHealthCheckTimeout;
+  health_checks_[call.id] = {.leaf = leaf, .sent = clock_.Now()};
+  leaf_connections_.Start(*leaf, std::move(call));
+}
+
+void Gateway::OnHealthCheckDone(const HealthCheck& check,
+                                const LeafConnections::Result& result) {
+  const auto* response = std::get_if<HttpResponse>(&result);
+  if (response == nullptr) return;
+  const std::string_view id = response->fields.Find(settings_.names.leaf_id);
+  if (id.empty()) return;
+  const bool same = id == check.leaf->entry().id;
+  if (same) check.leaf->OnAnswerTo(check.sent);
+  ObserveLeaf(
+      *check.leaf,
+      same ? forward::LeafSign::kAnswered : forward::LeafSign::kReplaced,
+      check.sent);
+}
+
+void Gateway::ObserveLeaf(const forward::LeafRecord& leaf,
+                          forward::LeafSign sign, base::TimePoint at) {
+  if (!quarantine_.AwaitsObservations()) return;
+  forward::RequestQuarantine::Actions actions;
+  quarantine_.OnLeafObserved(
+      {.leaf = leaf.entry().id,
+       .sign = sign,
+       .at = at,
+       .was_leaving = leaf.leaving() || leaf.entry().draining},
+      actions);
+  PublishSuspects(actions);
+}
+
+void Gateway::ObserveDirectory() {
+  directory_.SetObservers(
+      [this](const forward::LeafEntry& leaf) {
+        if (!quarantine_.AwaitsObservations()) return;
+        forward::RequestQuarantine::Actions actions;
+        quarantine_.OnLeafListed(leaf.id, leaf.address, actions);
+        PublishSuspects(actions);
+      },
+      [this](const forward::LeafRecord& leaf, bool replaced) {
+        ObserveLeaf(leaf,
+                    replaced ? forward::LeafSign::kReplaced
+                             : forward::LeafSign::kUnlisted,
+                    clock_.Now());
+      });
 }
 
 void Gateway::PublishSuspects(
@@ -93,7 +208,8 @@
     const auto& update = std::get<quarantine::PublishSuspects>(action).update;
     for (const model::SuspectEntry& entry : update.entries) {
       LogSuspect(entry, settings_.host);
-      if (publish_suspect_) publish_suspect_(entry);
+      // A suspicion is over before it would be known through the store.
+      if (publish_suspect_ && entry.crashes > 0) publish_suspect_(entry);
       suspect_queue_.Put(entry);
     }
   }
@@ -139,8 +255,18 @@
       /*keep_alive=*/true);
   // An entry that this host knew already is not forwarded, which ends the
   // gossip.
-  if (!entry || !quarantine_.Merge(*entry)) return;
+  if (!entry) return;
+  const bool checks_leaves = forward::ChecksLeavesOf(
+      entry->fingerprint, settings_.host, planner_.HostNames());
+  if (!quarantine_.Merge(*entry, checks_leaves)) return;
   LogSuspect(*entry, "another host");
+  for (const auto* leaves :
+       {&entry->unanswered_leaves, &entry->doubtful_leaves}) {
+    for (const std::string& id : *leaves) {
+      const auto leaf = directory_.Find(id);
+      if (leaf != nullptr) leaf->MarkDoubtful(clock_.Now());
+    }
+  }
   suspect_queue_.Put(*entry);
   NotifyHosts();
 }
@@ -151,9 +277,12 @@
 
 void Gateway::LogSuspect(const model::SuspectEntry& entry,
                          const std::string& source) {
-  host::LogStateChange(
-      EventOf(entry.state), FormatFingerprint(entry.fingerprint),
-      std::to_string(entry.crashes) + " leaf crashes, reported by " + source);
+  std::string detail = std::to_string(entry.crashes) + " leaf crashes";
+  if (entry.hold_for.count() > 0)
+    detail += ", held for " + std::to_string(entry.hold_for.count()) + " ms";
+  host::LogStateChange(EventOf(entry.state),
+                       FormatFingerprint(entry.fingerprint),
+                       detail + ", reported by " + source);
 }
 
 }  // namespace berylreach::gateway
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -79,8 +79,8 @@
   const std::uint64_t fingerprint = FingerprintOf(request, settings_.names);
   const forward::RunPermit permit =
       PermitFor(route, fingerprint, subset != nullptr);
-  if (permit == forward::RunPermit::kBusy ||
-      permit == forward::RunPermit::kBlocked) {
+  if (permit != forward::RunPermit::kUnrestricted &&
+      permit != forward::RunPermit::kProbeFirst) {
     RefuseSuspect(connection, request, permit, fingerprint);
     return;
   }
@@ -246,6 +246,10 @@
 }
 
 void Gateway::OnCallDone(forward::CallId call, LeafConnections::Result result) {
+  if (const auto check = health_checks_.extract(call)) {
+    OnHealthCheckDone(check.mapped(), result);
+    return;
+  }
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
   const RunningCall running = std::move(found->second);
@@ -274,6 +278,7 @@
     if (reply.wrong_incarnation) {
       outcome = forward::CallOutcome::kReplaced;
       leaf.MarkRemoved();
+      ObserveLeaf(leaf, forward::LeafSign::kReplaced, now);
       host::LogStateChange("leaf_replaced",
                            leaf.entry().service + " " + leaf.entry().id,
                            running.request_id);
@@ -287,6 +292,8 @@
     } else {
       ++counters_.leaf_failures;
     }
+    if (!reply.wrong_incarnation)
+      ObserveLeaf(leaf, forward::LeafSign::kAnswered, running.sent);
     leaf.OnCallEnded(running.sent, now, outcome);
     LogBackOff(leaf, was_backed_off, running.request_id);
     if (request == requests_.end()) return;
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -130,21 +130,22 @@
   return *connection;
 }
 
-void LeafConnections::CheckAlive(const forward::LeafRecord& leaf,
-                                 OnChecked on_checked) {
+void LeafConnections::TryConnect(const forward::LeafRecord& leaf,
+                                 OnConnected on_connected) {
   const std::string& id = leaf.entry().id;
-  std::vector<OnChecked>& waiting = pending_checks_[id];
-  waiting.push_back(std::move(on_checked));
+  std::vector<OnConnected>& waiting = pending_trials_[id];
+  waiting.push_back(std::move(on_connected));
   if (waiting.size() > 1) return;
   ClientConnection& connection =
       Open(leaf, pools_[id], {}, clock_.Now() + kConnectTimeout);
-  connections_.at(&connection).is_check = true;
+  connections_.at(&connection).is_trial = true;
 }
 
-void LeafConnections::ReportChecks(const std::string& leaf, bool crashed) {
-  const auto waiting = pending_checks_.extract(leaf);
+void LeafConnections::ReportConnectResult(const std::string& leaf,
+                                          ConnectResult result) {
+  const auto waiting = pending_trials_.extract(leaf);
   if (waiting.empty()) return;
-  for (const OnChecked& on_checked : waiting.mapped()) on_checked(crashed);
+  for (const OnConnected& on_connected : waiting.mapped()) on_connected(result);
 }
 
 void LeafConnections::Warm(const forward::LeafRecord& leaf) {
@@ -177,8 +178,8 @@
   if (found == connections_.end()) return;
   PooledConnection& pooled = found->second;
   pools_[pooled.leaf].idle.push_back(pooled.connection);
-  if (std::exchange(pooled.is_check, false)) {
-    ReportChecks(std::string(pooled.leaf), /*crashed=*/false);
+  if (std::exchange(pooled.is_trial, false)) {
+    ReportConnectResult(std::string(pooled.leaf), ConnectResult::kOpened);
     return;
   }
   const forward::CallId withdrawn = std::exchange(pooled.call, 0);
@@ -316,12 +317,15 @@
   if (found == connections_.end()) return;
   const forward::CallId call = found->second.call;
   const std::string leaf = found->second.leaf;
-  const bool is_check = found->second.is_check;
+  const bool is_trial = found->second.is_trial;
   ++counters_.broken;
   Remove(connection);
   // Other connections to an unresponsive leaf may be dead too.
   if (failure == ExchangeFailure::kTimedOut) CloseIdleOf(leaf);
-  if (is_check) ReportChecks(leaf, failure == ExchangeFailure::kRefused);
+  if (is_trial)
+    ReportConnectResult(leaf, failure == ExchangeFailure::kRefused
+                                  ? ConnectResult::kRefused
+                                  : ConnectResult::kFailed);
   if (call == 0) return;
   on_done_(call, ToCallFailure(failure));
 }
--- a/gateway/lib/suspect_codec.cc
+++ b/gateway/lib/suspect_codec.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <cstdint>
 #include <utility>
+#include <vector>
 
 #include "berylreach/gateway/request_fingerprint.h"
 
@@ -45,6 +46,21 @@
   return value;
 }
 
+bool BoolMember(const boost::json::object& object, std::string_view name) {
+  const auto* member = object.if_contains({name.data(), name.size()});
+  return member != nullptr && member->is_bool() && member->get_bool();
+}
+
+std::vector<std::string> StringsMember(const boost::json::object& object,
+                                       std::string_view name) {
+  std::vector<std::string> texts;
+  const auto* member = object.if_contains({name.data(), name.size()});
+  if (member == nullptr || !member->is_array()) return texts;
+  for (const auto& item : member->get_array())
+    if (item.is_string()) texts.emplace_back(item.get_string());
+  return texts;
+}
+
 }  // namespace
 
 std::string FormatSuspect(const model::SuspectEntry& entry) {
@@ -53,6 +69,13 @@
   value["state"] = StateName(entry.state);
   value["ended_leaves"] = entry.crashes;
   value["expires_in_ms"] = entry.expires_in.count();
+  if (entry.hold_for.count() > 0) {
+    value["hold_ms"] = entry.hold_for.count();
+    value["leaves"] = boost::json::value_from(entry.unanswered_leaves);
+  }
+  if (!entry.doubtful_leaves.empty())
+    value["doubtful"] = boost::json::value_from(entry.doubtful_leaves);
+  if (entry.completed) value["completed"] = true;
   return boost::json::serialize(value);
 }
 
@@ -67,11 +90,17 @@
   const auto crashes = NumberMember(object, "ended_leaves");
   const auto expires_in_ms = NumberMember(object, "expires_in_ms");
   if (!fingerprint || !state || !crashes || !expires_in_ms) return std::nullopt;
+  // Hosts of an older version do not send these members.
+  const auto hold_ms = NumberMember(object, "hold_ms");
   return model::SuspectEntry{
       .fingerprint = *fingerprint,
       .state = *state,
       .crashes = *crashes,
-      .expires_in = std::chrono::milliseconds(*expires_in_ms)};
+      .expires_in = std::chrono::milliseconds(*expires_in_ms),
+      .hold_for = std::chrono::milliseconds(hold_ms.value_or(0)),
+      .unanswered_leaves = StringsMember(object, "leaves"),
+      .doubtful_leaves = StringsMember(object, "doubtful"),
+      .completed = BoolMember(object, "completed")};
 }
 
 }  // namespace berylreach::gateway
--- a/gateway/unittests/leaf_connections_test.cc
+++ b/gateway/unittests/leaf_connections_test.cc
@@ -251,23 +251,25 @@
 
 // Guards against taking a leaf for crashed because a connection to it was reset
 // or a response was lost.
-TEST_F(LeafConnectionsTest, CheckAliveDistinguishesCrashedLeavesFromLiveOnes) {
-  std::vector<bool> crashed;
-  const auto check = [&] {
-    connections_.CheckAlive(
-        leaf_, [&crashed](bool result) { crashed.push_back(result); });
+TEST_F(LeafConnectionsTest, TrialsTellARefusedConnectionFromAnOpenedOne) {
+  using ConnectResult = LeafConnections::ConnectResult;
+  std::vector<ConnectResult> results;
+  const auto try_connect = [&] {
+    connections_.TryConnect(
+        leaf_, [&results](ConnectResult result) { results.push_back(result); });
   };
-  check();
-  check();
-  ASSERT_TRUE(RunUntil(io_, [&] { return crashed.size() == 2; }));
-  EXPECT_EQ(crashed, (std::vector<bool>{false, false}));
-  EXPECT_EQ(connections_.counters().opened, 1U) << "checks share a connection";
+  try_connect();
+  try_connect();
+  ASSERT_TRUE(RunUntil(io_, [&] { return results.size() == 2; }));
+  EXPECT_EQ(results, (std::vector<ConnectResult>{ConnectResult::kOpened,
+                                                 ConnectResult::kOpened}));
+  EXPECT_EQ(connections_.counters().opened, 1U) << "trials share a connection";
   EXPECT_TRUE(connections_.HasIdle("l"))
-      << "the connection of the checks serves the next call";
+      << "the connection of the trials serves the next call";
   server_.Stop();
-  check();
-  ASSERT_TRUE(RunUntil(io_, [&] { return crashed.size() == 3; }));
-  EXPECT_TRUE(crashed[2]);
+  try_connect();
+  ASSERT_TRUE(RunUntil(io_, [&] { return results.size() == 3; }));
+  EXPECT_EQ(results[2], ConnectResult::kRefused);
 }
 
 }  // namespace
--- a/model/include/berylreach/model/suspect_update.h
+++ b/model/include/berylreach/model/suspect_update.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace berylreach::model {
@@ -25,7 +26,9 @@
   SuspectState state = SuspectState::kSuspect;
   /// Number of leaf crashes that made the fingerprint suspect or blocked; at
   /// least 2 if `state` is kBlocked. A crash that only adds a canary leaf is
-  /// not counted.
+  /// not counted. 0 if calls were lost and it is not known yet whether their
+  /// leaves have crashed, or if it has been found out that they have not
+  /// (kCleared).
   std::uint32_t crashes = 0;
   /// Time until the entry expires. It is relative because the clocks of two
   /// hosts are not comparable.
@@ -33,6 +36,18 @@
   /// For a suspect: sorted hashes of the leaves that crashed while running its
   /// canary calls. Two such leaves block the fingerprint.
   std::vector<std::uint64_t> canary_leaves;
+  /// Time for which no attempt should be admitted, since the outcome of one is
+  /// not known yet.
+  std::chrono::milliseconds hold_for{0};
+  /// Ids of the leaves that left the attempt with the unknown outcome
+  /// unanswered.
+  std::vector<std::string> unanswered_leaves;
+  /// Ids of other leaves that left a call of the request unanswered. They may
+  /// be down.
+  std::vector<std::string> doubtful_leaves;
+  /// For kCleared: a call of the request has completed, so that calls that were
+  /// lost before are explained at all hosts.
+  bool completed = false;
 
   friend bool operator==(const SuspectEntry&, const SuspectEntry&) = default;
 };
