--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -263,8 +263,7 @@
           .tried = &subrequest.tried,
           .seed = seed_,
           .allow_unhealthy = allow_unhealthy,
-          .avoid_doubtful = !route_.idempotent,
-          .may_be_trial = subrequest.tried.empty()};
+          .avoid_doubtful = !route_.idempotent};
 }
 
 bool RequestRun::SendCall(Subrequest& subrequest, bool allow_unhealthy,
