Spread mere suspicions to fewer hosts at a time

Change: an entry without a crash is forwarded to 5 hosts instead of 12, which reaches all hosts of a fleet of 6 in one step, and nearly all of 2,400 (SuspicionReachesNearlyAllHostsAtALowCost). Crashes are spread as before.

--- a/forward/include/berylreach/forward/choose_gossip_peers.h
+++ b/forward/include/berylreach/forward/choose_gossip_peers.h
@@ -14,6 +14,10 @@
 /// fleet.
 inline constexpr std::size_t kGossipFanout = 12;
 
+/// Same for a mere suspicion, most of which have harmless causes, such as slow
+/// leaves. It reaches nearly all hosts.
+inline constexpr std::size_t kSuspicionFanout = 5;
+
 /// Number of hosts that check the leaves of a held request for the others.
 inline constexpr std::size_t kLeafCheckers = 3;
 
@@ -22,10 +26,12 @@
 bool ChecksLeavesOf(std::uint64_t fingerprint, const std::string& self,
                     const std::vector<std::string>& hosts);
 
-/// Returns the members of `hosts` to which `self` forwards the update with the
-/// hash `update_hash`. The choice differs for each sender and each update.
+/// Returns the `fanout` members of `hosts` to which `self` forwards the update
+/// with the hash `update_hash`. The choice differs for each sender and each
+/// update.
 std::vector<std::string> ChooseGossipPeers(const std::string& self,
                                            std::vector<std::string> hosts,
-                                           std::uint64_t update_hash);
+                                           std::uint64_t update_hash,
+                                           std::size_t fanout = kGossipFanout);
 
 }  // namespace berylreach::forward
--- a/forward/lib/choose_gossip_peers.cc
+++ b/forward/lib/choose_gossip_peers.cc
@@ -11,14 +11,15 @@
 
 std::vector<std::string> ChooseGossipPeers(const std::string& self,
                                            std::vector<std::string> hosts,
-                                           std::uint64_t update_hash) {
+                                           std::uint64_t update_hash,
+                                           std::size_t fanout) {
   std::erase(hosts, self);
   const std::uint64_t seed =
       base::RendezvousWeight(update_hash, base::Hash64(self));
   const auto weight = [seed](const std::string& host) {
     return base::RendezvousWeight(seed, base::Hash64(host));
   };
-  const std::size_t count = std::min(kGossipFanout, hosts.size());
+  const std::size_t count = std::min(fanout, hosts.size());
   std::partial_sort(hosts.begin(),
                     hosts.begin() + static_cast<std::ptrdiff_t>(count),
                     hosts.end(), [&](const auto& a, const auto& b) {
--- a/forward/unittests/choose_gossip_peers_test.cc
+++ b/forward/unittests/choose_gossip_peers_test.cc
@@ -25,7 +25,8 @@
   std::size_t messages = 0;
 };
 
-Spread SpreadUpdate(std::size_t count, std::size_t loss_interval) {
+Spread SpreadUpdate(std::size_t count, std::size_t loss_interval,
+                    std::size_t fanout = kGossipFanout) {
   const std::vector<std::string> hosts = Fleet(count);
   std::set<std::string> lost;
   for (std::size_t i = 1; loss_interval != 0 && i < count; i += loss_interval)
@@ -36,7 +37,8 @@
   while (!newly_reached.empty()) {
     std::vector<std::string> next;
     for (const std::string& host : newly_reached) {
-      for (const std::string& other : ChooseGossipPeers(host, hosts, 7)) {
+      for (const std::string& other :
+           ChooseGossipPeers(host, hosts, 7, fanout)) {
         ++spread.messages;
         if (lost.contains(other) || !reached.insert(other).second) continue;
         next.push_back(other);
@@ -89,6 +91,17 @@
   }
 }
 
+// Guards against suspicions that cost much, since they are frequent where
+// leaves are slow, and against hosts that do not learn of them.
+TEST_P(FleetSizeTest, SuspicionReachesNearlyAllHostsAtALowCost) {
+  const std::size_t count = GetParam();
+  const Spread spread = SpreadUpdate(count, 0, kSuspicionFanout);
+  EXPECT_GE(static_cast<double>(spread.reached),
+            0.98 * static_cast<double>(count));
+  EXPECT_LE(spread.messages, kSuspicionFanout * count);
+  EXPECT_LE(spread.steps, 10U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts, FleetSizeTest,
                          testing::Values(6, 85, 200, 2400));
 
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -219,7 +219,9 @@
 void Gateway::NotifyHosts() {
   while (const auto entry = suspect_queue_.Take()) {
     const std::vector<std::string> peers = forward::ChooseGossipPeers(
-        settings_.host, planner_.HostNames(), entry->fingerprint);
+        settings_.host, planner_.HostNames(), entry->fingerprint,
+        entry->crashes > 0 ? forward::kGossipFanout
+                           : forward::kSuspicionFanout);
     for (const std::string& peer : peers)
       if (const auto host = planner_.Find(peer)) NotifyHost(*host, *entry);
   }
