--- a/forward/unittests/shed_leaf/shed_leaf_test.cc
+++ b/forward/unittests/shed_leaf/shed_leaf_test.cc
@@ -123,7 +123,9 @@
   EXPECT_NEAR(arrivals_["shedding"], arrivals_["sibling"],
               0.1 * arrivals_["sibling"]);
   // The sibling serves all calls meanwhile, if it has the slots.
-  if (GetParam().busy <= 0.5) EXPECT_EQ(unserved_, 0);
+  if (GetParam().busy <= 0.5) {
+    EXPECT_EQ(unserved_, 0);
+  }
 }
 
 // Guards against a leaf that is not called any more because a few of its
