--- a/forward/unittests/leaf_statements_test.cc
+++ b/forward/unittests/leaf_statements_test.cc
@@ -26,7 +26,7 @@
     return false;
   }
 
-  void PutStartedAt(const std::string& id, std::int64_t start_ms) {
+  void PutStartedAt(const std::string& id, std::uint64_t start_ms) {
     directory_.Put({.id = id,
                     .service = "s0",
                     .address = "127.0.0.1:1",
