Remove twin steps in the handling of doubtful leaves

Cause, found in reading the whole change once more: two places looked up a leaf and marked it doubtful, two reported a refused connection, and two tests spelled out the same entry. Each notification ranked all hosts, also for the many entries that hold no request and need no checkers. After ForgetLostCalls a completed run is never found, so two conditions were dead.

Change: Gateway::MarkDoubtful and ObserveConnectResult serve both places, the ranking is left out without a hold (Merge uses its result only with one), and the dead conditions are gone. No test loses an assertion.

Looked at and left: the other pairs of places share only includes, using lines and the frame of a test.

--- a/forward/lib/request_quarantine.cc
+++ b/forward/lib/request_quarantine.cc
@@ -202,19 +202,20 @@
   if (ended.probed_first && ended.completed)
     quarantine_.OnCompletedExclusive(ended.fingerprint, actions);
   if (ended.completed) {
+    // Among them those of this run.
     ForgetLostCalls(ended.fingerprint);
     LiftSuspicion(ended.fingerprint, /*completed=*/true, actions);
   }
   const auto found = runs_.find(ended.run);
-  const bool outcome_known = ended.completed || found == runs_.end() ||
-                             found->second.unresolved.empty();
+  const bool outcome_known =
+      found == runs_.end() || found->second.unresolved.empty();
   if (ended.probed_first && outcome_known)
     quarantine_.OnExclusiveEnded(ended.fingerprint, /*outcome_known=*/true);
   if (found == runs_.end()) return;
   Run& run = found->second;
   run.finished = true;
   run.probed_first = ended.probed_first;
-  if (ended.completed || Conclude(run, actions)) {
+  if (Conclude(run, actions)) {
     runs_.erase(found);
     return;
   }
--- a/forward/unittests/request_quarantine_test.cc
+++ b/forward/unittests/request_quarantine_test.cc
@@ -44,6 +44,14 @@
                             .completed = completed},
                            actions_);
   }
+  /// The entry of another host that holds the request until the fate of `leaf`
+  /// is known.
+  static model::SuspectEntry HeldBecauseOf(const std::string& leaf) {
+    return {.fingerprint = kRequest,
+            .expires_in = std::chrono::seconds(8),
+            .hold_for = std::chrono::seconds(8),
+            .unanswered_leaves = {leaf}};
+  }
   model::SuspectEntry Published() const {
     return std::get<quarantine::PublishSuspects>(actions_.back())
         .update.entries.at(0);
@@ -237,10 +245,7 @@
 // Guards against a host that finds out nothing because its own link to the leaf
 // is cut: hosts that check for it report what they see.
 TEST_F(RequestQuarantineTest, OtherHostsFindOutTheFateOfAHeldRequestsLeaves) {
-  const model::SuspectEntry held{.fingerprint = kRequest,
-                                 .expires_in = std::chrono::seconds(8),
-                                 .hold_for = std::chrono::seconds(8),
-                                 .unanswered_leaves = {"a"}};
+  const model::SuspectEntry held = HeldBecauseOf("a");
   RequestQuarantine bystander(clock_);
   ASSERT_TRUE(bystander.Merge(held, /*checks_leaves=*/false));
   EXPECT_TRUE(bystander.LeavesToCheck().empty());
@@ -377,10 +382,7 @@
 // Guards against hosts that tell each other of a suspicion in circles after it
 // was lifted (the soak, seed 727).
 TEST_F(RequestQuarantineTest, LateEntryDoesNotRenewALiftedSuspicion) {
-  const model::SuspectEntry held{.fingerprint = kRequest,
-                                 .expires_in = std::chrono::seconds(8),
-                                 .hold_for = std::chrono::seconds(8),
-                                 .unanswered_leaves = {"a"}};
+  const model::SuspectEntry held = HeldBecauseOf("a");
   const model::SuspectEntry cleared{.fingerprint = kRequest,
                                     .state = model::SuspectState::kCleared,
                                     .completed = true};
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -194,6 +194,12 @@
   void SendHealthCheck(const std::shared_ptr<forward::LeafRecord>& leaf);
   void OnHealthCheckDone(const HealthCheck& check,
                          const LeafConnections::Result& result);
+  /// Marks the leaf with this id, if there is one, as one that may be down.
+  void MarkDoubtful(const std::string& id);
+  /// Reports a refused connection to the quarantine; other results show
+  /// nothing.
+  void ObserveConnectResult(const forward::LeafRecord& leaf,
+                            LeafConnections::ConnectResult result);
   /// Reports an observation of a leaf to the quarantine. `at` is explained at
   /// LeafObservation.
   void ObserveLeaf(const forward::LeafRecord& leaf, forward::LeafSign sign,
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -106,10 +106,7 @@
           [this](forward::CallId call, const HttpResponse& response) {
             OnGroupProgress(call, response);
           },
-          [this](const std::string& peer) {
-            const auto leaf = directory_.Find(peer);
-            if (leaf != nullptr) leaf->MarkDoubtful(clock_.Now());
-          }),
+          [this](const std::string& peer) { MarkDoubtful(peer); }),
       timer_(io),
       periodic_timer_(io),
       last_active_at_(clock.Now()) {
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -90,9 +90,7 @@
   leaf_connections_.TryConnect(
       *running.callee,
       [this, callee = running.callee](LeafConnections::ConnectResult result) {
-        if (result == LeafConnections::ConnectResult::kRefused)
-          ObserveLeaf(*callee, forward::LeafSign::kConnectionRefused,
-                      clock_.Now());
+        ObserveConnectResult(*callee, result);
       });
 }
 
@@ -133,29 +131,33 @@
     if (leaf == nullptr) continue;
     leaf_connections_.TryConnect(
         *leaf, [this, leaf](LeafConnections::ConnectResult result) {
-          if (result == LeafConnections::ConnectResult::kRefused) {
-            ObserveLeaf(*leaf, forward::LeafSign::kConnectionRefused,
-                        clock_.Now());
-          } else if (result == LeafConnections::ConnectResult::kOpened) {
+          ObserveConnectResult(*leaf, result);
+          if (result == LeafConnections::ConnectResult::kOpened)
             SendHealthCheck(leaf);
-          }
         });
   }
 }
 
+void Gateway::ObserveConnectResult(const forward::LeafRecord& leaf,
+                                   LeafConnections::ConnectResult result) {
+  if (result == LeafConnections::ConnectResult::kRefused)
+    ObserveLeaf(leaf, forward::LeafSign::kConnectionRefused, clock_.Now());
+}
+
 void Gateway::SendHealthCheck(
     const std::shared_ptr<forward::LeafRecord>& leaf) {
   const auto& table = tables_.current();
   const forward::Service* service =
       table ? table->FindService(leaf->entry().service) : nullptr;
   if (service == nullptr || service->health_path.empty()) return;
+  const base::TimePoint now = clock_.Now();
   OutgoingCall call;
   call.id = next_id_++;
   call.bytes = "GET " + service->health_path +
                " HTTP/1.1\r\nHost: " + leaf->entry().address + "\r\n\r\n";
   call.max_connections = std::numeric_limits<std::size_t>::max();
-  call.deadline = clock_.Now() + kHealthCheckTimeout;
-  health_checks_[call.id] = {.leaf = leaf, .sent = clock_.Now()};
+  call.deadline = now + kHealthCheckTimeout;
+  health_checks_[call.id] = {.leaf = leaf, .sent = now};
   leaf_connections_.Start(*leaf, std::move(call));
 }
 
@@ -173,6 +175,11 @@
       check.sent);
 }
 
+void Gateway::MarkDoubtful(const std::string& id) {
+  const auto leaf = directory_.Find(id);
+  if (leaf != nullptr) leaf->MarkDoubtful(clock_.Now());
+}
+
 void Gateway::ObserveLeaf(const forward::LeafRecord& leaf,
                           forward::LeafSign sign, base::TimePoint at) {
   if (!quarantine_.AwaitsObservations()) return;
@@ -258,17 +265,17 @@
   // An entry that this host knew already is not forwarded, which ends the
   // gossip.
   if (!entry) return;
-  const bool checks_leaves = forward::ChecksLeavesOf(
-      entry->fingerprint, settings_.host, planner_.HostNames());
+  // Ranking all hosts costs time in a large fleet, and few entries hold a
+  // request.
+  const bool checks_leaves =
+      entry->hold_for.count() > 0 &&
+      forward::ChecksLeavesOf(entry->fingerprint, settings_.host,
+                              planner_.HostNames());
   if (!quarantine_.Merge(*entry, checks_leaves)) return;
   LogSuspect(*entry, "another host");
   for (const auto* leaves :
-       {&entry->unanswered_leaves, &entry->doubtful_leaves}) {
-    for (const std::string& id : *leaves) {
-      const auto leaf = directory_.Find(id);
-      if (leaf != nullptr) leaf->MarkDoubtful(clock_.Now());
-    }
-  }
+       {&entry->unanswered_leaves, &entry->doubtful_leaves})
+    for (const std::string& leaf : *leaves) MarkDoubtful(leaf);
   suspect_queue_.Put(*entry);
   NotifyHosts();
 }
