--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "berylreach/base/clock.h"
 #include "berylreach/gateway/http_message.h"
@@ -26,6 +27,9 @@
   kTimedOut,
 };
 
+/// Returns the name of a failure for the log.
+std::string_view NameOf(ExchangeFailure failure);
+
 /// Receives the events of a connection.
 class ClientConnectionHandler {
  public:
--- a/gateway/include/berylreach/gateway/http_client.h
+++ b/gateway/include/berylreach/gateway/http_client.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "berylreach/gateway/client_connection.h"
@@ -12,10 +13,13 @@
 namespace berylreach::gateway {
 
 /// Outcome of one request: status and body of the response, or status 0 if
-/// there was no response. A request without a response may still take effect.
+/// there was no response. A request without a response may still take effect,
+/// unless `failure` says that it was not sent.
 struct HttpAnswer {
   int status = 0;
   std::string body;
+  /// Why there was no response.
+  std::optional<ExchangeFailure> failure;
 
   friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
 };
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -35,6 +35,20 @@
 
 }  // namespace
 
+std::string_view NameOf(ExchangeFailure failure) {
+  switch (failure) {
+    case ExchangeFailure::kNotSent:
+      return "not_sent";
+    case ExchangeFailure::kRefused:
+      return "refused";
+    case ExchangeFailure::kBroken:
+      return "broken";
+    case ExchangeFailure::kTimedOut:
+      return "timed_out";
+  }
+  return "";
+}
+
 /// Wraps the parser so that the header does not include Boost.Beast.
 struct ClientConnection::Parser {
   http::response_parser<http::string_body> http;
--- a/gateway/lib/http_client.cc
+++ b/gateway/lib/http_client.cc
@@ -60,12 +60,12 @@
 }
 
 void HttpClient::OnResponse(ClientConnection&, HttpResponse response, bool) {
-  Answer({response.status, std::move(response.body)});
+  Answer({.status = response.status, .body = std::move(response.body)});
 }
 
-void HttpClient::OnExchangeFailed(ClientConnection&, ExchangeFailure) {
+void HttpClient::OnExchangeFailed(ClientConnection&, ExchangeFailure failure) {
   connection_.reset();
-  Answer({});
+  Answer({.failure = failure});
 }
 
 void HttpClient::OnIdleClosed(ClientConnection&, bool) { connection_.reset(); }
