List the records again when the store comes back from an older copy

Cause: the store gives out its revisions again after such a return. A host whose revision the store has passed again meanwhile gets no 410: its watch goes on from there and skips what was changed before.

Change: a position of the store is an era and a revision. A later era ends the pending read and leads to a listing; answers of an earlier one are rejected; a listing has pages of one era. Followers get the differences, not a listing, and wait for their reader.

--- a/forward/include/berylreach/forward/change_log.h
+++ b/forward/include/berylreach/forward/change_log.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "berylreach/forward/store_position.h"
+
 namespace berylreach::forward {
 
 /// A change of one record: its new value, or no value if it was deleted.
@@ -20,10 +22,10 @@
   friend bool operator==(const RecordChange&, const RecordChange&) = default;
 };
 
-/// The changes that bring a follower from its revision up to `revision`.
+/// The changes that bring a follower from its view up to `position`.
 struct ChangeSet {
-  /// Revision of the store that these changes lead to.
-  std::uint64_t revision = 0;
+  /// Position of the store that these changes lead to.
+  StorePosition position;
   /// Whether `changes` lists all records; the follower then drops every record
   /// that it does not list.
   bool is_full_listing = false;
@@ -35,30 +37,42 @@
 /// Keeps all records and a bounded number of recent changes. Not thread-safe.
 class ChangeLog {
  public:
-  /// Replaces all records by a complete listing at `revision`.
+  /// Replaces all records by a complete listing at `position`. If the era of
+  /// the store has risen, only the differences count as changes, since a return
+  /// of the store from a copy changes few records.
   void Reset(std::map<std::string, std::string> records,
-             std::uint64_t revision);
-  /// Applies the changes that lead to `revision`.
-  void Append(const std::vector<RecordChange>& changes, std::uint64_t revision);
+             StorePosition position);
+  /// Applies the changes that lead to `position`.
+  void Append(const std::vector<RecordChange>& changes, StorePosition position);
 
-  /// Returns the changes after `revision`, or all records if these changes are
-  /// no longer kept. Empty if nothing has changed or Reset has not been called
-  /// yet.
-  std::optional<ChangeSet> Since(std::uint64_t revision) const;
+  /// Returns the changes that a view at `view` lacks, or all records if these
+  /// changes are no longer kept. Empty if it lacks none, if it is from a later
+  /// era, or if Reset has not been called yet.
+  std::optional<ChangeSet> Since(StorePosition view) const;
 
-  std::uint64_t revision() const { return revision_; }
+  StorePosition position() const { return position_; }
 
  private:
   struct LoggedChange {
-    std::uint64_t revision = 0;
+    StorePosition position;
     RecordChange change;
   };
 
+  /// Returns the changes that lead from records_ to `records`.
+  std::vector<RecordChange> ChangesTo(
+      const std::map<std::string, std::string>& records) const;
+  /// Whether the kept changes continue from `view`.
+  bool ContinuesFrom(StorePosition view) const;
+
   std::map<std::string, std::string> records_;
   std::deque<LoggedChange> recent_;
-  /// Changes up to this revision are no longer in recent_, only in records_.
-  std::uint64_t discarded_through_ = 0;
-  std::uint64_t revision_ = 0;
+  /// Changes up to this position are no longer in recent_, only in records_.
+  StorePosition discarded_through_;
+  StorePosition position_;
+  /// The last position of the era before the present one. A view of that era
+  /// and a later revision has changes that this log has never had, and that the
+  /// store has lost.
+  StorePosition end_of_former_era_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -13,14 +13,15 @@
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/change_log.h"
 #include "berylreach/forward/host_entry.h"
+#include "berylreach/forward/store_position.h"
 
 namespace berylreach::forward {
 
 /// One page of a listing, or the changes reported by a watch.
 struct StorePage {
   std::vector<RecordChange> changes;
-  /// Revision of the store when it built the page.
-  std::uint64_t revision = 0;
+  /// Position of the store when it built the page.
+  StorePosition position;
   /// More pages follow; the next one starts after the last key.
   bool truncated = false;
 
@@ -43,10 +44,14 @@
   std::chrono::milliseconds timeout{};
 };
 
-/// Action: read the changes after `revision` from the feed of another host.
+/// Action: read the changes that this host's view lacks from the feed of
+/// another host.
 struct ReadFeed {
   HostEntry host;
-  std::uint64_t revision = 0;
+  /// Position of this host's view, and the latest era of the store that this
+  /// host has heard of.
+  StorePosition view;
+  std::uint64_t known_era = 0;
   /// Whether the host may delay its response until there are changes.
   bool wait = true;
 };
@@ -62,15 +67,18 @@
 /// Action: replace all records by a complete listing.
 struct ReplaceRecords {
   std::map<std::string, std::string> records;
-  std::uint64_t revision = 0;
+  StorePosition position;
 };
 
 /// Action: apply changes of records.
 struct ApplyRecordChanges {
   std::vector<RecordChange> changes;
-  /// Revision that the changes lead to; empty for the records of hosts that are
+  /// Position that the changes lead to; empty for the records of hosts that are
   /// read before the first listing.
-  std::optional<std::uint64_t> revision;
+  std::optional<StorePosition> position;
+  /// Whether the changes lead from an earlier era to the copy from which the
+  /// store came back, and are not all newer than what they replace.
+  bool from_copy = false;
 };
 
 /// Action: set whether followers may rely on this host's view of the store.
@@ -97,6 +105,14 @@
   base::Duration waited{};
 };
 
+/// Action: handle the return of the store from an older copy of itself. What
+/// this host has written since that copy is gone, its lease too, and records
+/// may be older than those of this host's view until their writers have written
+/// them again.
+struct ReportStoreRestored {
+  std::uint64_t era = 0;
+};
+
 /// Action: report that the view is current after a pause of this process.
 struct ConfirmView {};
 
@@ -104,7 +120,7 @@
     std::variant<ReadPage, ReadChanges, ReadFeed, CancelRead, WakeUpAfter,
                  ReplaceRecords, ApplyRecordChanges, SetFeedFresh,
                  LogFailedRead, ReportStoreLost, ReportStoreRegained,
-                 ConfirmView>;
+                 ReportStoreRestored, ConfirmView>;
 
 /// Decides what a host reads next, from whom, and how long it waits for it, so
 /// that its view of the records soon equals the store's after any disturbance.
@@ -143,10 +159,14 @@
   /// sent, and `status` is 0 if there was no response.
   void OnRenewalFailed(base::TimePoint sent, int status, Actions& actions);
   void OnRenewalAnswered() { renewal_answered_at_ = clock_.Now(); }
-  /// Handles the revision of the store that a call beside the reads has
+  /// Handles the position of the store that a call beside the reads has
   /// returned. A watch that is not answered soon although the store has newer
   /// changes is lost; CheckWatch then ends it.
-  void OnRevisionSeen(std::uint64_t revision);
+  void OnPositionSeen(StorePosition position);
+  /// Handles the era that the store has stated in an answer to any call beside
+  /// the reads, or of which another host knows. In a later era than the one
+  /// known so far, this host's view is replaced by a listing.
+  void OnStoreEra(std::uint64_t era, Actions& actions);
   /// Ends a watch that has proved to be lost. To be called several times a
   /// second.
   void CheckWatch(Actions& actions);
@@ -154,9 +174,9 @@
   /// have been sent before the pause.
   void OnProcessPaused(Actions& actions);
 
-  /// Store revision up to which all changes have been applied; 0 if there is no
-  /// view yet.
-  std::uint64_t revision() const { return revision_; }
+  /// Position of the store up to which all changes have been applied; its
+  /// revision is 0 if there is no view yet.
+  StorePosition position() const { return position_; }
   /// Whether this host currently reads the store and not another host's feed.
   bool reads_store() const { return pending_ != Pending::kFeed; }
   /// Whether this host waits for the store to report changes.
@@ -171,21 +191,27 @@
   /// A listing of which pages are still missing.
   struct Listing {
     std::map<std::string, std::string> records;
-    /// Revision of the first page. The pages are not one snapshot, so the
+    /// Position of the first page. The pages are not one snapshot, so the
     /// changes since then must be read after the listing.
-    std::uint64_t revision = 0;
+    StorePosition position;
     /// The next page starts after this key.
     std::string after;
   };
 
-  /// A revision of the store whose changes the pending watch has not reported.
-  struct MissingRevision {
-    std::uint64_t revision = 0;
+  /// A position of the store whose changes the pending watch has not reported.
+  struct MissingChanges {
+    StorePosition position;
     base::TimePoint seen_at{};
   };
 
   void StartPage(bool hosts_only, Actions& actions);
   void StartChanges(Actions& actions);
+  /// Handles the era of an answer to the pending read, which has ended. Returns
+  /// whether the answer belongs to the latest era.
+  bool AcceptEra(StorePosition position, Actions& actions);
+  /// Handles an era later than the known one. Returns whether the store came
+  /// back from a copy; false if the era is the first one known.
+  bool BeginEra(std::uint64_t era, Actions& actions);
   void OnHostsPage(StorePage page, Actions& actions);
   void OnListingPage(StorePage page, Actions& actions);
   /// Handles the failure of `read`, which must have been ended.
@@ -208,11 +234,13 @@
   const std::chrono::milliseconds watch_wait_;
   Pending pending_ = Pending::kNone;
   base::TimePoint read_sent_at_{};
-  std::uint64_t revision_ = 0;
+  StorePosition position_;
+  /// The latest era of the store that this host has heard of; 0 if none.
+  std::uint64_t era_ = 0;
   /// The last key of the host records read so far, or empty once all are known.
   std::optional<std::string> hosts_after_ = "";
   std::optional<Listing> listing_ = Listing{};
-  std::optional<MissingRevision> missing_;
+  std::optional<MissingChanges> missing_;
   /// The host whose feed is being read, and hosts that could not serve their
   /// feed, each with the time until which it is not asked again.
   std::string feed_host_;
--- a/forward/lib/change_log.cc
+++ b/forward/lib/change_log.cc
@@ -14,44 +14,68 @@
 }  // namespace
 
 void ChangeLog::Reset(std::map<std::string, std::string> records,
-                      std::uint64_t revision) {
+                      StorePosition position) {
+  if (position_.revision != 0 && position.era > position_.era) {
+    Append(ChangesTo(records), position);
+    return;
+  }
   records_ = std::move(records);
   recent_.clear();
-  discarded_through_ = revision;
-  revision_ = revision;
+  discarded_through_ = position;
+  position_ = position;
+}
+
+std::vector<RecordChange> ChangeLog::ChangesTo(
+    const std::map<std::string, std::string>& records) const {
+  std::vector<RecordChange> changes;
+  for (const auto& [key, value] : records_)
+    if (!records.contains(key)) changes.push_back({key, std::nullopt});
+  for (const auto& [key, value] : records) {
+    const auto known = records_.find(key);
+    if (known == records_.end() || known->second != value)
+      changes.push_back({key, value});
+  }
+  return changes;
 }
 
 void ChangeLog::Append(const std::vector<RecordChange>& changes,
-                       std::uint64_t revision) {
+                       StorePosition position) {
+  if (position.era > position_.era) end_of_former_era_ = position_;
   for (const RecordChange& change : changes) {
     if (change.value) {
       records_[change.key] = *change.value;
     } else {
       records_.erase(change.key);
     }
-    recent_.push_back({revision, change});
+    recent_.push_back({position, change});
   }
-  revision_ = revision;
+  position_ = position;
   while (recent_.size() > kMaxRecentChanges) {
-    discarded_through_ = recent_.front().revision;
+    discarded_through_ = recent_.front().position;
     recent_.pop_front();
   }
 }
 
-std::optional<ChangeSet> ChangeLog::Since(std::uint64_t revision) const {
-  if (revision_ == 0 || revision >= revision_) return std::nullopt;
-  ChangeSet set{.revision = revision_};
-  if (revision < discarded_through_) {
+std::optional<ChangeSet> ChangeLog::Since(StorePosition view) const {
+  if (position_.revision == 0 || view >= position_) return std::nullopt;
+  ChangeSet set{.position = position_};
+  if (!ContinuesFrom(view)) {
     set.is_full_listing = true;
     for (const auto& [key, value] : records_)
       set.changes.push_back({key, value});
     return set;
   }
   for (const LoggedChange& logged : recent_)
-    if (logged.revision > revision) set.changes.push_back(logged.change);
+    if (logged.position > view) set.changes.push_back(logged.change);
   // The revision may have advanced because of other keys in the store.
-  if (set.changes.empty()) return std::nullopt;
+  if (set.changes.empty() && view.era == position_.era) return std::nullopt;
   return set;
 }
 
+bool ChangeLog::ContinuesFrom(StorePosition view) const {
+  if (view < discarded_through_) return false;
+  return view.era == position_.era ||
+         (view.era == end_of_former_era_.era && view <= end_of_former_era_);
+}
+
 }  // namespace berylreach::forward
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -86,7 +86,7 @@
     // A host that follows another one serves no followers, since they would
     // have to wait for that host in turn.
     actions.push_back(SetFeedFresh{false});
-    actions.push_back(ReadFeed{*feed, revision_, !confirming_});
+    actions.push_back(ReadFeed{*feed, position_, era_, !confirming_});
   } else if (listing_) {
     StartPage(false, actions);
   } else {
@@ -107,16 +107,18 @@
   // A watch that is sent while the store is away is lost, and this host would
   // wait for it although the store has returned.
   if (confirming_ || !store_answered_last_) {
-    actions.push_back(ReadChanges{revision_, kNoWait, short_timeout_});
+    actions.push_back(ReadChanges{position_.revision, kNoWait, short_timeout_});
   } else {
-    actions.push_back(
-        ReadChanges{revision_, watch_wait_, watch_wait_ + kWatchTimeoutMargin});
+    actions.push_back(ReadChanges{position_.revision, watch_wait_,
+                                  watch_wait_ + kWatchTimeoutMargin});
   }
 }
 
 void StoreReader::OnPage(StorePage page, Actions& actions) {
   OnStoreAnswered(actions);
-  if (std::exchange(pending_, Pending::kNone) == Pending::kHosts) {
+  const Pending read = std::exchange(pending_, Pending::kNone);
+  if (!AcceptEra(page.position, actions)) return;
+  if (read == Pending::kHosts) {
     OnHostsPage(std::move(page), actions);
   } else {
     OnListingPage(std::move(page), actions);
@@ -133,7 +135,8 @@
 }
 
 void StoreReader::OnListingPage(StorePage page, Actions& actions) {
-  if (listing_->after.empty()) listing_->revision = page.revision;
+  if (listing_->after.empty())
+    listing_->position = {.era = era_, .revision = page.position.revision};
   std::string last_key;
   for (RecordChange& item : page.changes) {
     last_key = item.key;
@@ -145,8 +148,8 @@
   }
   // Only now are all changes up to the listing's revision applied. Watching
   // from there any sooner would lose them.
-  revision_ = listing_->revision;
-  actions.push_back(ReplaceRecords{std::move(listing_->records), revision_});
+  position_ = listing_->position;
+  actions.push_back(ReplaceRecords{std::move(listing_->records), position_});
   listing_.reset();
   actions.push_back(SetFeedFresh{true});
   ConfirmIfAwaited(actions);
@@ -158,14 +161,50 @@
     return feed.second <= clock_.Now();
   });
   pending_ = Pending::kNone;
+  // The revision that was asked for has another meaning in another era.
+  if (!AcceptEra(page.position, actions) || listing_) return;
   const bool changed = !page.changes.empty();
-  revision_ = std::max(revision_, page.revision);
-  actions.push_back(ApplyRecordChanges{std::move(page.changes), revision_});
+  position_.revision = std::max(position_.revision, page.position.revision);
+  actions.push_back(ApplyRecordChanges{std::move(page.changes), position_});
   ConfirmIfAwaited(actions);
   actions.push_back(SetFeedFresh{true});
   if (changed) Wait(kChangeBatchDelay, actions);
 }
 
+bool StoreReader::AcceptEra(StorePosition position, Actions& actions) {
+  // An answer that states no era is taken for one of the present era.
+  if (position.era == 0 || position.era == era_) return true;
+  if (position.era < era_) {
+    // The answer was sent before the store came back from its copy.
+    constexpr int answered = 200;
+    RetryLater(NameOfPendingRead(), answered, actions);
+    return false;
+  }
+  return !BeginEra(position.era, actions);
+}
+
+void StoreReader::OnStoreEra(std::uint64_t era, Actions& actions) {
+  if (era <= era_) return;
+  const bool reading =
+      pending_ != Pending::kNone && pending_ != Pending::kWakeUp;
+  if (!BeginEra(era, actions) || !reading) return;
+  // A watch from the old revision may never end, and the host whose feed is
+  // read may not know of the era yet.
+  actions.push_back(CancelRead{});
+  pending_ = Pending::kNone;
+}
+
+bool StoreReader::BeginEra(std::uint64_t era, Actions& actions) {
+  const bool restored = era_ != 0 || position_.revision != 0;
+  era_ = era;
+  if (!restored) return false;
+  listing_ = Listing{};
+  if (hosts_after_) hosts_after_ = "";
+  missing_.reset();
+  actions.push_back(ReportStoreRestored{era});
+  return true;
+}
+
 void StoreReader::OnHistoryGone() {
   pending_ = Pending::kNone;
   listing_ = Listing{};
@@ -178,21 +217,29 @@
 }
 
 void StoreReader::OnFeedAnswer(ChangeSet changes, Actions& actions) {
+  // Builds that know no eras state none.
+  if (changes.position.era == 0) changes.position.era = era_;
+  if (changes.position.era < era_) {
+    OnFeedFailed(/*answered=*/true);
+    return;
+  }
+  if (changes.position.era > era_) BeginEra(changes.position.era, actions);
+  const bool from_copy = position_.era < era_;
   failed_feeds_.erase(feed_host_);
   MarkAvailable(actions);
   pending_ = Pending::kNone;
   // The other host's view is complete, so no listing is needed any more.
-  if (revision_ != 0 || changes.is_full_listing) listing_.reset();
+  if (position_.revision != 0 || changes.is_full_listing) listing_.reset();
   if (changes.is_full_listing) {
     std::map<std::string, std::string> records;
     for (RecordChange& change : changes.changes)
       if (change.value) records[change.key] = std::move(*change.value);
-    revision_ = changes.revision;
-    actions.push_back(ReplaceRecords{std::move(records), revision_});
+    position_ = changes.position;
+    actions.push_back(ReplaceRecords{std::move(records), position_});
   } else {
-    revision_ = std::max(revision_, changes.revision);
+    position_ = std::max(position_, changes.position);
     actions.push_back(
-        ApplyRecordChanges{std::move(changes.changes), revision_});
+        ApplyRecordChanges{std::move(changes.changes), position_, from_copy});
   }
   ConfirmIfAwaited(actions);
 }
@@ -202,10 +249,10 @@
   // The view of this host is older than that of the host which failed, and
   // another host may not answer for a while either. A host without a view
   // serves no callers yet and may wait for it.
-  ask_store_next_ = revision_ != 0 || !answered;
+  ask_store_next_ = position_.revision != 0 || !answered;
   failed_feeds_[feed_host_] =
       clock_.Now() +
-      (revision_ == 0 ? kFailedFeedPauseAtStartup : kFailedFeedPause);
+      (position_.revision == 0 ? kFailedFeedPauseAtStartup : kFailedFeedPause);
 }
 
 void StoreReader::OnWakeUp() {
@@ -225,9 +272,9 @@
   RetryLater("renewal", status, actions);
 }
 
-void StoreReader::OnRevisionSeen(std::uint64_t revision) {
-  if (!watches_store() || revision <= revision_ || missing_) return;
-  missing_ = {.revision = revision, .seen_at = clock_.Now()};
+void StoreReader::OnPositionSeen(StorePosition position) {
+  if (!watches_store() || position <= position_ || missing_) return;
+  missing_ = {.position = position, .seen_at = clock_.Now()};
 }
 
 void StoreReader::CheckWatch(Actions& actions) {
@@ -293,7 +340,7 @@
 }
 
 milliseconds StoreReader::RetryDelay() const {
-  if (revision_ == 0) return kStartupRetryDelay;
+  if (position_.revision == 0) return kStartupRetryDelay;
   const milliseconds interval =
       std::min(kMaxRetryInterval, kMinRetryInterval * (1 << (failures_ - 1)));
   const auto waited = std::chrono::duration_cast<milliseconds>(Waited());
--- a/forward/unittests/change_log_test.cc
+++ b/forward/unittests/change_log_test.cc
@@ -6,19 +6,23 @@
 namespace berylreach::forward {
 namespace {
 
+constexpr StorePosition At(std::uint64_t revision, std::uint64_t era = 1) {
+  return {.era = era, .revision = revision};
+}
+
 TEST(ChangeLogTest, NoChangesBeforeTheFirstListing) {
-  EXPECT_EQ(ChangeLog().Since(0), std::nullopt);
+  EXPECT_EQ(ChangeLog().Since({}), std::nullopt);
 }
 
 // Guards against a new follower that misses records or gets deleted ones.
 TEST(ChangeLogTest, NewFollowerGetsAllRecords) {
   ChangeLog log;
-  log.Reset({{"a", "1"}}, 5);
-  log.Append({{"b", "2"}, {"a", std::nullopt}}, 7);
-  const auto set = log.Since(0);
+  log.Reset({{"a", "1"}}, At(5));
+  log.Append({{"b", "2"}, {"a", std::nullopt}}, At(7));
+  const auto set = log.Since({});
   ASSERT_TRUE(set);
   EXPECT_TRUE(set->is_full_listing);
-  EXPECT_EQ(set->revision, 7U);
+  EXPECT_EQ(set->position, At(7));
   EXPECT_EQ(set->changes, (std::vector<RecordChange>{{"b", "2"}}));
 }
 
@@ -26,28 +30,77 @@
 // changes.
 TEST(ChangeLogTest, FollowerGetsWhatItLacks) {
   ChangeLog log;
-  log.Reset({{"a", "1"}}, 5);
-  log.Append({{"b", "2"}}, 7);
-  log.Append({{"b", std::nullopt}}, 9);
-  const auto set = log.Since(7);
+  log.Reset({{"a", "1"}}, At(5));
+  log.Append({{"b", "2"}}, At(7));
+  log.Append({{"b", std::nullopt}}, At(9));
+  const auto set = log.Since(At(7));
   ASSERT_TRUE(set);
   EXPECT_FALSE(set->is_full_listing);
   EXPECT_EQ(set->changes, (std::vector<RecordChange>{{"b", std::nullopt}}));
-  EXPECT_EQ(log.Since(9), std::nullopt);
+  EXPECT_EQ(log.Since(At(9)), std::nullopt);
 }
 
 // Guards against a follower that misses a change because old changes are
 // dropped.
 TEST(ChangeLogTest, FollowerFarBehindGetsAllRecords) {
   ChangeLog log;
-  log.Reset({{"a", "1"}}, 1);
+  log.Reset({{"a", "1"}}, At(1));
   for (std::uint64_t i = 2; i < 10000; ++i)
-    log.Append({{"a", std::to_string(i)}}, i);
-  const auto set = log.Since(2);
+    log.Append({{"a", std::to_string(i)}}, At(i));
+  const auto set = log.Since(At(2));
   ASSERT_TRUE(set);
   EXPECT_TRUE(set->is_full_listing);
   EXPECT_EQ(set->changes, (std::vector<RecordChange>{{"a", "9999"}}));
 }
 
+// Guards against followers that all get all records at the same moment, because
+// the store has come back from an older copy.
+TEST(ChangeLogTest, FollowerGetsTheDifferencesOfTheCopy) {
+  ChangeLog log;
+  log.Reset({{"a", "1"}, {"b", "1"}}, At(5));
+  log.Append({{"a", "2"}, {"c", "1"}}, At(7));
+  log.Reset({{"a", "1"}, {"b", "1"}, {"d", "1"}}, At(6, 2));
+  const auto set = log.Since(At(7));
+  ASSERT_TRUE(set);
+  EXPECT_FALSE(set->is_full_listing);
+  EXPECT_EQ(set->position, At(6, 2));
+  EXPECT_EQ(set->changes, (std::vector<RecordChange>{
+                              {"c", std::nullopt}, {"a", "1"}, {"d", "1"}}));
+  const auto earlier = log.Since(At(5));
+  ASSERT_TRUE(earlier);
+  EXPECT_FALSE(earlier->is_full_listing);
+  EXPECT_EQ(log.Since(At(6, 2)), std::nullopt);
+}
+
+// Guards against a follower that does not learn of the new era, and later asks
+// for changes after a revision that the store has given out again.
+TEST(ChangeLogTest, FollowerLearnsOfAnEraWithoutDifferences) {
+  ChangeLog log;
+  log.Reset({{"a", "1"}}, At(5));
+  log.Reset({{"a", "1"}}, At(5, 2));
+  const auto set = log.Since(At(5));
+  ASSERT_TRUE(set);
+  EXPECT_EQ(set->position, At(5, 2));
+  EXPECT_TRUE(set->changes.empty());
+}
+
+// Guards against a follower that keeps changes which the store has lost, since
+// this log never had them.
+TEST(ChangeLogTest, FollowerThatWasAheadGetsAllRecords) {
+  ChangeLog log;
+  log.Reset({{"a", "1"}}, At(5));
+  log.Reset({{"a", "1"}}, At(4, 2));
+  const auto set = log.Since(At(8));
+  ASSERT_TRUE(set);
+  EXPECT_TRUE(set->is_full_listing);
+}
+
+// Guards against a host that serves followers which know of a later era.
+TEST(ChangeLogTest, FollowerOfALaterEraGetsNothing) {
+  ChangeLog log;
+  log.Reset({{"a", "1"}}, At(5));
+  EXPECT_EQ(log.Since(At(3, 2)), std::nullopt);
+}
+
 }  // namespace
 }  // namespace berylreach::forward
--- a/forward/unittests/random_disturbances_test.cc
+++ b/forward/unittests/random_disturbances_test.cc
@@ -60,7 +60,7 @@
     SimulatedStore& store = simulation_.store;
     SimulatedHost& host = AnyHost();
     const std::string leaf = "leaf" + std::to_string(Number(0, 15));
-    switch (Number(0, 10)) {
+    switch (Number(0, 12)) {
       case 0:
       case 1:
         store.SetCondition(AnyCondition());
@@ -89,6 +89,13 @@
       case 7:
         store.Delete(leaf);
         break;
+      case 9:
+        store.TakeCopy();
+        break;
+      case 10:
+        store.Restore();
+        check_.OnStoreDisturbed();
+        break;
       case 8:
         store.SetCutOff(host.entry().name, !store.IsCutOff(host.entry().name));
         break;
--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -73,9 +73,9 @@
   bool running() const { return running_; }
   bool frozen() const { return time_.Now() < frozen_until_; }
   bool is_current() const { return view_ == store_.items(); }
-  /// Store revision up to which this host knows all changes; 0 if it has no
-  /// view yet.
-  std::uint64_t revision() const { return reader_->revision(); }
+  /// Position of the store up to which this host knows all changes; its
+  /// revision is 0 if the host has no view yet.
+  StorePosition position() const { return reader_->position(); }
   std::string RecordKey() const {
     return SimulatedStore::kHostPrefix + entry_.name;
   }
@@ -96,7 +96,7 @@
   static constexpr milliseconds kMaxPollTime{2000};
 
   struct Poll {
-    std::uint64_t revision = 0;
+    ReadFeed read;
     std::function<void(std::optional<ChangeSet>)> reply;
   };
 
@@ -194,6 +194,7 @@
             reader_->OnChanges(std::move(answer.page), actions);
           } else if (answer.status == 410) {
             reader_->OnHistoryGone();
+            reader_->OnStoreEra(answer.page.position.era, actions);
           } else {
             reader_->OnReadFailed(answer.status, actions);
           }
@@ -232,23 +233,37 @@
   void OnPoll(const ReadFeed& read,
               std::function<void(std::optional<ChangeSet>)> reply) {
     if (!running_) return;
+    if (read.known_era > log_.position().era) {
+      Step([&](StoreReader::Actions& actions) {
+        reader_->OnStoreEra(read.known_era, actions);
+      });
+    }
     if (!fresh_) {
       reply(std::nullopt);
-    } else if (const auto set = log_.Since(read.revision)) {
+    } else if (const auto set = ChangesFor(read)) {
       reply(set);
     } else if (!read.wait) {
-      reply(ChangeSet{.revision = read.revision});
+      reply(NoChangesFor(read));
     } else {
       const std::uint64_t id = next_poll_++;
-      polls_[id] = {read.revision, std::move(reply)};
+      polls_[id] = {read, std::move(reply)};
       After(kMaxPollTime, [this, id] {
         const auto poll = polls_.extract(id);
-        if (poll)
-          poll.mapped().reply(ChangeSet{.revision = poll.mapped().revision});
+        if (poll) poll.mapped().reply(NoChangesFor(poll.mapped().read));
       });
     }
   }
 
+  std::optional<ChangeSet> ChangesFor(const ReadFeed& read) const {
+    auto set = log_.Since(read.view);
+    if (set && set->position.era < read.known_era) return std::nullopt;
+    return set;
+  }
+  std::optional<ChangeSet> NoChangesFor(const ReadFeed& read) const {
+    if (log_.position().era < read.known_era) return std::nullopt;
+    return ChangeSet{.position = read.view};
+  }
+
   void Run(const CancelRead&) { ++read_; }
   void Run(const WakeUpAfter& wake_up) {
     const std::uint64_t read = ++read_;
@@ -259,7 +274,7 @@
   }
   void Run(const ReplaceRecords& listing) {
     view_ = listing.records;
-    log_.Reset(listing.records, listing.revision);
+    log_.Reset(listing.records, listing.position);
   }
   void Run(const ApplyRecordChanges& changes) {
     for (const RecordChange& change : changes.changes) {
@@ -269,14 +284,14 @@
         view_.erase(change.key);
       }
     }
-    if (changes.revision) log_.Append(changes.changes, *changes.revision);
+    if (changes.position) log_.Append(changes.changes, *changes.position);
   }
   void Run(const SetFeedFresh& freshness) {
     fresh_ = freshness.fresh;
     for (auto& [id, poll] : std::exchange(polls_, {})) {
       if (!fresh_) {
         poll.reply(std::nullopt);
-      } else if (const auto set = log_.Since(poll.revision)) {
+      } else if (const auto set = ChangesFor(poll.read)) {
         poll.reply(set);
       } else {
         polls_[id] = std::move(poll);
@@ -286,16 +301,19 @@
   void Run(const LogFailedRead&) {}
   void Run(const ReportStoreLost&) { ++reported_losses_; }
   void Run(const ReportStoreRegained&) {}
+  void Run(const ReportStoreRestored&) {}
   void Run(const ConfirmView&) {}
 
   void Renew() {
     const std::uint64_t renewal = ++renewal_;
     const base::TimePoint sent = time_.Now();
-    const auto end = [this, renewal, sent](int status) {
+    const auto end = [this, renewal, sent](const StoreAnswer& answer) {
       if (renewal != renewal_) return;
       ++renewal_;
-      renewal_answered_ = status != 0;
-      Step([this, status, sent](StoreReader::Actions& actions) {
+      renewal_answered_ = answer.status != 0;
+      Step([this, &answer, sent](StoreReader::Actions& actions) {
+        const int status = answer.status;
+        reader_->OnStoreEra(answer.page.position.era, actions);
         if (status == 200) {
           reader_->OnRenewalAnswered();
         } else {
@@ -307,12 +325,14 @@
     };
     time_.After(kOneWay, [this, end] {
       store_.Renew(entry_.name, [this, end](const StoreAnswer& answer) {
-        After(kOneWay, [end, answer] { end(answer.status); });
+        After(kOneWay, [end, answer] { end(answer); });
       });
     });
     After((renewal_answered_ ? kRenewTimeout : kRepeatedRenewTimeout) +
               kTimeoutCheckInterval,
-          [end] { end(0); });
+          [end] {
+            end({0, {}});
+          });
   }
 
   /// Reads the store's revision in intervals while this host watches the store.
@@ -322,7 +342,10 @@
     const auto end = [this, run, probe](const StoreAnswer& answer) {
       if (run != run_ || probe != probe_) return;
       ++probe_;
-      if (answer.status == 200) reader_->OnRevisionSeen(answer.page.revision);
+      Step([&](StoreReader::Actions& actions) {
+        reader_->OnStoreEra(answer.page.position.era, actions);
+        if (answer.status == 200) reader_->OnPositionSeen(answer.page.position);
+      });
       After(answer.status == 0 ? kLostProbeDelay : kProbeInterval,
             [this, run] { ProbeRevision(run); });
     };
--- a/forward/unittests/simulated_store.h
+++ b/forward/unittests/simulated_store.h
@@ -1,6 +1,7 @@
 // The metadata store in virtual time, with its outages.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -51,6 +52,21 @@
   void Delete(const std::string& key) {
     if (items_.erase(key) > 0) Record({key, std::nullopt});
   }
+  /// Takes a copy of the store, to which Restore returns.
+  void TakeCopy() { copy_ = {items_, revision_}; }
+  /// Returns to the copy taken last: later changes are lost, their revisions
+  /// are given out again, and the era rises. Waiting watches are forgotten.
+  void Restore() {
+    items_ = copy_.items;
+    revision_ = copy_.revision;
+    std::erase_if(history_, [this](const auto& change) {
+      return change.first > revision_;
+    });
+    oldest_revision_ = std::min(oldest_revision_, revision_);
+    ++era_;
+    watches_.clear();
+    changed_at_[Position()] = time_.Now();
+  }
   /// Discards the history and cuts the waiting watches.
   void Compact() {
     history_.clear();
@@ -95,10 +111,12 @@
   void ResetAnswerTime() { answer_time_ = kUsualAnswerTime; }
 
   const std::map<std::string, std::string>& items() const { return items_; }
-  std::uint64_t revision() const { return revision_; }
-  /// When the first change after `revision` was made; nothing if there is none.
-  std::optional<base::TimePoint> ChangedAfter(std::uint64_t revision) const {
-    const auto found = changed_at_.upper_bound(revision);
+  StorePosition Position() const {
+    return {.era = era_, .revision = revision_};
+  }
+  /// When the first change after `view` was made; nothing if there is none.
+  std::optional<base::TimePoint> ChangedAfter(StorePosition view) const {
+    const auto found = changed_at_.upper_bound(view);
     return found == changed_at_.end() ? std::nullopt
                                       : std::optional(found->second);
   }
@@ -113,7 +131,7 @@
             const std::string& after, Reply reply) {
     if (!Arrive(host, reply)) return;
     ++pages_;
-    StoreAnswer answer{200, {.revision = revision_}};
+    StoreAnswer answer{200, {.position = Position()}};
     for (const auto& [key, value] : items_) {
       if (!key.starts_with(prefix) || key <= after) continue;
       if (answer.page.changes.size() == kPageSize) {
@@ -128,8 +146,8 @@
   void Changes(const std::string& host, std::uint64_t revision,
                milliseconds wait, Reply reply) {
     if (!Arrive(host, reply)) return;
-    if (revision < oldest_revision_) {
-      Answer(host, reply, {410, {}});
+    if (revision < oldest_revision_ || revision > revision_) {
+      Answer(host, reply, {410, {.position = Position()}});
     } else if (revision < revision_) {
       Answer(host, reply, ChangesSince(revision));
     } else {
@@ -143,19 +161,24 @@
   void Revision(const std::string& host, Reply reply) {
     if (!Arrive(host, reply)) return;
     ++revision_reads_;
-    Answer(host, reply, {200, {.revision = revision_}});
+    Answer(host, reply, {200, {.position = Position()}});
   }
 
   void Renew(const std::string& host, Reply reply) {
     if (!Arrive(host, reply)) return;
     ++renewals_;
-    Answer(host, reply, {200, {}});
+    Answer(host, reply, {200, {.position = Position()}});
   }
 
  private:
   static constexpr std::size_t kPageSize = 4;
   static constexpr milliseconds kUsualAnswerTime{4};
 
+  struct Copy {
+    std::map<std::string, std::string> items;
+    std::uint64_t revision = 0;
+  };
+
   struct Watch {
     std::string host;
     std::uint64_t revision = 0;
@@ -164,7 +187,7 @@
 
   void Record(RecordChange change) {
     history_.emplace_back(++revision_, std::move(change));
-    changed_at_[revision_] = time_.Now();
+    changed_at_[Position()] = time_.Now();
     for (const std::uint64_t id : WatchIds()) AnswerWatch(id);
   }
 
@@ -182,7 +205,7 @@
   }
 
   StoreAnswer ChangesSince(std::uint64_t revision) const {
-    StoreAnswer answer{200, {.revision = revision_}};
+    StoreAnswer answer{200, {.position = Position()}};
     for (const auto& [at, change] : history_)
       if (at > revision) answer.page.changes.push_back(change);
     return answer;
@@ -237,9 +260,11 @@
   VirtualTime& time_;
   std::map<std::string, std::string> items_;
   std::vector<std::pair<std::uint64_t, RecordChange>> history_;
-  std::map<std::uint64_t, base::TimePoint> changed_at_;
+  std::map<StorePosition, base::TimePoint> changed_at_;
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 0;
+  Copy copy_;
+  std::uint64_t era_ = 1;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_revision_ = 0;
   StoreCondition condition_ = StoreCondition::kServing;
--- a/forward/unittests/staleness_check.h
+++ b/forward/unittests/staleness_check.h
@@ -47,7 +47,7 @@
       disturbed_at = now;
     const base::TimePoint last = std::max(disturbed_at, store_disturbed_at_);
     if (violation_ || now < last + contact_) return;
-    const auto missed = store.ChangedAfter(host.revision());
+    const auto missed = store.ChangedAfter(host.position());
     if (!missed || now <= *missed + bound_) return;
     violation_ = host.entry().name + " misses a change of " +
                  std::to_string(Milliseconds(now - *missed)) + " ms ago, " +
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -207,9 +207,9 @@
     StoreReader reader(clock, {.name = "h", .zone = "z"}, bound);
     StoreReader::Actions actions;
     reader.StartNextRead({}, actions);
-    reader.OnPage({.revision = 3}, actions);
+    reader.OnPage({.position = {.revision = 3}}, actions);
     reader.StartNextRead({}, actions);
-    reader.OnPage({.revision = 3}, actions);
+    reader.OnPage({.position = {.revision = 3}}, actions);
     actions.clear();
     reader.StartNextRead({}, actions);
     ASSERT_EQ(actions.size(), 1U);
--- a/forward/unittests/store_simulation.h
+++ b/forward/unittests/store_simulation.h
@@ -30,6 +30,7 @@
     for (std::size_t i = 0; i < hosts.size(); ++i)
       time.After(milliseconds(170 * i), [this, i] { hosts[i]->Start(); });
     time.RunFor(milliseconds(170 * hosts.size()) + seconds(4));
+    store.TakeCopy();
   }
 
   bool AllCurrent() const {
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -2,8 +2,11 @@
 // that read them from this host.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "berylreach/forward/change_log.h"
@@ -11,14 +14,20 @@
 
 namespace berylreach::gateway {
 
-/// Path of the request `GET /feed?after=REVISION`. The response is delayed
-/// until there are changes after REVISION or the long poll times out. Status
-/// 503 says that this host's own view of the store is stale.
+/// Path of the request `GET /feed?after=REVISION&era=ERA&known=KNOWN`. The
+/// response is delayed until there are changes after REVISION of ERA or the
+/// long poll times out. Status 503 says that this host's own view of the store
+/// is stale, or older than the era KNOWN, the latest that the follower has
+/// heard of.
 inline constexpr std::string_view kFeedPath = "/feed";
 /// End of a request target that asks for an immediate response, with or without
 /// changes.
 inline constexpr std::string_view kFeedNoWaitSuffix = "&wait=0";
 
+/// Returns the target of a poll by a follower whose view is at `view`.
+std::string FeedTarget(forward::StorePosition view, std::uint64_t known_era,
+                       bool wait);
+
 /// Serves long polls: holds the requests of followers until there are changes.
 /// All calls must come from the event loop's thread.
 class FeedServer {
@@ -29,6 +38,11 @@
   void OnRequest(ServerConnection& connection, std::string_view target);
 
   forward::ChangeLog& log() { return log_; }
+  /// Sets the function that gets the era of the store when a follower knows of
+  /// a later one than this host's log.
+  void SetOnLaterEra(std::function<void(std::uint64_t)> on_later_era) {
+    on_later_era_ = std::move(on_later_era);
+  }
   /// Responds to the waiting followers for which the log has changes.
   void Publish();
   /// Sets whether this host's view of the store is fresh. When it becomes
@@ -38,17 +52,28 @@
   void CheckTimeouts();
 
  private:
-  /// A request of a follower that waits for changes after `revision`.
+  /// What a follower has: its view, and the latest era that it has heard of.
+  struct Poll {
+    forward::StorePosition view;
+    std::uint64_t known_era = 0;
+  };
+
+  /// A request of a follower that waits for changes.
   struct PendingPoll {
     std::weak_ptr<ServerConnection> connection;
-    std::uint64_t revision = 0;
+    Poll poll;
     base::TimePoint respond_by{};
   };
 
-  bool RespondIfChanged(ServerConnection& connection, std::uint64_t revision);
+  static Poll ParsePoll(std::string_view target);
+  bool RespondIfChanged(ServerConnection& connection, const Poll& poll);
+  /// Responds that there are no changes, unless this host's view is behind the
+  /// follower's.
+  void RespondNoChange(ServerConnection& connection, const Poll& poll);
 
   const base::Clock& clock_;
   forward::ChangeLog log_;
+  std::function<void(std::uint64_t)> on_later_era_;
   bool fresh_ = false;
   std::vector<PendingPoll> pending_polls_;
 };
--- a/gateway/include/berylreach/gateway/http_client.h
+++ b/gateway/include/berylreach/gateway/http_client.h
@@ -12,11 +12,12 @@
 
 namespace berylreach::gateway {
 
-/// Outcome of one request: status and body of the response, or status 0 if
-/// there was no response. A request without a response may still take effect,
-/// unless `failure` says that it was not sent.
+/// Outcome of one request: status, fields and body of the response, or status 0
+/// if there was no response. A request without a response may still take
+/// effect, unless `failure` says that it was not sent.
 struct HttpAnswer {
   int status = 0;
+  HttpFields fields;
   std::string body;
   /// Why there was no response.
   std::optional<ExchangeFailure> failure;
--- a/gateway/include/berylreach/gateway/http_message.h
+++ b/gateway/include/berylreach/gateway/http_message.h
@@ -29,6 +29,8 @@
   std::string ForwardedLines(
       const std::vector<std::string_view>& excluded) const;
 
+  friend bool operator==(const HttpFields&, const HttpFields&) = default;
+
  private:
   std::vector<std::pair<std::string, std::string>> fields_;
 };
--- a/gateway/lib/feed_codec.cc
+++ b/gateway/lib/feed_codec.cc
@@ -18,7 +18,8 @@
     changes.push_back(std::move(row));
   }
   boost::json::object root;
-  root["revision"] = set.revision;
+  root["era"] = set.position.era;
+  root["revision"] = set.position.revision;
   root["whole"] = set.is_full_listing;
   root["changes"] = std::move(changes);
   return boost::json::serialize(root);
@@ -36,8 +37,14 @@
       !whole->is_bool() || changes == nullptr || !changes->is_array())
     return std::nullopt;
   forward::ChangeSet set;
-  set.revision = revision->to_number<std::uint64_t>(error);
+  set.position.revision = revision->to_number<std::uint64_t>(error);
   if (error) return std::nullopt;
+  // Builds that know no eras leave the field out.
+  if (const auto* era = object.if_contains("era")) {
+    if (!era->is_number()) return std::nullopt;
+    set.position.era = era->to_number<std::uint64_t>(error);
+    if (error) return std::nullopt;
+  }
   set.is_full_listing = whole->get_bool();
   for (const auto& row : changes->get_array()) {
     const auto* fields = row.if_object();
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -20,48 +20,73 @@
                      true);
 }
 
-void RespondNoChange(ServerConnection& connection, std::uint64_t revision) {
-  const forward::ChangeSet none{.revision = revision};
-  Respond(connection, 200, FormatChangeSet(none));
+std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
+  std::uint64_t number = 0;
+  const std::size_t at = target.find(name);
+  if (at == std::string_view::npos) return number;
+  std::from_chars(target.data() + at + name.size(),
+                  target.data() + target.size(), number);
+  return number;
 }
 
 }  // namespace
 
+std::string FeedTarget(forward::StorePosition view, std::uint64_t known_era,
+                       bool wait) {
+  return std::string(kFeedPath) + "?after=" + std::to_string(view.revision) +
+         "&era=" + std::to_string(view.era) +
+         "&known=" + std::to_string(known_era) +
+         std::string(wait ? "" : kFeedNoWaitSuffix);
+}
+
+FeedServer::Poll FeedServer::ParsePoll(std::string_view target) {
+  return {.view = {.era = NumberParameter(target, "&era="),
+                   .revision = NumberParameter(target, "?after=")},
+          .known_era = NumberParameter(target, "&known=")};
+}
+
 void FeedServer::OnRequest(ServerConnection& connection,
                            std::string_view target) {
-  constexpr std::string_view parameter = "after=";
-  std::uint64_t revision = 0;
-  const std::size_t at = target.find(parameter);
-  if (at != std::string_view::npos) {
-    const char* begin = target.data() + at + parameter.size();
-    std::from_chars(begin, target.data() + target.size(), revision);
-  }
+  const Poll poll = ParsePoll(target);
+  if (poll.known_era > log_.position().era && on_later_era_)
+    on_later_era_(poll.known_era);
   if (!fresh_) {
     Respond(connection, 503, "");
     return;
   }
-  if (RespondIfChanged(connection, revision)) return;
+  if (RespondIfChanged(connection, poll)) return;
   if (target.ends_with(kFeedNoWaitSuffix)) {
-    RespondNoChange(connection, revision);
+    RespondNoChange(connection, poll);
     return;
   }
   pending_polls_.push_back(
-      {connection.weak_from_this(), revision, clock_.Now() + kMaxPollTime});
+      {connection.weak_from_this(), poll, clock_.Now() + kMaxPollTime});
 }
 
 bool FeedServer::RespondIfChanged(ServerConnection& connection,
-                                  std::uint64_t revision) {
-  const auto set = log_.Since(revision);
-  if (!set) return false;
+                                  const Poll& poll) {
+  const auto set = log_.Since(poll.view);
+  // Changes of an era that the follower knows to be over would be useless.
+  if (!set || set->position.era < poll.known_era) return false;
   Respond(connection, 200, FormatChangeSet(*set));
   return true;
 }
 
+void FeedServer::RespondNoChange(ServerConnection& connection,
+                                 const Poll& poll) {
+  if (log_.position().era < poll.known_era) {
+    Respond(connection, 503, "");
+    return;
+  }
+  const forward::ChangeSet none{.position = poll.view};
+  Respond(connection, 200, FormatChangeSet(none));
+}
+
 void FeedServer::Publish() {
   for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (!RespondIfChanged(*connection, poll.revision))
+    if (!RespondIfChanged(*connection, poll.poll))
       pending_polls_.push_back(std::move(poll));
   }
 }
@@ -80,7 +105,7 @@
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
     if (now >= poll.respond_by) {
-      RespondNoChange(*connection, poll.revision);
+      RespondNoChange(*connection, poll.poll);
     } else {
       pending_polls_.push_back(std::move(poll));
     }
--- a/gateway/lib/http_client.cc
+++ b/gateway/lib/http_client.cc
@@ -60,7 +60,9 @@
 }
 
 void HttpClient::OnResponse(ClientConnection&, HttpResponse response, bool) {
-  Answer({.status = response.status, .body = std::move(response.body)});
+  Answer({.status = response.status,
+          .fields = std::move(response.fields),
+          .body = std::move(response.body)});
 }
 
 void HttpClient::OnExchangeFailed(ClientConnection&, ExchangeFailure failure) {
--- a/gateway/unittests/http_message_test.cc
+++ b/gateway/unittests/http_message_test.cc
@@ -81,7 +81,7 @@
 
 TEST(FeedCodecTest, ChangeSetsRoundTrip) {
   const forward::ChangeSet set{
-      .revision = 9,
+      .position = {.era = 3, .revision = 9},
       .is_full_listing = true,
       .changes = {{"a", std::string("\x00\xff", 2)}, {"b", std::nullopt}}};
   EXPECT_EQ(ParseChangeSet(FormatChangeSet(set)), set);
@@ -91,7 +91,8 @@
 TEST(FeedCodecTest, RevisionsAreExact) {
   for (const std::uint64_t revision :
        {1000000000001U, 9007199254740993U, 18446744073709551615U}) {
-    const forward::ChangeSet set{.revision = revision};
+    const forward::ChangeSet set{
+        .position = {.era = revision, .revision = revision}};
     EXPECT_EQ(ParseChangeSet(FormatChangeSet(set)), set) << revision;
   }
 }
@@ -101,6 +102,7 @@
   for (const char* text :
        {"", "[]", "{}", R"({"revision":1,"whole":true})",
         R"({"revision":"x","whole":true,"changes":[]})",
+        R"({"revision":1,"era":"x","whole":true,"changes":[]})",
         R"({"revision":1,"whole":true,"changes":[{"key":1}]})",
         R"({"revision":1,"whole":true,"changes":[{"key":"a","value":"!"}]})"})
     EXPECT_EQ(ParseChangeSet(text), std::nullopt) << text;
