Do not go back to what the copy of the store holds

What callers would see: after the store has come back from an older copy, requests are sent to a zone that has been evacuated since, to leaves that have begun to leave since, and to leaves that have gone (EVAC, DRAIN), until the operator and the leaves have written again.

Cause: a listing replaces all that a host knows, though after such a return it is older than that.

Change: for 6 s after the return an entry of a leaf that is older than the known one, by start and number (seq), or than the last one of a leaf that has gone, is withheld; it counts after that if the leaf has not written again. Hosts and leaves that the copy lacks are kept as after an outage.

--- a/forward/include/berylreach/forward/host_directory.h
+++ b/forward/include/berylreach/forward/host_directory.h
@@ -32,6 +32,9 @@
   /// Record that the store became unreachable, or reachable again.
   void OnStoreLost() { store_lost_ = true; }
   void OnStoreRegained();
+  /// Records that the store has come back from an older copy of itself, without
+  /// the leases granted since.
+  void OnStoreRestored();
   /// Removes hosts whose entries have vanished, once the grace period is over.
   /// Returns whether there were any.
   bool Tick();
--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -30,8 +30,10 @@
 /// Keeps one record for each leaf incarnation. An entry that disappears while
 /// the store is unreachable, or shortly after it is reachable again, may have
 /// expired although its leaf is alive. Such entries stay usable until
-/// kStoreReturnGrace has passed since the store became reachable. Not
-/// thread-safe.
+/// kStoreReturnGrace has passed since the store became reachable. For
+/// kStoreRestoreGrace after the store has come back from an older copy of
+/// itself, entries that are older than what this directory knows of the same
+/// leaf are withheld. Not thread-safe.
 class LeafDirectory {
  public:
   /// Time within which live leaves are listed again after the store is
@@ -39,6 +41,10 @@
   static constexpr base::Duration kStoreReturnGrace = std::chrono::milliseconds(
       2500);  // 2 s of the platform plus a margin for delivery
 
+  /// Time within which leaves have written again what the store has lost, and
+  /// within which the entries of leaves that have gone have expired.
+  static constexpr std::chrono::milliseconds kStoreRestoreGrace{6000};
+
   /// Called when an incarnation is listed for the first time.
   using OnListed = std::function<void(const LeafEntry& leaf)>;
   /// Called when an incarnation is no longer listed: `replaced` tells whether
@@ -74,7 +80,10 @@
   /// Record that the store became unreachable, or reachable again.
   void OnStoreLost();
   void OnStoreRegained();
-  /// Removes expired entries once the grace period is over.
+  /// Records that the store has come back from an older copy of itself.
+  void OnStoreRestored();
+  /// Removes expired entries, and applies withheld ones, once their grace
+  /// period is over.
   void Tick();
 
   /// Returns the leaves of a service that may take calls: all but those that
@@ -106,6 +115,9 @@
   /// Whether an entry that disappears now may only have expired because the
   /// store was unreachable.
   bool InGracePeriod() const;
+  /// Whether an entry is from the copy of the store and older than what is
+  /// known of the leaf.
+  bool IsOutdated(const LeafEntry& entry) const;
   bool IsUsable(const LeafRecord& leaf) const;
   /// Removes the record and saves what the leaf has stated about itself.
   void Erase(const std::string& id, bool replaced);
@@ -123,6 +135,12 @@
     base::TimePoint forget_at{};
   };
 
+  /// The last entry of a leaf that is no longer listed.
+  struct RemovedEntry {
+    LeafEntry entry;
+    base::TimePoint forget_at{};
+  };
+
   const base::Clock& clock_;
   Location location_;
   OnListed on_listed_;
@@ -131,6 +149,10 @@
   std::unordered_map<std::string, std::vector<std::shared_ptr<LeafRecord>>>
       by_service_;
   std::unordered_map<std::string, FormerLeaf> former_;
+  std::unordered_map<std::string, RemovedEntry> removed_;
+  /// Outdated entries by id, which are applied if their leaves have not written
+  /// newer ones within kStoreRestoreGrace.
+  std::map<std::string, LeafEntry> withheld_;
   std::set<std::string> evacuated_;
   /// Ids that the store no longer lists, but whose entries may only have
   /// expired.
@@ -138,6 +160,7 @@
   std::uint64_t generation_ = 0;
   bool store_lost_ = false;
   base::TimePoint grace_until_{};
+  base::TimePoint restore_grace_until_{};
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/leaf_entry.h
+++ b/forward/include/berylreach/forward/leaf_entry.h
@@ -21,6 +21,9 @@
   /// Start time of the process in Unix milliseconds by its own clock; 0 if the
   /// leaf does not state it. A restarted leaf may use its former id again.
   std::uint64_t started_unix_ms = 0;
+  /// Number of the entry among those that the incarnation has written; 0 if the
+  /// leaf does not state it.
+  std::uint64_t sequence = 0;
   /// Remaining time for which the leaf was cold when the entry was written.
   std::chrono::milliseconds cold_left{0};
 
--- a/forward/lib/host_directory.cc
+++ b/forward/lib/host_directory.cc
@@ -36,6 +36,10 @@
   grace_until_ = clock_.Now() + kStoreReturnGrace;
 }
 
+void HostDirectory::OnStoreRestored() {
+  grace_until_ = clock_.Now() + kStoreReturnGrace;
+}
+
 bool HostDirectory::Tick() {
   if (InGracePeriod()) return false;
   return std::erase_if(
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -11,6 +11,18 @@
 /// of the store may list the leaf again within this time.
 constexpr std::chrono::minutes kFormerLeafLifetime{10};
 
+/// Time for which the entry of a removed leaf is kept. A store that comes back
+/// from a copy of some seconds ago may list it again.
+constexpr std::chrono::seconds kRemovedEntryLifetime{60};
+
+/// Whether `entry` was written before `known`, an entry with the same id.
+bool IsOlder(const LeafEntry& entry, const LeafEntry& known) {
+  if (entry.started_unix_ms != known.started_unix_ms)
+    return entry.started_unix_ms != 0 &&
+           entry.started_unix_ms < known.started_unix_ms;
+  return entry.sequence < known.sequence;
+}
+
 /// Whether two entries with the same id describe the same process.
 bool SameIncarnation(const LeafEntry& a, const LeafEntry& b) {
   const bool same_start = a.started_unix_ms == b.started_unix_ms ||
@@ -38,6 +50,11 @@
     : clock_(clock), location_(std::move(location)) {}
 
 void LeafDirectory::Put(LeafEntry entry) {
+  if (IsOutdated(entry)) {
+    withheld_[entry.id] = std::move(entry);
+    return;
+  }
+  withheld_.erase(entry.id);
   expired_.erase(entry.id);
   const auto found = leaves_.find(entry.id);
   if (found != leaves_.end()) {
@@ -59,7 +76,16 @@
   if (on_listed_) on_listed_(entry);
 }
 
+bool LeafDirectory::IsOutdated(const LeafEntry& entry) const {
+  if (clock_.Now() >= restore_grace_until_) return false;
+  const auto known = leaves_.find(entry.id);
+  if (known != leaves_.end()) return IsOlder(entry, known->second->entry());
+  const auto removed = removed_.find(entry.id);
+  return removed != removed_.end() && !IsOlder(removed->second.entry, entry);
+}
+
 void LeafDirectory::Remove(const std::string& id) {
+  withheld_.erase(id);
   if (!leaves_.contains(id)) return;
   if (InGracePeriod()) {
     expired_.insert(id);
@@ -69,6 +95,7 @@
 }
 
 void LeafDirectory::Replace(std::vector<LeafEntry> entries) {
+  withheld_.clear();
   std::set<std::string> listed;
   for (LeafEntry& entry : entries) {
     listed.insert(entry.id);
@@ -128,8 +155,21 @@
   grace_until_ = clock_.Now() + kStoreReturnGrace;
 }
 
+void LeafDirectory::OnStoreRestored() {
+  const base::TimePoint now = clock_.Now();
+  grace_until_ = std::max(grace_until_, now + kStoreReturnGrace);
+  restore_grace_until_ = now + kStoreRestoreGrace;
+}
+
 void LeafDirectory::Tick() {
   const base::TimePoint now = clock_.Now();
+  std::erase_if(removed_, [now](const auto& removed) {
+    return removed.second.forget_at <= now;
+  });
+  if (now >= restore_grace_until_) {
+    for (auto& [id, entry] : std::exchange(withheld_, {}))
+      Put(std::move(entry));
+  }
   std::erase_if(former_, [now](const auto& former) {
     return former.second.forget_at <= now;
   });
@@ -150,6 +190,9 @@
   ++generation_;
   record->MarkRemoved();
   SaveStatements(*record);
+  if (!replaced)
+    removed_[id] = {.entry = record->entry(),
+                    .forget_at = clock_.Now() + kRemovedEntryLifetime};
   std::erase(by_service_[record->entry().service], record);
   if (on_unlisted_) on_unlisted_(*record, replaced);
 }
--- a/forward/unittests/host_directory_test.cc
+++ b/forward/unittests/host_directory_test.cc
@@ -58,5 +58,17 @@
   EXPECT_THAT(Names(), ElementsAre("a", "b", "c"));
 }
 
+// Guards against hosts that are forgotten until they have registered again,
+// because a store that came back from a copy has lost their records without an
+// outage that was noticed.
+TEST_F(HostDirectoryTest, HostsMissingInACopyAreKept) {
+  directory_.OnStoreRestored();
+  directory_.Replace({{.name = "c"}});
+  EXPECT_THAT(Names(), ElementsAre("a", "b", "c"));
+  clock_.Advance(HostDirectory::kStoreReturnGrace);
+  EXPECT_TRUE(directory_.Tick());
+  EXPECT_THAT(Names(), ElementsAre("c"));
+}
+
 }  // namespace
 }  // namespace berylreach::forward
--- a/forward/unittests/leaf_directory_test.cc
+++ b/forward/unittests/leaf_directory_test.cc
@@ -84,5 +84,74 @@
   EXPECT_NE(directory_.Find("l2"), nullptr);
 }
 
+/// A store that has come back from a copy which is older than what is known of
+/// its leaves: l1 has written twice, is draining and started at 200, l2 is
+/// gone.
+class RestoredLeavesTest : public LeafDirectoryTest {
+ protected:
+  RestoredLeavesTest() {
+    directory_.Put(Written("l1", 200, 1, false));
+    directory_.Put(Written("l1", 200, 2, true));
+    directory_.Put(Written("l2", 200, 5, false));
+    directory_.Remove("l2");
+    directory_.OnStoreRestored();
+  }
+
+  static LeafEntry Written(const std::string& id, std::uint64_t started,
+                           std::uint64_t sequence, bool draining) {
+    LeafEntry entry = Entry(id, "a");
+    entry.started_unix_ms = started;
+    entry.sequence = sequence;
+    entry.draining = draining;
+    return entry;
+  }
+
+  std::size_t UsableCount() const { return directory_.Usable("s").size(); }
+};
+
+// Guards against calls to leaves that leave or have left, since the copy lists
+// them as ready.
+TEST_F(RestoredLeavesTest, OlderEntriesAreWithheld) {
+  directory_.Replace(
+      {Written("l1", 200, 1, false), Written("l2", 200, 5, false)});
+  EXPECT_EQ(UsableCount(), 0U);
+  directory_.Put(Written("l1", 100, 9, false));
+  EXPECT_EQ(UsableCount(), 0U) << "an earlier start";
+}
+
+// Guards against leaves that stay unused although they have written again.
+TEST_F(RestoredLeavesTest, NewerEntriesCountAtOnce) {
+  directory_.Put(Written("l1", 200, 3, false));
+  directory_.Put(Written("l2", 200, 6, false));
+  directory_.Put(Written("l3", 200, 1, false));
+  EXPECT_EQ(UsableCount(), 3U);
+  directory_.Put(Written("l1", 300, 1, true));
+  EXPECT_EQ(UsableCount(), 2U) << "a later start";
+}
+
+// Guards against leaves that stay unused for good, since the store does not
+// hold what was known of them.
+TEST_F(RestoredLeavesTest, WithheldEntriesCountInTheEnd) {
+  directory_.Replace({Written("l1", 200, 1, false),
+                      Written("l2", 200, 5, false),
+                      Written("l3", 200, 1, false)});
+  directory_.Remove("l2");
+  clock_.Advance(LeafDirectory::kStoreRestoreGrace);
+  directory_.Tick();
+  EXPECT_EQ(UsableCount(), 2U);
+  EXPECT_EQ(directory_.Find("l2"), nullptr);
+}
+
+// Guards against the loss of leaves that started after the copy was taken and
+// have not written again yet.
+TEST_F(RestoredLeavesTest, LeavesMissingInTheCopyAreKeptForAWhile) {
+  directory_.Put(Written("l3", 200, 1, false));
+  directory_.Replace({Written("l1", 200, 2, true)});
+  EXPECT_EQ(UsableCount(), 1U);
+  clock_.Advance(LeafDirectory::kStoreReturnGrace);
+  directory_.Tick();
+  EXPECT_EQ(UsableCount(), 0U);
+}
+
 }  // namespace
 }  // namespace berylreach::forward
