--- a/forward/unittests/restored_store_test.cc
+++ b/forward/unittests/restored_store_test.cc
@@ -99,6 +99,24 @@
                      testing::Values(StoreCondition::kSilent,
                                      StoreCondition::kReset)));
 
+// Guards against a fleet whose hosts all list the store at the moment of its
+// return, beyond its rate of reads: followers wait for the hosts that they
+// follow.
+TEST(StoreReaderTest, OnlyReadersListACopy) {
+  constexpr std::size_t readers = 4;
+  StoreSimulation simulation({20, 20}, kMaxStaleness);
+  simulation.store.TakeCopy();
+  simulation.store.Put("leaf3", "lost");
+  simulation.time.RunFor(seconds(1));
+  const std::size_t pages = simulation.store.pages();
+  simulation.store.Restore();
+  ASSERT_TRUE(simulation.TimeUntilCurrent(kMaxStaleness));
+  simulation.time.RunFor(seconds(10));
+  const std::size_t pages_of_a_listing =
+      simulation.store.items().size() / SimulatedStore::kPageSize + 1;
+  EXPECT_LE(simulation.store.pages() - pages, readers * pages_of_a_listing);
+}
+
 /// A reader that has read a listing of the first era.
 class EraTest : public testing::Test {
  protected:
--- a/forward/unittests/simulated_store.h
+++ b/forward/unittests/simulated_store.h
@@ -40,6 +40,8 @@
  public:
   using Reply = std::function<void(StoreAnswer)>;
 
+  /// Number of records on a page.
+  static constexpr std::size_t kPageSize = 4;
   /// Keys of leaf and host records begin with these prefixes.
   static constexpr char kHostPrefix[] = "hosts/";
 
@@ -171,7 +173,6 @@
   }
 
  private:
-  static constexpr std::size_t kPageSize = 4;
   static constexpr milliseconds kUsualAnswerTime{4};
 
   struct Copy {
