--- a/forward/include/berylreach/forward/host_directory.h
+++ b/forward/include/berylreach/forward/host_directory.h
@@ -8,6 +8,7 @@
 
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/host_entry.h"
+#include "berylreach/forward/store_return_grace.h"
 
 namespace berylreach::forward {
 
@@ -22,7 +23,8 @@
   /// reachable again: a renewal that finds no lease, and two calls.
   static constexpr std::chrono::milliseconds kStoreReturnGrace{6000};
 
-  explicit HostDirectory(const base::Clock& clock) : clock_(clock) {}
+  explicit HostDirectory(const base::Clock& clock)
+      : grace_(clock, kStoreReturnGrace) {}
 
   void Put(HostEntry entry);
   void Remove(const std::string& name);
@@ -30,11 +32,11 @@
   void Replace(std::vector<HostEntry> entries);
 
   /// Record that the store became unreachable, or reachable again.
-  void OnStoreLost() { store_lost_ = true; }
-  void OnStoreRegained();
+  void OnStoreLost() { grace_.OnStoreLost(); }
+  void OnStoreRegained() { grace_.OnStoreRegained(); }
   /// Records that the store has come back from an older copy of itself, without
   /// the leases granted since.
-  void OnStoreRestored();
+  void OnStoreRestored() { grace_.OnStoreRestored(); }
   /// Removes hosts whose entries have vanished, once the grace period is over.
   /// Returns whether there were any.
   bool Tick();
@@ -48,12 +50,8 @@
     bool vanished = false;
   };
 
-  bool InGracePeriod() const;
-
-  const base::Clock& clock_;
   std::map<std::string, Host> hosts_;
-  bool store_lost_ = false;
-  base::TimePoint grace_until_{};
+  StoreReturnGrace grace_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -13,6 +13,7 @@
 
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/leaf_record.h"
+#include "berylreach/forward/store_return_grace.h"
 
 namespace berylreach::forward {
 
@@ -78,8 +79,8 @@
   void SetRateLimit(LeafRecord& leaf, std::optional<double> rate);
 
   /// Record that the store became unreachable, or reachable again.
-  void OnStoreLost();
-  void OnStoreRegained();
+  void OnStoreLost() { return_grace_.OnStoreLost(); }
+  void OnStoreRegained() { return_grace_.OnStoreRegained(); }
   /// Records that the store has come back from an older copy of itself.
   void OnStoreRestored();
   /// Removes expired entries, and applies withheld ones, once their grace
@@ -112,9 +113,6 @@
   const std::set<std::string>& evacuated_zones() const { return evacuated_; }
 
  private:
-  /// Whether an entry that disappears now may only have expired because the
-  /// store was unreachable.
-  bool InGracePeriod() const;
   /// Whether an entry is from the copy of the store and older than what is
   /// known of the leaf.
   bool IsOutdated(const LeafEntry& entry) const;
@@ -158,8 +156,7 @@
   /// expired.
   std::set<std::string> expired_;
   std::uint64_t generation_ = 0;
-  bool store_lost_ = false;
-  base::TimePoint grace_until_{};
+  StoreReturnGrace return_grace_;
   base::TimePoint restore_grace_until_{};
 };
 
--- a/forward/lib/host_directory.cc
+++ b/forward/lib/host_directory.cc
@@ -14,7 +14,7 @@
 void HostDirectory::Remove(const std::string& name) {
   const auto found = hosts_.find(name);
   if (found == hosts_.end()) return;
-  if (InGracePeriod()) {
+  if (grace_.IsActive()) {
     found->second.vanished = true;
   } else {
     hosts_.erase(found);
@@ -31,17 +31,8 @@
   for (const std::string& name : missing) Remove(name);
 }
 
-void HostDirectory::OnStoreRegained() {
-  if (!std::exchange(store_lost_, false)) return;
-  grace_until_ = clock_.Now() + kStoreReturnGrace;
-}
-
-void HostDirectory::OnStoreRestored() {
-  grace_until_ = clock_.Now() + kStoreReturnGrace;
-}
-
 bool HostDirectory::Tick() {
-  if (InGracePeriod()) return false;
+  if (grace_.IsActive()) return false;
   return std::erase_if(
              hosts_, [](const auto& host) { return host.second.vanished; }) > 0;
 }
@@ -52,8 +43,4 @@
   return hosts;
 }
 
-bool HostDirectory::InGracePeriod() const {
-  return store_lost_ || clock_.Now() < grace_until_;
-}
-
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_directory.cc
+++ b/forward/lib/leaf_directory.cc
@@ -47,7 +47,9 @@
 }
 
 LeafDirectory::LeafDirectory(const base::Clock& clock, Location location)
-    : clock_(clock), location_(std::move(location)) {}
+    : clock_(clock),
+      location_(std::move(location)),
+      return_grace_(clock, kStoreReturnGrace) {}
 
 void LeafDirectory::Put(LeafEntry entry) {
   if (IsOutdated(entry)) {
@@ -87,7 +89,7 @@
 void LeafDirectory::Remove(const std::string& id) {
   withheld_.erase(id);
   if (!leaves_.contains(id)) return;
-  if (InGracePeriod()) {
+  if (return_grace_.IsActive()) {
     expired_.insert(id);
     return;
   }
@@ -147,18 +149,9 @@
   leaf.SetRateLimit(former->second.rate_limit);
 }
 
-void LeafDirectory::OnStoreLost() { store_lost_ = true; }
-
-void LeafDirectory::OnStoreRegained() {
-  if (!store_lost_) return;
-  store_lost_ = false;
-  grace_until_ = clock_.Now() + kStoreReturnGrace;
-}
-
 void LeafDirectory::OnStoreRestored() {
-  const base::TimePoint now = clock_.Now();
-  grace_until_ = std::max(grace_until_, now + kStoreReturnGrace);
-  restore_grace_until_ = now + kStoreRestoreGrace;
+  return_grace_.OnStoreRestored();
+  restore_grace_until_ = clock_.Now() + kStoreRestoreGrace;
 }
 
 void LeafDirectory::Tick() {
@@ -173,15 +166,11 @@
   std::erase_if(former_, [now](const auto& former) {
     return former.second.forget_at <= now;
   });
-  if (InGracePeriod() || expired_.empty()) return;
+  if (return_grace_.IsActive() || expired_.empty()) return;
   for (const std::string& id : std::exchange(expired_, {}))
     Erase(id, /*replaced=*/false);
 }
 
-bool LeafDirectory::InGracePeriod() const {
-  return store_lost_ || clock_.Now() < grace_until_;
-}
-
 void LeafDirectory::Erase(const std::string& id, bool replaced) {
   const auto found = leaves_.find(id);
   if (found == leaves_.end()) return;
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -67,7 +67,7 @@
 
 void StoreReader::StartNextRead(const std::vector<HostEntry>& hosts,
                                 Actions& actions) {
-  if (pending_ != Pending::kNone) return;
+  if (is_pending()) return;
   read_sent_at_ = clock_.Now();
   if (hosts_after_) {
     StartPage(true, actions);
