Call a leaf again that refused calls or whose latency is not known

Cause: a leaf without a measured latency, or with one that was high by chance, is expected to answer later than its sibling for as long as that has free slots.

Change: once a second, a first call goes to such a leaf, if it is not farther away, not cold and not doubtful.

--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -37,6 +37,16 @@
 /// Tracks the latency and health of one leaf, or of another host that runs
 /// groups of shards. Latency is estimated by a smoothed mean and deviation, as
 /// in TCP's retransmission timer (RFC 6298).
+///
+/// What it remembers, and for how long: that the leaf is leaving, until it is
+/// removed; a pause, until its end, and after it that one call at a time is
+/// sent, until one is answered; a refusal, for a second, and after it that a
+/// trial call is due, until one is answered; the rates of failures and of
+/// refusals, which decay within seconds, the latter also at the answer to the
+/// trial call; a low mean latency until a trial call corrects it, which is due
+/// after a second without samples; a high one for 6 s; a doubt for 2 s or until
+/// an answer; unreachability, until the end of a back-off of 0.1
+/// to 1.6 s.
 class LeafRecord {
  public:
   LeafRecord(LeafEntry entry, Distance distance, std::string region,
@@ -71,6 +81,10 @@
   void PauseUntil(base::TimePoint until);
   bool IsPaused(base::TimePoint now) const { return now < paused_until_; }
   base::TimePoint paused_until() const { return paused_until_; }
+  /// Whether the leaf should get one call now although others are expected to
+  /// answer sooner, because it refused calls and has answered none since, or
+  /// because its latency is not known or outdated. Due once a second.
+  bool IsTrialDue(base::TimePoint now) const;
   /// Whether the leaf's own statements (leaving, paused) allow a call now,
   /// including the limit of one call at a time after a pause.
   bool AcceptsCall(base::TimePoint now) const;
@@ -124,12 +138,14 @@
   bool IsBackedOff(base::TimePoint now) const { return now < retry_at_; }
 
   /// Fraction of recent calls that failed or were shed, 0 to 1.
-  double failure_rate() const { return failure_rate_; }
+  double failure_rate() const { return failure_rate_ + refusal_rate_; }
 
  private:
   /// Send time of the oldest call that was sent after the last answer; empty if
   /// there is none.
   std::optional<base::TimePoint> UnansweredSince() const;
+  /// Factor by which the rates have decayed since the last sample.
+  double RateDecay(base::TimePoint now) const;
   /// Latency assumed for a leaf at this distance without samples.
   base::Duration DefaultLatency() const;
   /// The smoothed mean latency, increased for the load of this host's running
@@ -157,6 +173,11 @@
   base::Duration mean_{0};
   base::Duration deviation_{0};
   double failure_rate_ = 0;
+  double refusal_rate_ = 0;
+  /// Time from which the leaf is tried again after it refused a call; empty
+  /// once it has answered a call that was sent since.
+  std::optional<base::TimePoint> refused_until_;
+  base::TimePoint next_trial_{};
   std::uint32_t consecutive_failures_ = 0;
   base::TimePoint retry_at_{};
   /// Same as retry_at_, but set only if the leaf could not be reached.
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -30,6 +30,9 @@
   /// Whether a doubtful leaf is selected only if there is no other, since the
   /// call cannot be repeated.
   bool avoid_doubtful = false;
+  /// Whether the call may serve as a trial call of a leaf that is not farther
+  /// away than the best one. Hedges and retries may not.
+  bool may_be_trial = false;
 };
 
 /// Expected latency of `leaf` plus a small fraction that depends on `seed`, so
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -30,6 +30,12 @@
 constexpr double kFailureDecaySeconds = 2.0;
 constexpr double kFailureSampleWeight = 0.15;
 
+/// Time after a refusal in which the leaf gets calls only if it is still
+/// expected to answer sooner than others.
+constexpr milliseconds kRefusalTime{1000};
+/// Minimum time between two trial calls to one leaf.
+constexpr milliseconds kTrialInterval{1000};
+
 /// Expected delay of a request whose call is certain to fail: the time of a
 /// second call.
 constexpr milliseconds kFailurePenalty{150};
@@ -78,6 +84,7 @@
 void LeafRecord::PauseUntil(base::TimePoint until) {
   if (until <= paused_until_) return;
   paused_until_ = until;
+  refused_until_ = until;
   on_trial_ = true;
 }
 
@@ -86,7 +93,20 @@
   return !on_trial_ || sent_at_.empty();
 }
 
-void LeafRecord::OnCallSent(base::TimePoint now) { sent_at_.push_back(now); }
+bool LeafRecord::IsTrialDue(base::TimePoint now) const {
+  if (!sent_at_.empty() || now < next_trial_) return false;
+  if (consecutive_failures_ > 0 && now < last_sample_ + kEstimateDecayTime)
+    return false;
+  if (refused_until_) return now >= *refused_until_;
+  // A higher estimate decays by itself, and a trial of a slow leaf would delay
+  // a request.
+  return mean_ <= DefaultLatency() && now >= last_sample_ + kTrialInterval;
+}
+
+void LeafRecord::OnCallSent(base::TimePoint now) {
+  if (IsTrialDue(now)) next_trial_ = now + kTrialInterval;
+  sent_at_.push_back(now);
+}
 
 void LeafRecord::OnCallEnded(base::TimePoint sent, base::TimePoint now,
                              CallOutcome outcome) {
@@ -97,11 +117,12 @@
   if (outcome == CallOutcome::kAnswered || outcome == CallOutcome::kShed ||
       outcome == CallOutcome::kFailed)
     OnAnswerTo(sent);
-  const double decayed = failure_rate_ * std::exp(-Seconds(now - last_sample_) /
-                                                  kFailureDecaySeconds);
-  const bool failed = outcome != CallOutcome::kAnswered;
-  failure_rate_ =
-      decayed + kFailureSampleWeight * ((failed ? 1.0 : 0.0) - decayed);
+  const bool refused = outcome == CallOutcome::kShed;
+  const bool failed = outcome != CallOutcome::kAnswered && !refused;
+  const double decay = RateDecay(now) * (1 - kFailureSampleWeight);
+  failure_rate_ = failure_rate_ * decay + (failed ? kFailureSampleWeight : 0);
+  refusal_rate_ = refusal_rate_ * decay + (refused ? kFailureSampleWeight : 0);
+  if (refused && !IsPaused(now)) refused_until_ = now + kRefusalTime;
   if (outcome == CallOutcome::kAnswered || outcome == CallOutcome::kShed) {
     last_answer_ = now;
     consecutive_failures_ = 0;
@@ -110,6 +131,10 @@
   }
   if (outcome == CallOutcome::kAnswered) {
     if (sent >= paused_until_) on_trial_ = false;
+    if (refused_until_ && sent >= *refused_until_) {
+      refused_until_.reset();
+      refusal_rate_ = 0;
+    }
     base::Duration sample = now - sent;
     if (mean_ == base::Duration::zero()) {
       mean_ = sample;
@@ -147,6 +172,10 @@
   return doubtful_since_ && now < *doubtful_since_ + kDoubtTime;
 }
 
+double LeafRecord::RateDecay(base::TimePoint now) const {
+  return std::exp(-Seconds(now - last_sample_) / kFailureDecaySeconds);
+}
+
 base::Duration LeafRecord::DefaultLatency() const {
   switch (distance_) {
     case Distance::kSameZone:
@@ -185,9 +214,8 @@
 
 base::Duration LeafRecord::Cost(base::TimePoint now) const {
   base::Duration cost = LoadAdjustedMean(now);
-  const double rate = failure_rate_ * std::exp(-Seconds(now - last_sample_) /
-                                               kFailureDecaySeconds);
-  cost += std::chrono::duration_cast<base::Duration>(kFailurePenalty * rate);
+  cost += std::chrono::duration_cast<base::Duration>(
+      kFailurePenalty * failure_rate() * RateDecay(now));
   if (HasOverdueCall(now)) cost += kOverduePenalty;
   if (IsCold(now)) cost += kColdPenalty;
   return cost;
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -72,6 +72,7 @@
   const base::TimePoint now = clock_.Now();
   const std::size_t connections = ConnectionShare(*query.service);
   std::shared_ptr<LeafRecord> best;
+  std::shared_ptr<LeafRecord> trial;
   auto best_cost = base::Duration::max();
   const auto consider = [&](const std::shared_ptr<LeafRecord>& leaf) {
     if (!IsAllowedRegion(query, *leaf)) return;
@@ -86,11 +87,15 @@
     base::Duration cost = JitteredCost(*leaf, query.seed, now);
     const bool doubtful = query.avoid_doubtful && leaf->IsDoubtful(now);
     if (leaf->IsBackedOff(now) || doubtful) cost += kAvoidedLeafPenalty;
+    if (query.may_be_trial && !doubtful && !leaf->IsCold(now) &&
+        leaf->IsTrialDue(now))
+      trial = leaf;
     if (cost >= best_cost) return;
     best_cost = cost;
     best = leaf;
   };
   directory_.ForEachUsable(query.service->name, consider);
+  if (trial != nullptr && trial->distance() <= best->distance()) return trial;
   return best;
 }
 
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -263,7 +263,8 @@
           .tried = &subrequest.tried,
           .seed = seed_,
           .allow_unhealthy = allow_unhealthy,
-          .avoid_doubtful = !route_.idempotent};
+          .avoid_doubtful = !route_.idempotent,
+          .may_be_trial = subrequest.tried.empty()};
 }
 
 bool RequestRun::SendCall(Subrequest& subrequest, bool allow_unhealthy,
--- a/forward/unittests/shed_leaf/shed_leaf_test.cc
+++ b/forward/unittests/shed_leaf_test.cc
@@ -68,8 +68,11 @@
 
   void Send(base::TimePoint now) {
     std::vector<std::string> tried;
-    while (const auto leaf = selector_.Choose(
-               {.service = &service_, .tried = &tried, .seed = random_()})) {
+    while (const auto leaf =
+               selector_.Choose({.service = &service_,
+                                 .tried = &tried,
+                                 .seed = random_(),
+                                 .may_be_trial = tried.empty()})) {
       selector_.OnSent(*leaf, now);
       const std::string& id = leaf->entry().id;
       ++arrivals_[id];
