Serve followers of builds without eras without a listing at each poll

Found in the reading of the diff: a follower of an earlier build states no era, so its view would always count as older than the present one, and each of its polls would get all records at once. Besides, the log of a watch that was lost names no failure of an earlier call.

--- a/forward/include/berylreach/forward/store_position.h
+++ b/forward/include/berylreach/forward/store_position.h
@@ -15,6 +15,8 @@
   /// 0 stands for no view of the store.
   std::uint64_t revision = 0;
 
+  // The check takes the 0 of rewritten comparisons for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
 };
 
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -32,6 +32,9 @@
 constexpr milliseconds kShortTimeout{1300};
 constexpr milliseconds kMaxShortTimeout{5000};
 
+/// Status of a successful answer, for the log.
+constexpr int kAnsweredStatus = 200;
+
 /// Time within which a watch reports a change that another call has seen.
 constexpr milliseconds kWatchReportTime{300};
 
@@ -176,8 +179,7 @@
   if (position.era == 0 || position.era == era_) return true;
   if (position.era < era_) {
     // The answer was sent before the store came back from its copy.
-    constexpr int answered = 200;
-    RetryLater(NameOfPendingRead(), answered, actions);
+    RetryLater("old era", kAnsweredStatus, actions);
     return false;
   }
   return !BeginEra(position.era, actions);
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -65,7 +65,7 @@
     base::TimePoint respond_by{};
   };
 
-  static Poll ParsePoll(std::string_view target);
+  Poll ParsePoll(std::string_view target) const;
   bool RespondIfChanged(ServerConnection& connection, const Poll& poll);
   /// Responds that there are no changes, unless this host's view is behind the
   /// follower's.
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -20,6 +20,8 @@
                      true);
 }
 
+constexpr std::string_view kEraParameter = "&era=";
+
 std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
   std::uint64_t number = 0;
   const std::size_t at = target.find(name);
@@ -34,13 +36,17 @@
 std::string FeedTarget(forward::StorePosition view, std::uint64_t known_era,
                        bool wait) {
   return std::string(kFeedPath) + "?after=" + std::to_string(view.revision) +
-         "&era=" + std::to_string(view.era) +
+         std::string(kEraParameter) + std::to_string(view.era) +
          "&known=" + std::to_string(known_era) +
          std::string(wait ? "" : kFeedNoWaitSuffix);
 }
 
-FeedServer::Poll FeedServer::ParsePoll(std::string_view target) {
-  return {.view = {.era = NumberParameter(target, "&era="),
+FeedServer::Poll FeedServer::ParsePoll(std::string_view target) const {
+  // Builds that know no eras state none. Their view is taken for one of the
+  // present era; otherwise they would get all records at each poll.
+  const bool states_era = target.find(kEraParameter) != std::string_view::npos;
+  return {.view = {.era = states_era ? NumberParameter(target, kEraParameter)
+                                     : log_.position().era,
                    .revision = NumberParameter(target, "?after=")},
           .known_era = NumberParameter(target, "&known=")};
 }
