--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -177,8 +177,8 @@
   /// Position of the store up to which all changes have been applied; its
   /// revision is 0 if there is no view yet.
   StorePosition position() const { return position_; }
-  /// Whether a read or a wake-up is pending, so that StartNextRead has nothing to
-  /// start.
+  /// Whether a read or a wake-up is pending, so that StartNextRead has nothing
+  /// to start.
   bool is_pending() const { return pending_ != Pending::kNone; }
   /// Whether this host currently reads the store and not another host's feed.
   bool reads_store() const { return pending_ != Pending::kFeed; }
--- a/forward/include/berylreach/forward/store_return_grace.h
+++ b/forward/include/berylreach/forward/store_return_grace.h
@@ -8,10 +8,10 @@
 
 namespace berylreach::forward {
 
-/// Decides whether an entry that the store no longer lists may only have expired
-/// or been lost, although its owner is alive: while the store is unreachable,
-/// and for some time after it is reachable again or has come back from an older
-/// copy of itself. Not thread-safe.
+/// Decides whether an entry that the store no longer lists may only have
+/// expired or been lost, although its owner is alive: while the store is
+/// unreachable, and for some time after it is reachable again or has come back
+/// from an older copy of itself. Not thread-safe.
 class StoreReturnGrace {
  public:
   /// Owners have written their entries again `length` after the store's return.
