Decide in one place what a follower of a later era gets

Cause: the rule for followers that have heard of a later era of the store stood in gateway::FeedServer and again in the simulated host of the tests, so the property test of the reads did not run the product's rule. Change: it is ChangeLog::ChangesFor, NoChangesFor and IsBehind; both call it. Behaviour is the same.

--- a/forward/include/berylreach/forward/change_log.h
+++ b/forward/include/berylreach/forward/change_log.h
@@ -34,6 +34,15 @@
   friend bool operator==(const ChangeSet&, const ChangeSet&) = default;
 };
 
+/// What a follower has: its view, and the latest era of the store that it has
+/// heard of, which may be later than that of the view.
+struct FollowerState {
+  StorePosition view;
+  std::uint64_t known_era = 0;
+
+  friend bool operator==(const FollowerState&, const FollowerState&) = default;
+};
+
 /// Keeps all records and a bounded number of recent changes. Not thread-safe.
 class ChangeLog {
  public:
@@ -50,6 +59,19 @@
   /// era, or if Reset has not been called yet.
   std::optional<ChangeSet> Since(StorePosition view) const;
 
+  /// Same as Since, but empty if the changes belong to an era that the follower
+  /// knows to be over, since these would be useless to it.
+  std::optional<ChangeSet> ChangesFor(const FollowerState& follower) const;
+
+  /// Returns the answer that there are no changes; empty if this log is behind
+  /// the follower and cannot say so.
+  std::optional<ChangeSet> NoChangesFor(const FollowerState& follower) const;
+
+  /// Whether the follower has heard of a later era than this log.
+  bool IsBehind(const FollowerState& follower) const {
+    return position_.era < follower.known_era;
+  }
+
   StorePosition position() const { return position_; }
 
  private:
--- a/forward/lib/change_log.cc
+++ b/forward/lib/change_log.cc
@@ -72,6 +72,18 @@
   return set;
 }
 
+std::optional<ChangeSet> ChangeLog::ChangesFor(
+    const FollowerState& follower) const {
+  if (IsBehind(follower)) return std::nullopt;
+  return Since(follower.view);
+}
+
+std::optional<ChangeSet> ChangeLog::NoChangesFor(
+    const FollowerState& follower) const {
+  if (IsBehind(follower)) return std::nullopt;
+  return ChangeSet{.position = follower.view};
+}
+
 bool ChangeLog::ContinuesFrom(StorePosition view) const {
   if (view < discarded_through_) return false;
   return view.era == position_.era ||
--- a/forward/unittests/change_log_test.cc
+++ b/forward/unittests/change_log_test.cc
@@ -102,5 +102,18 @@
   EXPECT_EQ(log.Since(At(3, 2)), std::nullopt);
 }
 
+// Guards against changes of a former era, or a statement that there are none,
+// for a follower whose view is older but which has heard of the later era.
+TEST(ChangeLogTest, FollowerThatHasHeardOfALaterEraGetsNothing) {
+  ChangeLog log;
+  log.Reset({{"a", "1"}}, At(5));
+  const FollowerState informed{.view = At(3), .known_era = 2};
+  EXPECT_EQ(log.ChangesFor(informed), std::nullopt);
+  EXPECT_EQ(log.NoChangesFor(informed), std::nullopt);
+  const FollowerState uninformed{.view = At(3)};
+  EXPECT_TRUE(log.ChangesFor(uninformed));
+  EXPECT_TRUE(log.NoChangesFor(uninformed));
+}
+
 }  // namespace
 }  // namespace berylreach::forward
--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -233,35 +233,32 @@
   void OnPoll(const ReadFeed& read,
               std::function<void(std::optional<ChangeSet>)> reply) {
     if (!running_) return;
-    if (read.known_era > log_.position().era) {
+    const FollowerState follower = FollowerOf(read);
+    if (log_.IsBehind(follower)) {
       Step([&](StoreReader::Actions& actions) {
         reader_->OnStoreEra(read.known_era, actions);
       });
     }
     if (!fresh_) {
       reply(std::nullopt);
-    } else if (const auto set = ChangesFor(read)) {
+    } else if (const auto set = log_.ChangesFor(follower)) {
       reply(set);
     } else if (!read.wait) {
-      reply(NoChangesFor(read));
+      reply(log_.NoChangesFor(follower));
     } else {
       const std::uint64_t id = next_poll_++;
       polls_[id] = {read, std::move(reply)};
       After(kMaxPollTime, [this, id] {
         const auto poll = polls_.extract(id);
-        if (poll) poll.mapped().reply(NoChangesFor(poll.mapped().read));
+        if (!poll) return;
+        const FollowerState waiting = FollowerOf(poll.mapped().read);
+        poll.mapped().reply(log_.NoChangesFor(waiting));
       });
     }
   }
 
-  std::optional<ChangeSet> ChangesFor(const ReadFeed& read) const {
-    auto set = log_.Since(read.view);
-    if (set && set->position.era < read.known_era) return std::nullopt;
-    return set;
-  }
-  std::optional<ChangeSet> NoChangesFor(const ReadFeed& read) const {
-    if (log_.position().era < read.known_era) return std::nullopt;
-    return ChangeSet{.position = read.view};
+  static FollowerState FollowerOf(const ReadFeed& read) {
+    return {.view = read.view, .known_era = read.known_era};
   }
 
   void Run(const CancelRead&) { ++read_; }
@@ -291,7 +288,7 @@
     for (auto& [id, poll] : std::exchange(polls_, {})) {
       if (!fresh_) {
         poll.reply(std::nullopt);
-      } else if (const auto set = ChangesFor(poll.read)) {
+      } else if (const auto set = log_.ChangesFor(FollowerOf(poll.read))) {
         poll.reply(set);
       } else {
         polls_[id] = std::move(poll);
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -52,24 +52,20 @@
   void CheckTimeouts();
 
  private:
-  /// What a follower has: its view, and the latest era that it has heard of.
-  struct Poll {
-    forward::StorePosition view;
-    std::uint64_t known_era = 0;
-  };
-
   /// A request of a follower that waits for changes.
   struct PendingPoll {
     std::weak_ptr<ServerConnection> connection;
-    Poll poll;
+    forward::FollowerState follower;
     base::TimePoint respond_by{};
   };
 
-  Poll ParsePoll(std::string_view target) const;
-  bool RespondIfChanged(ServerConnection& connection, const Poll& poll);
+  forward::FollowerState ParsePoll(std::string_view target) const;
+  bool RespondIfChanged(ServerConnection& connection,
+                        const forward::FollowerState& follower);
   /// Responds that there are no changes, unless this host's view is behind the
   /// follower's.
-  void RespondNoChange(ServerConnection& connection, const Poll& poll);
+  void RespondNoChange(ServerConnection& connection,
+                       const forward::FollowerState& follower);
 
   const base::Clock& clock_;
   forward::ChangeLog log_;
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -41,7 +41,7 @@
          std::string(wait ? "" : kFeedNoWaitSuffix);
 }
 
-FeedServer::Poll FeedServer::ParsePoll(std::string_view target) const {
+forward::FollowerState FeedServer::ParsePoll(std::string_view target) const {
   // Builds that know no eras state none. Their view is taken for one of the
   // present era; otherwise they would get all records at each poll.
   const bool states_era = target.find(kEraParameter) != std::string_view::npos;
@@ -53,46 +53,44 @@
 
 void FeedServer::OnRequest(ServerConnection& connection,
                            std::string_view target) {
-  const Poll poll = ParsePoll(target);
-  if (poll.known_era > log_.position().era && on_later_era_)
-    on_later_era_(poll.known_era);
+  const forward::FollowerState follower = ParsePoll(target);
+  if (log_.IsBehind(follower) && on_later_era_)
+    on_later_era_(follower.known_era);
   if (!fresh_) {
     Respond(connection, 503, "");
     return;
   }
-  if (RespondIfChanged(connection, poll)) return;
+  if (RespondIfChanged(connection, follower)) return;
   if (target.ends_with(kFeedNoWaitSuffix)) {
-    RespondNoChange(connection, poll);
+    RespondNoChange(connection, follower);
     return;
   }
   pending_polls_.push_back(
-      {connection.weak_from_this(), poll, clock_.Now() + kMaxPollTime});
+      {connection.weak_from_this(), follower, clock_.Now() + kMaxPollTime});
 }
 
 bool FeedServer::RespondIfChanged(ServerConnection& connection,
-                                  const Poll& poll) {
-  const auto set = log_.Since(poll.view);
-  // Changes of an era that the follower knows to be over would be useless.
-  if (!set || set->position.era < poll.known_era) return false;
+                                  const forward::FollowerState& follower) {
+  const auto set = log_.ChangesFor(follower);
+  if (!set) return false;
   Respond(connection, 200, FormatChangeSet(*set));
   return true;
 }
 
 void FeedServer::RespondNoChange(ServerConnection& connection,
-                                 const Poll& poll) {
-  if (log_.position().era < poll.known_era) {
+                                 const forward::FollowerState& follower) {
+  if (const auto none = log_.NoChangesFor(follower)) {
+    Respond(connection, 200, FormatChangeSet(*none));
+  } else {
     Respond(connection, 503, "");
-    return;
   }
-  const forward::ChangeSet none{.position = poll.view};
-  Respond(connection, 200, FormatChangeSet(none));
 }
 
 void FeedServer::Publish() {
   for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (!RespondIfChanged(*connection, poll.poll))
+    if (!RespondIfChanged(*connection, poll.follower))
       pending_polls_.push_back(std::move(poll));
   }
 }
@@ -111,7 +109,7 @@
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
     if (now >= poll.respond_by) {
-      RespondNoChange(*connection, poll.poll);
+      RespondNoChange(*connection, poll.follower);
     } else {
       pending_polls_.push_back(std::move(poll));
     }
