--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -64,6 +64,7 @@
   /// Marks the leaf as cold for the duration `left` from `now`.
   void SetColdFor(base::Duration left, base::TimePoint now);
   bool IsCold(base::TimePoint now) const { return now < cold_until_; }
+  base::TimePoint cold_until() const { return cold_until_; }
 
   /// Records that another process uses the address, or that the entry was
   /// removed.
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "berylreach/base/hash.h"
+#include "berylreach/forward/min_answered.h"
 
 namespace berylreach::forward {
 namespace {
@@ -36,17 +37,6 @@
   return std::chrono::duration_cast<base::Duration>(span * share);
 }
 
-/// Returns the minimum number of answered subrequests, at least one, that
-/// reaches the `coverage`.
-std::size_t MinAnswered(std::size_t total, double coverage) {
-  for (std::size_t subrequests = 1; subrequests < total; ++subrequests) {
-    if (static_cast<double>(subrequests) / static_cast<double>(total) >=
-        coverage)
-      return subrequests;
-  }
-  return total;
-}
-
 }  // namespace
 
 RequestRun::RequestRun(RunContext& context,
