Keep a route on its shards until the new set is ready

A version that names new shards sent a route's requests to leaves that had just started and accept few calls, while the old leaves still served. The gateway now puts the version in force with the old shards of such a route, and adopts a second table of the same version when ShardSetHandover changes it. Meanwhile it plans the slices of the new set and opens connections to its leaves and hosts, spread over the expected wait. Groups of both sets are run for other hosts.

Not measured under load.

--- a/forward/include/berylreach/forward/shard_planner.h
+++ b/forward/include/berylreach/forward/shard_planner.h
@@ -62,6 +62,12 @@
   /// routes.
   void PlanAhead(const RouteTable& table);
 
+  /// Updates the plan for a set of shards that `route` of `table` will change
+  /// to, beside the plan for the set in use. Returns the shards that this host
+  /// would call itself, by position.
+  std::vector<std::size_t> PlanPending(const RouteTable& table,
+                                       const Route& route);
+
   /// Calls `visit` with the record of each host in the current plans; this host
   /// keeps a connection to each of them.
   template <typename Visit>
@@ -93,10 +99,11 @@
     HostRecords backups;
     HostRecords fallbacks;
   };
-  /// The slices of a route that other hosts run, for one generation of hosts
-  /// and leaves.
+  /// The slices of a route that other hosts run, for one set of shards and one
+  /// generation of hosts and leaves.
   struct Plan {
     std::uint64_t generation = 0;
+    std::vector<std::string> shards;
     std::vector<Slice> slices;
   };
   /// The hosts of each slice of a region.
@@ -105,6 +112,10 @@
   /// Returns the plan of the route, which is made again if the hosts, the
   /// leaves or the configuration have changed.
   const Plan& CurrentPlan(const RouteTable& table, const Route& route);
+  /// Drops all plans if they belong to another version of the configuration.
+  void StartVersion(const RouteTable& table);
+  /// Makes the plan again if the hosts, the leaves or the shards have changed.
+  void UpdatePlan(const RouteTable& table, const Route& route, Plan& plan);
   Plan MakePlan(const RouteTable& table, const Route& route) const;
   /// Assigns each shard to the region whose hosts run it.
   std::map<std::string, std::vector<std::size_t>> ShardsByRegion(
@@ -148,6 +159,8 @@
   std::uint64_t generation_ = 0;
   /// Plans by route name.
   std::unordered_map<std::string, Plan> plans_;
+  /// Plans by route name for sets of shards that are not in use yet.
+  std::unordered_map<std::string, Plan> pending_plans_;
   /// Version of the configuration to which the plans belong.
   std::uint64_t planned_version_ = 0;
   /// Count from which PlanAhead derives the index of the next route.
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -137,24 +137,57 @@
   return group;
 }
 
-const ShardPlanner::Plan& ShardPlanner::CurrentPlan(const RouteTable& table,
-                                                    const Route& route) {
+void ShardPlanner::StartVersion(const RouteTable& table) {
   const std::uint64_t version = table.configuration().version;
   // Drops the plans of removed routes, which would keep connections open.
-  if (std::exchange(planned_version_, version) != version) {
-    plans_.clear();
-    shares_.ClearCallingHosts();
-  }
+  if (std::exchange(planned_version_, version) == version) return;
+  plans_.clear();
+  pending_plans_.clear();
+  shares_.ClearCallingHosts();
+}
+
+const ShardPlanner::Plan& ShardPlanner::CurrentPlan(const RouteTable& table,
+                                                    const Route& route) {
+  StartVersion(table);
   Plan& plan = plans_[route.name];
-  const std::uint64_t generation = generation_ + directory_.generation();
-  if (plan.generation != generation) {
-    plan = MakePlan(table, route);
-    plan.generation = generation;
-    if (HasScarceConnections(table, route)) UpdateServiceShares(route);
+  if (!pending_plans_.empty()) {
+    const auto pending = pending_plans_.find(route.name);
+    if (pending != pending_plans_.end() &&
+        pending->second.shards == route.shards) {
+      plan = std::move(pending->second);
+      pending_plans_.erase(pending);
+    }
   }
+  UpdatePlan(table, route, plan);
   return plan;
 }
 
+void ShardPlanner::UpdatePlan(const RouteTable& table, const Route& route,
+                              Plan& plan) {
+  const std::uint64_t generation = generation_ + directory_.generation();
+  if (plan.generation == generation && plan.shards == route.shards) return;
+  plan = MakePlan(table, route);
+  plan.generation = generation;
+  plan.shards = route.shards;
+  if (HasScarceConnections(table, route)) UpdateServiceShares(route);
+}
+
+std::vector<std::size_t> ShardPlanner::PlanPending(const RouteTable& table,
+                                                   const Route& route) {
+  StartVersion(table);
+  std::vector<bool> delegated(route.shards.size());
+  if (route.regions.empty()) {
+    Plan& plan = pending_plans_[route.name];
+    UpdatePlan(table, route, plan);
+    for (const Slice& slice : plan.slices)
+      for (const std::size_t shard : slice.shards) delegated[shard] = true;
+  }
+  std::vector<std::size_t> own_shards;
+  for (std::size_t shard = 0; shard < delegated.size(); ++shard)
+    if (!delegated[shard]) own_shards.push_back(shard);
+  return own_shards;
+}
+
 void ShardPlanner::PlanAhead(const RouteTable& table) {
   const std::vector<Route>& routes = table.configuration().routes;
   for (std::size_t i = 0; i < routes.size(); ++i) {
@@ -171,10 +204,12 @@
     for (const auto& host : hosts)
       if (IsKnownHost(host->entry().id)) linked[host->entry().id] = host;
   };
-  for (const auto& [route, plan] : plans_) {
-    for (const Slice& slice : plan.slices) {
-      add(slice.primaries);
-      add(slice.backups);
+  for (const auto* plans : {&plans_, &pending_plans_}) {
+    for (const auto& [route, plan] : *plans) {
+      for (const Slice& slice : plan.slices) {
+        add(slice.primaries);
+        add(slice.backups);
+      }
     }
   }
   return linked;
--- a/forward/unittests/shard_planner_test.cc
+++ b/forward/unittests/shard_planner_test.cc
@@ -282,6 +282,40 @@
   EXPECT_EQ(linked, (std::set<std::string>{"a-1", "a-2"}));
 }
 
+// Guards against a plan for a new set of shards that displaces the one in use,
+// or that is used after the route has changed to other shards.
+TEST_F(ShardPlannerTest, PendingSetIsPlannedBesideTheSetInUse) {
+  MakeManyShardsOnSmallHost();
+  const auto linked = [this] {
+    std::set<std::string> names;
+    planner_.ForEachLinkedHost(
+        [&names](const LeafRecord& host) { names.insert(host.entry().id); });
+    return names;
+  };
+  Route pending = route_;
+  pending.shards.clear();
+  for (int i = 0; i < 100; ++i) {
+    const std::string shard = "n" + std::to_string(i);
+    pending.shards.push_back(shard);
+    services_.push_back({.name = shard, .max_connections = 25});
+    if (i < 60) PutLeaf(shard, "c");
+  }
+  const RouteTable newest(
+      Configuration{.version = 1, .routes = {pending}, .services = services_});
+  const auto own =
+      planner_.PlanPending(newest, newest.configuration().routes[0]);
+  EXPECT_EQ(own.size(), 40U);
+  EXPECT_EQ(own.front(), 60U);
+  EXPECT_EQ(linked().size(), 2U);
+  std::size_t delegated = 0;
+  for (const ShardGroup& group : Divide()) delegated += group.shards.size();
+  EXPECT_EQ(delegated, 100U);
+  route_ = pending;
+  delegated = 0;
+  for (const ShardGroup& group : Divide()) delegated += group.shards.size();
+  EXPECT_EQ(delegated, 60U);
+}
+
 // Guards against keeping connections to hosts that are no longer registered.
 TEST_F(ShardPlannerTest, HostThatLeftIsNotLinked) {
   Divide();
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "berylreach/forward/request_run.h"
 #include "berylreach/forward/route_table_history.h"
 #include "berylreach/forward/shard_planner.h"
+#include "berylreach/forward/shard_set_handover.h"
 #include "berylreach/forward/suspect_queue.h"
 #include "berylreach/gateway/feed_server.h"
 #include "berylreach/gateway/gateway_counters.h"
@@ -37,8 +38,9 @@
           GatewaySettings settings);
   ~Gateway() override;
 
-  /// Puts `configuration` in force, unless its version is older than that of
-  /// the current one.
+  /// Puts `configuration` in force, unless its version is not newer than that
+  /// of the current one. Routes may stay on their former shards for a while
+  /// (forward::ShardSetHandover).
   void SetConfiguration(forward::Configuration configuration);
   /// Sets the hosts that share budgets and leaf connections, including this
   /// one.
@@ -245,6 +247,23 @@
   /// Opens connections ahead of calls, to leaves of recently used shards and to
   /// other hosts.
   void WarmConnections();
+  /// Changes routes to new sets of shards that are due, and opens connections
+  /// for the sets that are not.
+  void AdvanceShardSets();
+  void LogShardSetChanges();
+  /// Opens part of the connections that this host needs for the new set of
+  /// `route`, which is to be used from `change_at` on.
+  void OpenAhead(const forward::Route& route, base::TimePoint change_at);
+  /// Returns a table whose route has these shards: that in force, one of those
+  /// replaced recently, or the one that routes are about to change to. Null if
+  /// there is none.
+  template <typename Accepts>
+  forward::RouteTableHistory::Table FindTable(Accepts accepts) const {
+    auto table = tables_.Find(accepts);
+    if (table != nullptr) return table;
+    const auto& newest = shard_sets_.newest();
+    return newest != nullptr && accepts(*newest) ? newest : nullptr;
+  }
   bool IsReady() const;
   /// Detects that the process has not run for a while.
   void DetectProcessPause();
@@ -275,6 +294,7 @@
   /// Suspect entries to be sent directly to other hosts.
   forward::SuspectQueue suspect_queue_;
   forward::RouteTableHistory tables_;
+  forward::ShardSetHandover shard_sets_;
   forward::RunContext context_;
   bool directory_loaded_ = false;
 
--- a/gateway/include/berylreach/gateway/gateway_counters.h
+++ b/gateway/include/berylreach/gateway/gateway_counters.h
@@ -39,6 +39,10 @@
   std::uint64_t leaf_rate_limits = 0;
   /// Calls whose connection was lost before the response.
   std::uint64_t leaf_calls_lost = 0;
+  /// Changes of a route to a new set of shards, by cause.
+  std::uint64_t shard_sets_ready = 0;
+  std::uint64_t shard_sets_timed = 0;
+  std::uint64_t shard_sets_old_gone = 0;
 };
 
 }  // namespace berylreach::gateway
--- a/gateway/include/berylreach/gateway/gateway_settings.h
+++ b/gateway/include/berylreach/gateway/gateway_settings.h
@@ -24,6 +24,8 @@
   forward::Location location;
   forward::ExtraCallLimits extra_calls;
   forward::ColdCallLimits cold_calls;
+  /// Time within which a host must apply a new version of the configuration.
+  std::chrono::milliseconds config_apply{4000};
   /// Time between SIGTERM and SIGKILL, within which the process must exit.
   std::chrono::milliseconds stop_grace{6000};
   /// Number of CPU cores that the host may use; may be fractional.
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -86,6 +86,8 @@
   /// address. Concurrent trials of one leaf share a connection, which then
   /// serves calls.
   void TryConnect(const forward::LeafRecord& leaf, OnConnected on_connected);
+  /// Whether a connection to the peer is open or being opened.
+  bool HasConnection(const std::string& peer) const;
   /// Whether a call could be sent over an idle connection.
   bool HasIdle(const std::string& leaf) const;
   /// Whether a connection to the peer is idle, or was in use a moment ago and
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -87,6 +87,7 @@
       quarantine_(clock),
       suspect_queue_(clock),
       tables_(clock),
+      shard_sets_(clock, directory_, settings_.config_apply),
       context_{clock,
                selector_,
                extra_call_budget_,
@@ -133,13 +134,6 @@
   for (auto& [key, connection] : connections_) connection->Close();
 }
 
-void Gateway::SetConfiguration(forward::Configuration configuration) {
-  if (!tables_.Adopt(std::move(configuration))) return;
-  const forward::Configuration& adopted = tables_.current()->configuration();
-  host::LogStateChange("configuration_adopted", std::to_string(adopted.version),
-                       std::to_string(adopted.routes.size()) + " routes");
-}
-
 void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
   std::vector<std::string> names;
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
@@ -265,6 +259,7 @@
   directory_.Tick();
   cold_call_limit_.Tick();
   leaf_rate_limit_.Tick(clock_.Now());
+  AdvanceShardSets();
   ReportUnansweredCalls();
   forward::RequestQuarantine::Actions actions;
   quarantine_.Tick(actions);
@@ -377,6 +372,10 @@
   add("requests_running", requests_.size());
   add("leaf_calls_running", calls_.size());
   add("configuration_version", configuration_version());
+  add("shard_sets_pending", shard_sets_.pending());
+  add("shard_sets_ready_total", counters_.shard_sets_ready);
+  add("shard_sets_timed_total", counters_.shard_sets_timed);
+  add("shard_sets_old_gone_total", counters_.shard_sets_old_gone);
   add("leaves", directory_.size());
   add("log_lines_dropped_total", host::DroppedLogLines());
   metrics_.AppendTo(text);
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -77,7 +77,7 @@
            header->shards.back() < route->shards.size();
   };
   const forward::RouteTableHistory::Table table =
-      header && IsReady() ? tables_.Find(is_suitable) : nullptr;
+      header && IsReady() ? FindTable(is_suitable) : nullptr;
   if (table == nullptr) {
     const std::string cause =
         "cannot run for a host with configuration " +
--- a/gateway/lib/leaf_connections.cc
+++ b/gateway/lib/leaf_connections.cc
@@ -161,6 +161,11 @@
   Warm(host);
 }
 
+bool LeafConnections::HasConnection(const std::string& peer) const {
+  const auto found = pools_.find(peer);
+  return found != pools_.end() && found->second.open > 0;
+}
+
 bool LeafConnections::HasIdle(const std::string& leaf) const {
   const auto found = pools_.find(leaf);
   return found != pools_.end() && !found->second.idle.empty();
