Check the status of every response that a host reads

A status under 200 counted as interim, so a leaf that sent 000 held the call until its deadline, and 600 to 999 were passed on to callers. ClientConnection, which reads the responses of leaves, other hosts, health checks, the store and feeds, now accepts 100 to 599 except 101. Anything else breaks the exchange; the request may have run.

--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "address.h"
+#include "response_status.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -33,6 +34,13 @@
 template <int kName>
 using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
 
+/// Classifies the status of the response that is being parsed; one whose header
+/// is incomplete counts as final.
+StatusKind StatusOf(const http::response_parser<http::string_body>& parser) {
+  if (!parser.is_header_done()) return StatusKind::kFinal;
+  return ClassifyStatus(static_cast<int>(parser.get().result_int()));
+}
+
 }  // namespace
 
 std::string_view NameOf(ExchangeFailure failure) {
@@ -246,13 +254,15 @@
   while (used < size && !parser_->http.is_done()) {
     error_code error;
     used += parser_->http.put(asio::buffer(data + used, size - used), error);
-    if (error == http::error::need_more) break;
-    if (error) {
+    const bool more = error == http::error::need_more;
+    const StatusKind status = StatusOf(parser_->http);
+    if ((error && !more) || status == StatusKind::kInvalid) {
       Fail(ExchangeFailure::kBroken);
       return;
     }
+    if (more) break;
     const bool interim =
-        parser_->http.is_done() && parser_->http.get().result_int() < 200;
+        parser_->http.is_done() && status == StatusKind::kInterim;
     if (interim && !DeliverInterim()) return;
   }
   if (!parser_->http.is_done()) {
