Hold a whole version back until its shards are ready

Change: the version waits as a whole, at most 0.65 of the time within which it must be applied; a version that takes regions away does not wait. RouteTableHistory is as before.

--- a/forward/include/berylreach/forward/route_table_history.h
+++ b/forward/include/berylreach/forward/route_table_history.h
@@ -21,9 +21,7 @@
   explicit RouteTableHistory(const base::Clock& clock) : clock_(clock) {}
 
   /// Puts a configuration in force. Returns false and keeps the current one if
-  /// the new one is older or equal. A different one of the same version is
-  /// adopted, since a route may change to its new shards later than the rest of
-  /// the version (ShardSetHandover).
+  /// the new one is not newer.
   bool Adopt(Configuration configuration);
 
   /// The table in force; null before the first Adopt.
--- a/forward/include/berylreach/forward/shard_set_handover.h
+++ b/forward/include/berylreach/forward/shard_set_handover.h
@@ -1,4 +1,5 @@
-// Decides when the requests of a route go to a new set of shards.
+// Decides when a version of the configuration that names new shards is put in
+// force.
 #pragma once
 
 #include <chrono>
@@ -16,21 +17,20 @@
 
 namespace berylreach::forward {
 
-/// Keeps a route on the shards that it used before, when a new version of the
-/// configuration names other ones, until the new set is ready to take the
-/// route's requests. The leaves of a new set have often just started, and cold
-/// leaves accept few calls. Everything else of the new version is in force at
-/// once.
+/// Holds a version of the configuration back that names other shards for a
+/// route than those in use, until the new set is ready to take the route's
+/// requests. The leaves of a new set have often just started, and cold leaves
+/// accept few calls. The whole version waits, since a host must handle no
+/// request by an older version once it has handled one by a newer one.
 ///
-/// The set in use is replaced by the newest one when the first of these holds:
-/// - enough shards of the newest set have a usable leaf that is not cold, and
-///   kMinPreparation has passed since its version arrived;
-/// - the set in use can no longer reach the route's minimum coverage;
+/// The newest version is put in force when the first of these holds:
+/// - for each route that waits, enough shards of the new set have a usable leaf
+///   that is not cold, and kMinPreparation has passed since the set was named;
+/// - the set in use of a route can no longer reach its minimum coverage;
 /// - kMaxWaitShare of the time within which versions must be applied has passed
-///   since a version first named the newest set, or kMaxUseShare since a
-///   version first named another set than the one in use.
-/// The change of a route is final: no set is used again because of anything but
-/// a version that names it. Not thread-safe.
+///   since the first version that waits arrived.
+/// A version that takes regions away from a route or a tenant does not wait.
+/// Not thread-safe.
 class ShardSetHandover {
  public:
   using Table = std::shared_ptr<const RouteTable>;
@@ -41,7 +41,6 @@
   /// do not know.
   static constexpr std::chrono::milliseconds kMinPreparation{500};
   static constexpr double kMaxWaitShare = 0.65;
-  static constexpr double kMaxUseShare = 0.85;
 
   /// Why the newest set was taken into use.
   enum class Cause { kReady, kTime, kOldSetGone };
@@ -61,27 +60,25 @@
   ShardSetHandover(const base::Clock& clock, const LeafDirectory& directory,
                    std::chrono::milliseconds apply_time);
 
-  /// Returns the configuration to put in force for `newest`, a newer version
-  /// than any before: `newest` with the shards of `in_force` for the routes
-  /// that wait. Without `in_force` no route waits.
-  Configuration OnConfiguration(Configuration newest,
-                                const Configuration* in_force);
+  /// Handles a version that is newer than any before. Returns the version to
+  /// put in force now; empty if it waits. Without `in_force` it does not wait.
+  std::optional<Configuration> OnConfiguration(Configuration newest,
+                                               const Configuration* in_force);
 
-  /// Returns the configuration to put in force, of the same version as before,
-  /// if a route takes its newest set into use now.
+  /// Returns the version that has waited, if it is to be put in force now.
   std::optional<Configuration> Tick();
 
-  /// The newest version with its own shards; null if no route waits.
-  const Table& newest() const { return newest_; }
-  /// Number of routes that wait.
+  /// The version that waits; null if there is none.
+  const Table& waiting() const { return waiting_; }
+  /// Number of routes that wait for a new set.
   std::size_t pending() const { return pending_.size(); }
 
-  /// Calls `visit` with each waiting route of newest() and the time at which it
-  /// is expected to take its new set into use.
+  /// Calls `visit` with each waiting route of waiting() and the time at which
+  /// its new set is expected to be taken into use.
   template <typename Visit>
   void ForEachPending(Visit visit) const {
     for (const auto& [name, pending] : pending_)
-      visit(*pending.newest, ExpectedChange(pending));
+      visit(*pending.newest, ExpectedChange());
   }
 
   /// Returns the changes since the last call, oldest first.
@@ -90,46 +87,39 @@
  private:
   /// A route that waits.
   struct Pending {
-    /// The route in newest_.
+    /// The route in waiting_.
     const Route* newest = nullptr;
-    /// The set in use, and the services of its shards.
+    /// The set in use.
     std::vector<std::string> shards;
-    std::vector<Service> services;
-    /// When a version first named the newest set.
+    /// When a version first named the new set.
     base::TimePoint named_at{};
-    /// When a version first named another set than the one in use.
-    base::TimePoint superseded_at{};
   };
   using PendingByRoute = std::map<std::string, Pending>;
 
-  /// Returns the state of a route of newest_ whose set in use is that of
-  /// `used`, a route of `in_force`. `former` holds the routes that waited until
-  /// now, and `former_newest` the version that they waited for.
-  Pending MakePending(const Route& newest, const Route& used,
-                      const Configuration& in_force,
-                      const PendingByRoute& former) const;
-  /// Takes the newest set into use for each route for which it is due. Returns
-  /// whether there was one.
-  bool ApplyDueChanges();
-  /// The reason to take the newest set into use now; unset if there is none.
-  std::optional<Cause> CauseNow(const Pending& pending) const;
-  base::TimePoint Deadline(const Pending& pending) const;
-  base::TimePoint ExpectedChange(const Pending& pending) const;
+  /// Finds the routes of waiting_ that wait for another set than that of
+  /// `in_force`. `former` holds the routes that waited until now.
+  PendingByRoute PendingRoutes(const Configuration& in_force,
+                               const PendingByRoute& former);
+  /// The reason to put waiting_ in force now; unset if there is none.
+  std::optional<Cause> CauseNow() const;
+  bool IsReady(const Pending& pending) const;
+  bool IsSetInUseGone(const Pending& pending) const;
+  base::TimePoint Deadline() const;
+  base::TimePoint ExpectedChange() const;
   /// Number of shards with a usable leaf in the regions of `route`; only
   /// leaves that are not cold count if `only_warm`.
   std::size_t CountServed(const std::vector<std::string>& shards,
                           const Route& route, bool only_warm) const;
-  /// Number of shards of the newest set that must have a leaf that is not cold.
-  static std::size_t MinReady(const Route& newest);
-  /// Returns newest_ with the shards in use, and drops newest_ if no route
-  /// waits.
-  Configuration TakeComposed();
+  /// Ends the wait, and returns the version that has waited.
+  Configuration TakeWaiting(Cause cause);
 
   const base::Clock& clock_;
   const LeafDirectory& directory_;
   std::chrono::milliseconds apply_time_;
-  Table newest_;
+  Table waiting_;
   PendingByRoute pending_;
+  /// When the first of the versions that have waited since arrived.
+  base::TimePoint waiting_since_{};
   std::vector<Change> changes_;
 };
 
--- a/forward/lib/shard_planner.cc
+++ b/forward/lib/shard_planner.cc
@@ -142,23 +142,25 @@
   // Drops the plans of removed routes, which would keep connections open.
   if (std::exchange(planned_version_, version) == version) return;
   plans_.clear();
-  pending_plans_.clear();
   shares_.ClearCallingHosts();
+  // Plans for a version that has been put in force are made again; until then,
+  // the connections that they need stay open.
+  std::erase_if(pending_plans_, [&table](const auto& plan) {
+    const auto& routes = table.configuration().routes;
+    return std::none_of(routes.begin(), routes.end(), [&](const Route& route) {
+      return route.name == plan.first && route.shards == plan.second.shards;
+    });
+  });
 }
 
 const ShardPlanner::Plan& ShardPlanner::CurrentPlan(const RouteTable& table,
                                                     const Route& route) {
   StartVersion(table);
   Plan& plan = plans_[route.name];
-  if (!pending_plans_.empty()) {
-    const auto pending = pending_plans_.find(route.name);
-    if (pending != pending_plans_.end() &&
-        pending->second.shards == route.shards) {
-      plan = std::move(pending->second);
-      pending_plans_.erase(pending);
-    }
-  }
   UpdatePlan(table, route, plan);
+  std::erase_if(pending_plans_, [&route](const auto& pending) {
+    return pending.first == route.name && pending.second.shards == route.shards;
+  });
   return plan;
 }
 
@@ -174,7 +176,6 @@
 
 std::vector<std::size_t> ShardPlanner::PlanPending(const RouteTable& table,
                                                    const Route& route) {
-  StartVersion(table);
   std::vector<bool> delegated(route.shards.size());
   if (route.regions.empty()) {
     Plan& plan = pending_plans_[route.name];
--- a/forward/lib/shard_set_handover.cc
+++ b/forward/lib/shard_set_handover.cc
@@ -17,22 +17,38 @@
   return found == configuration.routes.end() ? nullptr : &*found;
 }
 
-const Service* FindService(const Configuration& configuration,
-                           const std::string& name) {
-  const auto found = std::find_if(
-      configuration.services.begin(), configuration.services.end(),
-      [&name](const Service& service) { return service.name == name; });
-  return found == configuration.services.end() ? nullptr : &*found;
+/// Whether `allowed` contains the region; an empty list allows all.
+bool Allows(const std::vector<std::string>& allowed,
+            const std::string& region) {
+  return allowed.empty() ||
+         std::find(allowed.begin(), allowed.end(), region) != allowed.end();
 }
 
-bool IsAllowedRegion(const Route& route, const std::string& region) {
-  return route.regions.empty() ||
-         std::find(route.regions.begin(), route.regions.end(), region) !=
-             route.regions.end();
+/// Whether a region that `before` allowed may no longer be used after it.
+bool TakesRegionsAway(const std::vector<std::string>& before,
+                      const std::vector<std::string>& after) {
+  if (after.empty()) return false;
+  return before.empty() || std::any_of(before.begin(), before.end(),
+                                       [&after](const auto& region) {
+                                         return !Allows(after, region);
+                                       });
 }
 
-base::Duration ScaleBy(std::chrono::milliseconds span, double share) {
-  return std::chrono::duration_cast<base::Duration>(span * share);
+bool TakesRegionsAway(const Configuration& before, const Configuration& after) {
+  return std::any_of(after.routes.begin(), after.routes.end(),
+                     [&before](const Route& route) {
+                       const Route* used = FindRoute(before, route.name);
+                       return used != nullptr &&
+                              TakesRegionsAway(used->regions, route.regions);
+                     });
+}
+
+/// Number of shards of the newest set that must have a leaf that is not cold.
+std::size_t MinReady(const Route& newest) {
+  const std::size_t total = newest.shards.size();
+  const std::size_t optional =
+      total - MinAnswered(total, newest.minimum_coverage);
+  return total - optional / 2;
 }
 
 }  // namespace
@@ -42,103 +58,104 @@
                                    std::chrono::milliseconds apply_time)
     : clock_(clock), directory_(directory), apply_time_(apply_time) {}
 
-Configuration ShardSetHandover::OnConfiguration(Configuration newest,
-                                                const Configuration* in_force) {
+std::optional<Configuration> ShardSetHandover::OnConfiguration(
+    Configuration newest, const Configuration* in_force) {
   // The former table outlives the routes in `former`, which refer to it.
-  const Table former_newest = std::exchange(newest_, nullptr);
+  const Table former_table = std::exchange(waiting_, nullptr);
   const PendingByRoute former = std::exchange(pending_, {});
-  if (in_force == nullptr) return newest;
-  const auto waits = [in_force](const Route& route) {
-    const Route* used = FindRoute(*in_force, route.name);
-    return used != nullptr && used->scatters() && route.scatters() &&
-           used->shards != route.shards;
-  };
-  if (std::none_of(newest.routes.begin(), newest.routes.end(), waits))
-    return newest;
-  newest_ = std::make_shared<const RouteTable>(std::move(newest));
-  for (const Route& route : newest_->configuration().routes) {
-    if (!waits(route)) continue;
-    Pending pending = MakePending(route, *FindRoute(*in_force, route.name),
-                                  *in_force, former);
-    if (pending.named_at == clock_.Now())
-      changes_.push_back({.route = route.name});
-    pending_.emplace(route.name, std::move(pending));
-  }
-  ApplyDueChanges();
-  return TakeComposed();
+  if (in_force == nullptr || TakesRegionsAway(*in_force, newest)) return newest;
+  if (former_table == nullptr) waiting_since_ = clock_.Now();
+  waiting_ = std::make_shared<const RouteTable>(std::move(newest));
+  pending_ = PendingRoutes(*in_force, former);
+  if (pending_.empty())
+    return std::exchange(waiting_, nullptr)->configuration();
+  return Tick();
 }
 
-ShardSetHandover::Pending ShardSetHandover::MakePending(
-    const Route& newest, const Route& used, const Configuration& in_force,
-    const PendingByRoute& former) const {
-  const base::TimePoint now = clock_.Now();
-  Pending pending{.newest = &newest,
-                  .shards = used.shards,
-                  .named_at = now,
-                  .superseded_at = now};
-  for (const std::string& shard : used.shards)
-    if (const Service* service = FindService(in_force, shard))
-      pending.services.push_back(*service);
-  const auto found = former.find(newest.name);
-  if (found == former.end()) return pending;
-  pending.superseded_at = found->second.superseded_at;
-  if (found->second.newest->shards == newest.shards)
-    pending.named_at = found->second.named_at;
-  return pending;
+ShardSetHandover::PendingByRoute ShardSetHandover::PendingRoutes(
+    const Configuration& in_force, const PendingByRoute& former) {
+  PendingByRoute routes;
+  for (const Route& route : waiting_->configuration().routes) {
+    const Route* used = FindRoute(in_force, route.name);
+    if (used == nullptr || !used->scatters() || !route.scatters() ||
+        used->shards == route.shards)
+      continue;
+    Pending pending{
+        .newest = &route, .shards = used->shards, .named_at = clock_.Now()};
+    const auto found = former.find(route.name);
+    if (found != former.end() && found->second.newest->shards == route.shards)
+      pending.named_at = found->second.named_at;
+    else
+      changes_.push_back({.route = route.name});
+    routes.emplace(route.name, std::move(pending));
+  }
+  return routes;
 }
 
 std::optional<Configuration> ShardSetHandover::Tick() {
-  if (!ApplyDueChanges()) return std::nullopt;
-  return TakeComposed();
+  if (waiting_ == nullptr) return std::nullopt;
+  const auto cause = CauseNow();
+  if (!cause) return std::nullopt;
+  return TakeWaiting(*cause);
 }
 
-bool ShardSetHandover::ApplyDueChanges() {
-  const std::size_t before = pending_.size();
-  std::erase_if(pending_, [this](const auto& entry) {
-    const Pending& pending = entry.second;
-    const auto cause = CauseNow(pending);
-    if (!cause) return false;
-    changes_.push_back({.route = entry.first,
+Configuration ShardSetHandover::TakeWaiting(Cause cause) {
+  for (const auto& [name, pending] : std::exchange(pending_, {}))
+    changes_.push_back({.route = name,
                         .cause = cause,
                         .waited = clock_.Now() - pending.named_at});
-    return true;
-  });
-  return pending_.size() != before;
+  return std::exchange(waiting_, nullptr)->configuration();
 }
 
-std::optional<ShardSetHandover::Cause> ShardSetHandover::CauseNow(
-    const Pending& pending) const {
-  const base::TimePoint now = clock_.Now();
-  const Route& newest = *pending.newest;
-  const bool prepared = now - pending.named_at >= kMinPreparation;
-  if (prepared && CountServed(newest.shards, newest, /*only_warm=*/true) >=
-                      MinReady(newest))
+std::optional<ShardSetHandover::Cause> ShardSetHandover::CauseNow() const {
+  const auto all_of = [this](auto condition) {
+    return std::all_of(
+        pending_.begin(), pending_.end(),
+        [&condition](const auto& entry) { return condition(entry.second); });
+  };
+  if (all_of([this](const Pending& pending) { return IsReady(pending); }))
     return Cause::kReady;
-  if (CountServed(pending.shards, newest, /*only_warm=*/false) <
-      MinAnswered(pending.shards.size(), newest.minimum_coverage))
+  if (!all_of(
+          [this](const Pending& pending) { return !IsSetInUseGone(pending); }))
     return Cause::kOldSetGone;
-  if (now >= Deadline(pending)) return Cause::kTime;
+  if (clock_.Now() >= Deadline()) return Cause::kTime;
   return std::nullopt;
 }
 
-base::TimePoint ShardSetHandover::Deadline(const Pending& pending) const {
-  return std::min(pending.named_at + ScaleBy(apply_time_, kMaxWaitShare),
-                  pending.superseded_at + ScaleBy(apply_time_, kMaxUseShare));
+bool ShardSetHandover::IsReady(const Pending& pending) const {
+  const Route& newest = *pending.newest;
+  return clock_.Now() - pending.named_at >= kMinPreparation &&
+         CountServed(newest.shards, newest, /*only_warm=*/true) >=
+             MinReady(newest);
 }
 
-base::TimePoint ShardSetHandover::ExpectedChange(const Pending& pending) const {
+bool ShardSetHandover::IsSetInUseGone(const Pending& pending) const {
   const Route& newest = *pending.newest;
-  const base::TimePoint deadline = Deadline(pending);
-  base::TimePoint warm_at = pending.named_at + kMinPreparation;
-  for (const std::string& shard : newest.shards) {
-    base::TimePoint shard_warm_at = deadline;
-    directory_.ForEachUsable(shard, [&](const auto& leaf) {
-      if (IsAllowedRegion(newest, leaf->region()))
-        shard_warm_at = std::min(shard_warm_at, leaf->cold_until());
-    });
-    warm_at = std::max(warm_at, shard_warm_at);
+  return CountServed(pending.shards, newest, /*only_warm=*/false) <
+         MinAnswered(pending.shards.size(), newest.minimum_coverage);
+}
+
+base::TimePoint ShardSetHandover::Deadline() const {
+  return waiting_since_ + std::chrono::duration_cast<base::Duration>(
+                              apply_time_ * kMaxWaitShare);
+}
+
+base::TimePoint ShardSetHandover::ExpectedChange() const {
+  const base::TimePoint deadline = Deadline();
+  base::TimePoint ready_at{};
+  for (const auto& [name, pending] : pending_) {
+    const Route& newest = *pending.newest;
+    ready_at = std::max(ready_at, pending.named_at + kMinPreparation);
+    for (const std::string& shard : newest.shards) {
+      base::TimePoint warm_at = deadline;
+      directory_.ForEachUsable(shard, [&](const auto& leaf) {
+        if (Allows(newest.regions, leaf->region()))
+          warm_at = std::min(warm_at, leaf->cold_until());
+      });
+      ready_at = std::max(ready_at, warm_at);
+    }
   }
-  return std::min(warm_at, deadline);
+  return std::min(ready_at, deadline);
 }
 
 std::size_t ShardSetHandover::CountServed(
@@ -148,7 +165,7 @@
   const auto is_served = [&](const std::string& shard) {
     bool served = false;
     directory_.ForEachUsable(shard, [&](const auto& leaf) {
-      served = served || (IsAllowedRegion(route, leaf->region()) &&
+      served = served || (Allows(route.regions, leaf->region()) &&
                           !(only_warm && leaf->IsCold(now)));
     });
     return served;
@@ -157,27 +174,6 @@
       std::count_if(shards.begin(), shards.end(), is_served));
 }
 
-std::size_t ShardSetHandover::MinReady(const Route& newest) {
-  const std::size_t total = newest.shards.size();
-  const std::size_t optional =
-      total - MinAnswered(total, newest.minimum_coverage);
-  return total - optional / 2;
-}
-
-Configuration ShardSetHandover::TakeComposed() {
-  Configuration composed = newest_->configuration();
-  if (pending_.empty()) newest_.reset();
-  for (Route& route : composed.routes) {
-    const auto found = pending_.find(route.name);
-    if (found == pending_.end()) continue;
-    route.shards = found->second.shards;
-    for (const Service& service : found->second.services)
-      if (FindService(composed, service.name) == nullptr)
-        composed.services.push_back(service);
-  }
-  return composed;
-}
-
 std::vector<ShardSetHandover::Change> ShardSetHandover::TakeChanges() {
   return std::exchange(changes_, {});
 }
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -38,9 +38,8 @@
           GatewaySettings settings);
   ~Gateway() override;
 
-  /// Puts `configuration` in force, unless its version is not newer than that
-  /// of the current one. Routes may stay on their former shards for a while
-  /// (forward::ShardSetHandover).
+  /// Puts `configuration` in force if its version is newer than any before, or
+  /// later if its shards are not ready yet (forward::ShardSetHandover).
   void SetConfiguration(forward::Configuration configuration);
   /// Sets the hosts that share budgets and leaf connections, including this
   /// one.
@@ -247,8 +246,9 @@
   /// Opens connections ahead of calls, to leaves of recently used shards and to
   /// other hosts.
   void WarmConnections();
-  /// Changes routes to new sets of shards that are due, and opens connections
-  /// for the sets that are not.
+  void AdoptConfiguration(forward::Configuration configuration);
+  /// Puts a version in force that has waited for its shards, or opens
+  /// connections to their leaves and hosts ahead.
   void AdvanceShardSets();
   void LogShardSetChanges();
   /// Opens part of the connections that this host needs for the new set of
@@ -261,8 +261,8 @@
   forward::RouteTableHistory::Table FindTable(Accepts accepts) const {
     auto table = tables_.Find(accepts);
     if (table != nullptr) return table;
-    const auto& newest = shard_sets_.newest();
-    return newest != nullptr && accepts(*newest) ? newest : nullptr;
+    const auto& waiting = shard_sets_.waiting();
+    return waiting != nullptr && accepts(*waiting) ? waiting : nullptr;
   }
   bool IsReady() const;
   /// Detects that the process has not run for a while.
--- a/gateway/lib/gateway_shard_sets.cc
+++ b/gateway/lib/gateway_shard_sets.cc
@@ -44,22 +44,29 @@
 
 void Gateway::SetConfiguration(forward::Configuration configuration) {
   const auto& in_force = tables_.current();
-  if (in_force != nullptr && configuration.version <= configuration_version())
+  const auto& waiting = shard_sets_.waiting();
+  const auto& newest = waiting != nullptr ? waiting : in_force;
+  if (newest != nullptr &&
+      configuration.version <= newest->configuration().version)
     return;
   // A host that starts has served nothing yet and uses the newest sets.
   const bool has_served = in_force != nullptr && directory_loaded_;
-  tables_.Adopt(shard_sets_.OnConfiguration(
+  auto due = shard_sets_.OnConfiguration(
       std::move(configuration),
-      has_served ? &in_force->configuration() : nullptr));
+      has_served ? &in_force->configuration() : nullptr);
+  if (due) AdoptConfiguration(std::move(*due));
+  LogShardSetChanges();
+}
+
+void Gateway::AdoptConfiguration(forward::Configuration configuration) {
+  tables_.Adopt(std::move(configuration));
   const forward::Configuration& adopted = tables_.current()->configuration();
   host::LogStateChange("configuration_adopted", std::to_string(adopted.version),
                        std::to_string(adopted.routes.size()) + " routes");
-  LogShardSetChanges();
 }
 
 void Gateway::AdvanceShardSets() {
-  if (auto configuration = shard_sets_.Tick())
-    tables_.Adopt(std::move(*configuration));
+  if (auto due = shard_sets_.Tick()) AdoptConfiguration(std::move(*due));
   LogShardSetChanges();
   if (stopping_ || shard_sets_.pending() == 0) return;
   shard_sets_.ForEachPending(
@@ -88,7 +95,7 @@
     missing.emplace_back(base::Hash64(id) ^ seed, leaf);
   };
   for (const std::size_t shard :
-       planner_.PlanPending(*shard_sets_.newest(), route))
+       planner_.PlanPending(*shard_sets_.waiting(), route))
     directory_.ForEachUsable(route.shards[shard], add);
   // Each host has another order, so that few of them connect to a leaf at once.
   std::sort(missing.begin(), missing.end());
@@ -101,7 +108,8 @@
     if (!change.cause) {
       host::LogStateChange(
           "shard_set_pending", change.route,
-          "version " + std::to_string(configuration_version()));
+          "version " +
+              std::to_string(shard_sets_.waiting()->configuration().version));
       continue;
     }
     if (*change.cause == Cause::kReady) ++counters_.shard_sets_ready;
