Let versions wait for shards although they move other routes' regions

Change: only a version that takes regions away from a route whose shards it changes is in force at once. A change is logged with its own version, since the version that waits may be gone by then.

--- a/forward/include/berylreach/forward/shard_set_handover.h
+++ b/forward/include/berylreach/forward/shard_set_handover.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,8 +30,8 @@
 /// - the set in use of a route can no longer reach its minimum coverage;
 /// - kMaxWaitShare of the time within which versions must be applied has passed
 ///   since the first version that waits arrived.
-/// A version that takes regions away from a route or a tenant does not wait.
-/// Not thread-safe.
+/// A version that takes regions away from a route whose shards it changes does
+/// not wait. Not thread-safe.
 class ShardSetHandover {
  public:
   using Table = std::shared_ptr<const RouteTable>;
@@ -43,11 +44,18 @@
   static constexpr double kMaxWaitShare = 0.65;
 
   /// Why the newest set was taken into use.
-  enum class Cause { kReady, kTime, kOldSetGone };
+  enum class Cause {
+    kReady,
+    kTime,
+    /// The set in use lacks leaves, or a region of it was taken away.
+    kOldSetGone,
+  };
 
   /// A route that began to wait for a new set, or that has taken one into use.
   struct Change {
     std::string route;
+    /// The version that names the new set.
+    std::uint64_t version = 0;
     /// Unset if the route waits.
     std::optional<Cause> cause;
     base::Duration waited{0};
--- a/forward/lib/shard_set_handover.cc
+++ b/forward/lib/shard_set_handover.cc
@@ -34,15 +34,6 @@
                                        });
 }
 
-bool TakesRegionsAway(const Configuration& before, const Configuration& after) {
-  return std::any_of(after.routes.begin(), after.routes.end(),
-                     [&before](const Route& route) {
-                       const Route* used = FindRoute(before, route.name);
-                       return used != nullptr &&
-                              TakesRegionsAway(used->regions, route.regions);
-                     });
-}
-
 /// Number of shards of the newest set that must have a leaf that is not cold.
 std::size_t MinReady(const Route& newest) {
   const std::size_t total = newest.shards.size();
@@ -63,13 +54,18 @@
   // The former table outlives the routes in `former`, which refer to it.
   const Table former_table = std::exchange(waiting_, nullptr);
   const PendingByRoute former = std::exchange(pending_, {});
-  if (in_force == nullptr || TakesRegionsAway(*in_force, newest)) return newest;
+  if (in_force == nullptr) return newest;
   if (former_table == nullptr) waiting_since_ = clock_.Now();
   waiting_ = std::make_shared<const RouteTable>(std::move(newest));
   pending_ = PendingRoutes(*in_force, former);
+  const bool takes_regions_away = std::any_of(
+      pending_.begin(), pending_.end(), [in_force](const auto& entry) {
+        return TakesRegionsAway(FindRoute(*in_force, entry.first)->regions,
+                                entry.second.newest->regions);
+      });
   if (pending_.empty())
     return std::exchange(waiting_, nullptr)->configuration();
-  return Tick();
+  return takes_regions_away ? TakeWaiting(Cause::kOldSetGone) : Tick();
 }
 
 ShardSetHandover::PendingByRoute ShardSetHandover::PendingRoutes(
@@ -83,10 +79,12 @@
     Pending pending{
         .newest = &route, .shards = used->shards, .named_at = clock_.Now()};
     const auto found = former.find(route.name);
-    if (found != former.end() && found->second.newest->shards == route.shards)
+    if (found != former.end() && found->second.newest->shards == route.shards) {
       pending.named_at = found->second.named_at;
-    else
-      changes_.push_back({.route = route.name});
+    } else {
+      changes_.push_back(
+          {.route = route.name, .version = waiting_->configuration().version});
+    }
     routes.emplace(route.name, std::move(pending));
   }
   return routes;
@@ -102,6 +100,7 @@
 Configuration ShardSetHandover::TakeWaiting(Cause cause) {
   for (const auto& [name, pending] : std::exchange(pending_, {}))
     changes_.push_back({.route = name,
+                        .version = waiting_->configuration().version,
                         .cause = cause,
                         .waited = clock_.Now() - pending.named_at});
   return std::exchange(waiting_, nullptr)->configuration();
--- a/forward/unittests/shard_set_handover_test.cc
+++ b/forward/unittests/shard_set_handover_test.cc
@@ -140,11 +140,12 @@
   Name("b");
   EXPECT_EQ(Used(), "a");
   ASSERT_EQ(changes_.size(), 1U);
-  EXPECT_EQ(changes_[0], (Change{.route = "r"}));
+  EXPECT_EQ(changes_[0], (Change{.route = "r", .version = 2}));
   RunFor(ShardSetHandover::kMinPreparation);
   EXPECT_EQ(Used(), "b");
   EXPECT_EQ(changes_.back(),
             (Change{.route = "r",
+                    .version = 2,
                     .cause = Cause::kReady,
                     .waited = ShardSetHandover::kMinPreparation}));
 }
@@ -207,6 +208,7 @@
   base_route_.regions = {"rz"};
   Name("c");
   EXPECT_EQ(Used(), "c");
+  EXPECT_EQ(LastCause(), Cause::kOldSetGone);
   EXPECT_EQ(handover_->waiting(), nullptr);
 }
 
--- a/gateway/lib/gateway_shard_sets.cc
+++ b/gateway/lib/gateway_shard_sets.cc
@@ -106,10 +106,8 @@
 void Gateway::LogShardSetChanges() {
   for (const auto& change : shard_sets_.TakeChanges()) {
     if (!change.cause) {
-      host::LogStateChange(
-          "shard_set_pending", change.route,
-          "version " +
-              std::to_string(shard_sets_.waiting()->configuration().version));
+      host::LogStateChange("shard_set_pending", change.route,
+                           "version " + std::to_string(change.version));
       continue;
     }
     if (*change.cause == Cause::kReady) ++counters_.shard_sets_ready;
