--- a/forward/include/berylreach/forward/configuration.h
+++ b/forward/include/berylreach/forward/configuration.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "berylreach/forward/tenant.h"
+
 namespace berylreach::forward {
 
 /// One of several services among which a route distributes its requests.
@@ -48,6 +50,8 @@
   double minimum_coverage = 1;
   /// Regions whose leaves may serve the route; empty for all.
   std::vector<std::string> regions;
+  /// Whether callers need no key although the configuration has tenants.
+  bool is_public = false;
 
   bool scatters() const { return !shards.empty(); }
 
@@ -86,6 +90,8 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
+  /// If empty, callers need no keys and requests belong to no tenant.
+  std::vector<Tenant> tenants;
   CallerLimits limits;
 
   friend bool operator==(const Configuration&, const Configuration&) = default;
--- a/forward/include/berylreach/forward/route_table.h
+++ b/forward/include/berylreach/forward/route_table.h
@@ -17,6 +17,10 @@
  public:
   explicit RouteTable(Configuration configuration);
 
+  // The indexes of the tenants refer to strings in configuration_.
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
+
   /// Returns the route of `host` with the longest prefix of `path`; null if
   /// there is none. `host` is compared without regard to case or port.
   const Route* Find(std::string_view host, std::string_view path) const;
@@ -24,6 +28,15 @@
   /// Returns null if the configuration does not have the service.
   const Service* FindService(const std::string& name) const;
 
+  /// Whether callers need keys, except on public routes.
+  bool has_tenants() const { return !configuration_.tenants.empty(); }
+
+  /// Returns the tenant that `key` belongs to; null if there is none.
+  const Tenant* FindTenantByKey(std::string_view key) const;
+
+  /// Returns null if the configuration does not have the tenant.
+  const Tenant* FindTenant(std::string_view name) const;
+
   const Configuration& configuration() const { return configuration_; }
 
  private:
@@ -32,6 +45,9 @@
   std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
   /// Indexes in configuration_.services by name.
   std::unordered_map<std::string, std::size_t> by_service_;
+  /// Indexes in configuration_.tenants by key and by name.
+  std::unordered_map<std::string_view, std::size_t> tenant_by_key_;
+  std::unordered_map<std::string_view, std::size_t> tenant_by_name_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/lib/route_table.cc
+++ b/forward/lib/route_table.cc
@@ -26,6 +26,12 @@
     by_host_[HostKey(routes[i].host)].push_back(i);
   for (std::size_t i = 0; i < configuration_.services.size(); ++i)
     by_service_.emplace(configuration_.services[i].name, i);
+  const std::vector<Tenant>& tenants = configuration_.tenants;
+  for (std::size_t i = 0; i < tenants.size(); ++i) {
+    tenant_by_name_.emplace(tenants[i].name, i);
+    for (const std::string& key : tenants[i].api_keys)
+      tenant_by_key_.emplace(key, i);
+  }
   for (auto& [host, positions] : by_host_) {
     std::stable_sort(positions.begin(), positions.end(),
                      [&routes](std::size_t a, std::size_t b) {
@@ -51,4 +57,17 @@
                                     : &configuration_.services[found->second];
 }
 
+const Tenant* RouteTable::FindTenantByKey(std::string_view key) const {
+  const auto found = tenant_by_key_.find(key);
+  return found == tenant_by_key_.end() ? nullptr
+                                       : &configuration_.tenants[found->second];
+}
+
+const Tenant* RouteTable::FindTenant(std::string_view name) const {
+  const auto found = tenant_by_name_.find(name);
+  return found == tenant_by_name_.end()
+             ? nullptr
+             : &configuration_.tenants[found->second];
+}
+
 }  // namespace berylreach::forward
