Check callers' keys and divide an overloaded host among tenants

Requests must carry the key of a tenant, and an overloaded host served whoever sent most.

The decision on a key is forward::CheckAccess; gateway/lib/tenant_fields takes keys and tenants' names out of the fields before anything can forward or log them. limits::TenantRoom bounds what a tenant may hold while the host is over half full.

--- a/forward/include/berylreach/forward/message.h
+++ b/forward/include/berylreach/forward/message.h
@@ -21,6 +21,8 @@
   /// Header fields that are forwarded to leaves, each line with its CRLF.
   std::string fields;
   std::string body;
+  /// Name of the tenant; empty if the request belongs to none.
+  std::string tenant;
   /// Equal for attempts of the same caller that ask for the same.
   std::uint64_t fingerprint = 0;
   base::TimePoint received{};
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -96,6 +97,11 @@
              const Route& route, const std::string& single_service,
              CallerRequest request);
 
+  /// Restricts the run to the leaves of `regions`, or of all regions if it is
+  /// empty, in place of the route's regions. Call before Start.
+  void RestrictToRegions(std::vector<std::string> regions) {
+    regions_ = std::move(regions);
+  }
   /// Delegates the shards of `groups` to other hosts. Call before Start.
   void Delegate(const std::vector<ShardGroup>& groups);
   /// Runs only the shards of `subset`, for another host. From
@@ -276,6 +282,8 @@
   RunContext& context_;
   std::shared_ptr<const RouteTable> table_;
   const Route& route_;
+  /// Regions whose leaves may serve the request; empty for all.
+  std::vector<std::string> regions_;
   CallerRequest request_;
   std::uint64_t seed_;
   std::vector<Subrequest> subrequests_;
--- a/forward/include/berylreach/forward/route_table.h
+++ b/forward/include/berylreach/forward/route_table.h
@@ -17,7 +17,7 @@
  public:
   explicit RouteTable(Configuration configuration);
 
-  // The indexes of the tenants refer to strings in configuration_.
+  // tenant_by_name_ refers to strings in configuration_.
   RouteTable(const RouteTable&) = delete;
   RouteTable& operator=(const RouteTable&) = delete;
 
@@ -46,7 +46,7 @@
   /// Indexes in configuration_.services by name.
   std::unordered_map<std::string, std::size_t> by_service_;
   /// Indexes in configuration_.tenants by key and by name.
-  std::unordered_map<std::string_view, std::size_t> tenant_by_key_;
+  std::unordered_map<ApiKey, std::size_t, ApiKeyHash> tenant_by_key_;
   std::unordered_map<std::string_view, std::size_t> tenant_by_name_;
 };
 
--- a/forward/include/berylreach/forward/tenant.h
+++ b/forward/include/berylreach/forward/tenant.h
@@ -6,15 +6,17 @@
 #include <string>
 #include <vector>
 
+#include "berylreach/forward/api_key.h"
+
 namespace berylreach::forward {
 
 /// A customer whose callers identify themselves with keys.
 struct Tenant {
   /// Identifies the tenant to leaves, other hosts, logs and metrics.
   std::string name;
-  /// The keys that callers may present. They must not leave the host or appear
-  /// in its output. A tenant without keys cannot send requests.
-  std::vector<std::string> api_keys;
+  /// The keys that callers may present. A tenant without keys cannot send
+  /// requests.
+  std::vector<ApiKey> api_keys;
   /// Priority of the tenant's requests in place of the route's; 0 is the most
   /// urgent.
   std::optional<std::uint32_t> priority;
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -56,6 +56,7 @@
     : context_(context),
       table_(std::move(table)),
       route_(route),
+      regions_(route.regions),
       request_(std::move(request)),
       seed_(base::Hash64(request_.id)) {
   total_ = route_.scatters() ? route_.shards.size() : 1;
@@ -259,7 +260,7 @@
 LeafQuery RequestRun::QueryFor(const Subrequest& subrequest,
                                bool allow_unhealthy) const {
   return {.service = subrequest.service,
-          .regions = &route_.regions,
+          .regions = &regions_,
           .tried = &subrequest.tried,
           .seed = seed_,
           .allow_unhealthy = allow_unhealthy,
--- a/forward/lib/request_run_answer.cc
+++ b/forward/lib/request_run_answer.cc
@@ -118,7 +118,7 @@
         subrequest.service == nullptr
             ? base::Duration::max()
             : context_.selector.PauseLeft(
-                  {.service = subrequest.service, .regions = &route_.regions});
+                  {.service = subrequest.service, .regions = &regions_});
     if (left == base::Duration::zero()) {
       ++servable;
     } else if (left != base::Duration::max()) {
--- a/forward/lib/route_table.cc
+++ b/forward/lib/route_table.cc
@@ -29,7 +29,7 @@
   const std::vector<Tenant>& tenants = configuration_.tenants;
   for (std::size_t i = 0; i < tenants.size(); ++i) {
     tenant_by_name_.emplace(tenants[i].name, i);
-    for (const std::string& key : tenants[i].api_keys)
+    for (const ApiKey& key : tenants[i].api_keys)
       tenant_by_key_.emplace(key, i);
   }
   for (auto& [host, positions] : by_host_) {
@@ -58,7 +58,7 @@
 }
 
 const Tenant* RouteTable::FindTenantByKey(std::string_view key) const {
-  const auto found = tenant_by_key_.find(key);
+  const auto found = tenant_by_key_.find(ApiKey::Of(key));
   return found == tenant_by_key_.end() ? nullptr
                                        : &configuration_.tenants[found->second];
 }
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -16,12 +17,14 @@
 #include "berylreach/forward/route_table_history.h"
 #include "berylreach/forward/shard_planner.h"
 #include "berylreach/forward/suspect_queue.h"
+#include "berylreach/forward/tenant_access.h"
 #include "berylreach/gateway/feed_server.h"
 #include "berylreach/gateway/gateway_counters.h"
 #include "berylreach/gateway/gateway_settings.h"
 #include "berylreach/gateway/leaf_connections.h"
 #include "berylreach/gateway/request_metrics.h"
 #include "berylreach/gateway/server_connection.h"
+#include "berylreach/gateway/tenant_metrics.h"
 #include "berylreach/limits/admission.h"
 
 namespace berylreach::gateway {
@@ -86,6 +89,11 @@
     bool is_head = false;
     /// Number of leaf calls that admission control counts for this request.
     std::size_t admitted_calls = 0;
+    /// Tenant for which admission control counts the request; set if the
+    /// configuration has tenants.
+    std::optional<std::string> admitted_tenant;
+    /// Another host, rather than a caller, asked for the run.
+    bool for_other_host = false;
     /// The request runs on one leaf first, because a leaf may have crashed
     /// while it ran an earlier attempt.
     bool probed_first = false;
@@ -126,11 +134,14 @@
                                          const HttpRequest& request);
   void OnRequest(ServerConnection& connection, HttpRequest request) override;
   void OnClosed(ServerConnection& connection) override;
-  /// Starts a request. `subset` holds the shards that another host asks for;
-  /// null for a caller's request.
+  /// Refuses a request for its key or for lack of an allowed region.
+  void RefuseAccess(ServerConnection& connection, const HttpRequest& request,
+                    forward::AccessRefusal refusal);
+  /// Starts a request on the terms of `access`. `subset` holds the shards that
+  /// another host asks for; null for a caller's request.
   void StartRun(ServerConnection& connection, HttpRequest request,
                 const forward::RouteTableHistory::Table& table,
-                const forward::Route& route,
+                const forward::Route& route, forward::TenantAccess access,
                 const forward::ShardSubset* subset);
   /// Chooses the service of a request by the weights of the route's services.
   const std::string& ChooseService(const forward::Route& route);
@@ -302,6 +313,7 @@
   boost::asio::steady_timer periodic_timer_;
   GatewayCounters counters_;
   RequestMetrics metrics_;
+  TenantMetrics tenant_metrics_;
 
   std::function<void(const model::SuspectEntry&)> publish_suspect_;
   std::function<void()> on_process_paused_;
--- a/gateway/include/berylreach/gateway/http_message.h
+++ b/gateway/include/berylreach/gateway/http_message.h
@@ -11,16 +11,23 @@
 
 namespace berylreach::gateway {
 
-/// Header fields in the order of their arrival.
+/// Header and trailer fields in the order of their arrival.
 class HttpFields {
  public:
   void Add(std::string_view name, std::string_view value);
+  /// Adds a field that arrived after the body.
+  void AddTrailer(std::string_view name, std::string_view value);
+  /// Removes all fields named `name`, also those of the trailer.
+  void Remove(std::string_view name);
 
   /// Returns the value of the first field named `name`, which is compared
   /// case-insensitively; empty if there is none.
   std::string_view Find(std::string_view name) const;
   /// Returns the values of all fields named `name`.
   std::vector<std::string_view> FindAll(std::string_view name) const;
+  /// Returns the values of all fields named `name` that arrived before the
+  /// body.
+  std::vector<std::string_view> FindAllInHeader(std::string_view name) const;
   bool Has(std::string_view name) const;
 
   /// Formats the fields that are forwarded, as lines that end with CRLF. Leaves
@@ -32,7 +39,15 @@
   friend bool operator==(const HttpFields&, const HttpFields&) = default;
 
  private:
-  std::vector<std::pair<std::string, std::string>> fields_;
+  struct Field {
+    std::string name;
+    std::string value;
+    bool in_trailer = false;
+
+    friend bool operator==(const Field&, const Field&) = default;
+  };
+
+  std::vector<Field> fields_;
 };
 
 /// A request of a caller or another host.
@@ -42,6 +57,9 @@
   HttpFields fields;
   std::string body;
   bool keep_alive = true;
+  /// Name of the tenant to which the request belongs; empty if it belongs to
+  /// none.
+  std::string tenant;
 };
 
 /// A response of a leaf, another host or the store.
--- a/gateway/include/berylreach/gateway/request_fingerprint.h
+++ b/gateway/include/berylreach/gateway/request_fingerprint.h
@@ -11,7 +11,8 @@
 
 namespace berylreach::gateway {
 
-/// Returns a hash of the method, host, target, caller and body of a request.
+/// Returns a hash of the method, host, target, caller, tenant and body of a
+/// request.
 /// Request ids and timeouts are left out, since they differ between attempts of
 /// the same request. Hosts exchange fingerprints, so all hosts must compute the
 /// same one.
--- a/gateway/include/berylreach/gateway/wire_names.h
+++ b/gateway/include/berylreach/gateway/wire_names.h
@@ -13,6 +13,11 @@
   std::string request_id;
   /// Fields that identify the caller.
   std::vector<std::string> caller;
+  /// The key of a caller's tenant. If the configuration has tenants, the field
+  /// is never forwarded.
+  std::string api_key;
+  /// Name of the tenant, which hosts tell leaves and each other.
+  std::string tenant;
   /// Time in milliseconds that the sender waits for the response.
   std::string caller_timeout;
   /// Id of the only leaf incarnation that may run the call.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -10,6 +10,7 @@
 #include "listener.h"
 #include "peer_server.h"
 #include "response_bytes.h"
+#include "tenant_fields.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -136,8 +137,13 @@
 void Gateway::SetConfiguration(forward::Configuration configuration) {
   if (!tables_.Adopt(std::move(configuration))) return;
   const forward::Configuration& adopted = tables_.current()->configuration();
-  host::LogStateChange("configuration_adopted", std::to_string(adopted.version),
-                       std::to_string(adopted.routes.size()) + " routes");
+  tenant_metrics_.KeepTenantsOf(*tables_.current());
+  host::LogStateChange(
+      "configuration_adopted", std::to_string(adopted.version),
+      std::to_string(adopted.routes.size()) + " routes" +
+          (adopted.tenants.empty()
+               ? ""
+               : ", " + std::to_string(adopted.tenants.size()) + " tenants"));
 }
 
 void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
@@ -215,11 +221,19 @@
     RefuseAtOnce(connection, request, 404, "no route", milliseconds(0));
     return;
   }
+  forward::TenantAccess access =
+      TakeKey(*table, *route, settings_.names, request);
+  if (!request.tenant.empty()) tenant_metrics_.OnRequest(request.tenant);
+  if (access.refusal != forward::AccessRefusal::kNone) {
+    RefuseAccess(connection, request, access.refusal);
+    return;
+  }
   if (stopping_ && clock_.Now() >= stop_started_ + AcceptanceAfterStop()) {
     RefuseAtOnce(connection, request, 503, "stopping", milliseconds(50));
     return;
   }
-  StartRun(connection, std::move(request), table, *route, nullptr);
+  StartRun(connection, std::move(request), table, *route, std::move(access),
+           nullptr);
 }
 
 void Gateway::ArmTimer() {
@@ -380,6 +394,7 @@
   add("leaves", directory_.size());
   add("log_lines_dropped_total", host::DroppedLogLines());
   metrics_.AppendTo(text);
+  tenant_metrics_.AppendTo(text);
   return text;
 }
 
--- a/gateway/lib/gateway_answers.cc
+++ b/gateway/lib/gateway_answers.cc
@@ -8,6 +8,7 @@
 #include "berylreach/gateway/request_fingerprint.h"
 #include "berylreach/host/log.h"
 #include "response_bytes.h"
+#include "tenant_fields.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -48,7 +49,7 @@
   const RunningRequest request = std::move(found->second);
   requests_.erase(found);
   wakeups_.Set(id, std::nullopt);
-  admission_.OnRequestDone(request.admitted_calls);
+  admission_.OnRequestDone(request.admitted_calls, request.admitted_tenant);
   const auto connection = request.connection.lock();
   if (connection) request_by_connection_.erase(connection.get());
 
@@ -62,6 +63,9 @@
     status = StatusOf(reply.refusal);
     reason = ReasonOf(status);
     ++(status == 503 ? counters_.refused : counters_.failed);
+    if (status == 503 && !request.for_other_host)
+      tenant_metrics_.OnRefused(run.request().tenant,
+                                TenantRefusal::kUnavailable);
     if (reply.retry_after.count() > 0)
       fields = "Retry-After: " + FormatSeconds(reply.retry_after) + "\r\n";
     reply.reply.body = reply.cause;
@@ -105,6 +109,7 @@
   host::LogRequest({.id = run.request().id,
                     .fingerprint = FormatFingerprint(run.request().fingerprint),
                     .route = run.route().name,
+                    .tenant = run.request().tenant,
                     .status = status,
                     .cause = reply.cause,
                     .latency = latency,
@@ -116,6 +121,18 @@
                     .version = configuration_version()});
 }
 
+void Gateway::RefuseAccess(ServerConnection& connection,
+                           const HttpRequest& request,
+                           forward::AccessRefusal refusal) {
+  if (refusal == forward::AccessRefusal::kNoRegion) {
+    tenant_metrics_.OnRefused(request.tenant, TenantRefusal::kRegions);
+  } else {
+    tenant_metrics_.OnKeyRefused(refusal);
+  }
+  RefuseAtOnce(connection, request, StatusOf(refusal), CauseOf(refusal),
+               milliseconds(0));
+}
+
 void Gateway::RefuseAtOnce(ServerConnection& connection,
                            const HttpRequest& request, int status,
                            std::string_view cause, milliseconds retry_after) {
@@ -125,6 +142,7 @@
        .fingerprint =
            FormatFingerprint(FingerprintOf(request, settings_.names)),
        .route = request.target,
+       .tenant = request.tenant,
        .status = status,
        .cause = std::string(cause),
        .version = configuration_version()});
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -7,6 +7,7 @@
 #include "berylreach/gateway/suspect_codec.h"
 #include "berylreach/host/log.h"
 #include "group_field.h"
+#include "tenant_fields.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -92,7 +93,10 @@
       .partial_at = clock_.Now() + header->partial_in,
       .repeats = header->repeats};
   ++counters_.groups_run;
-  StartRun(connection, std::move(request), table, *route, &subset);
+  forward::TenantAccess access =
+      TakeTenant(*table, *route, settings_.names, request);
+  StartRun(connection, std::move(request), table, *route, std::move(access),
+           &subset);
 }
 
 void Gateway::SendGroupCall(const RunningRequest& request, std::uint64_t id,
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -10,6 +10,7 @@
 #include "berylreach/gateway/request_fingerprint.h"
 #include "berylreach/host/log.h"
 #include "group_field.h"
+#include "tenant_fields.h"
 
 namespace berylreach::gateway {
 namespace {
@@ -73,6 +74,7 @@
 void Gateway::StartRun(ServerConnection& connection, HttpRequest request,
                        const forward::RouteTableHistory::Table& table,
                        const forward::Route& route,
+                       forward::TenantAccess access,
                        const forward::ShardSubset* subset) {
   const std::string_view caller_id =
       request.fields.Find(settings_.names.request_id);
@@ -81,6 +83,8 @@
       PermitFor(route, fingerprint, subset != nullptr);
   if (permit != forward::RunPermit::kUnrestricted &&
       permit != forward::RunPermit::kProbeFirst) {
+    if (subset == nullptr)
+      tenant_metrics_.OnRefused(request.tenant, TenantRefusal::kBlocked);
     RefuseSuspect(connection, request, permit, fingerprint);
     return;
   }
@@ -89,15 +93,20 @@
   std::size_t calls = route.scatters() ? route.shards.size() : 1;
   if (subset != nullptr) {
     calls = subset->shards.size();
-  } else if (!probe_first) {
+  } else if (!probe_first && access.regions.empty()) {
     groups = planner_.Divide(*table, route, base::Hash64(caller_id));
     for (const forward::ShardGroup& group : groups)
       calls -= group.shards.size() - 1;
   }
+  // Requests of public routes share the capacity like those of one tenant.
+  std::optional<std::string> tenant;
+  if (table->has_tenants()) tenant = request.tenant;
   const limits::AdmissionDecision decision =
-      admission_.Admit(route.priority, calls);
+      admission_.Admit(access.priority, calls, tenant);
   if (!decision.admitted) {
     if (probe_first) quarantine_.OnNotRun(fingerprint);
+    if (subset == nullptr)
+      tenant_metrics_.OnRefused(request.tenant, TenantRefusal::kFull);
     RefuseAtOnce(connection, request, 503, "host is full",
                  decision.retry_after);
     return;
@@ -108,11 +117,14 @@
   running.keep_alive = request.keep_alive;
   running.is_head = request.method == "HEAD";
   running.admitted_calls = calls;
+  running.admitted_tenant = std::move(tenant);
+  running.for_other_host = subset != nullptr;
   running.probed_first = probe_first;
   if (!groups.empty()) running.shard_digest = ShardDigest(route);
   running.run = std::make_unique<forward::RequestRun>(
       context_, table, route, ChooseService(route),
       ToCallerRequest(std::move(request), fingerprint));
+  running.run->RestrictToRegions(std::move(access.regions));
   request_by_connection_[&connection] = id;
   if (subset != nullptr) {
     running.run->RestrictToSubset(*subset);
@@ -143,6 +155,8 @@
   caller.id = std::string(request.fields.Find(names.request_id));
   caller.fields = request.fields.ForwardedLines(
       {names.caller_timeout, names.expected_leaf, kGroupField});
+  caller.fields += TenantLine(request, names);
+  caller.tenant = std::move(request.tenant);
   caller.method = std::move(request.method);
   caller.target = std::move(request.target);
   caller.body = std::move(request.body);
@@ -381,7 +395,8 @@
   const forward::RequestRun& run = *request->second.run;
   LogOutcome(run, 0, {.cause = "the caller left"},
              clock_.Now() - run.request().received);
-  admission_.OnRequestDone(request->second.admitted_calls);
+  admission_.OnRequestDone(request->second.admitted_calls,
+                           request->second.admitted_tenant);
   EndQuarantineRun(id, request->second);
   requests_.erase(request);
   wakeups_.Set(id, std::nullopt);
--- a/gateway/lib/http_message.cc
+++ b/gateway/lib/http_message.cc
@@ -45,26 +45,46 @@
 }  // namespace
 
 void HttpFields::Add(std::string_view name, std::string_view value) {
-  fields_.emplace_back(name, value);
+  fields_.push_back({std::string(name), std::string(value)});
+}
+
+void HttpFields::AddTrailer(std::string_view name, std::string_view value) {
+  fields_.push_back({std::string(name), std::string(value), true});
+}
+
+void HttpFields::Remove(std::string_view name) {
+  std::erase_if(fields_, [name](const Field& field) {
+    return EqualsIgnoreCase(field.name, name);
+  });
 }
 
 std::string_view HttpFields::Find(std::string_view name) const {
-  for (const auto& [key, value] : fields_)
-    if (EqualsIgnoreCase(key, name)) return value;
+  for (const Field& field : fields_)
+    if (EqualsIgnoreCase(field.name, name)) return field.value;
   return {};
 }
 
 std::vector<std::string_view> HttpFields::FindAll(std::string_view name) const {
   std::vector<std::string_view> values;
-  for (const auto& [key, value] : fields_)
-    if (EqualsIgnoreCase(key, name)) values.push_back(value);
+  for (const Field& field : fields_)
+    if (EqualsIgnoreCase(field.name, name)) values.push_back(field.value);
+  return values;
+}
+
+std::vector<std::string_view> HttpFields::FindAllInHeader(
+    std::string_view name) const {
+  std::vector<std::string_view> values;
+  for (const Field& field : fields_)
+    if (!field.in_trailer && EqualsIgnoreCase(field.name, name))
+      values.push_back(field.value);
   return values;
 }
 
 bool HttpFields::Has(std::string_view name) const {
-  return std::any_of(fields_.begin(), fields_.end(), [name](const auto& field) {
-    return EqualsIgnoreCase(field.first, name);
-  });
+  return std::any_of(fields_.begin(), fields_.end(),
+                     [name](const Field& field) {
+                       return EqualsIgnoreCase(field.name, name);
+                     });
 }
 
 std::string HttpFields::ForwardedLines(
@@ -73,7 +93,7 @@
   beast::http::token_list connection_options(
       {connection.data(), connection.size()});
   std::string lines;
-  for (const auto& [name, value] : fields_) {
+  for (const auto& [name, value, in_trailer] : fields_) {
     const auto is_name = [&key = name](std::string_view other) {
       return EqualsIgnoreCase(key, other);
     };
--- a/gateway/lib/request_fingerprint.cc
+++ b/gateway/lib/request_fingerprint.cc
@@ -25,6 +25,7 @@
   AddPart(text, request.target);
   for (const std::string& field : names.caller)
     AddPart(text, request.fields.Find(field));
+  if (!request.tenant.empty()) AddPart(text, request.tenant);
   AddPart(text, FormatFingerprint(base::Hash64(request.body)));
   return base::Hash64(text);
 }
--- a/gateway/lib/response_bytes.cc
+++ b/gateway/lib/response_bytes.cc
@@ -9,8 +9,14 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
+    case 429:
+      return "Too Many Requests";
     case 502:
       return "Bad Gateway";
     case 503:
--- a/gateway/lib/server_connection.cc
+++ b/gateway/lib/server_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <unordered_set>
 #include <utility>
 
 #include "address.h"
@@ -27,10 +28,38 @@
 /// the peer can read it.
 constexpr std::chrono::milliseconds kLingerTime{500};
 
+/// Parser that knows which fields arrived before the body. Beast puts the
+/// fields of a trailer next to those of the header.
+class RequestParser : public http::request_parser<http::string_body> {
+ public:
+  /// Returns the fields of the request, which must be complete.
+  HttpFields Fields() const {
+    HttpFields fields;
+    for (const auto& field : get()) {
+      const auto name = field.name_string();
+      const auto value = field.value();
+      const bool in_trailer = chunked() && !header_fields_.contains(&field);
+      const auto add = in_trailer ? &HttpFields::AddTrailer : &HttpFields::Add;
+      (fields.*add)({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    return fields;
+  }
+
+ private:
+  void on_header_impl(error_code& error) override {
+    error = {};
+    // Only a chunked body can be followed by a trailer.
+    if (!chunked()) return;
+    for (const auto& field : get()) header_fields_.insert(&field);
+  }
+
+  std::unordered_set<const void*> header_fields_;
+};
+
 }  // namespace
 
 struct ServerConnection::Parser {
-  http::request_parser<http::string_body> http;
+  RequestParser http;
 };
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
@@ -120,18 +149,13 @@
 }
 
 void ServerConnection::Deliver() {
+  HttpRequest request;
+  request.fields = parser_->http.Fields();
   auto message = parser_->http.release();
   parser_.reset();
-  HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.keep_alive = message.keep_alive();
-  for (const auto& field : message) {
-    const auto name = field.name_string();
-    const auto value = field.value();
-    request.fields.Add({name.data(), name.size()},
-                       {value.data(), value.size()});
-  }
   request.body = std::move(message.body());
   awaiting_response_ = true;
   close_after_write_ = !request.keep_alive;
--- a/host/include/berylreach/host/log.h
+++ b/host/include/berylreach/host/log.h
@@ -17,6 +17,8 @@
   std::string fingerprint;
   /// Name of the route, or the request target if no route was found.
   std::string route;
+  /// Name of the tenant; empty if there is none or its key is unknown.
+  std::string tenant;
   /// HTTP status of the response; 0 if the caller disconnected.
   int status = 0;
   /// Cause of the outcome.
--- a/host/lib/log.cc
+++ b/host/lib/log.cc
@@ -98,6 +98,7 @@
   line["id"] = request.id;
   if (!request.fingerprint.empty()) line["fingerprint"] = request.fingerprint;
   line["route"] = request.route;
+  if (!request.tenant.empty()) line["tenant"] = request.tenant;
   line["status"] = request.status;
   line["cause"] = request.cause;
   line["took_us"] =
