--- a/gateway/unittests/gateway_fixture.h
+++ b/gateway/unittests/gateway_fixture.h
@@ -89,6 +89,8 @@
     if (stop_grace_) settings.stop_grace = *stop_grace_;
     settings.record_bytes = 16;
     settings.names = {.request_id = "X-Id",
+                      .api_key = "X-Key",
+                      .tenant = "X-Tenant",
                       .caller_timeout = "X-Wait",
                       .expected_leaf = "X-Leaf",
                       .signature = "X-Sig",
