--- a/gateway/unittests/gateway_tenants_test.cc
+++ b/gateway/unittests/gateway_tenants_test.cc
@@ -55,8 +55,10 @@
     return client.received().substr(9, 3);
   }
 
-  const HttpFields& LastFields(const std::string& service) {
-    return leaves_[service].requests.back().fields;
+  /// The fields of the last call that the leaf got; none if it got none.
+  HttpFields LastFields(const std::string& service) {
+    const auto& requests = leaves_[service].requests;
+    return requests.empty() ? HttpFields() : requests.back().fields;
   }
 };
 
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -18,7 +18,8 @@
 
 for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,suspect}_codec.cc \
   gateway/lib/{endpoint_address,request_fingerprint,http_message}.cc \
-  platform/lib/{codec,platform_settings,store_page}.cc forward/lib/{leaf_directory,leaf_record}.cc; do
+  platform/lib/{codec,tenant_codec,platform_settings,store_page}.cc \
+  forward/lib/{leaf_directory,leaf_record,api_key,route_table}.cc; do
   object="$out/$(echo "$source" | tr / -).o"
   echo "$source $object"
 done >"$out/sources.txt"
@@ -59,6 +60,8 @@
   local values=$out/seeds/platform_values
   printf '0{"version":7,"routes":[{"name":"g","host":"h","prefix":"/a/","kind":"idempotent","timeout_ms":1200,"gather":["s"],"top_k":5,"min_coverage":0.75},{"name":"p","host":"h","prefix":"/b/","kind":"x","timeout_ms":1,"split":[{"service":"s","weight":1}]}],"services":[{"name":"s","max_conns":2}]}' \
     >"$values/configuration"
+  printf '0{"version":7,"routes":[{"name":"o","host":"h","prefix":"/a/","kind":"x","timeout_ms":1,"service":"s","public":true}],"services":[],"tenants":[{"name":"a","api_keys":["k1","k2"],"priority":1,"rate_per_s":2.5,"burst":9,"allowed_regions":["r"]},{"name":"b","key_digests":["ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"]}]}' \
+    >"$values/tenants"
   printf '1{"service":"s","addr":"10.0.0.1:80","zone":"z","slots":2,"state":"ready","cold_left_ms":0}' >"$values/leaf"
   printf '2{"events":[{"key":"a","value":"aGk="},{"key":"b","deleted":true}],"current_rev":3}' >"$values/events"
   printf '3{"node_name":"n","zone":"z","region":"r","listen":{"front":"1.1.1.1:1","ready":"1.1.1.1:2"},"port_range":[1],"platform":{"addr":"a"}}' >"$values/settings"
