Bound the size of the changes that a host keeps for followers

Versions of a configuration with 10,000 tenants are 1 MB each, and 4,096 changes were kept whatever their size: quick versions could use up a host's memory. SizeOfKeptChangesIsBounded fails without the bound.

--- a/forward/include/berylreach/forward/change_log.h
+++ b/forward/include/berylreach/forward/change_log.h
@@ -34,7 +34,8 @@
   friend bool operator==(const ChangeSet&, const ChangeSet&) = default;
 };
 
-/// Keeps all records and a bounded number of recent changes. Not thread-safe.
+/// Keeps all records and recent changes of bounded number and size. Not
+/// thread-safe.
 class ChangeLog {
  public:
   /// Replaces all records by a complete listing at `position`. If the era of
@@ -66,6 +67,8 @@
 
   std::map<std::string, std::string> records_;
   std::deque<LoggedChange> recent_;
+  /// Size of the keys and values in recent_.
+  std::size_t recent_bytes_ = 0;
   /// Changes up to this position are no longer in recent_, only in records_.
   StorePosition discarded_through_;
   StorePosition position_;
--- a/forward/lib/change_log.cc
+++ b/forward/lib/change_log.cc
@@ -11,6 +11,15 @@
 /// gets all records.
 constexpr std::size_t kMaxRecentChanges = 4096;
 
+/// Maximum size of the changes kept for followers. A configuration with many
+/// tenants is about 1 MB, and many versions may follow each other quickly. The
+/// maximum number of changes of leaves takes about 1 MB.
+constexpr std::size_t kMaxRecentBytes = std::size_t{8} * 1024 * 1024;
+
+std::size_t SizeOf(const RecordChange& change) {
+  return change.key.size() + (change.value ? change.value->size() : 0);
+}
+
 }  // namespace
 
 void ChangeLog::Reset(std::map<std::string, std::string> records,
@@ -21,6 +30,7 @@
   }
   records_ = std::move(records);
   recent_.clear();
+  recent_bytes_ = 0;
   discarded_through_ = position;
   position_ = position;
 }
@@ -48,10 +58,13 @@
       records_.erase(change.key);
     }
     recent_.push_back({position, change});
+    recent_bytes_ += SizeOf(change);
   }
   position_ = position;
-  while (recent_.size() > kMaxRecentChanges) {
+  while (recent_.size() > kMaxRecentChanges ||
+         recent_bytes_ > kMaxRecentBytes) {
     discarded_through_ = recent_.front().position;
+    recent_bytes_ -= SizeOf(recent_.front().change);
     recent_.pop_front();
   }
 }
--- a/forward/unittests/change_log_test.cc
+++ b/forward/unittests/change_log_test.cc
@@ -53,6 +53,19 @@
   EXPECT_EQ(set->changes, (std::vector<RecordChange>{{"a", "9999"}}));
 }
 
+// Guards against a host that runs out of memory because many versions of a
+// large configuration follow each other.
+TEST(ChangeLogTest, SizeOfKeptChangesIsBounded) {
+  constexpr std::size_t value_bytes = 1'000'000;
+  ChangeLog log;
+  log.Reset({}, At(1));
+  for (std::uint64_t i = 2; i <= 30; ++i)
+    log.Append({{"op/config", std::string(value_bytes, 'c')}}, At(i));
+  EXPECT_TRUE(log.Since(At(10))->is_full_listing);
+  EXPECT_EQ(log.Since(At(10))->changes.size(), 1U);
+  EXPECT_FALSE(log.Since(At(25))->is_full_listing);
+}
+
 // Guards against followers that all get all records at the same moment, because
 // the store has come back from an older copy.
 TEST(ChangeLogTest, FollowerGetsTheDifferencesOfTheCopy) {
