--- a/benchmarks/tenants/tenant_benchmark.cc
+++ b/benchmarks/tenants/tenant_benchmark.cc
@@ -1,6 +1,6 @@
 // Measures what tenants cost a host: the memory of a configuration with many of
-// them, and the time to parse and index it, to prepare it for other hosts and
-// to find the tenant of a key.
+// them, the time to parse and index it, to prepare it for other hosts and to
+// find the tenant of a key, and the time to refuse one while all are active.
 #include <gflags/gflags.h>
 #include <malloc.h>
 
@@ -12,9 +12,10 @@
 #include <string>
 #include <vector>
 
+#include "berylreach/base/system_clock.h"
 #include "berylreach/command_line/parse.h"
 #include "berylreach/forward/route_table.h"
-#include "berylreach/limits/tenant_room.h"
+#include "berylreach/limits/admission.h"
 #include "berylreach/platform/codec.h"
 
 DEFINE_uint32(tenants, 10'000, "number of tenants");
@@ -49,7 +50,7 @@
     best = std::min(best, Clock::now() - begin);
   }
   const double total = std::chrono::duration<double, std::micro>(best).count();
-  std::printf("%-28s %8.2f ms, %7.3f us for each tenant\n", name, total / 1000,
+  std::printf("%-28s %8.3f ms, %7.4f us for each tenant\n", name, total / 1000,
               total / FLAGS_tenants);
 }
 
@@ -72,9 +73,14 @@
     for (const std::string& key : keys)
       if (table->FindTenantByKey(key) == nullptr) std::abort();
   });
-  const std::vector<std::size_t> demands(FLAGS_tenants, 1);
-  Measure("fair share, all active",
-          [&] { limits::MaxMinShare(FLAGS_tenants / 2, demands); });
+  const base::SystemClock clock;
+  limits::Admission admission(clock, {.max_requests = 3 * FLAGS_tenants,
+                                      .max_leaf_calls = 3 * FLAGS_tenants});
+  for (unsigned i = 0; i < FLAGS_tenants; ++i)
+    admission.Admit(0, 1, "tenant-" + std::to_string(i));
+  while (admission.Admit(0, 1, "hot").admitted) {
+  }
+  Measure("refuse a hot tenant", [&] { admission.Admit(0, 1, "hot"); });
 }
 
 }  // namespace
--- a/limits/unittests/tenant_room_test.cc
+++ b/limits/unittests/tenant_room_test.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <queue>
+#include <random>
 
 #include "berylreach/base/manual_clock.h"
 #include "berylreach/limits/admission.h"
@@ -44,6 +45,8 @@
     int per_second = 1;
     std::uint32_t priority = 1;
     bool returns = false;
+    /// Sends at random times instead of evenly.
+    bool at_random = false;
   };
 
   Load(AdmissionOptions options, milliseconds service_time)
@@ -63,7 +66,11 @@
         const auto sent_until = [&](std::int64_t at) {
           return (at * senders[i].per_second + 137 * std::int64_t(i)) / 1000;
         };
-        for (auto n = sent_until(elapsed); n < sent_until(elapsed + 1); ++n) {
+        auto due = sent_until(elapsed + 1) - sent_until(elapsed);
+        if (senders[i].at_random)
+          due = std::poisson_distribution<int>(senders[i].per_second /
+                                               1000.0)(random_);
+        for (; due > 0; --due) {
           ++counts_[senders[i].tenant].sent;
           Send(senders[i]);
         }
@@ -95,6 +102,7 @@
 
   base::ManualClock clock_;
   Admission admission_;
+  std::mt19937 random_{1};
   milliseconds service_time_;
   std::queue<std::pair<base::TimePoint, std::string>> running_;
   std::multimap<base::TimePoint, const Sender*> returns_;
@@ -171,6 +179,29 @@
     EXPECT_GE(load.Of("small" + std::to_string(i)).served(), 0.97) << i;
 }
 
+// Load: 60 tenants that send 2 to 18 requests per second at random times, 600
+// in all, at a host that can run 300, and one of them sends 7.5 times its
+// usual.
+TEST(TenantRoomTest, NobodyIsServedLessThanAQuarterAsOftenAsAll) {
+  Load load({.max_requests = 60, .max_leaf_calls = 10'000}, milliseconds(200));
+  std::vector<Load::Sender> senders;
+  for (int i = 0; i < 60; ++i)
+    senders.push_back({"t" + std::to_string(i), 2 + i % 17, 0, false, true});
+  senders[16].per_second = 135;
+  load.Run(senders, seconds(60));
+  Load::Counts all;
+  for (const Load::Sender& sender : senders) {
+    all.sent += load.Of(sender.tenant).sent;
+    all.answered += load.Of(sender.tenant).answered;
+  }
+  for (const Load::Sender& sender : senders) {
+    if (sender.per_second == 135) continue;
+    EXPECT_GE(load.Of(sender.tenant).served(), all.served() / 4)
+        << sender.tenant;
+    EXPECT_GE(load.Of(sender.tenant).served(), load.Of("t16").served());
+  }
+}
+
 // Guards against idle capacity: a tenant that is alone is bounded only by the
 // part that is left to tenants that were not active.
 TEST(TenantRoomTest, SingleTenantMayUseMostOfTheHost) {
