--- a/benchmarks/tenants/tenant_benchmark.cc
+++ b/benchmarks/tenants/tenant_benchmark.cc
@@ -74,8 +74,9 @@
       if (table->FindTenantByKey(key) == nullptr) std::abort();
   });
   const base::SystemClock clock;
-  limits::Admission admission(clock, {.max_requests = 3 * FLAGS_tenants,
-                                      .max_leaf_calls = 3 * FLAGS_tenants});
+  const std::size_t bound = std::size_t{3} * FLAGS_tenants;
+  limits::Admission admission(clock,
+                              {.max_requests = bound, .max_leaf_calls = bound});
   for (unsigned i = 0; i < FLAGS_tenants; ++i)
     admission.Admit(0, 1, "tenant-" + std::to_string(i));
   while (admission.Admit(0, 1, "hot").admitted) {
--- a/limits/unittests/tenant_room_test.cc
+++ b/limits/unittests/tenant_room_test.cc
@@ -64,7 +64,9 @@
       for (std::size_t i = 0; i < senders.size(); ++i) {
         // The offset spreads the tenants over time.
         const auto sent_until = [&](std::int64_t at) {
-          return (at * senders[i].per_second + 137 * std::int64_t(i)) / 1000;
+          return (at * senders[i].per_second +
+                  137 * static_cast<std::int64_t>(i)) /
+                 1000;
         };
         auto due = sent_until(elapsed + 1) - sent_until(elapsed);
         if (senders[i].at_random)
