--- a/forward/include/berylreach/forward/change_log.h
+++ b/forward/include/berylreach/forward/change_log.h
@@ -43,7 +43,8 @@
   friend bool operator==(const FollowerState&, const FollowerState&) = default;
 };
 
-/// Keeps all records and a bounded number of recent changes. Not thread-safe.
+/// Keeps all records and recent changes of bounded number and size. Not
+/// thread-safe.
 class ChangeLog {
  public:
   /// Replaces all records by a complete listing at `position`. If the era of
@@ -88,6 +89,8 @@
 
   std::map<std::string, std::string> records_;
   std::deque<LoggedChange> recent_;
+  /// Size of the keys and values in recent_.
+  std::size_t recent_bytes_ = 0;
   /// Changes up to this position are no longer in recent_, only in records_.
   StorePosition discarded_through_;
   StorePosition position_;
--- a/gateway/lib/gateway_shard_sets.cc
+++ b/gateway/lib/gateway_shard_sets.cc
@@ -61,8 +61,13 @@
 void Gateway::AdoptConfiguration(forward::Configuration configuration) {
   tables_.Adopt(std::move(configuration));
   const forward::Configuration& adopted = tables_.current()->configuration();
-  host::LogStateChange("configuration_adopted", std::to_string(adopted.version),
-                       std::to_string(adopted.routes.size()) + " routes");
+  tenant_metrics_.KeepTenantsOf(*tables_.current());
+  host::LogStateChange(
+      "configuration_adopted", std::to_string(adopted.version),
+      std::to_string(adopted.routes.size()) + " routes" +
+          (adopted.tenants.empty()
+               ? ""
+               : ", " + std::to_string(adopted.tenants.size()) + " tenants"));
 }
 
 void Gateway::AdvanceShardSets() {
