--- a/forward/include/berylreach/forward/quota_client.h
+++ b/forward/include/berylreach/forward/quota_client.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -35,8 +36,8 @@
 
 /// Admits requests as far as this host holds tokens of their limits, and claims
 /// tokens from the owners of the limits. Each request is admitted or refused
-/// once, within kMaxWait, unless it is cancelled. Each event appends its actions
-/// to `actions`. Not thread-safe.
+/// once, within kMaxWait, unless it is cancelled. Each event appends its
+/// actions to `actions`. Not thread-safe.
 class QuotaClient {
  public:
   using Actions = std::vector<QuotaAction>;
@@ -112,18 +113,26 @@
 
   void CountDemand(Limit& limit) const;
   double Expected(const Limit& limit) const;
-  static double Held(Limit& limit, base::TimePoint now);
+  static double HeldTokens(Limit& limit, base::TimePoint now);
   static bool TakeHeld(Limit& limit, base::TimePoint now);
   bool TakeAllowance(Limit& limit);
-  void Claim(const std::string& name, Limit& limit, Actions& actions);
-  /// Returns the host and region to claim from, or an empty host.
+  bool MayWait(const Limit& limit) const;
+  /// Removes the first waiting request.
+  std::uint64_t PopWaiting(Limit& limit);
+  void SendClaimFor(const std::string& name, Limit& limit, Actions& actions);
+  /// Returns the owner to claim from and its region; an empty owner if none can
+  /// be asked.
   std::pair<std::string, std::string> ChooseOwner(const std::string& limit);
+  bool HasFailed(const std::string& peer) const;
   void AdmitWaiting(Limit& limit, Actions& actions);
-  void RefuseWaiting(Limit& limit, Actions& actions);
-  RefuseRequest Refusal(Limit& limit, std::uint64_t request) const;
+  /// Handles the owner's statement that it has no tokens for `wait`.
+  void OnEmpty(Limit& limit, base::Duration wait, Actions& actions);
+  void OnOwnerFailed(const std::string& name, Limit& limit, Actions& actions);
+  RefuseRequest OverLimit(Limit& limit, std::uint64_t request) const;
   /// Serves waiting requests from the allowance, and refuses the others.
   void ServeWithoutOwner(Limit& limit, Actions& actions);
-  void MarkActive(const std::string& name, const Limit& limit);
+  /// Keeps `active_` and the time of the next event of a limit.
+  void UpdateActive(const std::string& name, const Limit& limit);
 
   const base::Clock& clock_;
   LimitOwners& owners_;
--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -90,8 +90,10 @@
     double tokens = 0;
     base::TimePoint accrued_at{};
     /// From when on no other host can grant of this share; before, the host
-    /// `confirm_by` may confirm that it does not.
+    /// `confirm_by` may confirm that it does not, with effect from
+    /// `not_before`.
     base::TimePoint full_from{};
+    base::TimePoint not_before{};
     std::string confirm_by;
     base::TimePoint asked_at{};
     base::TimePoint claimed_at{};
@@ -100,6 +102,7 @@
     /// Tokens that claims have lacked since other owners were last asked.
     double unmet = 0;
     base::TimePoint borrow_asked_at{};
+    std::size_t next_region = 0;
     /// When an owner of another region has last given tokens.
     base::TimePoint borrow_gave_at{};
     /// When the bucket last had too few tokens for a claim.
@@ -116,6 +119,9 @@
   Share* FindShare(const Key& key, const Limit& limit);
   Share NewShare(const Key& key, const Limit& limit) const;
   void Accrue(Share& share, const Limit& limit) const;
+  bool LeaseIsValid(base::TimePoint at) const {
+    return lease_sent_ && at < *lease_sent_ + kLeaseValid;
+  }
   /// Takes at most `wanted` tokens; whole ones only if `whole`.
   static double Take(Share& share, double wanted, bool whole,
                      base::TimePoint now);
@@ -126,7 +132,10 @@
   void AskToConfirm(const Key& key, Share& share, Actions& actions) const;
   void AskOtherOwners(const Key& key, Share& share, const Limit& limit,
                       Actions& actions);
-  std::chrono::milliseconds AssignReturn(Share& share, const Limit& limit);
+  /// Returns the time after which a claimant should ask again, later for each
+  /// claimant.
+  std::chrono::milliseconds AssignReturn(Share& share, const Limit& limit,
+                                         double wanted) const;
 
   const base::Clock& clock_;
   LimitOwners& owners_;
--- a/forward/include/berylreach/forward/shared_limit.h
+++ b/forward/include/berylreach/forward/shared_limit.h
@@ -50,6 +50,8 @@
   std::string region;
   ClaimKind kind = ClaimKind::kForRequests;
   double tokens = 0;
+  /// The share for which another owner asks; stays with the sender.
+  std::string for_region;
 
   friend bool operator==(const Claim&, const Claim&) = default;
 };
@@ -92,10 +94,15 @@
   /// owner, from the sending of the claim. A token that is granted before a
   /// window and used in it counts in that window too.
   base::Duration token_life{};
-  /// Tokens per second that an owner grants whose former owner may still grant,
-  /// and one whose own registration may have expired.
+  base::Duration borrowed_life{};
+  /// What the bucket of a new owner holds.
+  double start_tokens = 0;
+  /// Tokens per second and bucket size of an owner whose predecessor may still
+  /// grant, and of one whose own registration may have expired.
   double unconfirmed_rate = 0;
+  double unconfirmed_capacity = 0;
   double unregistered_rate = 0;
+  double unregistered_capacity = 0;
   /// Tokens that all hosts together may use without an owner: at once, and per
   /// second.
   double allowance_burst = 0;
--- /dev/null
+++ b/forward/lib/quota_owner.cc
@@ -0,0 +1,375 @@
+// Buckets of the shares that a host owns, and the change of owners.
+#include "berylreach/forward/quota_owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace berylreach::forward {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time after the removal of the former owner before its successor grants in
+/// full. A store that comes back from a copy lists a running owner again within
+/// this time.
+constexpr seconds kTakeOverDelay{3};
+/// Time after a new registration before the confirmation of another host
+/// counts: the list of hosts is current by then.
+constexpr seconds kViewDelay{4};
+/// Interval at which the former owner is asked to confirm.
+constexpr milliseconds kConfirmInterval{250};
+/// Time for which a host does not act as owner after it has confirmed that
+/// another one is, although its own list may not show that yet.
+constexpr seconds kReleasedTime{5};
+
+/// Shortest interval at which the owners of the other regions are asked.
+constexpr milliseconds kBorrowInterval{50};
+/// Time within which owners of other regions answer.
+constexpr milliseconds kBorrowTime{50};
+/// Time for which owners that have given nothing are expected to give nothing.
+constexpr milliseconds kBorrowMemory{500};
+/// Time after a lack of tokens in which an owner keeps half of its bucket for
+/// the claims of its region, and the time of its recent demand that it keeps
+/// otherwise.
+constexpr milliseconds kShortMemory{200};
+constexpr double kReservedSeconds = 0.1;
+
+/// Period over which the demand of a region is averaged.
+constexpr double kDemandSeconds = 1;
+/// Refused claimants are told to return at this multiple of the limit's rate,
+/// since some of them do not.
+constexpr double kReturnsPerToken = 2;
+constexpr milliseconds kMaxReturn{1000};
+constexpr milliseconds kMinReturn{5};
+
+/// Time without claims after which a full share is forgotten.
+constexpr seconds kIdleTime{60};
+
+/// Sums of fractions of a token count as whole from this far below.
+constexpr double kRounding = 1e-9;
+
+double InSeconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+base::Duration Seconds(double seconds) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+QuotaOwner::QuotaOwner(const base::Clock& clock, LimitOwners& owners,
+                       QuotaBounds bounds)
+    : clock_(clock),
+      owners_(owners),
+      bounds_(bounds),
+      began_at_(clock.Now()),
+      confirm_from_(clock.Now()),
+      fill_from_(clock.Now()) {}
+
+void QuotaOwner::SetLimits(const std::vector<LimitSpec>& limits) {
+  // What has accrued so far did so at the former rates.
+  for (auto& [key, share] : shares_) {
+    const auto limit = limits_.find(key.first);
+    if (limit != limits_.end()) Accrue(share, limit->second);
+  }
+  limits_.clear();
+  const std::size_t regions = owners_.regions().size();
+  for (const LimitSpec& spec : limits)
+    if (spec.rate > 0)
+      limits_[spec.name] = {spec, PlanLimit(spec, bounds_, regions)};
+  std::erase_if(shares_, [this](const auto& entry) {
+    return !limits_.contains(entry.first.first);
+  });
+  for (auto& [key, share] : shares_) {
+    share.tokens = std::min(share.tokens, limits_.at(key.first).plan.capacity);
+    share.next_return = {};
+  }
+}
+
+void QuotaOwner::OnLeaseRenewed(const LeaseRenewed& event) {
+  const base::TimePoint now = clock_.Now();
+  if (event.is_new && lease_sent_) {
+    shares_.clear();
+    began_at_ = now;
+    confirm_from_ = now + kViewDelay;
+    fill_from_ = now;
+  } else {
+    for (auto& [key, share] : shares_) Accrue(share, limits_.at(key.first));
+  }
+  lease_sent_ = std::max(lease_sent_.value_or(event.sent), event.sent);
+}
+
+void QuotaOwner::OnProcessPaused() { view_current_ = false; }
+
+void QuotaOwner::OnViewCurrent() {
+  if (view_current_) return;
+  view_current_ = true;
+  // Another host may have owned the shares for a part of the pause.
+  fill_from_ = clock_.Now();
+  for (auto& [key, share] : shares_) {
+    share.tokens = 0;
+    share.accrued_at = fill_from_;
+    share.borrowed.clear();
+  }
+}
+
+bool QuotaOwner::MayGrant() const { return view_current_ && !stopped_; }
+
+Grant QuotaOwner::OnClaim(const std::string& from, const Claim& claim,
+                          Actions& actions) {
+  ++counters_.claims;
+  Grant grant{.limit = claim.limit};
+  const Key key(claim.limit, claim.region);
+  const auto found = limits_.find(claim.limit);
+  if (claim.kind == ClaimKind::kRelease && from != owners_.self()) {
+    if (found != limits_.end() && MayGrant()) {
+      Share* share = FindShare(key, found->second);
+      if (share != nullptr && clock_.Now() < share->full_from) {
+        // This host may have a predecessor of its own that still grants.
+        AskToConfirm(key, *share, actions);
+        grant.status = GrantStatus::kEmpty;
+        return grant;
+      }
+    }
+    return Release(key, claim);
+  }
+  Share* share = found == limits_.end() || !MayGrant()
+                     ? nullptr
+                     : FindShare(key, found->second);
+  if (share == nullptr) {
+    ++counters_.not_owner;
+    return grant;
+  }
+  const Limit& limit = found->second;
+  Accrue(*share, limit);
+  AskToConfirm(key, *share, actions);
+  if (claim.kind == ClaimKind::kForOwner)
+    return GrantToOwner(*share, limit, claim);
+  return GrantToHost(*share, limit, claim, actions);
+}
+
+QuotaOwner::Share* QuotaOwner::FindShare(const Key& key, const Limit& limit) {
+  if (owners_.OwnerOf(key.first, key.second) != owners_.self()) {
+    shares_.erase(key);
+    return nullptr;
+  }
+  const auto released = released_.find(key);
+  if (released != released_.end() &&
+      clock_.Now() < released->second + kReleasedTime)
+    return nullptr;
+  const auto found = shares_.find(key);
+  if (found != shares_.end()) return &found->second;
+  return &shares_.emplace(key, NewShare(key, limit)).first->second;
+}
+
+QuotaOwner::Share QuotaOwner::NewShare(const Key& key,
+                                       const Limit& limit) const {
+  const base::TimePoint now = clock_.Now();
+  Share share;
+  const base::TimePoint left =
+      owners_.LastPredecessorLeft(key.first, key.second);
+  base::TimePoint began = began_at_;
+  const auto released = released_.find(key);
+  if (released != released_.end()) began = std::max(began, released->second);
+  // No time point of the clock lies before its epoch.
+  if (left != base::TimePoint{}) share.not_before = left + kTakeOverDelay;
+  share.full_from = std::max(share.not_before, began + kLeaseTime);
+  share.confirm_by = owners_.NextAfterSelf(key.first, key.second);
+  if (share.confirm_by.empty()) share.full_from = share.not_before;
+  share.accrued_at = std::max({began, left, fill_from_});
+  share.claimed_at = now;
+  share.tokens = limit.plan.start_tokens;
+  return share;
+}
+
+void QuotaOwner::Accrue(Share& share, const Limit& limit) const {
+  const base::TimePoint now = clock_.Now();
+  base::TimePoint at = share.accrued_at;
+  const base::TimePoint lease_ends =
+      lease_sent_ ? *lease_sent_ + kLeaseValid : base::TimePoint{};
+  const auto add = [&](base::TimePoint until, double rate, double capacity) {
+    until = std::min(until, now);
+    if (until <= at) return;
+    const double gained = rate * InSeconds(until - at);
+    share.tokens = std::min(capacity, share.tokens + gained);
+    at = until;
+  };
+  const LimitPlan& plan = limit.plan;
+  add(std::min(share.full_from, lease_ends), plan.unconfirmed_rate,
+      std::max(plan.unconfirmed_capacity, plan.start_tokens));
+  add(lease_ends, plan.region_rate, plan.capacity);
+  // A bucket that was full is reduced too, since the new owner has its own.
+  add(now, plan.unregistered_rate, plan.unregistered_capacity);
+  share.accrued_at = std::max(share.accrued_at, now);
+  while (!share.borrowed.empty() && share.borrowed.front().expires <= now)
+    share.borrowed.pop_front();
+}
+
+double QuotaOwner::Take(Share& share, double wanted, bool whole,
+                        base::TimePoint now) {
+  double available = share.tokens;
+  for (const ExpiringTokens& part : share.borrowed)
+    if (part.expires > now) available += part.tokens;
+  double taken = std::clamp(wanted, 0.0, available + kRounding);
+  if (whole) taken = std::floor(taken + kRounding);
+  double left = taken;
+  for (ExpiringTokens& part : share.borrowed) {
+    if (part.expires <= now) continue;
+    const double used = std::min(part.tokens, left);
+    part.tokens -= used;
+    left -= used;
+  }
+  share.tokens = std::max(0.0, share.tokens - left);
+  return taken;
+}
+
+Grant QuotaOwner::GrantToHost(Share& share, const Limit& limit,
+                              const Claim& claim, Actions& actions) {
+  const base::TimePoint now = clock_.Now();
+  share.claimed_at = now;
+  const double taken = Take(share, claim.tokens, /*whole=*/true, now);
+  const double decay =
+      std::exp(-InSeconds(now - share.recent_at) / kDemandSeconds);
+  share.recent_rate = share.recent_rate * decay + taken / kDemandSeconds;
+  share.recent_at = now;
+  Grant grant{.limit = claim.limit, .tokens = taken};
+  grant.status = taken > 0 ? GrantStatus::kGranted : GrantStatus::kEmpty;
+  ++(taken > 0 ? counters_.granted : counters_.empty);
+  const double lacking = claim.tokens - taken;
+  if (lacking < 1) return grant;
+  share.short_at = now;
+  share.unmet += lacking;
+  AskOtherOwners({claim.limit, claim.region}, share, limit, actions);
+  grant.retry_after = AssignReturn(share, limit, lacking);
+  return grant;
+}
+
+Grant QuotaOwner::GrantToOwner(Share& share, const Limit& limit,
+                               const Claim& claim) {
+  const base::TimePoint now = clock_.Now();
+  share.claimed_at = now;
+  const double decay =
+      std::exp(-InSeconds(now - share.recent_at) / kDemandSeconds);
+  const bool was_short = now - share.short_at < kShortMemory;
+  const double half = limit.plan.capacity / 2;
+  const double reserved =
+      was_short ? half
+                : std::min(half, share.recent_rate * decay * kReservedSeconds);
+  const double given =
+      std::clamp(claim.tokens, 0.0, std::max(0.0, share.tokens - reserved));
+  share.tokens -= given;
+  return {.limit = claim.limit,
+          .status = given > 0 ? GrantStatus::kGranted : GrantStatus::kEmpty,
+          .tokens = given};
+}
+
+Grant QuotaOwner::Release(const Key& key, const Claim& claim) {
+  shares_.erase(key);
+  released_[key] = clock_.Now();
+  return {.limit = claim.limit, .status = GrantStatus::kGranted};
+}
+
+void QuotaOwner::AskToConfirm(const Key& key, Share& share,
+                              Actions& actions) const {
+  const base::TimePoint now = clock_.Now();
+  if (now >= share.full_from || share.full_from == share.not_before) return;
+  if (now < share.asked_at + kConfirmInterval || now < confirm_from_) return;
+  share.asked_at = now;
+  // The list may have changed since the share was taken over.
+  share.confirm_by = owners_.NextAfterSelf(key.first, key.second);
+  if (share.confirm_by.empty()) return;
+  actions.push_back({share.confirm_by,
+                     {.limit = key.first,
+                      .region = key.second,
+                      .kind = ClaimKind::kRelease}});
+}
+
+void QuotaOwner::AskOtherOwners(const Key& key, Share& share,
+                                const Limit& limit, Actions& actions) {
+  const base::TimePoint now = clock_.Now();
+  if (now < share.borrow_asked_at + kBorrowInterval) return;
+  const bool rarely_short = now >= share.borrow_asked_at + kBorrowMemory;
+  share.borrow_asked_at = now;
+  const double usable =
+      std::max(1.0, limit.spec.rate * InSeconds(limit.plan.borrowed_life) / 2);
+  const double wanted = std::min(usable, share.unmet);
+  share.unmet = 0;
+  const std::vector<std::string>& regions = owners_.regions();
+  for (std::size_t i = 0; i < regions.size(); ++i) {
+    const std::string& region = regions[share.next_region++ % regions.size()];
+    if (region == key.second) continue;
+    const std::string& owner = owners_.OwnerOf(key.first, region);
+    if (owner.empty()) continue;
+    actions.push_back({owner,
+                       {.limit = key.first,
+                        .region = region,
+                        .kind = ClaimKind::kForOwner,
+                        .tokens = wanted,
+                        .for_region = key.second}});
+    // Tokens of several owners would often expire here, so all are asked only
+    // if the share is rarely short.
+    if (!rarely_short) return;
+  }
+}
+
+milliseconds QuotaOwner::AssignReturn(Share& share, const Limit& limit,
+                                      double wanted) const {
+  const base::TimePoint now = clock_.Now();
+  base::Duration until_token =
+      Seconds(std::max(0.0, 1 - share.tokens) / limit.plan.region_rate);
+  const bool others_give = owners_.regions().size() > 1 &&
+                           (now < share.borrow_gave_at + kBorrowMemory ||
+                            share.borrow_asked_at == now);
+  if (others_give)
+    until_token = std::min<base::Duration>(until_token, kBorrowTime);
+  const base::TimePoint latest = now + kMaxReturn;
+  // The claim for which others were asked is served when they have answered.
+  if (share.borrow_asked_at == now && others_give)
+    return std::chrono::ceil<milliseconds>(until_token);
+  const base::TimePoint at =
+      std::min(latest, std::max(share.next_return, now + until_token));
+  share.next_return = at + Seconds(std::max(1.0, wanted) /
+                                   (kReturnsPerToken * limit.spec.rate));
+  return std::max(kMinReturn, std::chrono::ceil<milliseconds>(at - now));
+}
+
+void QuotaOwner::OnGrant(const Claim& claim, base::TimePoint sent,
+                         const Grant& grant) {
+  const base::TimePoint now = clock_.Now();
+  const bool is_release = claim.kind == ClaimKind::kRelease;
+  const auto found =
+      shares_.find({claim.limit, is_release ? claim.region : claim.for_region});
+  if (found == shares_.end() || grant.status != GrantStatus::kGranted) return;
+  const auto limit = limits_.find(claim.limit);
+  if (limit == limits_.end()) return;
+  Share& share = found->second;
+  Accrue(share, limit->second);
+  if (is_release) {
+    if (sent >= confirm_from_)
+      share.full_from =
+          std::min(share.full_from, std::max(share.not_before, now));
+    return;
+  }
+  const base::TimePoint expires = sent + limit->second.plan.borrowed_life;
+  if (expires <= now) return;
+  share.borrow_gave_at = now;
+  share.borrowed.push_back({std::min(grant.tokens, claim.tokens), expires});
+}
+
+void QuotaOwner::Tick() {
+  const base::TimePoint now = clock_.Now();
+  std::erase_if(shares_, [&](const auto& entry) {
+    const LimitPlan& plan = limits_.at(entry.first.first).plan;
+    const auto idle = std::max<base::Duration>(
+        kIdleTime, Seconds(std::min(1e6, plan.capacity / plan.region_rate)));
+    return now - entry.second.claimed_at > idle;
+  });
+  std::erase_if(released_, [&](const auto& entry) {
+    return now - entry.second > kLeaseTime;
+  });
+}
+
+}  // namespace berylreach::forward
--- a/forward/lib/shared_limit.cc
+++ b/forward/lib/shared_limit.cc
@@ -11,16 +11,19 @@
 /// Parts of the excess that the bound permits beyond rate and burst. An owner's
 /// bucket holds more than its part of the burst, so that it need not grant each
 /// token at once.
-constexpr double kCapacityPart = 0.25;
+constexpr double kCapacityPart = 0.2;
 /// Tokens that are granted before a window and used in it.
-constexpr double kLifePart = 0.25;
+constexpr double kLifePart = 0.3;
+constexpr double kStartPart = 0.1;
 constexpr double kUnconfirmedPart = 0.1;
 constexpr double kUnregisteredPart = 0.15;
-/// Half of the allowance may be used at once, the other half over a window.
 constexpr double kAllowancePart = 0.15;
 
 /// Longest time from a grant until the token is used.
-constexpr milliseconds kMaxLife{1000};
+constexpr milliseconds kMaxLife{3000};
+/// Part of the lifetime that a token may spend at a host; the rest it may spend
+/// at an owner that got it from another region, 40 ms away.
+constexpr double kHostPart = 1.0 / 3;
 
 double InSeconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -39,16 +42,24 @@
   plan.capacity = (spec.burst + kCapacityPart * excess) / shares;
   const double life = std::min(std::chrono::duration<double>(kMaxLife).count(),
                                kLifePart * excess / spec.rate);
-  // A token may pass through the owners of two regions.
-  plan.token_life = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(life / 2));
-  const double excess_rate = excess / window / shares;
+  const auto part_of_life = [life](double part) {
+    return std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(part * life));
+  };
+  plan.token_life = part_of_life(kHostPart);
+  plan.borrowed_life = part_of_life(1 - kHostPart);
+  // Half of each part may be used at once, the other half over a window.
+  const auto rate_of = [&](double part) { return part / 2 * excess / window; };
+  const auto burst_of = [&](double part) { return part / 2 * excess; };
+  plan.start_tokens = std::min(plan.capacity, kStartPart * excess / shares);
   plan.unconfirmed_rate =
-      std::min(plan.region_rate, kUnconfirmedPart * excess_rate);
+      std::min(plan.region_rate, rate_of(kUnconfirmedPart) / shares);
+  plan.unconfirmed_capacity = burst_of(kUnconfirmedPart) / shares;
   plan.unregistered_rate =
-      std::min(plan.region_rate, kUnregisteredPart * excess_rate);
-  plan.allowance_burst = kAllowancePart * excess / 2;
-  plan.allowance_rate = kAllowancePart * excess / 2 / window;
+      std::min(plan.region_rate, rate_of(kUnregisteredPart) / shares);
+  plan.unregistered_capacity = burst_of(kUnregisteredPart) / shares;
+  plan.allowance_rate = rate_of(kAllowancePart);
+  plan.allowance_burst = burst_of(kAllowancePart);
   return plan;
 }
 
