--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -82,10 +81,6 @@
     LimitSpec spec;
     LimitPlan plan;
   };
-  struct ExpiringTokens {
-    double tokens = 0;
-    base::TimePoint expires{};
-  };
   struct Share {
     double tokens = 0;
     base::TimePoint accrued_at{};
@@ -97,16 +92,15 @@
     std::string confirm_by;
     base::TimePoint asked_at{};
     base::TimePoint claimed_at{};
-    /// Tokens that owners of other regions have given.
-    std::deque<ExpiringTokens> borrowed;
+    /// Tokens that owners of other regions have given. Together with `tokens`
+    /// they fit into the bucket, so that they may stay in it.
+    double borrowed = 0;
     /// Tokens that claims have lacked since other owners were last asked.
     double unmet = 0;
     base::TimePoint borrow_asked_at{};
-    std::size_t next_region = 0;
+    double last_asked = 0;
     /// When an owner of another region has last given tokens.
     base::TimePoint borrow_gave_at{};
-    /// When the bucket last had too few tokens for a claim.
-    base::TimePoint short_at{};
     /// Recent tokens per second granted in this region.
     double recent_rate = 0;
     base::TimePoint recent_at{};
@@ -122,9 +116,8 @@
   bool LeaseIsValid(base::TimePoint at) const {
     return lease_sent_ && at < *lease_sent_ + kLeaseValid;
   }
-  /// Takes at most `wanted` tokens; whole ones only if `whole`.
-  static double Take(Share& share, double wanted, bool whole,
-                     base::TimePoint now);
+  /// Takes at most `wanted` whole tokens.
+  static double Take(Share& share, double wanted);
   Grant GrantToHost(Share& share, const Limit& limit, const Claim& claim,
                     Actions& actions);
   Grant GrantToOwner(Share& share, const Limit& limit, const Claim& claim);
--- a/forward/include/berylreach/forward/shared_limit.h
+++ b/forward/include/berylreach/forward/shared_limit.h
@@ -90,11 +90,11 @@
   /// Tokens per second and bucket size of the share of one region.
   double region_rate = 0;
   double capacity = 0;
-  /// Lifetime of a token at a host, and of one that an owner got from another
-  /// owner, from the sending of the claim. A token that is granted before a
-  /// window and used in it counts in that window too.
+  /// Longest time for which tokens are on their way between two owners.
+  static constexpr std::chrono::milliseconds kMaxTransit{100};
+  /// Lifetime of a token at a host from the sending of the claim. A token that
+  /// is granted before a window and used in it counts in that window too.
   base::Duration token_life{};
-  base::Duration borrowed_life{};
   /// What the bucket of a new owner holds.
   double start_tokens = 0;
   /// Tokens per second and bucket size of an owner whose predecessor may still
--- a/forward/lib/quota_client.cc
+++ b/forward/lib/quota_client.cc
@@ -18,14 +18,19 @@
 constexpr milliseconds kLostTime{1000};
 constexpr milliseconds kNotOwnerTime{200};
 
+/// Time within which an owner of the region answers. Requests that may not wait
+/// for that long would leave their tokens unused.
+constexpr milliseconds kReplyTime{10};
+
 /// Period over which the demand of this host is averaged.
-constexpr double kDemandSeconds = 0.5;
+constexpr double kDemandSeconds = 0.25;
 /// Tokens are claimed in advance for this part of their lifetime, at most for
-/// kMaxAdvance, and only if that many requests are expected in a lifetime. More
-/// or rarer claims in advance would let tokens expire that other hosts need.
-constexpr double kAdvancePart = 0.5;
+/// kMaxAdvance, and only if at least kMinExpected requests came recently and
+/// are expected in a lifetime. More or rarer claims in advance would let tokens
+/// expire that other hosts need.
+constexpr double kAdvancePart = 0.25;
 constexpr double kMaxAdvance = 0.25;
-constexpr double kMinExpected = 4;
+constexpr double kMinExpected = 3;
 
 /// Retry-After of a request for which no owner can be asked.
 constexpr milliseconds kNoOwnerRetryAfter{1000};
@@ -237,7 +242,7 @@
 
 double QuotaClient::Expected(const Limit& limit) const {
   const double life = InSeconds(limit.plan.token_life);
-  if (limit.demand * life < kMinExpected) return 0;
+  if (limit.demand * std::min(life, kDemandSeconds) < kMinExpected) return 0;
   return std::floor(limit.demand * std::min(kMaxAdvance, kAdvancePart * life));
 }
 
@@ -334,7 +339,8 @@
 void QuotaClient::OnEmpty(Limit& limit, base::Duration wait, Actions& actions) {
   const base::TimePoint at = clock_.Now() + wait;
   limit.stated_wait = wait;
-  while (!limit.waiting.empty() && limit.waiting.front().until <= at)
+  while (!limit.waiting.empty() &&
+         limit.waiting.front().until <= at + kReplyTime)
     actions.push_back(OverLimit(limit, PopWaiting(limit)));
   if (limit.waiting.empty()) {
     limit.refuse_until = at;
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -29,17 +29,14 @@
 constexpr milliseconds kBorrowTime{50};
 /// Time for which owners that have given nothing are expected to give nothing.
 constexpr milliseconds kBorrowMemory{500};
-/// Time after a lack of tokens in which an owner keeps half of its bucket for
-/// the claims of its region, and the time of its recent demand that it keeps
-/// otherwise.
-constexpr milliseconds kShortMemory{200};
-constexpr double kReservedSeconds = 0.1;
+/// Time of the recent demand of its region for which an owner keeps tokens.
+constexpr double kReservedSeconds = 0.15;
 
 /// Period over which the demand of a region is averaged.
 constexpr double kDemandSeconds = 1;
 /// Refused claimants are told to return at this multiple of the limit's rate,
 /// since some of them do not.
-constexpr double kReturnsPerToken = 2;
+constexpr double kReturnsPerToken = 4;
 constexpr milliseconds kMaxReturn{1000};
 constexpr milliseconds kMinReturn{5};
 
@@ -112,7 +109,7 @@
   for (auto& [key, share] : shares_) {
     share.tokens = 0;
     share.accrued_at = fill_from_;
-    share.borrowed.clear();
+    share.borrowed = 0;
   }
 }
 
@@ -204,25 +201,15 @@
   // A bucket that was full is reduced too, since the new owner has its own.
   add(now, plan.unregistered_rate, plan.unregistered_capacity);
   share.accrued_at = std::max(share.accrued_at, now);
-  while (!share.borrowed.empty() && share.borrowed.front().expires <= now)
-    share.borrowed.pop_front();
 }
 
-double QuotaOwner::Take(Share& share, double wanted, bool whole,
-                        base::TimePoint now) {
-  double available = share.tokens;
-  for (const ExpiringTokens& part : share.borrowed)
-    if (part.expires > now) available += part.tokens;
-  double taken = std::clamp(wanted, 0.0, available + kRounding);
-  if (whole) taken = std::floor(taken + kRounding);
-  double left = taken;
-  for (ExpiringTokens& part : share.borrowed) {
-    if (part.expires <= now) continue;
-    const double used = std::min(part.tokens, left);
-    part.tokens -= used;
-    left -= used;
-  }
-  share.tokens = std::max(0.0, share.tokens - left);
+double QuotaOwner::Take(Share& share, double wanted) {
+  const double available = share.tokens + share.borrowed;
+  const double taken =
+      std::floor(std::clamp(wanted, 0.0, available + kRounding) + kRounding);
+  const double from_borrowed = std::min(share.borrowed, taken);
+  share.borrowed -= from_borrowed;
+  share.tokens = std::max(0.0, share.tokens - (taken - from_borrowed));
   return taken;
 }
 
@@ -230,7 +217,7 @@
                               const Claim& claim, Actions& actions) {
   const base::TimePoint now = clock_.Now();
   share.claimed_at = now;
-  const double taken = Take(share, claim.tokens, /*whole=*/true, now);
+  const double taken = Take(share, claim.tokens);
   const double decay =
       std::exp(-InSeconds(now - share.recent_at) / kDemandSeconds);
   share.recent_rate = share.recent_rate * decay + taken / kDemandSeconds;
@@ -240,7 +227,6 @@
   ++(taken > 0 ? counters_.granted : counters_.empty);
   const double lacking = claim.tokens - taken;
   if (lacking < 1) return grant;
-  share.short_at = now;
   share.unmet += lacking;
   AskOtherOwners({claim.limit, claim.region}, share, limit, actions);
   grant.retry_after = AssignReturn(share, limit, lacking);
@@ -253,11 +239,8 @@
   share.claimed_at = now;
   const double decay =
       std::exp(-InSeconds(now - share.recent_at) / kDemandSeconds);
-  const bool was_short = now - share.short_at < kShortMemory;
-  const double half = limit.plan.capacity / 2;
-  const double reserved =
-      was_short ? half
-                : std::min(half, share.recent_rate * decay * kReservedSeconds);
+  const double reserved = std::min(
+      limit.plan.capacity / 2, share.recent_rate * decay * kReservedSeconds);
   const double given =
       std::clamp(claim.tokens, 0.0, std::max(0.0, share.tokens - reserved));
   share.tokens -= given;
@@ -293,33 +276,38 @@
   if (now < share.borrow_asked_at + kBorrowInterval) return;
   const bool rarely_short = now >= share.borrow_asked_at + kBorrowMemory;
   share.borrow_asked_at = now;
-  const double usable =
-      std::max(1.0, limit.spec.rate * InSeconds(limit.plan.borrowed_life) / 2);
-  const double wanted = std::min(usable, share.unmet);
+  // Tokens got before have been used, so more are asked for each time.
+  if (rarely_short) share.last_asked = 0;
+  share.last_asked = std::min(limit.plan.capacity,
+                              std::max(share.unmet, 2 * share.last_asked));
   share.unmet = 0;
-  const std::vector<std::string>& regions = owners_.regions();
-  for (std::size_t i = 0; i < regions.size(); ++i) {
-    const std::string& region = regions[share.next_region++ % regions.size()];
-    if (region == key.second) continue;
+  std::vector<std::pair<std::string, std::string>> others;
+  for (const std::string& region : owners_.regions()) {
     const std::string& owner = owners_.OwnerOf(key.first, region);
-    if (owner.empty()) continue;
+    if (region != key.second && !owner.empty())
+      others.emplace_back(owner, region);
+  }
+  // All that is lacking is asked of each owner only if the share is rarely
+  // short; otherwise tokens would often not fit into the bucket.
+  const double each =
+      rarely_short || others.empty()
+          ? share.last_asked
+          : share.last_asked / static_cast<double>(others.size());
+  for (const auto& [owner, region] : others)
     actions.push_back({owner,
                        {.limit = key.first,
                         .region = region,
                         .kind = ClaimKind::kForOwner,
-                        .tokens = wanted,
+                        .tokens = each,
                         .for_region = key.second}});
-    // Tokens of several owners would often expire here, so all are asked only
-    // if the share is rarely short.
-    if (!rarely_short) return;
-  }
 }
 
 milliseconds QuotaOwner::AssignReturn(Share& share, const Limit& limit,
                                       double wanted) const {
   const base::TimePoint now = clock_.Now();
   base::Duration until_token =
-      Seconds(std::max(0.0, 1 - share.tokens) / limit.plan.region_rate);
+      Seconds(std::max(0.0, 1 - share.tokens - share.borrowed) /
+              limit.plan.region_rate);
   const bool others_give = owners_.regions().size() > 1 &&
                            (now < share.borrow_gave_at + kBorrowMemory ||
                             share.borrow_asked_at == now);
@@ -353,10 +341,12 @@
           std::min(share.full_from, std::max(share.not_before, now));
     return;
   }
-  const base::TimePoint expires = sent + limit->second.plan.borrowed_life;
-  if (expires <= now) return;
+  // PlanLimit counts on tokens being on their way for at most this time.
+  if (now - sent > LimitPlan::kMaxTransit || grant.tokens <= 0) return;
   share.borrow_gave_at = now;
-  share.borrowed.push_back({std::min(grant.tokens, claim.tokens), expires});
+  const double room = std::max(
+      0.0, limit->second.plan.capacity - share.tokens - share.borrowed);
+  share.borrowed += std::min({grant.tokens, claim.tokens, room});
 }
 
 void QuotaOwner::Tick() {
--- a/forward/lib/shared_limit.cc
+++ b/forward/lib/shared_limit.cc
@@ -11,7 +11,7 @@
 /// Parts of the excess that the bound permits beyond rate and burst. An owner's
 /// bucket holds more than its part of the burst, so that it need not grant each
 /// token at once.
-constexpr double kCapacityPart = 0.2;
+constexpr double kCapacityPart = 0.25;
 /// Tokens that are granted before a window and used in it.
 constexpr double kLifePart = 0.3;
 constexpr double kStartPart = 0.1;
@@ -19,11 +19,10 @@
 constexpr double kUnregisteredPart = 0.15;
 constexpr double kAllowancePart = 0.15;
 
-/// Longest time from a grant until the token is used.
-constexpr milliseconds kMaxLife{3000};
-/// Part of the lifetime that a token may spend at a host; the rest it may spend
-/// at an owner that got it from another region, 40 ms away.
-constexpr double kHostPart = 1.0 / 3;
+/// Longest time from a claim until the token is used.
+constexpr milliseconds kMaxLife{1000};
+/// Smallest part of kLifePart that is left for the time at a host.
+constexpr double kMinHostPart = 0.25;
 
 double InSeconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -40,14 +39,15 @@
   LimitPlan plan;
   plan.region_rate = spec.rate / shares;
   plan.capacity = (spec.burst + kCapacityPart * excess) / shares;
-  const double life = std::min(std::chrono::duration<double>(kMaxLife).count(),
-                               kLifePart * excess / spec.rate);
-  const auto part_of_life = [life](double part) {
-    return std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(part * life));
-  };
-  plan.token_life = part_of_life(kHostPart);
-  plan.borrowed_life = part_of_life(1 - kHostPart);
+  // Tokens of other regions may be on their way between owners.
+  const double in_window = kLifePart * excess;
+  const double in_transit =
+      spec.rate * (1 - 1 / shares) * InSeconds(LimitPlan::kMaxTransit);
+  const double held =
+      std::max(in_window - in_transit, kMinHostPart * in_window);
+  plan.token_life =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(
+          std::min(InSeconds(kMaxLife), held / spec.rate)));
   // Half of each part may be used at once, the other half over a window.
   const auto rate_of = [&](double part) { return part / 2 * excess / window; };
   const auto burst_of = [&](double part) { return part / 2 * excess; };
