Charge callers' requests to the quotas of their tenants

Requests of a tenant with a rate wait for tokens that the hosts grant each other over POST /berylreach/quota-claim.

--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -113,9 +113,6 @@
   Share* FindShare(const Key& key, const Limit& limit);
   Share NewShare(const Key& key, const Limit& limit) const;
   void Accrue(Share& share, const Limit& limit) const;
-  bool LeaseIsValid(base::TimePoint at) const {
-    return lease_sent_ && at < *lease_sent_ + kLeaseValid;
-  }
   /// Takes at most `wanted` whole tokens.
   static double Take(Share& share, double wanted);
   Grant GrantToHost(Share& share, const Limit& limit, const Claim& claim,
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "berylreach/gateway/gateway_counters.h"
 #include "berylreach/gateway/gateway_settings.h"
 #include "berylreach/gateway/leaf_connections.h"
+#include "berylreach/gateway/quota_gate.h"
 #include "berylreach/gateway/request_metrics.h"
 #include "berylreach/gateway/server_connection.h"
 #include "berylreach/gateway/tenant_metrics.h"
@@ -62,7 +63,15 @@
   }
   /// Confirms that this host's view of the deployment is current again after
   /// the process was paused.
-  void OnStateRefreshed() { view_stale_until_ = {}; }
+  void OnStateRefreshed() {
+    view_stale_until_ = {};
+    quota_gate_.OnViewCurrent();
+  }
+  /// Handles a renewal of the lease of this host's registration, without which
+  /// other hosts may take over the limits that it owns.
+  void OnLeaseRenewed(const forward::LeaseRenewed& event) {
+    quota_gate_.OnLeaseRenewed(event);
+  }
 
   /// Sets the callback that publishes a suspect entry through the store: what
   /// this host has learned about a request suspected of crashing leaves.
@@ -246,6 +255,26 @@
   void RefuseAtOnce(ServerConnection& connection, const HttpRequest& request,
                     int status, std::string_view cause,
                     std::chrono::milliseconds retry_after);
+  /// Puts the quotas of the tenants in force.
+  void SetQuotas(const forward::Configuration& configuration);
+  /// Whether the request needs a token of its tenant's quota.
+  bool IsCharged(const HttpRequest& request) const;
+  /// Starts or refuses a request as soon as it is decided whether it is within
+  /// its tenant's quota.
+  void ChargeQuota(ServerConnection& connection, HttpRequest request,
+                   forward::RouteTableHistory::Table table,
+                   const forward::Route& route, forward::TenantAccess access);
+  /// Refuses a request by the quota in the configuration `version`.
+  void RefuseByQuota(ServerConnection& connection, const HttpRequest& request,
+                     std::uint64_t version, const QuotaDecision& decision);
+  /// Returns false if the host is not known.
+  bool SendQuotaMessage(std::uint64_t id, const std::string& host,
+                        const std::string& body, base::TimePoint deadline);
+  /// Returns false if the call is not a message of the quota gate.
+  bool OnQuotaMessageDone(forward::CallId call,
+                          const LeafConnections::Result& result);
+  /// Answers claims of another host.
+  void OnQuotaMessage(ServerConnection& connection, const HttpRequest& request);
   /// Arms the timer for the earliest wakeup of a request.
   void ArmTimer();
   void OnTimer();
@@ -306,6 +335,11 @@
   std::unordered_map<std::string, base::TimePoint> last_shard_call_;
   base::TimePoint warmed_at_{};
   LeafConnections leaf_connections_;
+  QuotaGate quota_gate_;
+  /// Requests that wait for their quota.
+  std::unordered_map<ServerConnection*, std::uint64_t> quota_by_connection_;
+  /// When a refusal by quota was last logged, by tenant.
+  std::unordered_map<std::string, base::TimePoint> quota_logged_at_;
   base::WakeupQueue<std::uint64_t> wakeups_;
   boost::asio::steady_timer timer_;
   /// When timer_ expires; a time in the past if it is not armed.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -108,6 +108,13 @@
             OnGroupProgress(call, response);
           },
           [this](const std::string& peer) { MarkDoubtful(peer); }),
+      quota_gate_(
+          io, clock, settings_.host, settings_.location, settings_.quotas,
+          [this] { return next_id_++; },
+          [this](std::uint64_t id, const std::string& host,
+                 const std::string& body, base::TimePoint deadline) {
+            return SendQuotaMessage(id, host, body, deadline);
+          }),
       timer_(io),
       periodic_timer_(io),
       last_active_at_(clock.Now()) {
@@ -138,6 +145,7 @@
   if (!tables_.Adopt(std::move(configuration))) return;
   const forward::Configuration& adopted = tables_.current()->configuration();
   tenant_metrics_.KeepTenantsOf(*tables_.current());
+  SetQuotas(adopted);
   host::LogStateChange(
       "configuration_adopted", std::to_string(adopted.version),
       std::to_string(adopted.routes.size()) + " routes" +
@@ -151,6 +159,7 @@
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
   cold_call_limit_.SetHosts(settings_.host, std::move(names));
   leaf_rate_limit_.SetHosts(settings_.host, settings_.location, hosts);
+  quota_gate_.SetHosts(hosts);
   host::LogStateChange("hosts", std::to_string(hosts.size()), "");
   planner_.SetHosts(std::move(hosts));
 }
@@ -178,6 +187,7 @@
                        std::to_string(paused.count()) + " ms");
   view_stale_until_ = now + kMaxConfirmWait;
   quarantine_.OnProcessPaused();
+  quota_gate_.OnProcessPaused();
   if (on_process_paused_) on_process_paused_();
 }
 
@@ -232,6 +242,11 @@
     RefuseAtOnce(connection, request, 503, "stopping", milliseconds(50));
     return;
   }
+  if (IsCharged(request)) {
+    ChargeQuota(connection, std::move(request), table, *route,
+                std::move(access));
+    return;
+  }
   StartRun(connection, std::move(request), table, *route, std::move(access),
            nullptr);
 }
@@ -279,6 +294,8 @@
   directory_.Tick();
   cold_call_limit_.Tick();
   leaf_rate_limit_.Tick(clock_.Now());
+  if (!ViewMayBeStale()) quota_gate_.OnViewCurrent();
+  quota_gate_.Tick();
   ReportUnansweredCalls();
   forward::RequestQuarantine::Actions actions;
   quarantine_.Tick(actions);
@@ -326,6 +343,7 @@
   stop_started_ = clock_.Now();
   on_stopped_ = std::move(on_stopped);
   feed_.SetFresh(false);
+  quota_gate_.Stop();
   host::LogStateChange("stopping", settings_.host,
                        std::to_string(requests_.size()) + " requests running");
 }
@@ -349,6 +367,7 @@
 }
 
 void Gateway::GiveUpRequests() {
+  quota_gate_.RefuseAll();
   std::vector<std::uint64_t> running;
   for (const auto& [id, request] : requests_) running.push_back(id);
   for (const std::uint64_t id : running) {
@@ -395,6 +414,7 @@
   add("log_lines_dropped_total", host::DroppedLogLines());
   metrics_.AppendTo(text);
   tenant_metrics_.AppendTo(text);
+  quota_gate_.AppendMetrics(text);
   return text;
 }
 
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -264,6 +264,7 @@
     OnHealthCheckDone(check.mapped(), result);
     return;
   }
+  if (OnQuotaMessageDone(call, result)) return;
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
   const RunningCall running = std::move(found->second);
@@ -385,6 +386,8 @@
     request_by_connection_.erase(found);
     AbandonRequest(id);
   }
+  if (const auto waiting = quota_by_connection_.extract(&connection))
+    quota_gate_.Cancel(waiting.mapped());
   connections_.erase(&connection);
 }
 
