Ask newcomers' lower ranks before an owner grants in full

Owners now ask in order of rank until a host that is no newcomer has confirmed, and a host that knows of no other waits for the lease time.

--- a/forward/include/berylreach/forward/limit_owners.h
+++ b/forward/include/berylreach/forward/limit_owners.h
@@ -31,10 +31,11 @@
   /// Returns the owner of a share; empty if there is no host.
   const std::string& OwnerOf(const std::string& limit,
                              const std::string& region);
-  /// Returns the host that would own the share without this host; empty if
-  /// there is none.
-  const std::string& NextAfterSelf(const std::string& limit,
-                                   const std::string& region);
+  /// Returns the other hosts that could own the share, the next owner first, at
+  /// most `count` of them.
+  std::vector<std::string> RankedOthers(const std::string& limit,
+                                        const std::string& region,
+                                        std::size_t count) const;
   /// Returns when the last host that preceded this host as the share's owner
   /// has left; the earliest time if none has within kRemovalMemory.
   base::TimePoint LastPredecessorLeft(const std::string& limit,
@@ -56,13 +57,6 @@
     Host host;
     base::TimePoint removed_at{};
   };
-  struct Ranking {
-    std::string owner;
-    std::string next_after_self;
-  };
-
-  const Ranking& RankingOf(const std::string& limit, const std::string& region);
-
   const base::Clock& clock_;
   const std::string self_;
   const std::uint64_t self_hash_;
@@ -70,7 +64,7 @@
   std::vector<std::string> regions_;
   std::map<std::string, Host> hosts_;
   std::vector<RemovedHost> removed_;
-  std::unordered_map<std::string, Ranking> rankings_;
+  std::unordered_map<std::string, std::string> owner_of_share_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -66,8 +66,10 @@
 
   /// Answers a claim of `from`, and appends claims for tokens of other owners.
   Grant OnClaim(const std::string& from, const Claim& claim, Actions& actions);
-  /// Handles the answer to a claim that this owner has sent at `sent`.
-  void OnGrant(const Claim& claim, base::TimePoint sent, const Grant& grant);
+  /// Handles the answer of `from` to a claim that this owner has sent at
+  /// `sent`.
+  void OnGrant(const std::string& from, const Claim& claim,
+               base::TimePoint sent, const Grant& grant);
   /// Forgets shares that nobody uses. To be called several times a second.
   void Tick();
 
@@ -84,12 +86,13 @@
   struct Share {
     double tokens = 0;
     base::TimePoint accrued_at{};
-    /// From when on no other host can grant of this share; before, the host
-    /// `confirm_by` may confirm that it does not, with effect from
+    /// From when on no other host can grant of this share. Before, the hosts
+    /// that could own it may confirm that they do not grant, with effect from
     /// `not_before`.
     base::TimePoint full_from{};
     base::TimePoint not_before{};
-    std::string confirm_by;
+    /// Hosts that have confirmed, and whether they registered only recently.
+    std::map<std::string, bool> confirmed;
     base::TimePoint asked_at{};
     base::TimePoint claimed_at{};
     /// Tokens that owners of other regions have given. Together with `tokens`
@@ -119,6 +122,10 @@
                     Actions& actions);
   Grant GrantToOwner(Share& share, const Limit& limit, const Claim& claim);
   Grant Release(const Key& key, const Claim& claim);
+  bool IsNewcomer() const { return clock_.Now() < began_at_ + kLeaseTime; }
+  /// Asks the hosts that could own the share in order of rank, until one that
+  /// is no newcomer has confirmed that it grants nothing: no host below it can
+  /// hold itself for the owner.
   void AskToConfirm(const Key& key, Share& share, Actions& actions) const;
   void AskOtherOwners(const Key& key, Share& share, const Limit& limit,
                       Actions& actions);
--- a/forward/include/berylreach/forward/shared_limit.h
+++ b/forward/include/berylreach/forward/shared_limit.h
@@ -64,6 +64,9 @@
   kEmpty,
   /// The receiver does not own the share, or may not grant of it now.
   kNotOwner,
+  /// The share is released, but the receiver registered only recently, so that
+  /// a host below it in rank may not know of it yet and may grant.
+  kReleasedByNewcomer,
 };
 
 /// Answer to a claim.
--- a/forward/lib/limit_owners.cc
+++ b/forward/lib/limit_owners.cc
@@ -2,6 +2,7 @@
 #include "berylreach/forward/limit_owners.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -11,8 +12,8 @@
 namespace berylreach::forward {
 namespace {
 
-/// Number of rankings that are kept; they are computed again when needed.
-constexpr std::size_t kMaxRankings = 16384;
+/// Number of owners that are kept; they are computed again when needed.
+constexpr std::size_t kMaxOwners = 16384;
 
 std::string ShareKey(const std::string& limit, const std::string& region) {
   std::string key = region;
@@ -47,46 +48,51 @@
   for (auto& [name, host] : hosts_)
     if (!listed.contains(name)) removed_.push_back({std::move(host), now});
   hosts_ = std::move(listed);
-  rankings_.clear();
+  owner_of_share_.clear();
 }
 
 const std::string& LimitOwners::OwnerOf(const std::string& limit,
                                         const std::string& region) {
-  return RankingOf(limit, region).owner;
-}
-
-const std::string& LimitOwners::NextAfterSelf(const std::string& limit,
-                                              const std::string& region) {
-  return RankingOf(limit, region).next_after_self;
-}
-
-const LimitOwners::Ranking& LimitOwners::RankingOf(const std::string& limit,
-                                                   const std::string& region) {
   const std::string key = ShareKey(limit, region);
-  const auto found = rankings_.find(key);
-  if (found != rankings_.end()) return found->second;
+  const auto found = owner_of_share_.find(key);
+  if (found != owner_of_share_.end()) return found->second;
   const std::uint64_t hash = base::Hash64(key);
-  const auto best = [&](bool in_region, bool with_self) {
-    const Host* owner = nullptr;
+  const Host* owner = nullptr;
+  for (const bool in_region : {true, false}) {
+    if (owner != nullptr) break;
     std::uint64_t highest = 0;
     for (const auto& [name, host] : hosts_) {
       if (in_region && host.region != region) continue;
-      if (!with_self && name == self_) continue;
       const std::uint64_t weight = base::RendezvousWeight(hash, host.hash);
       if (owner != nullptr && weight <= highest) continue;
       owner = &host;
       highest = weight;
     }
-    return owner == nullptr ? std::string() : owner->name;
-  };
-  Ranking ranking;
+  }
+  if (owner_of_share_.size() >= kMaxOwners) owner_of_share_.clear();
+  return owner_of_share_
+      .emplace(key, owner == nullptr ? std::string() : owner->name)
+      .first->second;
+}
+
+std::vector<std::string> LimitOwners::RankedOthers(const std::string& limit,
+                                                   const std::string& region,
+                                                   std::size_t count) const {
+  const std::uint64_t hash = base::Hash64(ShareKey(limit, region));
+  std::vector<std::pair<std::uint64_t, const Host*>> ranked;
   for (const bool in_region : {true, false}) {
-    if (ranking.owner.empty()) ranking.owner = best(in_region, true);
-    if (ranking.next_after_self.empty())
-      ranking.next_after_self = best(in_region, false);
+    if (!ranked.empty()) break;
+    for (const auto& [name, host] : hosts_)
+      if (name != self_ && (!in_region || host.region == region))
+        ranked.emplace_back(base::RendezvousWeight(hash, host.hash), &host);
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::vector<std::string> names;
+  for (const auto& [weight, host] : ranked) {
+    if (names.size() == count) break;
+    names.push_back(host->name);
   }
-  if (rankings_.size() >= kMaxRankings) rankings_.clear();
-  return rankings_.emplace(key, std::move(ranking)).first->second;
+  return names;
 }
 
 base::TimePoint LimitOwners::LastPredecessorLeft(
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -17,8 +17,11 @@
 /// Time after a new registration before the confirmation of another host
 /// counts: the list of hosts is current by then.
 constexpr seconds kViewDelay{4};
-/// Interval at which the former owner is asked to confirm.
+/// Interval at which a host that has not confirmed is asked again, and the most
+/// hosts that are asked. If more than that are newcomers, as after a loss of
+/// power in a large fleet, the owner waits for kLeaseTime.
 constexpr milliseconds kConfirmInterval{250};
+constexpr std::size_t kMaxAsked = 100;
 /// Time for which a host does not act as owner after it has confirmed that
 /// another one is, although its own list may not show that yet.
 constexpr seconds kReleasedTime{5};
@@ -122,14 +125,11 @@
   const Key key(claim.limit, claim.region);
   const auto found = limits_.find(claim.limit);
   if (claim.kind == ClaimKind::kRelease && from != owners_.self()) {
-    if (found != limits_.end() && MayGrant()) {
-      Share* share = FindShare(key, found->second);
-      if (share != nullptr && clock_.Now() < share->full_from) {
-        // This host may have a predecessor of its own that still grants.
-        AskToConfirm(key, *share, actions);
-        grant.status = GrantStatus::kEmpty;
-        return grant;
-      }
+    const auto share = shares_.find(key);
+    if (share != shares_.end() && clock_.Now() < share->second.not_before) {
+      // The former owner may still grant, and the new one may not know it.
+      grant.status = GrantStatus::kEmpty;
+      return grant;
     }
     return Release(key, claim);
   }
@@ -174,8 +174,6 @@
   // No time point of the clock lies before its epoch.
   if (left != base::TimePoint{}) share.not_before = left + kTakeOverDelay;
   share.full_from = std::max(share.not_before, began + kLeaseTime);
-  share.confirm_by = owners_.NextAfterSelf(key.first, key.second);
-  if (share.confirm_by.empty()) share.full_from = share.not_before;
   share.accrued_at = std::max({began, left, fill_from_});
   share.claimed_at = now;
   share.tokens = limit.plan.start_tokens;
@@ -252,7 +250,9 @@
 Grant QuotaOwner::Release(const Key& key, const Claim& claim) {
   shares_.erase(key);
   released_[key] = clock_.Now();
-  return {.limit = claim.limit, .status = GrantStatus::kGranted};
+  return {.limit = claim.limit,
+          .status = IsNewcomer() ? GrantStatus::kReleasedByNewcomer
+                                 : GrantStatus::kGranted};
 }
 
 void QuotaOwner::AskToConfirm(const Key& key, Share& share,
@@ -260,14 +260,31 @@
   const base::TimePoint now = clock_.Now();
   if (now >= share.full_from || share.full_from == share.not_before) return;
   if (now < share.asked_at + kConfirmInterval || now < confirm_from_) return;
-  share.asked_at = now;
-  // The list may have changed since the share was taken over.
-  share.confirm_by = owners_.NextAfterSelf(key.first, key.second);
-  if (share.confirm_by.empty()) return;
-  actions.push_back({share.confirm_by,
-                     {.limit = key.first,
-                      .region = key.second,
-                      .kind = ClaimKind::kRelease}});
+  const std::vector<std::string> others =
+      owners_.RankedOthers(key.first, key.second, kMaxAsked);
+  // A host that knows of no other may have an old list.
+  if (others.empty()) return;
+  std::size_t to_ask = 1 + 2 * share.confirmed.size();
+  bool complete = others.size() < kMaxAsked;
+  for (const std::string& other : others) {
+    const auto confirmed = share.confirmed.find(other);
+    if (confirmed != share.confirmed.end()) {
+      if (confirmed->second) continue;
+      // The first host in rank that is no newcomer.
+      complete = share.asked_at != now;
+      break;
+    }
+    complete = false;
+    if (to_ask-- == 0) break;
+    share.asked_at = now;
+    actions.push_back({other,
+                       {.limit = key.first,
+                        .region = key.second,
+                        .kind = ClaimKind::kRelease,
+                        .tokens = 0,
+                        .for_region = {}}});
+  }
+  if (complete) share.full_from = std::max(share.not_before, now);
 }
 
 void QuotaOwner::AskOtherOwners(const Key& key, Share& share,
@@ -324,23 +341,26 @@
   return std::max(kMinReturn, std::chrono::ceil<milliseconds>(at - now));
 }
 
-void QuotaOwner::OnGrant(const Claim& claim, base::TimePoint sent,
-                         const Grant& grant) {
+void QuotaOwner::OnGrant(const std::string& from, const Claim& claim,
+                         base::TimePoint sent, const Grant& grant) {
   const base::TimePoint now = clock_.Now();
   const bool is_release = claim.kind == ClaimKind::kRelease;
   const auto found =
       shares_.find({claim.limit, is_release ? claim.region : claim.for_region});
-  if (found == shares_.end() || grant.status != GrantStatus::kGranted) return;
   const auto limit = limits_.find(claim.limit);
-  if (limit == limits_.end()) return;
+  if (found == shares_.end() || limit == limits_.end()) return;
   Share& share = found->second;
   Accrue(share, limit->second);
   if (is_release) {
-    if (sent >= confirm_from_)
-      share.full_from =
-          std::min(share.full_from, std::max(share.not_before, now));
+    const bool newcomer = grant.status == GrantStatus::kReleasedByNewcomer;
+    if ((newcomer || grant.status == GrantStatus::kGranted) &&
+        sent >= confirm_from_) {
+      share.confirmed[from] = newcomer;
+      share.asked_at = {};
+    }
     return;
   }
+  if (grant.status != GrantStatus::kGranted) return;
   // PlanLimit counts on tokens being on their way for at most this time.
   if (now - sent > LimitPlan::kMaxTransit || grant.tokens <= 0) return;
   share.borrow_gave_at = now;
--- a/forward/unittests/quota_simulation.h
+++ b/forward/unittests/quota_simulation.h
@@ -263,7 +263,7 @@
   }
 
   void TickOften(Host& host, const std::shared_ptr<Process>& process) {
-    time.After(milliseconds(100), [this, &host, process] {
+    time.After(milliseconds(1000), [this, &host, process] {
       if (host.process != process) return;
       if (!host.frozen) {
         process->owner.Tick();
@@ -418,7 +418,7 @@
   void Receive(Host& host, const SendClaim& action, base::TimePoint sent,
                const Grant& grant) {
     if (action.claim.kind != ClaimKind::kForRequests) {
-      host.process->owner.OnGrant(action.claim, sent, grant);
+      host.process->owner.OnGrant(action.host, action.claim, sent, grant);
       return;
     }
     QuotaClient::Actions actions;
--- a/gateway/lib/quota_codec.cc
+++ b/gateway/lib/quota_codec.cc
@@ -22,7 +22,8 @@
 constexpr std::pair<forward::GrantStatus, std::string_view> kStatuses[] = {
     {forward::GrantStatus::kGranted, "granted"},
     {forward::GrantStatus::kEmpty, "empty"},
-    {forward::GrantStatus::kNotOwner, "not_owner"}};
+    {forward::GrantStatus::kNotOwner, "not_owner"},
+    {forward::GrantStatus::kReleasedByNewcomer, "released_by_newcomer"}};
 
 template <typename Value, std::size_t size>
 std::string_view NameOf(const std::pair<Value, std::string_view> (&names)[size],
--- a/gateway/lib/quota_gate.cc
+++ b/gateway/lib/quota_gate.cc
@@ -185,7 +185,7 @@
                              const forward::Claim& claim,
                              const forward::Grant& grant) {
   if (claim.kind != forward::ClaimKind::kForRequests) {
-    owner_.OnGrant(claim, message.sent, grant);
+    owner_.OnGrant(message.host, claim, message.sent, grant);
     return;
   }
   forward::QuotaClient::Actions actions;
