--- a/forward/include/berylreach/forward/shared_limit.h
+++ b/forward/include/berylreach/forward/shared_limit.h
@@ -50,8 +50,10 @@
   std::string region;
   ClaimKind kind = ClaimKind::kForRequests;
   double tokens = 0;
-  /// The share for which another owner asks; stays with the sender.
+  /// The share for which another owner asks, and when the claim was sent by the
+  /// sender's clock. Both stay with the sender.
   std::string for_region;
+  base::TimePoint sent{};
 
   friend bool operator==(const Claim&, const Claim&) = default;
 };
--- a/forward/lib/quota_client.cc
+++ b/forward/lib/quota_client.cc
@@ -310,8 +310,12 @@
     limit.pending->lost_at = now + kMaxWait;
   const double tokens = std::max(
       1.0, static_cast<double>(limit.waiting.size()) + Expected(limit));
-  actions.push_back(
-      SendClaim{host, {.limit = name, .region = region, .tokens = tokens}});
+  actions.push_back(SendClaim{host,
+                              {.limit = name,
+                               .region = region,
+                               .tokens = tokens,
+                               .for_region = {},
+                               .sent = now}});
 }
 
 std::pair<std::string, std::string> QuotaClient::ChooseOwner(
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -173,6 +173,11 @@
   if (released != released_.end()) began = std::max(began, released->second);
   // No time point of the clock lies before its epoch.
   if (left != base::TimePoint{}) share.not_before = left + kTakeOverDelay;
+  // The host to which the share was released may own it although this host's
+  // list does not have it, so other hosts cannot confirm.
+  if (released != released_.end())
+    share.not_before =
+        std::max(share.not_before, released->second + kLeaseTime);
   share.full_from = std::max(share.not_before, began + kLeaseTime);
   share.accrued_at = std::max({began, left, fill_from_});
   share.claimed_at = now;
@@ -282,7 +287,8 @@
                         .region = key.second,
                         .kind = ClaimKind::kRelease,
                         .tokens = 0,
-                        .for_region = {}}});
+                        .for_region = {},
+                        .sent = now}});
   }
   if (complete) share.full_from = std::max(share.not_before, now);
 }
@@ -316,7 +322,8 @@
                         .region = region,
                         .kind = ClaimKind::kForOwner,
                         .tokens = each,
-                        .for_region = key.second}});
+                        .for_region = key.second,
+                        .sent = now}});
 }
 
 milliseconds QuotaOwner::AssignReturn(Share& share, const Limit& limit,
--- a/forward/unittests/quota_simulation.h
+++ b/forward/unittests/quota_simulation.h
@@ -162,7 +162,7 @@
       if (host.process != process) return;
       ApplyLimits(host);
       Register(host);
-      ReadHosts(host);
+      if (!host.cut_from_store && !store_away) ReadHosts(host);
     });
     TickOften(host, process);
   }
--- a/gateway/include/berylreach/gateway/quota_gate.h
+++ b/gateway/include/berylreach/gateway/quota_gate.h
@@ -100,7 +100,6 @@
  private:
   struct Message {
     std::string host;
-    base::TimePoint sent{};
     std::vector<forward::Claim> claims;
   };
 
--- a/gateway/lib/quota_codec.cc
+++ b/gateway/lib/quota_codec.cc
@@ -101,7 +101,8 @@
                         .region = std::move(*region),
                         .kind = *kind,
                         .tokens = *tokens,
-                        .for_region = {}};
+                        .for_region = {},
+                        .sent = {}};
 }
 
 std::optional<forward::Grant> ParseGrant(const boost::json::object& object) {
--- a/gateway/lib/quota_gate.cc
+++ b/gateway/lib/quota_gate.cc
@@ -134,7 +134,7 @@
 void QuotaGate::AnswerOwnClaims() {
   const auto own = queued_.find(host_);
   if (own == queued_.end()) return;
-  Message message{host_, clock_.Now(), std::move(own->second)};
+  const Message message{host_, std::move(own->second)};
   queued_.erase(own);
   std::vector<forward::Grant> grants;
   forward::QuotaOwner::Actions actions;
@@ -154,11 +154,10 @@
   while (!claims.empty()) {
     const auto count = static_cast<std::ptrdiff_t>(
         std::min(claims.size(), kMaxClaimsPerMessage));
-    Message message{
-        host, clock_.Now(), {claims.begin(), claims.begin() + count}};
+    Message message{host, {claims.begin(), claims.begin() + count}};
     claims.erase(claims.begin(), claims.begin() + count);
     const std::string body = FormatQuotaClaims({host_, message.claims});
-    const base::TimePoint deadline = message.sent + kMessageTimeout;
+    const base::TimePoint deadline = clock_.Now() + kMessageTimeout;
     ++counters_.claims_sent;
     const std::uint64_t id = next_id_();
     messages_.emplace(id, std::move(message));
@@ -175,7 +174,7 @@
       DeliverGrant(message, claim, (*grants)[i]);
     } else if (claim.kind == forward::ClaimKind::kForRequests) {
       forward::QuotaClient::Actions actions;
-      client_.OnClaimLost(message.host, claim, message.sent, actions);
+      client_.OnClaimLost(message.host, claim, claim.sent, actions);
       Execute(actions);
     }
   }
@@ -185,11 +184,11 @@
                              const forward::Claim& claim,
                              const forward::Grant& grant) {
   if (claim.kind != forward::ClaimKind::kForRequests) {
-    owner_.OnGrant(message.host, claim, message.sent, grant);
+    owner_.OnGrant(message.host, claim, claim.sent, grant);
     return;
   }
   forward::QuotaClient::Actions actions;
-  client_.OnGrant(message.host, claim, message.sent, grant, actions);
+  client_.OnGrant(message.host, claim, claim.sent, grant, actions);
   Execute(actions);
 }
 
