--- /dev/null
+++ b/forward/unittests/quota_changes_test.cc
@@ -0,0 +1,108 @@
+// Guards against quotas that callers feel without having used them up, and
+// against changes of quotas that take effect late.
+#include <gtest/gtest.h>
+
+#include "quota_simulation.h"
+
+namespace berylreach::forward {
+namespace {
+
+/// After this time, hosts that started together are no newcomers any more.
+constexpr seconds kWarmUp{35};
+
+std::function<QuotaSimulation::Host&()> AnyHost(QuotaSimulation& simulation) {
+  return [&simulation]() -> QuotaSimulation::Host& {
+    return *simulation.hosts[simulation.RandomIndex(simulation.hosts.size())];
+  };
+}
+
+// Guards against a rare request that is refused because another region or host
+// holds the tokens.
+TEST(QuotaChangesTest, RareRequestsOnManyHostsAreNotRefused) {
+  for (const std::size_t hosts : {6U, 75U, 200U}) {
+    QuotaSimulation simulation({.hosts = hosts, .seed = hosts});
+    simulation.SetLimits({{"a", 1, 2}});
+    simulation.time.RunFor(kWarmUp);
+    const seconds played{400};
+    simulation.Load("a", 0.3, simulation.time.Now() + played,
+                    AnyHost(simulation));
+    simulation.time.RunFor(played);
+    const QuotaOutcome& outcome = simulation.outcomes["a"];
+    EXPECT_GT(outcome.admitted.size(), 80U) << hosts;
+    EXPECT_EQ(outcome.over_limit + outcome.no_owner, 0U) << hosts;
+  }
+}
+
+// Guards against an exhausted quota whose claims delay or refuse the requests
+// of others. At a fifth of its rate, random demand stays within a burst of 5.
+TEST(QuotaChangesTest, AnExhaustedQuotaCostsOthersNothing) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    QuotaSimulation simulation({.hosts = 12, .seed = seed});
+    simulation.SetLimits({{"hot", 10, 5}, {"other", 10, 5}});
+    simulation.time.RunFor(kWarmUp);
+    const base::TimePoint end = simulation.time.Now() + seconds(60);
+    simulation.Load("hot", 75, end, AnyHost(simulation));
+    simulation.Load("other", 2, end, AnyHost(simulation));
+    simulation.time.RunFor(seconds(60));
+    EXPECT_GT(simulation.outcomes["hot"].over_limit, 3000U);
+    const QuotaOutcome& other = simulation.outcomes["other"];
+    EXPECT_GT(other.admitted.size(), 80U) << seed;
+    EXPECT_EQ(other.over_limit + other.no_owner, 0U) << seed;
+  }
+}
+
+// Guards against tokens of a former rate that outlast a window, and against
+// refusals that go on although a raised quota permits the requests.
+TEST(QuotaChangesTest, ChangesTakeEffectInTime) {
+  QuotaSimulation simulation({.hosts = 12});
+  const LimitSpec high{"a", 100, 50};
+  const LimitSpec low{"a", 5, 2};
+  simulation.SetLimits({high});
+  simulation.time.RunFor(kWarmUp);
+  const base::TimePoint end = simulation.time.Now() + seconds(40);
+  simulation.Load("a", 200, end, AnyHost(simulation));
+  simulation.time.RunFor(seconds(10));
+  simulation.SetLimits({low});
+  const base::TimePoint lowered = simulation.time.Now() + milliseconds(200);
+  simulation.time.RunFor(seconds(20));
+  const base::TimePoint raised = simulation.time.Now() + milliseconds(200);
+  EXPECT_LE(simulation.LargestWindow("a", lowered + seconds(5), raised),
+            BoundOf(low));
+  simulation.SetLimits({high});
+  simulation.time.RunFor(milliseconds(1200));
+  const auto& admitted = simulation.outcomes["a"].admitted;
+  EXPECT_GE(std::count_if(admitted.begin(), admitted.end(),
+                          [&](auto at) { return at > raised; }),
+            70);
+}
+
+// Guards against callers that are all told to return at the same time.
+TEST(QuotaChangesTest, RefusedCallersReturnOneAfterTheOther) {
+  base::ManualClock clock;
+  LimitOwners owners(clock, "h0", SimulatedLocation(0, 3));
+  owners.SetHosts({{.name = "h3", .zone = "z0"}});
+  QuotaClient client(clock, owners, {});
+  QuotaClient::Actions actions;
+  client.SetLimits({{"a", 10, 1}}, actions);
+  client.OnRequest(1, "a", actions);
+  const auto claim = std::get<SendClaim>(actions.at(0));
+  client.OnGrant(claim.host, claim.claim, claim.claim.sent,
+                 {.limit = "a",
+                  .status = GrantStatus::kEmpty,
+                  .retry_after = milliseconds(500)},
+                 actions);
+  for (std::uint64_t request = 2; request < 7; ++request)
+    client.OnRequest(request, "a", actions);
+  std::set<milliseconds> waits;
+  for (const QuotaAction& action : actions)
+    if (const auto* refusal = std::get_if<RefuseRequest>(&action)) {
+      EXPECT_TRUE(refusal->over_limit);
+      waits.insert(refusal->retry_after);
+    }
+  EXPECT_EQ(waits.size(), 6U);
+  EXPECT_GE(*waits.begin(), milliseconds(500));
+  EXPECT_LE(*waits.rbegin(), milliseconds(5000));
+}
+
+}  // namespace
+}  // namespace berylreach::forward
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,7 +16,7 @@
 compiler=(clang++)
 if command -v ccache >/dev/null; then compiler=(ccache clang++); fi
 
-for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,suspect}_codec.cc \
+for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,quota,suspect}_codec.cc \
   gateway/lib/{endpoint_address,request_fingerprint,http_message}.cc \
   platform/lib/{codec,tenant_codec,platform_settings,store_page}.cc \
   forward/lib/{leaf_directory,leaf_record,api_key,route_table}.cc; do
@@ -68,7 +68,9 @@
   printf '4{"address":"1.1.1.1:1","zone":"z","cores":1}' >"$values/host"
   printf '5{"revision":1,"whole":true,"changes":[{"key":"a","value":"aGk="}]}' >"$values/feed"
   printf '6{"fingerprint":"000000000000001f","state":"blocked","ended_leaves":2,"expires_in_ms":600000}' >"$values/suspect"
-  printf '7{"version":1,"digest":2,"shards":[0,3],"allowed_missing":1,"partial_in_ms":80}' >"$values/group"
+  printf '7{"from":"h","claims":[{"limit":"tenant/a","region":"r","for":"requests","tokens":2}]}' >"$values/claims"
+  printf '7{"grants":[{"limit":"tenant/a","status":"empty","tokens":0,"retry_after_ms":70}]}' >"$values/grants"
+  printf '8{"version":1,"digest":2,"shards":[0,3],"allowed_missing":1,"partial_in_ms":80}' >"$values/group"
 }
 
 write_seeds
