--- a/gateway/lib/gateway_shard_sets.cc
+++ b/gateway/lib/gateway_shard_sets.cc
@@ -62,6 +62,7 @@
   tables_.Adopt(std::move(configuration));
   const forward::Configuration& adopted = tables_.current()->configuration();
   tenant_metrics_.KeepTenantsOf(*tables_.current());
+  SetQuotas(adopted);
   host::LogStateChange(
       "configuration_adopted", std::to_string(adopted.version),
       std::to_string(adopted.routes.size()) + " routes" +
