Ask owners of other regions as often as they give tokens

At a rate of 500 on one host, 0.89 of the quota was served: buckets of other regions filled up between two claims. Owners that give little are now asked less often than before. All utilisation cases pass at 6, 75, 200 and 2,400 hosts, with 12 limits at once.

--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -26,8 +26,12 @@
 /// another one is, although its own list may not show that yet.
 constexpr seconds kReleasedTime{5};
 
-/// Shortest interval at which the owners of the other regions are asked.
-constexpr milliseconds kBorrowInterval{50};
+/// Interval at which the owners of the other regions are asked while they give
+/// tokens, and while they give less than kUsefulPart of what they are asked
+/// for.
+constexpr milliseconds kBorrowInterval{30};
+constexpr milliseconds kVainBorrowInterval{200};
+constexpr double kUsefulPart = 0.1;
 /// Time within which owners of other regions answer.
 constexpr milliseconds kBorrowTime{50};
 /// Time for which owners that have given nothing are expected to give nothing.
@@ -296,7 +300,10 @@
 void QuotaOwner::AskOtherOwners(const Key& key, Share& share,
                                 const Limit& limit, Actions& actions) {
   const base::TimePoint now = clock_.Now();
-  if (now < share.borrow_asked_at + kBorrowInterval) return;
+  const bool in_vain = now >= share.borrow_gave_at + kVainBorrowInterval;
+  if (now <
+      share.borrow_asked_at + (in_vain ? kVainBorrowInterval : kBorrowInterval))
+    return;
   const bool rarely_short = now >= share.borrow_asked_at + kBorrowMemory;
   share.borrow_asked_at = now;
   // Tokens got before have been used, so more are asked for each time.
@@ -370,7 +377,7 @@
   if (grant.status != GrantStatus::kGranted) return;
   // PlanLimit counts on tokens being on their way for at most this time.
   if (now - sent > LimitPlan::kMaxTransit || grant.tokens <= 0) return;
-  share.borrow_gave_at = now;
+  if (grant.tokens >= kUsefulPart * claim.tokens) share.borrow_gave_at = now;
   const double room = std::max(
       0.0, limit->second.plan.capacity - share.tokens - share.borrowed);
   share.borrowed += std::min({grant.tokens, claim.tokens, room});
--- a/forward/unittests/quota_utilisation_test.cc
+++ b/forward/unittests/quota_utilisation_test.cc
@@ -6,66 +6,78 @@
 namespace berylreach::forward {
 namespace {
 
+/// After this time, hosts that started together are no newcomers any more.
+constexpr seconds kWarmUp{35};
+/// How much of its quota each tenant asks for.
+constexpr double kAsked = 1.5;
+
 enum class Demand { kEven, kOneZone, kOneHost, kMoving };
+constexpr Demand kDemands[] = {Demand::kEven, Demand::kOneZone,
+                               Demand::kOneHost, Demand::kMoving};
 
-struct Load {
-  std::size_t hosts = 6;
+struct Case {
   Demand demand = Demand::kEven;
   LimitSpec limit;
-  double asked = 1.5;
-  std::uint64_t seed = 1;
+  seconds measured{0};
 };
 
-/// After this time, hosts that started together are no newcomers any more.
-constexpr seconds kWarmUp{35};
+class QuotaUtilisationTest : public testing::TestWithParam<std::size_t> {};
 
-/// Returns the served part of the quota.
-double ServedPart(const Load& load, double* messages_per_request = nullptr) {
-  QuotaSimulation simulation({.hosts = load.hosts, .seed = load.seed});
-  simulation.SetLimits({load.limit});
-  simulation.time.RunFor(kWarmUp);
-  const base::TimePoint start = simulation.time.Now();
-  const seconds measured{load.limit.rate > 100 ? 4 : 60};
-  const auto choose = [&]() -> QuotaSimulation::Host& {
-    std::size_t index = simulation.RandomIndex(load.hosts);
-    if (load.demand == Demand::kOneZone) index -= index % 6;
-    if (load.demand == Demand::kOneHost) index = 0;
-    if (load.demand == Demand::kMoving)
-      index = static_cast<std::size_t>((simulation.time.Now() - start) /
-                                       milliseconds(1900)) *
-              7 % load.hosts;
-    return *simulation.hosts[index];
-  };
-  simulation.Load(load.limit.name, load.asked * load.limit.rate,
-                  start + measured, choose);
-  simulation.time.RunFor(measured);
-  const QuotaOutcome& outcome = simulation.outcomes[load.limit.name];
-  const double admitted = static_cast<double>(outcome.admitted.size());
-  if (messages_per_request != nullptr)
-    *messages_per_request =
-        static_cast<double>(simulation.messages) /
-        (admitted + static_cast<double>(outcome.over_limit));
-  EXPECT_LE(outcome.longest_wait, QuotaClient::kMaxWait + milliseconds(2));
-  return admitted / (load.limit.rate * static_cast<double>(measured.count()) +
-                     load.limit.burst);
+std::size_t ChooseHost(QuotaSimulation& simulation, Demand demand) {
+  const std::size_t hosts = simulation.hosts.size();
+  const std::size_t any = simulation.RandomIndex(hosts);
+  switch (demand) {
+    case Demand::kEven:
+      return any;
+    case Demand::kOneZone:
+      return any - any % 6;
+    case Demand::kOneHost:
+      return 0;
+    case Demand::kMoving:
+      break;
+  }
+  const auto turn =
+      simulation.time.Now().time_since_epoch() / milliseconds(1900);
+  return static_cast<std::size_t>(turn) * 7 % hosts;
 }
 
-TEST(QuotaUtilisationTest, ServesTheQuotaWhereTheDemandIs) {
-  for (const std::size_t hosts : {6U, 75U, 200U, 2400U}) {
-    for (const Demand demand :
-         {Demand::kEven, Demand::kOneZone, Demand::kOneHost, Demand::kMoving}) {
-      for (const double rate : {2.0, 20.0, 500.0}) {
-        if (hosts == 2400 && rate != 20) continue;
-        double messages = 0;
-        const double served = ServedPart(
-            {.hosts = hosts, .demand = demand, .limit = {"a", rate, 3}},
-            &messages);
-        EXPECT_GE(served, hosts == 2400 ? 0.8 : 0.9)
-            << hosts << " " << static_cast<int>(demand) << " " << rate;
-      }
+TEST_P(QuotaUtilisationTest, ServesTheQuotaWhereTheDemandIs) {
+  const std::size_t hosts = GetParam();
+  const double required = hosts > 200 ? 0.8 : 0.9;
+  QuotaSimulation simulation({.hosts = hosts});
+  std::vector<Case> cases;
+  std::vector<LimitSpec> limits;
+  for (const Demand demand : kDemands) {
+    for (const double rate : {2.0, 20.0, 500.0}) {
+      const std::string name = std::to_string(static_cast<int>(demand)) + "/" +
+                               std::to_string(static_cast<int>(rate));
+      cases.push_back({demand, {name, rate, 3}, seconds(rate > 100 ? 4 : 60)});
+      limits.push_back(cases.back().limit);
     }
   }
+  simulation.SetLimits(limits);
+  simulation.time.RunFor(kWarmUp);
+  const base::TimePoint start = simulation.time.Now();
+  for (const Case& played : cases)
+    simulation.Load(
+        played.limit.name, kAsked * played.limit.rate, start + played.measured,
+        [&simulation, demand = played.demand ]() -> auto& {
+          return *simulation.hosts[ChooseHost(simulation, demand)];
+        });
+  simulation.time.RunFor(seconds(61));
+  for (const Case& played : cases) {
+    const QuotaOutcome& outcome = simulation.outcomes[played.limit.name];
+    const double quota =
+        played.limit.rate * static_cast<double>(played.measured.count()) +
+        played.limit.burst;
+    EXPECT_GE(static_cast<double>(outcome.admitted.size()), required * quota)
+        << played.limit.name;
+    EXPECT_LE(outcome.longest_wait, QuotaClient::kMaxWait + milliseconds(2));
+  }
 }
 
+INSTANTIATE_TEST_SUITE_P(Hosts, QuotaUtilisationTest,
+                         testing::Values(6, 75, 200, 2400));
+
 }  // namespace
 }  // namespace berylreach::forward
