--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -70,8 +70,9 @@
   /// `sent`.
   void OnGrant(const std::string& from, const Claim& claim,
                base::TimePoint sent, const Grant& grant);
-  /// Forgets shares that nobody uses. To be called several times a second.
-  void Tick();
+  /// Forgets shares that nobody uses, and asks other hosts to confirm that they
+  /// do not grant of this host's shares. To be called several times a second.
+  void Tick(Actions& actions);
 
   const QuotaOwnerCounters& counters() const { return counters_; }
   std::size_t size() const { return shares_.size(); }
@@ -112,6 +113,9 @@
   };
 
   bool MayGrant() const;
+  /// Begins shares of this host's region before they are claimed, as long as
+  /// they need the confirmation of other hosts.
+  void PrepareShares();
   /// Returns the share if this host owns it by its list of hosts.
   Share* FindShare(const Key& key, const Limit& limit);
   Share NewShare(const Key& key, const Limit& limit) const;
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -32,6 +32,9 @@
 constexpr milliseconds kBorrowInterval{30};
 constexpr milliseconds kVainBorrowInterval{200};
 constexpr double kUsefulPart = 0.1;
+/// Most shares that are begun at once without a claim.
+constexpr std::size_t kMaxPrepared = 32;
+
 /// Time within which owners of other regions answer.
 constexpr milliseconds kBorrowTime{50};
 /// Time for which owners that have given nothing are expected to give nothing.
@@ -122,6 +125,18 @@
 
 bool QuotaOwner::MayGrant() const { return view_current_ && !stopped_; }
 
+void QuotaOwner::PrepareShares() {
+  // Later, a new share is granted in full without confirmation.
+  if (!MayGrant() || clock_.Now() >= began_at_ + kLeaseTime) return;
+  const std::string& region = owners_.regions().front();
+  std::size_t begun = 0;
+  for (const auto& [name, limit] : limits_) {
+    if (begun == kMaxPrepared) return;
+    if (shares_.contains({name, region})) continue;
+    if (FindShare({name, region}, limit) != nullptr) ++begun;
+  }
+}
+
 Grant QuotaOwner::OnClaim(const std::string& from, const Claim& claim,
                           Actions& actions) {
   ++counters_.claims;
@@ -383,8 +398,10 @@
   share.borrowed += std::min({grant.tokens, claim.tokens, room});
 }
 
-void QuotaOwner::Tick() {
+void QuotaOwner::Tick(Actions& actions) {
   const base::TimePoint now = clock_.Now();
+  PrepareShares();
+  for (auto& [key, share] : shares_) AskToConfirm(key, share, actions);
   std::erase_if(shares_, [&](const auto& entry) {
     const LimitPlan& plan = limits_.at(entry.first.first).plan;
     const auto idle = std::max<base::Duration>(
--- a/forward/unittests/quota_simulation.h
+++ b/forward/unittests/quota_simulation.h
@@ -266,7 +266,9 @@
     time.After(milliseconds(1000), [this, &host, process] {
       if (host.process != process) return;
       if (!host.frozen) {
-        process->owner.Tick();
+        QuotaOwner::Actions claims;
+        process->owner.Tick(claims);
+        for (const SendClaim& claim : claims) Send(host, claim);
         Wake(host);
       }
       TickOften(host, process);
--- a/gateway/lib/quota_gate.cc
+++ b/gateway/lib/quota_gate.cc
@@ -88,7 +88,10 @@
 
 void QuotaGate::Tick() {
   if (!has_limits_) return;
-  owner_.Tick();
+  forward::QuotaOwner::Actions claims;
+  owner_.Tick(claims);
+  for (forward::SendClaim& action : claims)
+    Queue(action.host, std::move(action.claim));
   forward::QuotaClient::Actions actions;
   client_.Tick(actions);
   Execute(actions);
