Grant in full through long outages of the store

An owner whose lease may have expired granted a small part of its rate, since another host might have taken over. It now asks the other hosts of its region: while none of them has a valid lease either, nobody can take over. QuotaChangesTest.LongOutagesOfTheStoreCostNothing fails without the question. The quota tests of forward_tests pass, and gateway_tests.

--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -69,9 +69,10 @@
   /// Handles the answer of `from` to a claim that this owner has sent at
   /// `sent`.
   void OnGrant(const std::string& from, const Claim& claim,
-               base::TimePoint sent, const Grant& grant);
-  /// Forgets shares that nobody uses. To be called several times a second.
-  void Tick();
+               base::TimePoint sent, const Grant& grant, Actions& actions);
+  /// Forgets shares that nobody uses, and asks for witnesses. To be called
+  /// several times a second.
+  void Tick(Actions& actions);
 
   const QuotaOwnerCounters& counters() const { return counters_; }
   std::size_t size() const { return shares_.size(); }
@@ -112,6 +113,15 @@
   };
 
   bool MayGrant() const;
+  /// Returns until when no other host can take over the shares of this host:
+  /// while its lease is valid, or while no host of its region has a valid one.
+  base::TimePoint RightsEnd() const;
+  bool LeaseIsValid() const {
+    return lease_sent_ && clock_.Now() < *lease_sent_ + kLeaseValid;
+  }
+  void AskForWitnesses(Actions& actions);
+  void OnWitness(const std::string& from, base::TimePoint sent);
+  void AccrueAll();
   /// Returns the share if this host owns it by its list of hosts.
   Share* FindShare(const Key& key, const Limit& limit);
   Share NewShare(const Key& key, const Limit& limit) const;
@@ -149,6 +159,11 @@
   /// after a pause.
   base::TimePoint fill_from_;
   std::optional<base::TimePoint> lease_sent_;
+  /// When the claims were sent by which other hosts of the region have
+  /// confirmed that their leases may have expired.
+  std::map<std::string, base::TimePoint> witnesses_;
+  base::TimePoint witnesses_asked_at_{};
+  base::TimePoint witnessed_until_{};
   bool view_current_ = true;
   bool stopped_ = false;
   QuotaOwnerCounters counters_;
--- a/forward/include/berylreach/forward/shared_limit.h
+++ b/forward/include/berylreach/forward/shared_limit.h
@@ -41,6 +41,9 @@
   /// A host that has become the owner of the share asks the receiver to confirm
   /// that it grants no more of it.
   kRelease,
+  /// A host whose registration may have expired asks the receiver to confirm
+  /// that the receiver's may have expired too. Names no limit.
+  kWitness,
 };
 
 /// A request for tokens of one region's share of a limit, sent to the owner of
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -26,6 +26,12 @@
 /// another one is, although its own list may not show that yet.
 constexpr seconds kReleasedTime{5};
 
+/// Interval at which a host without a valid lease asks the others of its region
+/// whether theirs are valid, and the time for which their answers count. A host
+/// that gets a lease takes over no earlier than kTakeOverDelay later.
+constexpr milliseconds kWitnessInterval{500};
+constexpr seconds kWitnessTime{2};
+
 /// Interval at which the owners of the other regions are asked while they give
 /// tokens, and while they give less than kUsefulPart of what they are asked
 /// for.
@@ -101,7 +107,7 @@
     confirm_from_ = now + kViewDelay;
     fill_from_ = now;
   } else {
-    for (auto& [key, share] : shares_) Accrue(share, limits_.at(key.first));
+    AccrueAll();
   }
   lease_sent_ = std::max(lease_sent_.value_or(event.sent), event.sent);
 }
@@ -122,10 +128,57 @@
 
 bool QuotaOwner::MayGrant() const { return view_current_ && !stopped_; }
 
+base::TimePoint QuotaOwner::RightsEnd() const {
+  if (!lease_sent_) return {};
+  return std::max(*lease_sent_ + kLeaseValid, witnessed_until_);
+}
+
+void QuotaOwner::AccrueAll() {
+  for (auto& [key, share] : shares_) Accrue(share, limits_.at(key.first));
+}
+
+void QuotaOwner::AskForWitnesses(Actions& actions) {
+  const base::TimePoint now = clock_.Now();
+  if (!lease_sent_ || LeaseIsValid() || shares_.empty() || !MayGrant() ||
+      now < witnesses_asked_at_ + kWitnessInterval)
+    return;
+  witnesses_asked_at_ = now;
+  const std::string& region = owners_.regions().front();
+  std::vector<std::string> others = owners_.RankedOthers("", region, kMaxAsked);
+  // Hosts that are not asked may have valid leases.
+  if (others.size() == kMaxAsked) return;
+  for (std::string& other : others)
+    actions.push_back({std::move(other),
+                       {.limit = {},
+                        .region = region,
+                        .kind = ClaimKind::kWitness,
+                        .tokens = 0,
+                        .for_region = {},
+                        .sent = now}});
+}
+
+void QuotaOwner::OnWitness(const std::string& from, base::TimePoint sent) {
+  base::TimePoint& known = witnesses_[from];
+  known = std::max(known, sent);
+  base::TimePoint oldest = sent;
+  for (const std::string& other :
+       owners_.RankedOthers("", owners_.regions().front(), kMaxAsked)) {
+    const auto witness = witnesses_.find(other);
+    if (witness == witnesses_.end()) return;
+    oldest = std::min(oldest, witness->second);
+  }
+  AccrueAll();
+  witnessed_until_ = std::max(witnessed_until_, oldest + kWitnessTime);
+}
+
 Grant QuotaOwner::OnClaim(const std::string& from, const Claim& claim,
                           Actions& actions) {
   ++counters_.claims;
   Grant grant{.limit = claim.limit};
+  if (claim.kind == ClaimKind::kWitness) {
+    if (!LeaseIsValid()) grant.status = GrantStatus::kGranted;
+    return grant;
+  }
   const Key key(claim.limit, claim.region);
   const auto found = limits_.find(claim.limit);
   if (claim.kind == ClaimKind::kRelease && from != owners_.self()) {
@@ -192,8 +245,7 @@
 void QuotaOwner::Accrue(Share& share, const Limit& limit) const {
   const base::TimePoint now = clock_.Now();
   base::TimePoint at = share.accrued_at;
-  const base::TimePoint lease_ends =
-      lease_sent_ ? *lease_sent_ + kLeaseValid : base::TimePoint{};
+  const base::TimePoint rights_end = RightsEnd();
   const auto add = [&](base::TimePoint until, double rate, double capacity) {
     until = std::min(until, now);
     if (until <= at) return;
@@ -202,9 +254,9 @@
     at = until;
   };
   const LimitPlan& plan = limit.plan;
-  add(std::min(share.full_from, lease_ends), plan.unconfirmed_rate,
+  add(std::min(share.full_from, rights_end), plan.unconfirmed_rate,
       std::max(plan.unconfirmed_capacity, plan.start_tokens));
-  add(lease_ends, plan.region_rate, plan.capacity);
+  add(rights_end, plan.region_rate, plan.capacity);
   // A bucket that was full is reduced too, since the new owner has its own.
   add(now, plan.unregistered_rate, plan.unregistered_capacity);
   share.accrued_at = std::max(share.accrued_at, now);
@@ -356,8 +408,13 @@
 }
 
 void QuotaOwner::OnGrant(const std::string& from, const Claim& claim,
-                         base::TimePoint sent, const Grant& grant) {
+                         base::TimePoint sent, const Grant& grant,
+                         Actions& actions) {
   const base::TimePoint now = clock_.Now();
+  if (claim.kind == ClaimKind::kWitness) {
+    if (grant.status == GrantStatus::kGranted) OnWitness(from, sent);
+    return;
+  }
   const bool is_release = claim.kind == ClaimKind::kRelease;
   const auto found =
       shares_.find({claim.limit, is_release ? claim.region : claim.for_region});
@@ -371,6 +428,7 @@
         sent >= confirm_from_) {
       share.confirmed[from] = newcomer;
       share.asked_at = {};
+      AskToConfirm({claim.limit, claim.region}, share, actions);
     }
     return;
   }
@@ -383,8 +441,9 @@
   share.borrowed += std::min({grant.tokens, claim.tokens, room});
 }
 
-void QuotaOwner::Tick() {
+void QuotaOwner::Tick(Actions& actions) {
   const base::TimePoint now = clock_.Now();
+  AskForWitnesses(actions);
   std::erase_if(shares_, [&](const auto& entry) {
     const LimitPlan& plan = limits_.at(entry.first.first).plan;
     const auto idle = std::max<base::Duration>(
--- a/forward/unittests/quota_changes_test.cc
+++ b/forward/unittests/quota_changes_test.cc
@@ -76,6 +76,24 @@
             70);
 }
 
+// Guards against quotas that nearly nobody can use in a long outage of the
+// store, because each owner fears that another host has taken over.
+TEST(QuotaChangesTest, LongOutagesOfTheStoreCostNothing) {
+  for (const std::size_t hosts : {6U, 75U, 200U}) {
+    QuotaSimulation simulation({.hosts = hosts});
+    simulation.SetLimits({{"a", 20, 5}});
+    simulation.time.RunFor(kWarmUp);
+    simulation.Load("a", 30, simulation.time.Now() + seconds(80),
+                    AnyHost(simulation));
+    simulation.store_away = true;
+    simulation.time.RunFor(seconds(40));
+    const std::size_t before = simulation.outcomes["a"].admitted.size();
+    simulation.time.RunFor(seconds(40));
+    const std::size_t later = simulation.outcomes["a"].admitted.size() - before;
+    EXPECT_GE(static_cast<double>(later), 0.9 * 20 * 40) << hosts;
+  }
+}
+
 // Guards against callers that are all told to return at the same time.
 TEST(QuotaChangesTest, RefusedCallersReturnOneAfterTheOther) {
   base::ManualClock clock;
--- a/forward/unittests/quota_simulation.h
+++ b/forward/unittests/quota_simulation.h
@@ -266,7 +266,9 @@
     time.After(milliseconds(1000), [this, &host, process] {
       if (host.process != process) return;
       if (!host.frozen) {
-        process->owner.Tick();
+        QuotaOwner::Actions claims;
+        process->owner.Tick(claims);
+        for (const SendClaim& claim : claims) Send(host, claim);
         Wake(host);
       }
       TickOften(host, process);
@@ -418,7 +420,10 @@
   void Receive(Host& host, const SendClaim& action, base::TimePoint sent,
                const Grant& grant) {
     if (action.claim.kind != ClaimKind::kForRequests) {
-      host.process->owner.OnGrant(action.host, action.claim, sent, grant);
+      QuotaOwner::Actions claims;
+      host.process->owner.OnGrant(action.host, action.claim, sent, grant,
+                                  claims);
+      for (const SendClaim& claim : claims) Send(host, claim);
       return;
     }
     QuotaClient::Actions actions;
--- a/gateway/lib/quota_codec.cc
+++ b/gateway/lib/quota_codec.cc
@@ -18,7 +18,8 @@
 constexpr std::pair<forward::ClaimKind, std::string_view> kKinds[] = {
     {forward::ClaimKind::kForRequests, "requests"},
     {forward::ClaimKind::kForOwner, "owner"},
-    {forward::ClaimKind::kRelease, "release"}};
+    {forward::ClaimKind::kRelease, "release"},
+    {forward::ClaimKind::kWitness, "witness"}};
 constexpr std::pair<forward::GrantStatus, std::string_view> kStatuses[] = {
     {forward::GrantStatus::kGranted, "granted"},
     {forward::GrantStatus::kEmpty, "empty"},
--- a/gateway/lib/quota_gate.cc
+++ b/gateway/lib/quota_gate.cc
@@ -88,7 +88,10 @@
 
 void QuotaGate::Tick() {
   if (!has_limits_) return;
-  owner_.Tick();
+  forward::QuotaOwner::Actions claims;
+  owner_.Tick(claims);
+  for (forward::SendClaim& claim : claims)
+    Queue(claim.host, std::move(claim.claim));
   forward::QuotaClient::Actions actions;
   client_.Tick(actions);
   Execute(actions);
@@ -184,7 +187,10 @@
                              const forward::Claim& claim,
                              const forward::Grant& grant) {
   if (claim.kind != forward::ClaimKind::kForRequests) {
-    owner_.OnGrant(message.host, claim, claim.sent, grant);
+    forward::QuotaOwner::Actions claims;
+    owner_.OnGrant(message.host, claim, claim.sent, grant, claims);
+    for (forward::SendClaim& next : claims)
+      Queue(next.host, std::move(next.claim));
     return;
   }
   forward::QuotaClient::Actions actions;
