Test fair room and groups under several versions through the gateway

HotTenantLeavesRoomToOthers guards the connection of TenantRoom to the gateway, GroupsNameTheTenantUnderEveryVersion the names that leaves get while hosts have different versions.

--- a/gateway/unittests/gateway_fixture.h
+++ b/gateway/unittests/gateway_fixture.h
@@ -85,7 +85,7 @@
     settings.location = {.zone = zone,
                          .region = "r" + zone,
                          .region_of_zone = {{"a", "ra"}, {"b", "rb"}}};
-    settings.cores = 1;
+    settings.cores = cores_;
     if (stop_grace_) settings.stop_grace = *stop_grace_;
     settings.record_bytes = 16;
     settings.names = {.request_id = "X-Id",
@@ -139,6 +139,8 @@
                           std::to_string(calls) + "\n");
   }
 
+  /// Cores of hosts that are made.
+  double cores_ = 1;
   /// Replaces the default grace period of hosts that are made.
   std::optional<milliseconds> stop_grace_;
   OffsetClock clock_;
--- a/gateway/unittests/gateway_tenants_test.cc
+++ b/gateway/unittests/gateway_tenants_test.cc
@@ -208,6 +208,78 @@
   EXPECT_TRUE(HasSentLeafCalls("far", 2)) << "not divided";
 }
 
+// Guards against leaves that get no name or two, from a host that runs a group
+// under a version without tenants or with other ones.
+TEST_F(GatewayTenantsTest, GroupsNameTheTenantUnderEveryVersion) {
+  MakeNearAndFar();
+  Load(*far_);
+  configuration_.tenants.clear();
+  Load(*near_);
+  RawClient client(io_, callers_["far"]);
+  const std::string request =
+      With("/s/1", "X-Tenant: other\r\n" + KeyField(kKey));
+  const auto names_acme = [&](std::size_t calls) {
+    return StatusOf(client, request) == "200" &&
+           leaves_["s0"].requests.size() == calls &&
+           LastFields("s0").FindAll("X-Tenant") ==
+               std::vector<std::string_view>{"acme"} &&
+           !LastFields("s0").Has("X-Key");
+  };
+  EXPECT_TRUE(names_acme(1));
+  SetKeys({kKey});
+  Adopt(*near_);
+  EXPECT_TRUE(names_acme(2));
+  configuration_.tenants[0].name = "another";
+  Adopt(*near_);
+  EXPECT_TRUE(names_acme(3));
+  EXPECT_TRUE(HasSentLeafCalls("near", 6));
+}
+
+// Guards against a tenant that fills the host, and against room that is not
+// given back when requests end. The host admits 16 requests.
+TEST_F(GatewayTenantsTest, HotTenantLeavesRoomToOthers) {
+  cores_ = 0.01;
+  std::vector<std::weak_ptr<ServerConnection>> calls;
+  leaves_["o"].server = std::make_unique<TestServer>(
+      io_, clock_, [&calls](ServerConnection& connection, const HttpRequest&) {
+        calls.push_back(connection.weak_from_this());
+      });
+  configuration_.tenants.push_back(
+      {.name = "small", .api_keys = {forward::ApiKey::Of("small-key")}});
+  const auto gateway = MakeGateway("g", "a");
+  Load(*gateway);
+  const auto running = [this](int requests) {
+    return RunUntil(io_, [this, requests] {
+      RawClient metrics(io_, health_["g"]);
+      metrics.Send("GET /metrics HTTP/1.1\r\n\r\n");
+      return metrics.Expect("berylreach_log_lines_dropped_total") &&
+             metrics.received().find("berylreach_requests_running " +
+                                     std::to_string(requests) + "\n") !=
+                 std::string::npos;
+    });
+  };
+  std::vector<std::unique_ptr<RawClient>> hot;
+  const auto send_hot = [&] {
+    hot.push_back(std::make_unique<RawClient>(io_, callers_["g"]));
+    hot.back()->Send(With("/o/1", KeyField(kKey)));
+  };
+  for (int i = 0; i < 20; ++i) send_hot();
+  EXPECT_TRUE(hot.back()->Expect("HTTP/1.1 503"));
+  EXPECT_TRUE(hot.back()->Expect("Retry-After: "));
+  EXPECT_TRUE(running(14));
+  RawClient small(io_, callers_["g"]);
+  small.Send(With("/o/1", KeyField("small-key")));
+  EXPECT_TRUE(running(15));
+  ASSERT_TRUE(RunUntil(io_, [&] { return calls.size() == 15; }));
+  for (const auto& call : std::exchange(calls, {}))
+    call.lock()->Respond(leaves_["o"].response, true);
+  EXPECT_TRUE(small.Expect("\r\n\r\ndone"));
+  EXPECT_TRUE(running(0));
+  // Fewer than before, since the other tenant counts as active for a second.
+  for (int i = 0; i < 13; ++i) send_hot();
+  EXPECT_TRUE(running(13));
+}
+
 // Guards against one tenant's request that is blocked for crashes which the
 // same request of another tenant caused, and against hosts that disagree on the
 // fingerprint of a group.
