--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -138,12 +138,11 @@
   if (!tables_.Adopt(std::move(configuration))) return;
   const forward::Configuration& adopted = tables_.current()->configuration();
   tenant_metrics_.KeepTenantsOf(*tables_.current());
-  host::LogStateChange(
-      "configuration_adopted", std::to_string(adopted.version),
-      std::to_string(adopted.routes.size()) + " routes" +
-          (adopted.tenants.empty()
-               ? ""
-               : ", " + std::to_string(adopted.tenants.size()) + " tenants"));
+  std::string detail = std::to_string(adopted.routes.size()) + " routes";
+  if (!adopted.tenants.empty())
+    detail += ", " + std::to_string(adopted.tenants.size()) + " tenants";
+  host::LogStateChange("configuration_adopted", std::to_string(adopted.version),
+                       detail);
 }
 
 void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
