--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -131,7 +131,8 @@
   Grant GrantToHost(Share& share, const Limit& limit, const Claim& claim,
                     Actions& actions);
   Grant GrantToOwner(Share& share, const Limit& limit, const Claim& claim);
-  Grant Release(const Key& key, const Claim& claim);
+  /// Ends this host's part in the share, which `from` holds for its own.
+  Grant Release(const std::string& from, const Key& key);
   bool IsNewcomer() const { return clock_.Now() < began_at_ + kLeaseTime; }
   /// Asks the hosts that could own the share in order of rank, until one that
   /// is no newcomer has confirmed that it grants nothing: no host below it can
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -188,7 +188,7 @@
       grant.status = GrantStatus::kEmpty;
       return grant;
     }
-    return Release(key, claim);
+    return Release(from, key);
   }
   Share* share = found == limits_.end() || !MayGrant()
                      ? nullptr
@@ -308,12 +308,19 @@
           .tokens = given};
 }
 
-Grant QuotaOwner::Release(const Key& key, const Claim& claim) {
+Grant QuotaOwner::Release(const std::string& from, const Key& key) {
   shares_.erase(key);
   released_[key] = clock_.Now();
-  return {.limit = claim.limit,
-          .status = IsNewcomer() ? GrantStatus::kReleasedByNewcomer
-                                 : GrantStatus::kGranted};
+  Grant grant{.limit = key.first};
+  // One of the lists is old: the host that this host's list has as the owner
+  // may grant.
+  if (owners_.OwnerOf(key.first, key.second) != from) {
+    grant.status = GrantStatus::kEmpty;
+    return grant;
+  }
+  grant.status =
+      IsNewcomer() ? GrantStatus::kReleasedByNewcomer : GrantStatus::kGranted;
+  return grant;
 }
 
 void QuotaOwner::AskToConfirm(const Key& key, Share& share,
