Declare the decisions of version shifts

The decisions of the arbiter and of one host are declared first, so that gateway and platform can be built against them.

--- a/forward/include/berylreach/forward/leaf_entry.h
+++ b/forward/include/berylreach/forward/leaf_entry.h
@@ -16,6 +16,8 @@
   /// "IP:port".
   std::string address;
   std::string zone;
+  /// Version of the leaf's software; empty if the leaf does not state it.
+  std::string version;
   std::size_t slots = 1;
   bool draining = false;
   /// Start time of the process in Unix milliseconds by its own clock; 0 if the
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -14,6 +14,8 @@
 
 namespace berylreach::forward {
 
+class VersionShifts;
+
 /// Requirements of a call on its leaf.
 struct LeafQuery {
   const Service* service = nullptr;
@@ -49,6 +51,10 @@
                ColdCallLimit& cold, LeafRateLimit& rate,
                const ServiceShares& shares);
 
+  /// Sets the version shifts that restrict the selection; null for none. Must
+  /// outlive the selector.
+  void SetVersionShifts(VersionShifts* shifts) { shifts_ = shifts; }
+
   /// Returns the best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
 
@@ -94,6 +100,7 @@
   ColdCallLimit& cold_;
   LeafRateLimit& rate_;
   const ServiceShares& shares_;
+  VersionShifts* shifts_ = nullptr;
 };
 
 }  // namespace berylreach::forward
--- /dev/null
+++ b/forward/include/berylreach/forward/version_judge.h
@@ -0,0 +1,101 @@
+// Sequential test that compares the target version of a shift with the other
+// versions.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/forward/version_shift.h"
+
+namespace berylreach::forward {
+
+enum class VersionVerdict { kUndecided, kGood, kBad };
+
+/// Counts of all answers, by route and leaf for the target version and by route
+/// and zone for the other versions.
+class VersionTotals {
+ public:
+  /// Route and leaf, or route and zone.
+  using Key = std::pair<std::string, std::string>;
+
+  struct TargetCounts {
+    std::string zone;
+    VersionCounts counts;
+  };
+
+  void Add(const VersionCountsRow& row);
+
+  const std::map<Key, TargetCounts>& target() const { return target_; }
+  const std::map<Key, VersionCounts>& others() const { return others_; }
+  VersionCounts TargetSum() const;
+  VersionCounts OthersSum() const;
+
+ private:
+  std::map<Key, TargetCounts> target_;
+  std::map<Key, VersionCounts> others_;
+};
+
+/// Judges the target version by the bad answers that it gives beyond the rate
+/// of the other versions on the same route, in the same zone and at the same
+/// time. Runs a sequential probability ratio test that restarts at its lower
+/// bound (Page's cumulative sum), so that good answers in the past do not
+/// conceal a fault that begins late. There is one test for each route and one
+/// over all. Not thread-safe.
+class VersionJudge {
+ public:
+  /// Evidence is compared in windows of at least this length.
+  static constexpr std::chrono::milliseconds kWindow{500};
+
+  explicit VersionJudge(const base::Clock& clock) : clock_(clock) {}
+
+  /// Compares the answers since the previous window. `totals` are cumulative.
+  /// `others_in_use` is false once all calls go to the target version, so that
+  /// there is no comparison at the same time.
+  void Update(const VersionTotals& totals, bool others_in_use);
+
+  /// The verdict of the sequential test. kBad is final.
+  VersionVerdict verdict() const { return verdict_; }
+  /// The verdict at the end of the observation, when no more evidence is
+  /// waited for: kBad or kGood.
+  VersionVerdict FinalVerdict() const;
+  /// Route of the test that says bad, or empty for the test over all routes.
+  const std::string& bad_route() const { return bad_route_; }
+
+ private:
+  /// Log-likelihood ratios of one window, by leaf.
+  struct LeafEvidence {
+    std::string leaf;
+    std::string zone;
+    double ratio = 0;
+  };
+
+  /// Cumulative sums of one test: over all leaves, and without one leaf or one
+  /// zone each.
+  struct Test {
+    double sum = 0;
+    double lowest = 0;
+    std::map<std::string, double> without_leaf;
+    std::map<std::string, double> without_zone;
+  };
+
+  static void Accumulate(Test& test, const std::vector<LeafEvidence>& window);
+  /// Whether the evidence exceeds `bound`, and does not come from one leaf or
+  /// one zone alone.
+  static bool Exceeds(const Test& test, double bound);
+  /// Rate of bad answers that is expected of a good target version.
+  double ExpectedRate(const VersionTotals& totals, const std::string& route,
+                      const std::string& zone, bool others_in_use) const;
+
+  const base::Clock& clock_;
+  base::TimePoint window_start_{};
+  VersionTotals previous_;
+  std::map<std::string, Test> by_route_;
+  Test all_;
+  VersionVerdict verdict_ = VersionVerdict::kUndecided;
+  std::string bad_route_;
+};
+
+}  // namespace berylreach::forward
--- /dev/null
+++ b/forward/include/berylreach/forward/version_shifts.h
@@ -0,0 +1,130 @@
+// One host's part in the version shifts of services: which version a call may
+// go to, and what the answers say about the target version.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "berylreach/base/clock.h"
+#include "berylreach/forward/leaf_record.h"
+#include "berylreach/forward/version_judge.h"
+#include "berylreach/forward/version_permit.h"
+#include "berylreach/forward/version_shift.h"
+
+namespace berylreach::forward {
+
+/// How a host has got a record of the store.
+enum class RecordSource {
+  /// With a complete listing, which shows no changes.
+  kListing,
+  /// As a change.
+  kChange,
+};
+
+/// How a leaf's answer counts.
+enum class AnswerClass { kGood, kFailed, kSlow, kNotCounted };
+
+/// The end of a call to a leaf.
+struct EndedCall {
+  /// Name of the route.
+  std::string route;
+  CallOutcome outcome = CallOutcome::kAnswered;
+  /// Time from the sending of the call until its end.
+  base::Duration latency{};
+  /// Whether the leaf was cold when the call was sent.
+  bool was_cold = false;
+  /// Whether the leaf has sent something that is no valid answer. Counts as
+  /// failed, also if the outcome is kLost.
+  bool broken_answer = false;
+  /// Whether the request is suspected of crashing leaves. Not counted.
+  bool suspect = false;
+};
+
+/// Gauges of one service's shift on this host.
+struct VersionShiftGauges {
+  std::string service;
+  std::string target_version;
+  /// The status in force; empty if there is none.
+  std::optional<VersionShiftStatus> status;
+  std::uint64_t target_calls_sent = 0;
+  std::uint64_t other_calls_sent = 0;
+  VersionCounts target;
+  VersionCounts others;
+  /// Whether this host's own counts have made it stop using the target.
+  bool stopped_here = false;
+};
+
+/// Decides which versions the calls of services may go to, within this host's
+/// part of the exposure limit, and counts the answers. Services without an
+/// order and a status are not restricted. Not thread-safe.
+class VersionShifts {
+ public:
+  /// `self` is the name of this host, and `incarnation` identifies its process.
+  VersionShifts(const base::Clock& clock, std::string self,
+                std::uint64_t incarnation);
+  ~VersionShifts();
+  VersionShifts(const VersionShifts&) = delete;
+  VersionShifts& operator=(const VersionShifts&) = delete;
+
+  void SetLimits(const ExposureLimits& limits) { limits_ = limits; }
+  /// Sets the registered hosts, including this one.
+  void SetHosts(std::vector<std::string> hosts);
+
+  /// Applies the order for a service; empty if there is none or if it is
+  /// malformed. A host that learns of an order by a listing may have used its
+  /// part of the slack before it restarted, and gets none.
+  void ApplyOrder(const std::string& service,
+                  std::optional<VersionShiftOrder> order, RecordSource source);
+  /// Applies the status record of a service; empty if there is none. A record
+  /// that is older than what this host knows is ignored, and so is the lack of
+  /// a verdict that this host knows, as long as the order stays.
+  void ApplyStatus(const std::string& service,
+                   std::optional<VersionShiftStatus> status);
+  /// Records that the store has come back from an older copy of itself: for
+  /// LeafDirectory::kStoreRestoreGrace, older records are not applied.
+  void OnStoreRestored();
+
+  /// Returns which versions the next call of `service` may go to; empty if the
+  /// service is not restricted. `first_attempt` is false for retries and
+  /// hedges.
+  std::optional<VersionPermit> Permit(const std::string& service,
+                                      bool first_attempt) const;
+
+  /// Records that a call to the leaf is sent. To be called for each call.
+  void OnSent(const LeafRecord& leaf);
+  /// Records the end of a call that was passed to OnSent. To be called once for
+  /// each call. Returns how the answer counts.
+  AnswerClass OnEnded(const LeafRecord& leaf, const EndedCall& call);
+
+  /// Returns the reports that are due now, and applies what waited for the end
+  /// of a grace period. To be called at least every 100 ms. Each report goes to
+  /// the first two hosts of RankArbiters that accept it.
+  std::vector<VersionShiftReport> DueReports();
+  /// Handles the answer of a host to a report. In kFull, a report is repeated
+  /// until an arbiter has accepted it.
+  void OnReportAnswer(const VersionReportAnswer& answer);
+
+  /// Returns the status in force for a service, which may be newer than the
+  /// store's; null if there is none.
+  const VersionShiftStatus* Status(const std::string& service) const;
+  std::vector<VersionShiftGauges> Gauges() const;
+
+ private:
+  class Shift;
+
+  Shift& Ensure(const std::string& service);
+
+  const base::Clock& clock_;
+  const std::string self_;
+  const std::uint64_t incarnation_;
+  ExposureLimits limits_;
+  std::vector<std::string> hosts_;
+  std::map<std::string, std::unique_ptr<Shift>> shifts_;
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace berylreach::forward
