--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "berylreach/gateway/leaf_connections.h"
 #include "berylreach/gateway/request_metrics.h"
 #include "berylreach/gateway/server_connection.h"
+#include "berylreach/gateway/version_reporting.h"
 #include "berylreach/limits/admission.h"
 
 namespace berylreach::gateway {
@@ -71,6 +72,11 @@
   void MergeSuspect(const model::SuspectEntry& entry);
   const forward::RequestQuarantine& quarantine() const { return quarantine_; }
 
+  /// This host's part in the version shifts of services.
+  VersionReporting& version_reporting() { return version_reporting_; }
+  /// The longest timeout of the routes that use the service; zero if none does.
+  std::chrono::milliseconds LongestTimeout(const std::string& service) const;
+
   /// Begins a planned stop; `on_stopped` is called when it is complete.
   void Stop(std::function<void()> on_stopped);
 
@@ -105,6 +111,10 @@
     /// running; see forward::LostCall.
     bool sole_call = false;
     base::TimePoint sent{};
+    /// What the end of a leaf call is counted with during a version shift.
+    std::string route;
+    bool was_cold = false;
+    bool is_suspect = false;
   };
   /// A health check of a leaf that may have crashed.
   struct HealthCheck {
@@ -242,6 +252,17 @@
   /// Runs everything that is checked at a fixed interval, such as timeouts of
   /// connections.
   void RunPeriodicTasks();
+  /// Passes the end of a leaf call to the version shifts. `reply` is null if
+  /// there was no response.
+  void ObserveEndedCall(const RunningCall& running,
+                        forward::CallOutcome outcome,
+                        const forward::LeafReply* reply);
+  /// Sends an encoded version report to another host.
+  std::optional<forward::CallId> SendVersionReport(const std::string& host,
+                                                   const std::string& body);
+  /// Handles a version report that another host sends.
+  void OnVersionReport(ServerConnection& connection,
+                       const HttpRequest& request);
   /// Opens connections ahead of calls, to leaves of recently used shards and to
   /// other hosts.
   void WarmConnections();
@@ -295,6 +316,7 @@
   std::unordered_map<std::string, base::TimePoint> last_shard_call_;
   base::TimePoint warmed_at_{};
   LeafConnections leaf_connections_;
+  VersionReporting version_reporting_;
   base::WakeupQueue<std::uint64_t> wakeups_;
   boost::asio::steady_timer timer_;
   /// When timer_ expires; a time in the past if it is not armed.
--- a/gateway/include/berylreach/gateway/gateway_settings.h
+++ b/gateway/include/berylreach/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 #include "berylreach/forward/cold_call_limit.h"
 #include "berylreach/forward/extra_call_budget.h"
 #include "berylreach/forward/leaf_directory.h"
+#include "berylreach/forward/version_shift.h"
 #include "berylreach/gateway/wire_names.h"
 
 namespace berylreach::gateway {
@@ -24,6 +25,8 @@
   forward::Location location;
   forward::ExtraCallLimits extra_calls;
   forward::ColdCallLimits cold_calls;
+  /// Bounds on what a version may get before it is known to be good.
+  forward::ExposureLimits exposure;
   /// Time between SIGTERM and SIGKILL, within which the process must exit.
   std::chrono::milliseconds stop_grace{6000};
   /// Number of CPU cores that the host may use; may be fractional.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -107,10 +107,16 @@
             OnGroupProgress(call, response);
           },
           [this](const std::string& peer) { MarkDoubtful(peer); }),
+      version_reporting_(
+          clock, settings_.host, settings_.exposure,
+          [this](const std::string& host, const std::string& body) {
+            return SendVersionReport(host, body);
+          }),
       timer_(io),
       periodic_timer_(io),
       last_active_at_(clock.Now()) {
   ObserveDirectory();
+  selector_.SetVersionShifts(&version_reporting_.shifts());
   planner_.SetReachable([this](const forward::LeafRecord& host) {
     return leaf_connections_.IsReachable(host.entry().id);
   });
@@ -143,6 +149,7 @@
 void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
   std::vector<std::string> names;
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
+  version_reporting_.SetHosts(names);
   cold_call_limit_.SetHosts(settings_.host, std::move(names));
   leaf_rate_limit_.SetHosts(settings_.host, settings_.location, hosts);
   host::LogStateChange("hosts", std::to_string(hosts.size()), "");
@@ -265,6 +272,7 @@
   directory_.Tick();
   cold_call_limit_.Tick();
   leaf_rate_limit_.Tick(clock_.Now());
+  version_reporting_.Tick();
   ReportUnansweredCalls();
   forward::RequestQuarantine::Actions actions;
   quarantine_.Tick(actions);
@@ -380,6 +388,7 @@
   add("leaves", directory_.size());
   add("log_lines_dropped_total", host::DroppedLogLines());
   metrics_.AppendTo(text);
+  version_reporting_.AppendTo(text);
   return text;
 }
 
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -5,6 +5,7 @@
 #include "berylreach/gateway/gateway.h"
 #include "berylreach/gateway/group_codec.h"
 #include "berylreach/gateway/suspect_codec.h"
+#include "berylreach/gateway/version_report_codec.h"
 #include "berylreach/host/log.h"
 #include "group_field.h"
 
@@ -67,6 +68,10 @@
     OnSuspectNotification(connection, request);
     return;
   }
+  if (request.target == kVersionReportPath) {
+    OnVersionReport(connection, request);
+    return;
+  }
   const auto header = ParseGroupHeader(request.fields.Find(kGroupField));
   const forward::Route* route = nullptr;
   // A route table of another version is suitable too if the digest of its route
--- a/gateway/lib/gateway_requests.cc
+++ b/gateway/lib/gateway_requests.cc
@@ -217,11 +217,16 @@
   call.bytes = FormatCall(
       caller, action.deadline,
       settings_.names.expected_leaf + ": " + action.leaf->entry().id + "\r\n");
-  calls_[action.call] = {.request = id,
-                         .callee = action.leaf,
-                         .request_id = caller.id,
-                         .sole_call = action.sole_call,
-                         .sent = action.sent};
+  calls_[action.call] = {
+      .request = id,
+      .callee = action.leaf,
+      .request_id = caller.id,
+      .sole_call = action.sole_call,
+      .sent = action.sent,
+      .route = request.run->route().name,
+      .was_cold = action.leaf->IsCold(action.sent),
+      .is_suspect = action.sole_call || request.probed_first ||
+                    !quarantine_.MayRunForOthers(caller.fingerprint)};
   if (request.run->route().scatters())
     last_shard_call_[action.leaf->entry().service] = action.sent;
   leaf_connections_.Start(*action.leaf, std::move(call));
@@ -250,6 +255,7 @@
     OnHealthCheckDone(check.mapped(), result);
     return;
   }
+  if (version_reporting_.OnCallDone(call, result)) return;
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
   const RunningCall running = std::move(found->second);
@@ -294,6 +300,7 @@
     }
     if (!reply.wrong_incarnation)
       ObserveLeaf(leaf, forward::LeafSign::kAnswered, running.sent);
+    ObserveEndedCall(running, outcome, &reply);
     leaf.OnCallEnded(running.sent, now, outcome);
     LogBackOff(leaf, was_backed_off, running.request_id);
     if (request == requests_.end()) return;
@@ -302,6 +309,7 @@
     const auto failure = std::get<forward::CallFailure>(result);
     if (failure != forward::CallFailure::kWithdrawn) ++counters_.leaf_failures;
     if (failure == forward::CallFailure::kMayHaveRun) OnCallLost(running);
+    ObserveEndedCall(running, OutcomeOf(failure), nullptr);
     leaf.OnCallEnded(running.sent, now, OutcomeOf(failure));
     LogBackOff(leaf, was_backed_off, running.request_id);
     if (request == requests_.end()) return;
@@ -408,6 +416,7 @@
   const RunningCall running = std::move(found->second);
   calls_.erase(found);
   leaf_connections_.Cancel(call);
+  if (!running.is_group) ObserveEndedCall(running, outcome, nullptr);
   running.callee->OnCallEnded(running.sent, clock_.Now(), outcome);
 }
 
--- a/gateway/lib/peer_server.cc
+++ b/gateway/lib/peer_server.cc
@@ -1,8 +1,11 @@
 // Accepts connections of other hosts, with limits of their own.
 #include "peer_server.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "berylreach/gateway/version_report_codec.h"
+
 namespace berylreach::gateway {
 namespace {
 
@@ -22,6 +25,8 @@
       listener_(io, address, [this](boost::asio::ip::tcp::socket socket) {
         forward::CallerLimits limits = gateway_.Limits();
         limits.max_header_bytes += kExtraHeaderBytes;
+        limits.max_body_bytes =
+            std::max(limits.max_body_bytes, kMaxVersionReportBytes);
         limits.idle_timeout = kIdleTimeout;
         gateway_.AddConnection(std::make_shared<ServerConnection>(
             std::move(socket), *this, gateway_.clock_, limits));
