--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,9 +16,10 @@
 compiler=(clang++)
 if command -v ccache >/dev/null; then compiler=(ccache clang++); fi
 
-for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,suspect}_codec.cc \
+for source in base/lib/*.cc model/lib/*.cc config/lib/*.cc gateway/lib/{feed,group,suspect,version_report}_codec.cc \
   gateway/lib/{endpoint_address,request_fingerprint,http_message}.cc \
-  platform/lib/{codec,platform_settings,store_page}.cc forward/lib/{leaf_directory,leaf_record}.cc; do
+  platform/lib/{codec,platform_settings,store_page,version_shift_codec}.cc \
+  forward/lib/{leaf_directory,leaf_record,version_shift}.cc; do
   object="$out/$(echo "$source" | tr / -).o"
   echo "$source $object"
 done >"$out/sources.txt"
@@ -66,6 +67,11 @@
   printf '5{"revision":1,"whole":true,"changes":[{"key":"a","value":"aGk="}]}' >"$values/feed"
   printf '6{"fingerprint":"000000000000001f","state":"blocked","ended_leaves":2,"expires_in_ms":600000}' >"$values/suspect"
   printf '7{"version":1,"digest":2,"shards":[0,3],"allowed_missing":1,"partial_in_ms":80}' >"$values/group"
+  printf '8{"service":"s","target_version":"v2","duration_s":20}' >"$values/shift_order"
+  printf '9{"service":"s","state":"running","stage":"load","target_version":"v2","order_era":1,"order_revision":2,"step":3,"elapsed_ms":4,"duration_ms":20000,"writer":"h","cause":"","withheld":["v1"]}' \
+    >"$values/shift_status"
+  printf ':{"host":"h","incarnation":1,"sequence":2,"service":"s","target_version":"v2","order_era":1,"order_revision":2,"step":3,"state":"running","stage":"full","elapsed_ms":4,"old_calls_running":true,"rows":[{"route":"r","zone":"z","leaf":"l","calls":3,"failed":1,"slow":1}]}' \
+    >"$values/version_report"
 }
 
 write_seeds
