Decide version shifts of services

A host permits calls to the target version within its part of the exposure limit, classifies answers and reports cumulative counts. The arbiter judges the sums by a sequential test and writes the steps of the shift. Without an order and a status, or without VersionShifts, LeafSelector selects as before.

--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "berylreach/forward/leaf_directory.h"
 #include "berylreach/forward/leaf_rate_limit.h"
 #include "berylreach/forward/service_shares.h"
+#include "berylreach/forward/version_permit.h"
 
 namespace berylreach::forward {
 
@@ -92,6 +94,19 @@
   /// Time until the leaf permits a call by its statements; zero if soon.
   base::Duration StatedPauseLeft(const LeafRecord& leaf,
                                  base::TimePoint now) const;
+  /// What the version shift of the service permits; empty if there is none.
+  std::optional<VersionPermit> PermitFor(const LeafQuery& query,
+                                         bool first_attempt) const;
+  /// As Choose, among the leaves that meet `condition`.
+  template <typename Condition>
+  std::shared_ptr<LeafRecord> ChooseAmong(const LeafQuery& query,
+                                          Condition condition) const;
+  std::shared_ptr<LeafRecord> ChoosePermitted(
+      const LeafQuery& query, const VersionPermit& permit) const;
+  /// Whether all listed leaves are of versions that may be used only if no
+  /// other is listed, or not at all.
+  bool IsOnlyLastResortListed(const LeafQuery& query,
+                              const VersionPermit& permit) const;
   template <typename Condition>
   bool AnyLeaf(const LeafQuery& query, Condition condition) const;
 
--- a/forward/include/berylreach/forward/version_judge.h
+++ b/forward/include/berylreach/forward/version_judge.h
@@ -4,40 +4,15 @@
 
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "berylreach/base/clock.h"
-#include "berylreach/forward/version_shift.h"
+#include "berylreach/forward/version_totals.h"
 
 namespace berylreach::forward {
 
 enum class VersionVerdict { kUndecided, kGood, kBad };
 
-/// Counts of all answers, by route and leaf for the target version and by route
-/// and zone for the other versions.
-class VersionTotals {
- public:
-  /// Route and leaf, or route and zone.
-  using Key = std::pair<std::string, std::string>;
-
-  struct TargetCounts {
-    std::string zone;
-    VersionCounts counts;
-  };
-
-  void Add(const VersionCountsRow& row);
-
-  const std::map<Key, TargetCounts>& target() const { return target_; }
-  const std::map<Key, VersionCounts>& others() const { return others_; }
-  VersionCounts TargetSum() const;
-  VersionCounts OthersSum() const;
-
- private:
-  std::map<Key, TargetCounts> target_;
-  std::map<Key, VersionCounts> others_;
-};
-
 /// Judges the target version by the bad answers that it gives beyond the rate
 /// of the other versions on the same route, in the same zone and at the same
 /// time. Runs a sequential probability ratio test that restarts at its lower
@@ -53,8 +28,10 @@
 
   /// Compares the answers since the previous window. `totals` are cumulative.
   /// `others_in_use` is false once all calls go to the target version, so that
-  /// there is no comparison at the same time.
-  void Update(const VersionTotals& totals, bool others_in_use);
+  /// there is no comparison at the same time. `target_leaves` is the number of
+  /// listed leaves of the target version.
+  void Update(const VersionTotals& totals, bool others_in_use,
+              std::size_t target_leaves);
 
   /// The verdict of the sequential test. kBad is final.
   VersionVerdict verdict() const { return verdict_; }
@@ -76,7 +53,8 @@
   /// zone each.
   struct Test {
     double sum = 0;
-    double lowest = 0;
+    /// As `sum`, but without restarts.
+    double total = 0;
     std::map<std::string, double> without_leaf;
     std::map<std::string, double> without_zone;
   };
@@ -84,7 +62,10 @@
   static void Accumulate(Test& test, const std::vector<LeafEvidence>& window);
   /// Whether the evidence exceeds `bound`, and does not come from one leaf or
   /// one zone alone.
-  static bool Exceeds(const Test& test, double bound);
+  bool Exceeds(const Test& test, double bound) const;
+  /// Log-likelihood ratio of the answers of a leaf in the present window.
+  static double Ratio(const VersionCounts& counts, double expected_rate);
+  void TestForBad();
   /// Rate of bad answers that is expected of a good target version.
   double ExpectedRate(const VersionTotals& totals, const std::string& route,
                       const std::string& zone, bool others_in_use) const;
@@ -92,6 +73,7 @@
   const base::Clock& clock_;
   base::TimePoint window_start_{};
   VersionTotals previous_;
+  std::size_t target_leaves_ = 0;
   std::map<std::string, Test> by_route_;
   Test all_;
   VersionVerdict verdict_ = VersionVerdict::kUndecided;
--- a/forward/include/berylreach/forward/version_permit.h
+++ b/forward/include/berylreach/forward/version_permit.h
@@ -25,8 +25,6 @@
   const std::vector<std::string>* withheld = nullptr;
   VersionUse target = VersionUse::kAllowed;
   VersionUse others = VersionUse::kAllowed;
-  /// A version, besides the target, that no call may go to; null if none.
-  const std::string* refused = nullptr;
 
   VersionUse UseOf(const std::string& version) const;
 };
--- a/forward/include/berylreach/forward/version_shifts.h
+++ b/forward/include/berylreach/forward/version_shifts.h
@@ -7,56 +7,18 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/leaf_record.h"
-#include "berylreach/forward/version_judge.h"
 #include "berylreach/forward/version_permit.h"
 #include "berylreach/forward/version_shift.h"
+#include "berylreach/forward/version_shift_events.h"
 
 namespace berylreach::forward {
 
-/// How a host has got a record of the store.
-enum class RecordSource {
-  /// With a complete listing, which shows no changes.
-  kListing,
-  /// As a change.
-  kChange,
-};
-
-/// How a leaf's answer counts.
-enum class AnswerClass { kGood, kFailed, kSlow, kNotCounted };
-
-/// The end of a call to a leaf.
-struct EndedCall {
-  /// Name of the route.
-  std::string route;
-  CallOutcome outcome = CallOutcome::kAnswered;
-  /// Time from the sending of the call until its end.
-  base::Duration latency{};
-  /// Whether the leaf was cold when the call was sent.
-  bool was_cold = false;
-  /// Whether the leaf has sent something that is no valid answer. Counts as
-  /// failed, also if the outcome is kLost.
-  bool broken_answer = false;
-  /// Whether the request is suspected of crashing leaves. Not counted.
-  bool suspect = false;
-};
-
-/// Gauges of one service's shift on this host.
-struct VersionShiftGauges {
-  std::string service;
-  std::string target_version;
-  /// The status in force; empty if there is none.
-  std::optional<VersionShiftStatus> status;
-  std::uint64_t target_calls_sent = 0;
-  std::uint64_t other_calls_sent = 0;
-  VersionCounts target;
-  VersionCounts others;
-  /// Whether this host's own counts have made it stop using the target.
-  bool stopped_here = false;
-};
+class ServiceShift;
 
 /// Decides which versions the calls of services may go to, within this host's
 /// part of the exposure limit, and counts the answers. Services without an
@@ -114,16 +76,19 @@
   std::vector<VersionShiftGauges> Gauges() const;
 
  private:
-  class Shift;
-
-  Shift& Ensure(const std::string& service);
+  ServiceShift& Ensure(const std::string& service);
+  bool HasOldCalls(const std::string& service,
+                   const std::string& target_version) const;
 
   const base::Clock& clock_;
   const std::string self_;
   const std::uint64_t incarnation_;
   ExposureLimits limits_;
   std::vector<std::string> hosts_;
-  std::map<std::string, std::unique_ptr<Shift>> shifts_;
+  std::map<std::string, std::unique_ptr<ServiceShift>> shifts_;
+  /// Number of running calls by service and version, also of services without
+  /// a shift: calls that were sent before an order may outlast the shift.
+  std::unordered_map<std::string, std::map<std::string, std::size_t>> running_;
   std::uint64_t sequence_ = 0;
 };
 
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -7,6 +7,7 @@
 
 #include "berylreach/base/hash.h"
 #include "berylreach/base/rendezvous.h"
+#include "berylreach/forward/version_shifts.h"
 
 namespace berylreach::forward {
 namespace {
@@ -46,6 +47,15 @@
          Contains(query.regions, leaf.region());
 }
 
+/// Whether a call may go to the leaf. `last_resort` tells whether no leaf of a
+/// version other than those of last resort is listed.
+bool MayUse(const VersionPermit& permit, const LeafRecord& leaf,
+            bool last_resort) {
+  const VersionUse use = permit.UseOf(leaf.entry().version);
+  if (use == VersionUse::kIfNoOtherListed) return last_resort;
+  return use != VersionUse::kNever;
+}
+
 }  // namespace
 
 base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
@@ -69,12 +79,62 @@
       shares_(shares) {}
 
 std::shared_ptr<LeafRecord> LeafSelector::Choose(const LeafQuery& query) const {
+  const auto permit = PermitFor(query, query.may_be_trial);
+  if (!permit)
+    return ChooseAmong(query, [](const LeafRecord&) { return true; });
+  return ChoosePermitted(query, *permit);
+}
+
+std::shared_ptr<LeafRecord> LeafSelector::ChoosePermitted(
+    const LeafQuery& query, const VersionPermit& permit) const {
+  const base::TimePoint now = clock_.Now();
+  const auto choose = [&](VersionUse use, bool healthy_only) {
+    return ChooseAmong(query, [&](const LeafRecord& leaf) {
+      return permit.UseOf(leaf.entry().version) == use &&
+             !(healthy_only &&
+               (leaf.IsBackedOff(now) || leaf.HasOverdueCall(now)));
+    });
+  };
+  // While other versions are in use, a leaf of the target is not called if it
+  // does not answer: the call would say little about the version.
+  const bool has_others = permit.others == VersionUse::kAllowed;
+  auto leaf = choose(VersionUse::kPreferred, has_others);
+  if (leaf == nullptr) leaf = choose(VersionUse::kAllowed, false);
+  if (leaf == nullptr && has_others)
+    leaf = choose(VersionUse::kPreferred, false);
+  if (leaf == nullptr) leaf = choose(VersionUse::kIfNoOtherCallable, false);
+  if (leaf != nullptr || !IsOnlyLastResortListed(query, permit)) return leaf;
+  return choose(VersionUse::kIfNoOtherListed, false);
+}
+
+bool LeafSelector::IsOnlyLastResortListed(const LeafQuery& query,
+                                          const VersionPermit& permit) const {
+  bool only = true;
+  directory_.ForEachUsable(
+      query.service->name, [&](const std::shared_ptr<LeafRecord>& leaf) {
+        const VersionUse use = permit.UseOf(leaf->entry().version);
+        only = only && (use == VersionUse::kIfNoOtherListed ||
+                        use == VersionUse::kNever);
+      });
+  return only;
+}
+
+std::optional<VersionPermit> LeafSelector::PermitFor(const LeafQuery& query,
+                                                     bool first_attempt) const {
+  if (shifts_ == nullptr) return std::nullopt;
+  return shifts_->Permit(query.service->name, first_attempt);
+}
+
+template <typename Condition>
+std::shared_ptr<LeafRecord> LeafSelector::ChooseAmong(
+    const LeafQuery& query, Condition condition) const {
   const base::TimePoint now = clock_.Now();
   const std::size_t connections = ConnectionShare(*query.service);
   std::shared_ptr<LeafRecord> best;
   std::shared_ptr<LeafRecord> trial;
   auto best_cost = base::Duration::max();
   const auto consider = [&](const std::shared_ptr<LeafRecord>& leaf) {
+    if (!condition(*leaf)) return;
     if (!IsAllowedRegion(query, *leaf)) return;
     if (Contains(query.tried, leaf->entry().id)) return;
     if (leaf->running() >= connections || !leaf->AcceptsCall(now)) return;
@@ -103,6 +163,7 @@
   leaf.OnCallSent(now);
   if (leaf.IsCold(now)) cold_.OnCall(leaf.entry().id);
   if (leaf.rate_limit()) rate_.OnCall(leaf, now);
+  if (shifts_ != nullptr) shifts_->OnSent(leaf);
 }
 
 bool LeafSelector::HasUnpausedLeaf(const LeafQuery& query) const {
@@ -141,11 +202,14 @@
 
 template <typename Condition>
 bool LeafSelector::AnyLeaf(const LeafQuery& query, Condition condition) const {
+  const auto permit = PermitFor(query, false);
+  const bool last_resort = permit && IsOnlyLastResortListed(query, *permit);
   bool any = false;
   directory_.ForEachUsable(
       query.service->name, [&](const std::shared_ptr<LeafRecord>& leaf) {
         any = any ||
-              (IsAllowedRegion(query, *leaf) &&
+              ((!permit || MayUse(*permit, *leaf, last_resort)) &&
+               IsAllowedRegion(query, *leaf) &&
                !Contains(query.tried, leaf->entry().id) && condition(*leaf));
       });
   return any;
