--- a/gateway/unittests/version_reporting_test.cc
+++ b/gateway/unittests/version_reporting_test.cc
@@ -175,6 +175,11 @@
       "o",
       forward::VersionShiftOrder{"o", "v2", std::chrono::milliseconds(60000)},
       forward::RecordSource::kChange);
+  gateway->version_reporting().shifts().ApplyStatus(
+      "o", forward::VersionShiftStatus{.service = "o",
+                                       .target_version = "v2",
+                                       .order = {.era = 1, .revision = 2},
+                                       .step = 1});
   leaves_["o"].response = Response(500, "X-Sig: sigo\r\n", "failed");
   RawClient client(io_, callers_["near"]);
   client.Send(
