--- a/gateway/include/berylreach/gateway/version_reporting.h
+++ b/gateway/include/berylreach/gateway/version_reporting.h
@@ -18,13 +18,21 @@
 
 namespace berylreach::gateway {
 
-/// Messages about reports since the start of the process.
-struct VersionReportCounters {
-  std::uint64_t sent = 0;
+/// Messages about version shifts and calls to the store for them since the
+/// start of the process.
+struct VersionShiftCounters {
+  std::uint64_t reports_sent = 0;
   /// Sent, and not accepted by the other host or not answered.
-  std::uint64_t not_accepted = 0;
-  std::uint64_t received = 0;
-  std::uint64_t malformed = 0;
+  std::uint64_t reports_not_accepted = 0;
+  std::uint64_t reports_received = 0;
+  std::uint64_t reports_malformed = 0;
+  std::uint64_t reads = 0;
+  std::uint64_t failed_reads = 0;
+  std::uint64_t writes = 0;
+  /// Refused by the store, since the order or the status had changed.
+  std::uint64_t refused_writes = 0;
+  /// Not answered, or answered by an error.
+  std::uint64_t lost_writes = 0;
 };
 
 /// Sends the reports of forward::VersionShifts to the first hosts by rank that
@@ -52,6 +60,8 @@
   /// accepts none.
   void SetArbiter(Arbiter arbiter) { arbiter_ = std::move(arbiter); }
 
+  VersionShiftCounters& counters() { return counters_; }
+
   /// Records the end of a call that was sent to a leaf.
   void OnCallEnded(const forward::LeafRecord& leaf,
                    const forward::EndedCall& call) {
@@ -97,7 +107,7 @@
   std::vector<std::string> hosts_;
   /// The first hosts by rank, by service.
   std::map<std::string, std::vector<std::string>> arbiters_;
-  /// Hosts that have not answered a report are asked last until then.
+  /// Hosts that have not answered a report are not asked until then.
   std::map<std::string, base::TimePoint> avoid_until_;
   /// Deliveries that wait for the answer of a host, by call.
   struct PendingCall {
@@ -111,7 +121,7 @@
     bool stopped_here = false;
   };
   std::map<std::string, LoggedState> logged_;
-  VersionReportCounters counters_;
+  VersionShiftCounters counters_;
 };
 
 }  // namespace berylreach::gateway
--- a/gateway/lib/version_reporting.cc
+++ b/gateway/lib/version_reporting.cc
@@ -95,7 +95,7 @@
   }
   const auto call = send_(host, delivery->body);
   if (!call) return false;
-  ++counters_.sent;
+  ++counters_.reports_sent;
   pending_[*call] = {host, delivery};
   return true;
 }
@@ -111,7 +111,7 @@
                           : std::nullopt;
   if (answer) shifts_.OnReportAnswer(*answer);
   if (answer && answer->accepted) return true;
-  ++counters_.not_accepted;
+  ++counters_.reports_not_accepted;
   if (!answer) avoid_until_[pending.host] = clock_.Now() + kAvoidTime;
   ++pending.delivery->needed;
   Deliver(pending.delivery);
@@ -121,10 +121,10 @@
 std::optional<std::string> VersionReporting::OnReport(std::string_view body) {
   const auto report = ParseVersionReport(body);
   if (!report) {
-    ++counters_.malformed;
+    ++counters_.reports_malformed;
     return std::nullopt;
   }
-  ++counters_.received;
+  ++counters_.reports_received;
   return FormatVersionReportAnswer(Judge(*report));
 }
 
@@ -209,10 +209,15 @@
         status.step);
   }
   add("shifts", "", all.size());
-  add("reports_sent_total", "", counters_.sent);
-  add("reports_not_accepted_total", "", counters_.not_accepted);
-  add("reports_received_total", "", counters_.received);
-  add("reports_malformed_total", "", counters_.malformed);
+  add("reports_sent_total", "", counters_.reports_sent);
+  add("reports_not_accepted_total", "", counters_.reports_not_accepted);
+  add("reports_received_total", "", counters_.reports_received);
+  add("reports_malformed_total", "", counters_.reports_malformed);
+  add("shift_reads_total", "", counters_.reads);
+  add("shift_failed_reads_total", "", counters_.failed_reads);
+  add("shift_writes_total", "", counters_.writes);
+  add("shift_refused_writes_total", "", counters_.refused_writes);
+  add("shift_lost_writes_total", "", counters_.lost_writes);
 }
 
 }  // namespace berylreach::gateway
