--- a/forward/include/berylreach/forward/service_shift.h
+++ b/forward/include/berylreach/forward/service_shift.h
@@ -24,7 +24,9 @@
 /// the target version, and counts the answers. Not thread-safe.
 class ServiceShift {
  public:
-  ServiceShift(const base::Clock& clock, std::string service);
+  /// `slowness` is the estimate for the service; it must outlive this object.
+  ServiceShift(const base::Clock& clock, std::string service,
+               const SlownessEstimate& slowness);
 
   /// Applies the order. `slack_part` is this host's part of the slack.
   void ApplyOrder(std::optional<VersionShiftOrder> order, RecordSource source,
@@ -80,6 +82,7 @@
 
   const base::Clock& clock_;
   const std::string service_;
+  const SlownessEstimate& slowness_;
   std::optional<VersionShiftOrder> order_;
   /// When this host saw the order being written; empty if it did not.
   std::optional<base::TimePoint> order_seen_at_;
@@ -97,7 +100,6 @@
   /// its slack again.
   std::map<std::string, ExposureLimit> limits_;
   double slack_part_ = 0;
-  SlownessEstimate slowness_;
   /// When a leaf of the zone last answered.
   std::map<std::string, base::TimePoint> answered_at_;
   VersionTotals totals_;
--- a/forward/include/berylreach/forward/version_shifts.h
+++ b/forward/include/berylreach/forward/version_shifts.h
@@ -12,6 +12,7 @@
 
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/leaf_record.h"
+#include "berylreach/forward/slowness_estimate.h"
 #include "berylreach/forward/version_permit.h"
 #include "berylreach/forward/version_shift.h"
 #include "berylreach/forward/version_shift_events.h"
@@ -86,9 +87,16 @@
   ExposureLimits limits_;
   std::vector<std::string> hosts_;
   std::map<std::string, std::unique_ptr<ServiceShift>> shifts_;
-  /// Number of running calls by service and version, also of services without
-  /// a shift: calls that were sent before an order may outlast the shift.
-  std::unordered_map<std::string, std::map<std::string, std::size_t>> running_;
+  /// Calls and latencies of a service, also without a shift: calls that were
+  /// sent before an order may outlast it, and hosts with few calls need long to
+  /// estimate what is slow.
+  struct ServiceCalls {
+    /// Number of running calls by version.
+    std::map<std::string, std::size_t> running;
+    SlownessEstimate slowness;
+  };
+
+  std::unordered_map<std::string, ServiceCalls> calls_;
   std::uint64_t sequence_ = 0;
 };
 
--- a/forward/lib/service_shift.cc
+++ b/forward/lib/service_shift.cc
@@ -20,9 +20,11 @@
 
 }  // namespace
 
-ServiceShift::ServiceShift(const base::Clock& clock, std::string service)
+ServiceShift::ServiceShift(const base::Clock& clock, std::string service,
+                           const SlownessEstimate& slowness)
     : clock_(clock),
       service_(std::move(service)),
+      slowness_(slowness),
       judge_(std::make_unique<VersionJudge>(clock)) {}
 
 void ServiceShift::ApplyOrder(std::optional<VersionShiftOrder> order,
@@ -199,10 +201,6 @@
   }
   const AnswerClass kind = Classify(leaf, call);
   if (kind != AnswerClass::kNotCounted) Count(leaf, call, kind);
-  if (!is_target && call.outcome == CallOutcome::kAnswered && !call.was_cold &&
-      !call.suspect)
-    slowness_.OnAnswer(call.route, leaf.entry().zone, leaf.distance(),
-                       call.latency);
   return kind;
 }
 
--- a/forward/lib/shift_step.cc
+++ b/forward/lib/shift_step.cc
@@ -128,8 +128,6 @@
     return RolledBack(status, *cause);
   if (status.stage == ShiftStage::kFull) {
     if (!now.settled || now.target_listed == 0) return std::nullopt;
-    if (now.final_verdict == VersionVerdict::kBad)
-      return RolledBack(status, "bad answers after the observation");
     return Draft(status, ShiftState::kComplete, ShiftStage::kFull,
                  "all hosts use the version");
   }
--- a/forward/lib/version_shifts.cc
+++ b/forward/lib/version_shifts.cc
@@ -21,7 +21,9 @@
 
 ServiceShift& VersionShifts::Ensure(const std::string& service) {
   std::unique_ptr<ServiceShift>& shift = shifts_[service];
-  if (shift == nullptr) shift = std::make_unique<ServiceShift>(clock_, service);
+  if (shift == nullptr)
+    shift = std::make_unique<ServiceShift>(clock_, service,
+                                           calls_[service].slowness);
   return *shift;
 }
 
@@ -59,7 +61,7 @@
 
 void VersionShifts::OnSent(const LeafRecord& leaf) {
   const LeafEntry& entry = leaf.entry();
-  ++running_[entry.service][entry.version];
+  ++calls_[entry.service].running[entry.version];
   const auto found = shifts_.find(entry.service);
   if (found != shifts_.end()) found->second->OnSent(entry);
 }
@@ -67,21 +69,30 @@
 AnswerClass VersionShifts::OnEnded(const LeafRecord& leaf,
                                    const EndedCall& call) {
   const LeafEntry& entry = leaf.entry();
-  std::map<std::string, std::size_t>& running = running_[entry.service];
-  const auto calls = running.find(entry.version);
-  if (calls != running.end() && --calls->second == 0) running.erase(calls);
+  ServiceCalls& calls = calls_[entry.service];
+  const auto running = calls.running.find(entry.version);
+  if (running != calls.running.end() && --running->second == 0)
+    calls.running.erase(running);
   const auto found = shifts_.find(entry.service);
-  if (found == shifts_.end()) return AnswerClass::kNotCounted;
-  return found->second->OnEnded(leaf, call);
+  ServiceShift* shift = found == shifts_.end() ? nullptr : found->second.get();
+  const AnswerClass kind =
+      shift == nullptr ? AnswerClass::kNotCounted : shift->OnEnded(leaf, call);
+  const bool is_other = shift == nullptr || !shift->IsTarget(entry);
+  if (is_other && call.outcome == CallOutcome::kAnswered && !call.was_cold &&
+      !call.suspect)
+    calls.slowness.OnAnswer(call.route, entry.zone, leaf.distance(),
+                            call.latency);
+  return kind;
 }
 
 bool VersionShifts::HasOldCalls(const std::string& service,
                                 const std::string& target_version) const {
-  const auto found = running_.find(service);
-  return found != running_.end() &&
-         std::any_of(
-             found->second.begin(), found->second.end(),
-             [&](const auto& calls) { return calls.first != target_version; });
+  const auto found = calls_.find(service);
+  if (found == calls_.end()) return false;
+  const auto& running = found->second.running;
+  return std::any_of(
+      running.begin(), running.end(),
+      [&](const auto& calls) { return calls.first != target_version; });
 }
 
 std::vector<VersionShiftReport> VersionShifts::DueReports() {
