--- a/forward/lib/shift_step.cc
+++ b/forward/lib/shift_step.cc
@@ -29,6 +29,17 @@
 /// leaves do not work.
 constexpr std::uint64_t kMinCallsOfOthers = 100;
 
+/// Part of the reserve for which the target is judged in kFull, while the other
+/// versions can still be returned to.
+constexpr double kJudgedReserve = 0.6;
+
+/// Time from the order until the shift may be complete.
+base::Duration CompleteDue(milliseconds duration) {
+  const milliseconds full_due = FullDue(duration);
+  return full_due + std::chrono::duration_cast<base::Duration>(
+                        (duration - full_due) * kJudgedReserve);
+}
+
 VersionShiftStatus Draft(const VersionShiftStatus& status, ShiftState state,
                          ShiftStage stage, std::string cause) {
   VersionShiftStatus draft = status;
@@ -127,7 +138,9 @@
   if (const auto cause = CauseOfRollback(now, is_full_due))
     return RolledBack(status, *cause);
   if (status.stage == ShiftStage::kFull) {
-    if (!now.settled || now.target_listed == 0) return std::nullopt;
+    const bool is_complete_due = now.elapsed >= CompleteDue(status.duration);
+    if (!is_complete_due || !now.settled || now.target_listed == 0)
+      return std::nullopt;
     return Draft(status, ShiftState::kComplete, ShiftStage::kFull,
                  "all hosts use the version");
   }
--- a/forward/unittests/version_shift/version_judge_test.cc
+++ b/forward/unittests/version_shift/version_judge_test.cc
@@ -86,15 +86,16 @@
   };
 }
 
-class VersionDetectionTest : public testing::TestWithParam<std::size_t> {};
+/// Fleet size and calls per second.
+class VersionDetectionTest
+    : public testing::TestWithParam<std::tuple<std::size_t, double>> {};
 
 // Fails if a bad version is not rolled back before the rollback time, or is
 // completed.
 TEST_P(VersionDetectionTest, RollsBackInTime) {
   for (Fault fault : Faults()) {
-    fault.conditions.hosts = GetParam();
-    fault.conditions.rate =
-        std::max<double>(60, 3 * static_cast<double>(fault.conditions.hosts));
+    fault.conditions.hosts = std::get<0>(GetParam());
+    fault.conditions.rate = std::get<1>(GetParam());
     fault.conditions.duration = seconds(60);
     std::uint64_t most_bad = 0;
     base::Duration longest{};
@@ -104,7 +105,7 @@
     for (int seed = 0; seed < kSeeds; ++seed) {
       ShiftSimulation simulation(fault.conditions,
                                  static_cast<std::uint64_t>(seed));
-      simulation.RunFor(seconds(10));
+      simulation.RunFor(seconds(60));
       simulation.Order();
       simulation.RunFor(seconds(64));
       EXPECT_TRUE(simulation.violations.empty());
@@ -116,7 +117,8 @@
         longest = std::max(
             longest, simulation.last_target_call - *simulation.bad_50th_at);
     }
-    std::cout << "detection hosts=" << GetParam() << " " << fault.name
+    std::cout << "detection hosts=" << fault.conditions.hosts
+              << " rate=" << fault.conditions.rate << " " << fault.name
               << ": rolled back " << rolled_back << " of " << kSeeds
               << ", in full " << in_full << ", bad answers at the verdict "
               << most_bad << ", 50th bad answer to last call "
@@ -128,7 +130,11 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, VersionDetectionTest,
-                         testing::Values(6, 70, 200));
+                         testing::Values(std::tuple{6, 60.0},
+                                         std::tuple{70, 60.0},
+                                         std::tuple{70, 600.0},
+                                         std::tuple{200, 60.0},
+                                         std::tuple{200, 600.0}));
 
 /// Feeds a judge with answers of six leaves in three zones. The other version
 /// gets nine times as many calls.
