--- a/forward/unittests/version_shift/shift_simulation.cc
+++ b/forward/unittests/version_shift/shift_simulation.cc
@@ -333,7 +333,12 @@
 SimulatedLeaf* ShiftSimulation::ChooseLeaf(SimulatedShiftHost& host) {
   // A few calls are retries or hedges.
   const auto permit = host.shifts->Permit("s", !Chance(0.05));
-  if (!permit) return ChooseOf([](const std::string&) { return true; });
+  // The new leaves are listed after the order, so a host that does not know the
+  // order does not know them either.
+  if (!permit)
+    return ChooseOf([this](const std::string& version) {
+      return !order || version != "v2";
+    });
   for (const VersionUse use :
        {VersionUse::kPreferred, VersionUse::kAllowed,
         VersionUse::kIfNoOtherCallable, VersionUse::kIfNoOtherListed}) {
