--- a/gateway/lib/gateway_version_shifts.cc
+++ b/gateway/lib/gateway_version_shifts.cc
@@ -14,6 +14,10 @@
 /// Timeout for the answer to a report, after which another host is asked.
 constexpr milliseconds kReportTimeout{300};
 
+/// In larger fleets, an arbiter does not keep the connections open over which
+/// hosts report: one of each host would cost it too much memory.
+constexpr std::size_t kMaxHostsKeptConnected = 200;
+
 /// Whether a response shows that its leaf cannot form a valid answer. A status
 /// that says that the leaf is busy needs no signature.
 bool IsBroken(const forward::LeafReply& reply) {
@@ -83,12 +87,13 @@
                               const HttpRequest& request) {
   const auto answer = version_reporting_.OnReport(request.body);
   const int status = answer ? 200 : 400;
+  const bool keep_alive = HostCount() <= kMaxHostsKeptConnected;
   connection.Respond(
       ResponseBytes(
           status, ReasonOf(status),
           RequestIdLine(request.fields.Find(settings_.names.request_id)),
-          answer.value_or(""), /*keep_alive=*/true),
-      /*keep_alive=*/true);
+          answer.value_or(""), keep_alive),
+      keep_alive);
 }
 
 }  // namespace berylreach::gateway
