--- a/forward/include/berylreach/forward/service_shift.h
+++ b/forward/include/berylreach/forward/service_shift.h
@@ -78,14 +78,13 @@
   AnswerClass Classify(const LeafRecord& leaf, const EndedCall& call) const;
   bool IsSlow(const LeafRecord& leaf, const EndedCall& call) const;
   void Count(const LeafRecord& leaf, const EndedCall& call, AnswerClass kind);
+  /// Time since the order was first handled, if there is a status.
   std::chrono::milliseconds Elapsed() const;
 
   const base::Clock& clock_;
   const std::string service_;
   const SlownessEstimate& slowness_;
   std::optional<VersionShiftOrder> order_;
-  /// When this host saw the order being written; empty if it did not.
-  std::optional<base::TimePoint> order_seen_at_;
   /// The status in force, and the record in the store.
   std::optional<VersionShiftStatus> status_;
   std::optional<VersionShiftStatus> stored_;
--- a/forward/lib/service_arbiter.cc
+++ b/forward/lib/service_arbiter.cc
@@ -66,7 +66,12 @@
                              bool malformed, RecordSource source,
                              Actions& actions) {
   const bool is_same = order == order_ && malformed == malformed_;
-  if (is_same && source == RecordSource::kListing) return;
+  if (is_same && source == RecordSource::kListing) {
+    // The order may have been written again with the same content.
+    Forget();
+    if (order_ && !check_since_) check_since_ = clock_.Now();
+    return;
+  }
   const bool is_other_target =
       !order || !order_ || order->target_version != order_->target_version;
   if (malformed && !(is_same && malformed_))
@@ -138,11 +143,13 @@
     } else if (!IsInGrace()) {
       SetKnown(stored);
     } else {
+      // The store's content is not in force yet.
+      Forget();
       check_since_ = clock_.Now();
       retry_at_ = clock_.Now() + kRetryDelay;
     }
   }
-  maybe_repeated_ = false;
+  maybe_repeated_ = maybe_repeated_ && !records_;
   UpdateGone();
   Tick(actions);
 }
--- a/forward/lib/service_arbiter_steps.cc
+++ b/forward/lib/service_arbiter_steps.cc
@@ -54,10 +54,12 @@
 
 base::Duration ServiceArbiter::Elapsed() const {
   const base::TimePoint now = clock_.Now();
-  base::Duration elapsed = order_ ? now - order_seen_at_ : base::Duration();
-  if (!AnswersOrder()) return elapsed;
-  elapsed = std::max(elapsed, known_->elapsed + (now - known_at_));
-  return std::max(elapsed, evidence_->Elapsed());
+  if (AnswersOrder())
+    return std::max(known_->elapsed + (now - known_at_), evidence_->Elapsed());
+  // If this host has missed that the order was written again, it knows the time
+  // of the former one only.
+  const bool saw_order = !known_ || order_seen_at_ > known_at_;
+  return saw_order ? now - order_seen_at_ : base::Duration::zero();
 }
 
 base::Duration ServiceArbiter::SettleTime() const {
--- a/forward/lib/service_shift.cc
+++ b/forward/lib/service_shift.cc
@@ -33,8 +33,6 @@
   if (source == RecordSource::kListing && order == order_) return;
   const std::string former_target = target_;
   order_ = std::move(order);
-  order_seen_at_.reset();
-  if (order_ && source == RecordSource::kChange) order_seen_at_ = clock_.Now();
   UpdateVersions();
   if (!order_) return;
   if (target_ != former_target)
@@ -102,12 +100,12 @@
     totals_ = VersionTotals();
     judge_ = std::make_unique<VersionJudge>(clock_);
     stopped_at_.reset();
+    changed_ = false;
   }
   status_ = std::move(status);
   status_seen_at_ = clock_.Now();
   confirmed_ = false;
   awaits_answer_ = false;
-  changed_ = false;
   has_left_others_ = false;
   UpdateVersions();
 }
@@ -131,7 +129,11 @@
 }
 
 bool ServiceShift::IsFull() const {
-  return IsRunning() && status_->stage == ShiftStage::kFull;
+  // If the order is withdrawn, other versions are not used before the status
+  // says so: it may be complete already.
+  return status_ && (!order_ || AnswersOrder()) &&
+         status_->state == ShiftState::kRunning &&
+         status_->stage == ShiftStage::kFull;
 }
 
 bool ServiceShift::LacksVerdict() const {
@@ -146,11 +148,12 @@
 VersionUse ServiceShift::TargetUse(bool first_attempt) const {
   if (order_ && !AnswersOrder()) return VersionUse::kNever;
   if (status_->state == ShiftState::kComplete) return VersionUse::kPreferred;
+  if (IsFull())
+    return IsStopped() ? VersionUse::kNever : VersionUse::kPreferred;
   // A withdrawn order is about to be rolled back.
   if (!order_) return VersionUse::kIfNoOtherListed;
   if (status_->state == ShiftState::kRolledBack || IsStopped())
     return VersionUse::kNever;
-  if (IsFull()) return VersionUse::kPreferred;
   const auto limit = limits_.find(target_);
   if (limit == limits_.end() || !limit->second.MayCall())
     return VersionUse::kNever;
@@ -243,11 +246,7 @@
 }
 
 std::chrono::milliseconds ServiceShift::Elapsed() const {
-  std::chrono::milliseconds elapsed{0};
-  if (order_seen_at_) elapsed = Milliseconds(clock_.Now() - *order_seen_at_);
-  if (!status_) return elapsed;
-  return std::max(
-      elapsed, status_->elapsed + Milliseconds(clock_.Now() - status_seen_at_));
+  return status_->elapsed + Milliseconds(clock_.Now() - status_seen_at_);
 }
 
 VersionShiftGauges ServiceShift::Gauges() const {
--- a/forward/lib/version_shifts.cc
+++ b/forward/lib/version_shifts.cc
@@ -90,9 +90,9 @@
   const auto found = calls_.find(service);
   if (found == calls_.end()) return false;
   const auto& running = found->second.running;
-  return std::any_of(
-      running.begin(), running.end(),
-      [&](const auto& calls) { return calls.first != target_version; });
+  return std::any_of(running.begin(), running.end(), [&](const auto& calls) {
+    return calls.first != target_version;
+  });
 }
 
 std::vector<VersionShiftReport> VersionShifts::DueReports() {
--- a/forward/unittests/version_shift/shift_controller_test.cc
+++ b/forward/unittests/version_shift/shift_controller_test.cc
@@ -249,8 +249,9 @@
   simulation->RunFor(seconds(30));
   EXPECT_TRUE(is_killed);
   EXPECT_EQ(State(), ShiftState::kRolledBack);
-  EXPECT_LE(simulation->last_target_call - *simulation->bad_50th_at,
-            ExposureLimits().rollback_time);
+  if (simulation->bad_50th_at)
+    EXPECT_LE(simulation->last_target_call - *simulation->bad_50th_at,
+              ExposureLimits().rollback_time);
 }
 
 // Fails if a store that comes back from an older copy revives a version that
--- a/forward/unittests/version_shift/shift_simulation.cc
+++ b/forward/unittests/version_shift/shift_simulation.cc
@@ -57,6 +57,7 @@
 void ShiftSimulation::Start(SimulatedShiftHost& host) {
   host.up = true;
   host.old_running = 0;
+  host.verdict.reset();
   ++host.incarnation;
   host.disturbed_at = time.Now();
   host.shifts = std::make_unique<VersionShifts>(time.clock(), host.name,
@@ -117,6 +118,8 @@
 
 void ShiftSimulation::RestoreCopy(bool with_order) {
   ++era;
+  last_commit_.reset();
+  restored_at_ = time.Now();
   if (with_order) {
     order = copy_.order;
     malformed = copy_.malformed;
@@ -191,6 +194,7 @@
   time.After(milliseconds(100), [this, &host] { TickHost(host); });
   if (!host.up) return;
   GiveLeaves(host);
+  CheckVerdict(host);
   for (const VersionShiftReport& report : host.shifts->DueReports())
     SendReport(host, report);
   ShiftController::Actions actions;
@@ -198,6 +202,15 @@
   Execute(host, actions);
 }
 
+void ShiftSimulation::CheckVerdict(SimulatedShiftHost& host) {
+  const VersionShiftStatus* known = host.shifts->Status("s");
+  if (known == nullptr) return;
+  if (host.verdict && host.verdict->order != known->order) host.verdict.reset();
+  if (host.verdict && host.verdict->state != known->state)
+    violations.push_back(host.name + " reversed a verdict");
+  if (known->is_verdict()) host.verdict = *known;
+}
+
 void ShiftSimulation::SendReport(SimulatedShiftHost& host,
                                  const VersionShiftReport& report) {
   std::size_t accepted = 0;
@@ -284,6 +297,7 @@
       write.expect_status_revision != status_revision)
     return false;
   CheckCommit(write.status);
+  last_commit_ = write.status;
   status = write.status;
   status_revision = ++revision;
   written.push_back(write.status);
@@ -296,16 +310,32 @@
 }
 
 void ShiftSimulation::CheckCommit(const VersionShiftStatus& next) {
+  // A host that has not learned of a verdict before the store lost it may write
+  // the status that it knows.
+  const bool is_in_grace = time.Now() - restored_at_ < seconds(6);
+  bool is_repeated = false;
+  ShiftOrderId latest_order;
   for (const VersionShiftStatus& former : written)
+    latest_order = std::max(latest_order, former.order);
+  for (const VersionShiftStatus& former : written) {
+    is_repeated = is_repeated || (former.order == next.order &&
+                                  former.state == ShiftState::kComplete);
+    // An order that has come back with a copy although later ones were handled
+    // is handled again.
     if (former.is_verdict() && former.order == next.order &&
-        former.target_version == next.target_version &&
-        former.state != next.state)
+        former.order == latest_order && former.state != next.state &&
+        (next.is_verdict() || !is_in_grace))
       violations.push_back("a verdict was reversed");
+  }
+  if (last_commit_ && last_commit_->order == next.order &&
+      last_commit_->step == next.step)
+    violations.push_back("a step was written twice");
   if (next.state != ShiftState::kComplete) return;
   for (const auto& host : hosts)
     if (InTouch(*host) && host->old_running > 0)
       violations.push_back(host->name + " has calls on old leaves");
-  if (status && status->stage != ShiftStage::kFull)
+  // After its return from a copy, the store gets the verdict again.
+  if (!is_repeated && status && status->stage != ShiftStage::kFull)
     violations.push_back("complete without full");
 }
 
@@ -416,12 +446,18 @@
   const bool is_rolled_back =
       status && order && status->state == ShiftState::kRolledBack &&
       status->order.revision == order_revision && ended_at &&
-      time.Now() - *ended_at >= milliseconds(3500);
+      time.Now() - *ended_at >= milliseconds(3500) &&
+      time.Now() - restored_at_ >= milliseconds(9500);
   if (leaf->is_target && is_rolled_back && InTouch(host))
     ++calls_after_rollback;
   if (!leaf->is_target) {
     ++host.old_running;
-    if (status && status->state == ShiftState::kComplete && InTouch(host))
+    // If no leaf of the target is listed, the old ones are used.
+    const bool is_listed = ChooseOf([](const std::string& version) {
+                             return version == "v2";
+                           }) != nullptr;
+    if (status && status->state == ShiftState::kComplete && is_listed &&
+        InTouch(host))
       violations.push_back(host.name + " sent to an old leaf after complete");
   }
   EndedCall end = Play(host, *leaf, route);
--- a/forward/unittests/version_shift/shift_simulation.h
+++ b/forward/unittests/version_shift/shift_simulation.h
@@ -86,6 +86,8 @@
   std::unique_ptr<VersionShifts> shifts;
   std::unique_ptr<ShiftController> controller;
   std::size_t old_running = 0;
+  /// The last verdict that the process has acted on.
+  std::optional<VersionShiftStatus> verdict;
   /// Zone to which the link is lost, and until when.
   std::size_t lost_zone = 0;
   base::TimePoint lost_until{};
@@ -182,6 +184,7 @@
   void ApplyStatus(SimulatedShiftHost& host);
   void GiveLeaves(SimulatedShiftHost& host);
   void TickHost(SimulatedShiftHost& host);
+  void CheckVerdict(SimulatedShiftHost& host);
   void SendReport(SimulatedShiftHost& host, const VersionShiftReport& report);
   void Execute(SimulatedShiftHost& host, ShiftController::Actions& actions);
   void Read(SimulatedShiftHost& host, const std::string& service);
@@ -202,6 +205,9 @@
   std::size_t Index(const std::string& host) const;
 
   Copy copy_;
+  /// The last write since the store came back from a copy.
+  std::optional<VersionShiftStatus> last_commit_;
+  base::TimePoint restored_at_{};
   std::vector<std::string> names_;
   /// Indices of the hosts by rank.
   std::vector<std::size_t> ranked_;
