--- a/forward/include/berylreach/forward/service_shift.h
+++ b/forward/include/berylreach/forward/service_shift.h
@@ -57,6 +57,9 @@
   }
   const std::string& target_version() const { return target_; }
   bool IsTarget(const LeafEntry& leaf) const { return leaf.version == target_; }
+  /// Whether the target is compared with the leaf's version; after its shift
+  /// is complete, the next target is compared with it.
+  bool IsCompared(const LeafEntry& leaf) const;
   VersionShiftGauges Gauges() const;
 
  private:
@@ -78,6 +81,8 @@
   AnswerClass Classify(const LeafRecord& leaf, const EndedCall& call) const;
   bool IsSlow(const LeafRecord& leaf, const EndedCall& call) const;
   void Count(const LeafRecord& leaf, const EndedCall& call, AnswerClass kind);
+  /// Name under which the answers of a leaf of the target are counted.
+  std::string RowOf(const LeafEntry& leaf, const std::string& route) const;
   /// Time since the order was first handled, if there is a status.
   std::chrono::milliseconds Elapsed() const;
 
--- a/forward/lib/service_arbiter.cc
+++ b/forward/lib/service_arbiter.cc
@@ -209,8 +209,9 @@
   if (is_known_order) evidence_->Add(report);
   const bool reaches_store =
       !failed_at_ || clock_.Now() - *failed_at_ >= kNotJudgingAfterFailure;
+  const bool is_registered = rank_ < hosts_.size();
   return {.service = service_,
-          .accepted = is_known_order && reaches_store,
+          .accepted = is_known_order && reaches_store && is_registered,
           .order = known_ ? known_->order : ShiftOrderId(),
           .step = known_ ? known_->step : 0};
 }
--- a/forward/lib/service_shift.cc
+++ b/forward/lib/service_shift.cc
@@ -14,6 +14,10 @@
 /// completed.
 constexpr std::chrono::seconds kMaxStopInFull{10};
 
+/// Maximum number of leaves and routes with counts of their own, which bounds
+/// the size of a report. Further leaves of a zone are counted together.
+constexpr std::size_t kMaxLeafRows = 256;
+
 std::chrono::milliseconds Milliseconds(base::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
@@ -124,6 +128,12 @@
   return status_ && order_ && status_->target_version == order_->target_version;
 }
 
+bool ServiceShift::IsCompared(const LeafEntry& leaf) const {
+  const bool is_complete =
+      AnswersOrder() && status_->state == ShiftState::kComplete;
+  return !IsTarget(leaf) || is_complete;
+}
+
 bool ServiceShift::IsRunning() const {
   return AnswersOrder() && status_->state == ShiftState::kRunning;
 }
@@ -237,7 +247,7 @@
   const bool is_target = IsTarget(leaf.entry());
   totals_.Add({.route = call.route,
                .zone = leaf.entry().zone,
-               .leaf = is_target ? leaf.entry().id : std::string(),
+               .leaf = is_target ? RowOf(leaf.entry(), call.route) : "",
                .counts = {.calls = 1,
                           .failed = kind == AnswerClass::kFailed ? 1U : 0U,
                           .slow = kind == AnswerClass::kSlow ? 1U : 0U}});
@@ -249,6 +259,14 @@
   return status_->elapsed + Milliseconds(clock_.Now() - status_seen_at_);
 }
 
+std::string ServiceShift::RowOf(const LeafEntry& leaf,
+                                const std::string& route) const {
+  const bool has_row = totals_.target().contains({route, leaf.id});
+  return has_row || totals_.target().size() < kMaxLeafRows
+             ? leaf.id
+             : "more " + leaf.zone;
+}
+
 VersionShiftGauges ServiceShift::Gauges() const {
   return {.service = service_,
           .target_version = target_,
--- a/forward/lib/shift_step.cc
+++ b/forward/lib/shift_step.cc
@@ -22,8 +22,9 @@
 /// listed again within a few seconds.
 constexpr seconds kLeavesGone{5};
 
-/// An order for the only version of a service is complete after this time.
-constexpr seconds kVersionAlone{3};
+/// An order for a version is complete at once if no leaf of another version has
+/// been listed for this long.
+constexpr seconds kVersionAlone{1};
 
 /// If the other versions have answered this many calls and the target none, its
 /// leaves do not work.
--- a/forward/lib/version_shifts.cc
+++ b/forward/lib/version_shifts.cc
@@ -77,8 +77,8 @@
   ServiceShift* shift = found == shifts_.end() ? nullptr : found->second.get();
   const AnswerClass kind =
       shift == nullptr ? AnswerClass::kNotCounted : shift->OnEnded(leaf, call);
-  const bool is_other = shift == nullptr || !shift->IsTarget(entry);
-  if (is_other && call.outcome == CallOutcome::kAnswered && !call.was_cold &&
+  const bool is_compared = shift == nullptr || shift->IsCompared(entry);
+  if (is_compared && call.outcome == CallOutcome::kAnswered && !call.was_cold &&
       !call.suspect)
     calls.slowness.OnAnswer(call.route, entry.zone, leaf.distance(),
                             call.latency);
--- a/forward/unittests/version_shift/shift_controller_test.cc
+++ b/forward/unittests/version_shift/shift_controller_test.cc
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
+#include <iostream>
 
 #include "shift_simulation.h"
 
@@ -78,6 +78,18 @@
   EXPECT_EQ(simulation->refused_calls, 0);
 }
 
+// Fails if an order for the only version of a service takes it away from its
+// callers.
+TEST_F(ShiftControllerTest, OrderForTheOnlyVersionIsCompleteAtOnce) {
+  Begin({.starts_leaves = false});
+  simulation->WriteOrder(VersionShiftOrder{"s", "v1", seconds(30)});
+  simulation->RunFor(seconds(3));
+  EXPECT_EQ(State(), ShiftState::kComplete);
+  const std::size_t refused = simulation->refused_calls;
+  simulation->RunFor(seconds(10));
+  EXPECT_EQ(simulation->refused_calls, refused);
+}
+
 // Fails if a version that was rolled back gets calls because its order is
 // repeated and no status answers it yet, or is complete without a new test.
 TEST_F(ShiftControllerTest, OrderRepeatedAfterRollbackIsJudgedAgain) {
@@ -333,6 +345,27 @@
   }
 }
 
+// Fails if a shift costs more messages or calls of the store than the design
+// note states.
+TEST(ShiftCostTest, MessagesAndStoreCalls) {
+  for (const std::size_t hosts : {6U, 70U, 195U}) {
+    ShiftSimulation simulation(
+        {.hosts = hosts, .rate = 60, .duration = seconds(45)}, 1);
+    simulation.RunFor(seconds(2));
+    simulation.Order();
+    simulation.RunFor(seconds(46));
+    std::cout << "cost hosts=" << hosts << " reports " << simulation.reports
+              << " rows " << simulation.report_rows << " reads "
+              << simulation.reads << " writes " << simulation.writes_sent
+              << "\n";
+    ASSERT_TRUE(simulation.status);
+    EXPECT_EQ(simulation.status->state, ShiftState::kComplete);
+    EXPECT_LE(simulation.reads, 16);
+    EXPECT_EQ(simulation.writes_sent, 4);
+    EXPECT_LE(simulation.reports, 200 * hosts);
+  }
+}
+
 /// Orders for two services that go different ways.
 TEST(ShiftControllerServicesTest, TwoServicesAtOnce) {
   base::ManualClock clock;
--- a/forward/unittests/version_shift/shift_simulation.cc
+++ b/forward/unittests/version_shift/shift_simulation.cc
@@ -220,6 +220,7 @@
     SimulatedShiftHost& arbiter = *hosts[index];
     const bool is_self = &arbiter == &host;
     ++reports;
+    report_rows += report.rows.size();
     if (!arbiter.up || (!is_self && (host.cut || arbiter.cut))) continue;
     if (!is_self && Chance(conditions.lost_messages)) continue;
     const VersionReportAnswer answer = arbiter.controller->OnReport(report);
--- a/forward/unittests/version_shift/shift_simulation.h
+++ b/forward/unittests/version_shift/shift_simulation.h
@@ -144,6 +144,7 @@
   std::size_t writes_sent = 0;
   std::size_t reads = 0;
   std::size_t reports = 0;
+  std::size_t report_rows = 0;
   std::size_t refused_calls = 0;
   std::uint64_t target_arrivals = 0;
   std::uint64_t arrivals = 0;
