--- a/forward/include/berylreach/forward/version_judge.h
+++ b/forward/include/berylreach/forward/version_judge.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "berylreach/base/clock.h"
@@ -17,8 +18,10 @@
 /// of the other versions on the same route, in the same zone and at the same
 /// time. Runs a sequential probability ratio test that restarts at its lower
 /// bound (Page's cumulative sum), so that good answers in the past do not
-/// conceal a fault that begins late. There is one test for each route and one
-/// over all. Not thread-safe.
+/// conceal a fault that begins late. Failed and slow answers are tested apart:
+/// pauses of leaves make some answers of any version slow, which would hide
+/// failures. For both, there is one test for each route and one over all. Not
+/// thread-safe.
 class VersionJudge {
  public:
   /// Evidence is compared in windows of at least this length.
@@ -35,13 +38,16 @@
 
   /// The verdict of the sequential test. kBad is final.
   VersionVerdict verdict() const { return verdict_; }
-  /// The verdict at the end of the observation, when no more evidence is
-  /// waited for: kBad or kGood.
+  /// The verdict at the end of the observation: kUndecided if a few more
+  /// answers may show the version as bad, and kGood otherwise.
   VersionVerdict FinalVerdict() const;
   /// Route of the test that says bad, or empty for the test over all routes.
   const std::string& bad_route() const { return bad_route_; }
 
  private:
+  /// What makes an answer bad.
+  enum class Fault { kFailed, kSlow };
+
   /// Log-likelihood ratios of one window, by leaf.
   struct LeafEvidence {
     std::string leaf;
@@ -63,19 +69,24 @@
   /// Whether the evidence exceeds `bound`, and does not come from one leaf or
   /// one zone alone.
   bool Exceeds(const Test& test, double bound) const;
-  /// Log-likelihood ratio of the answers of a leaf in the present window.
-  static double Ratio(const VersionCounts& counts, double expected_rate);
+  static std::uint64_t Bad(Fault fault, const VersionCounts& counts);
+  /// Adds the window's answers to the tests for a fault.
+  void UpdateTests(Fault fault, const VersionTotals& totals,
+                   bool others_in_use);
   void TestForBad();
+  /// Whether the evidence of any test exceeds `bound`. See Exceeds.
+  bool AnyExceeds(double bound) const;
   /// Rate of bad answers that is expected of a good target version.
-  double ExpectedRate(const VersionTotals& totals, const std::string& route,
-                      const std::string& zone, bool others_in_use) const;
+  double ExpectedRate(Fault fault, const VersionTotals& totals,
+                      const VersionTotals::Key& route_and_zone,
+                      bool others_in_use) const;
 
   const base::Clock& clock_;
   base::TimePoint window_start_{};
   VersionTotals previous_;
   std::size_t target_leaves_ = 0;
-  std::map<std::string, Test> by_route_;
-  Test all_;
+  std::map<std::pair<Fault, std::string>, Test> by_route_;
+  std::map<Fault, Test> all_;
   VersionVerdict verdict_ = VersionVerdict::kUndecided;
   std::string bad_route_;
 };
--- a/forward/lib/shift_step.cc
+++ b/forward/lib/shift_step.cc
@@ -122,12 +122,13 @@
     return RolledBack(status, "bad answers at the end of the observation");
   if (now.target.calls == 0 && now.others.calls >= kMinCallsOfOthers)
     return RolledBack(status, "the version has answered no call");
-  if (now.target_warm == 0) {
-    const milliseconds last_chance =
-        (FullDue(status.duration) + status.duration) / 2;
-    if (now.elapsed < last_chance) return std::nullopt;
+  const milliseconds last_chance =
+      (FullDue(status.duration) + status.duration) / 2;
+  const bool may_wait = now.elapsed < last_chance;
+  if (now.target_warm == 0 && !may_wait)
     return RolledBack(status, "the leaves of the version are cold");
-  }
+  const bool is_in_doubt = now.final_verdict == VersionVerdict::kUndecided;
+  if (may_wait && (now.target_warm == 0 || is_in_doubt)) return std::nullopt;
   return Draft(status, ShiftState::kRunning, ShiftStage::kFull,
                "no bad answers beyond the other versions' rate");
 }
--- a/forward/lib/version_judge.cc
+++ b/forward/lib/version_judge.cc
@@ -28,6 +28,10 @@
 /// the sequential test decides anew with each window.
 constexpr double kFinalBound = 12;
 
+/// At the end of the observation, evidence above this makes it worthwhile to
+/// wait for more answers.
+constexpr double kDoubtBound = 5;
+
 /// The target is good if the evidence for it exceeds this.
 constexpr double kGoodBound = 4.6;
 
@@ -51,11 +55,24 @@
           .slow = now.slow - std::min(now.slow, before.slow)};
 }
 
-/// The rate of bad answers, drawn towards `prior` by as many answers as
+/// The rate of `bad` answers, drawn towards `prior` by as many answers as
 /// `weight`.
-double Rate(const VersionCounts& counts, double prior, double weight) {
-  return (static_cast<double>(counts.bad()) + prior * weight) /
-         (static_cast<double>(counts.calls) + weight);
+double Rate(std::uint64_t bad, std::uint64_t calls, double prior,
+            double weight) {
+  return (static_cast<double>(bad) + prior * weight) /
+         (static_cast<double>(calls) + weight);
+}
+
+/// Log-likelihood ratio of the answers of a leaf in one window.
+double Ratio(std::uint64_t bad_answers, std::uint64_t calls,
+             double expected_rate) {
+  if (expected_rate > kMaxExpectedRate) return 0;
+  const double bad_rate = expected_rate + kBadExcess;
+  const auto bad = static_cast<double>(std::min(bad_answers, calls));
+  const double good = static_cast<double>(calls) - bad;
+  const double ratio = bad * std::log(bad_rate / expected_rate) +
+                       good * std::log((1 - bad_rate) / (1 - expected_rate));
+  return std::min(ratio, kMaxLeafEvidence);
 }
 
 void Add(double& sum, double ratio) { sum = std::max(0.0, sum + ratio); }
@@ -68,6 +85,18 @@
   if (now - window_start_ < kWindow) return;
   window_start_ = now;
   target_leaves_ = target_leaves;
+  UpdateTests(Fault::kFailed, totals, others_in_use);
+  UpdateTests(Fault::kSlow, totals, others_in_use);
+  previous_ = totals;
+  TestForBad();
+}
+
+std::uint64_t VersionJudge::Bad(Fault fault, const VersionCounts& counts) {
+  return fault == Fault::kFailed ? counts.failed : counts.slow;
+}
+
+void VersionJudge::UpdateTests(Fault fault, const VersionTotals& totals,
+                               bool others_in_use) {
   std::map<std::string, std::vector<LeafEvidence>> by_route;
   std::map<std::string, LeafEvidence> by_leaf;
   for (const auto& [key, target] : totals.target()) {
@@ -76,7 +105,8 @@
         Difference(target.counts, previous_.TargetAt(route, leaf));
     if (counts.calls == 0) continue;
     const double ratio =
-        Ratio(counts, ExpectedRate(totals, route, target.zone, others_in_use));
+        Ratio(Bad(fault, counts), counts.calls,
+              ExpectedRate(fault, totals, {route, target.zone}, others_in_use));
     by_route[route].push_back({leaf, target.zone, ratio});
     LeafEvidence& sum = by_leaf[leaf];
     sum = {leaf, target.zone, std::min(sum.ratio + ratio, kMaxLeafEvidence)};
@@ -84,33 +114,22 @@
   std::vector<LeafEvidence> all;
   all.reserve(by_leaf.size());
   for (const auto& [leaf, evidence] : by_leaf) all.push_back(evidence);
-  Accumulate(all_, all);
+  Accumulate(all_[fault], all);
   for (const auto& [route, window] : by_route)
-    Accumulate(by_route_[route], window);
-  previous_ = totals;
-  TestForBad();
+    Accumulate(by_route_[{fault, route}], window);
 }
 
-double VersionJudge::Ratio(const VersionCounts& counts, double expected_rate) {
-  if (expected_rate > kMaxExpectedRate) return 0;
-  const double bad_rate = expected_rate + kBadExcess;
-  const auto bad = static_cast<double>(std::min(counts.bad(), counts.calls));
-  const double good = static_cast<double>(counts.calls) - bad;
-  const double ratio = bad * std::log(bad_rate / expected_rate) +
-                       good * std::log((1 - bad_rate) / (1 - expected_rate));
-  return std::min(ratio, kMaxLeafEvidence);
-}
-
-double VersionJudge::ExpectedRate(const VersionTotals& totals,
-                                  const std::string& route,
-                                  const std::string& zone,
+double VersionJudge::ExpectedRate(Fault fault, const VersionTotals& totals,
+                                  const VersionTotals::Key& route_and_zone,
                                   bool others_in_use) const {
   constexpr double kPriorWeight = 10;
   constexpr double kPriorRate = 0.05;
+  const auto& [route, zone] = route_and_zone;
   const VersionCounts in_zone = totals.OthersIn(route, zone);
-  const VersionCounts& all =
+  const VersionCounts all =
       in_zone.calls >= kMinZoneCalls ? in_zone : totals.OthersOnRoute(route);
-  const double mean = Rate(all, kPriorRate, kPriorWeight);
+  const double mean =
+      Rate(Bad(fault, all), all.calls, kPriorRate, kPriorWeight);
   // The rate is an estimate, and may be higher by its standard error.
   const double error = std::sqrt(
       mean * (1 - mean) / (static_cast<double>(all.calls) + kPriorWeight));
@@ -119,7 +138,8 @@
   const VersionCounts in_window =
       Difference(in_zone, previous_.OthersIn(route, zone));
   if (in_window.calls < kMinWindowCalls) return rate;
-  return std::max(rate, Rate(in_window, rate, kMinWindowCalls));
+  return std::max(rate, Rate(Bad(fault, in_window), in_window.calls, rate,
+                             kMinWindowCalls));
 }
 
 void VersionJudge::Accumulate(Test& test,
@@ -162,24 +182,33 @@
 
 void VersionJudge::TestForBad() {
   if (verdict_ == VersionVerdict::kBad) return;
-  if (Exceeds(all_, kBadBound)) verdict_ = VersionVerdict::kBad;
-  for (const auto& [route, test] : by_route_) {
+  bool is_good = true;
+  for (const auto& [fault, test] : all_) {
+    if (Exceeds(test, kBadBound)) verdict_ = VersionVerdict::kBad;
+    is_good = is_good && test.total <= -kGoodBound;
+  }
+  for (const auto& [key, test] : by_route_) {
     if (!Exceeds(test, kBadBound)) continue;
     verdict_ = VersionVerdict::kBad;
-    bad_route_ = route;
+    bad_route_ = key.second;
   }
   if (verdict_ == VersionVerdict::kBad) return;
-  verdict_ = all_.total <= -kGoodBound ? VersionVerdict::kGood
-                                       : VersionVerdict::kUndecided;
+  verdict_ = is_good ? VersionVerdict::kGood : VersionVerdict::kUndecided;
+}
+
+bool VersionJudge::AnyExceeds(double bound) const {
+  const auto exceeds = [&](const auto& test) {
+    return Exceeds(test.second, bound);
+  };
+  return std::any_of(all_.begin(), all_.end(), exceeds) ||
+         std::any_of(by_route_.begin(), by_route_.end(), exceeds);
 }
 
 VersionVerdict VersionJudge::FinalVerdict() const {
-  const bool is_bad =
-      verdict_ == VersionVerdict::kBad || Exceeds(all_, kFinalBound) ||
-      std::any_of(by_route_.begin(), by_route_.end(), [this](const auto& test) {
-        return Exceeds(test.second, kFinalBound);
-      });
-  return is_bad ? VersionVerdict::kBad : VersionVerdict::kGood;
+  if (verdict_ == VersionVerdict::kBad || AnyExceeds(kFinalBound))
+    return VersionVerdict::kBad;
+  return AnyExceeds(kDoubtBound) ? VersionVerdict::kUndecided
+                                 : VersionVerdict::kGood;
 }
 
 }  // namespace berylreach::forward
--- a/forward/unittests/version_shift/version_judge_test.cc
+++ b/forward/unittests/version_shift/version_judge_test.cc
@@ -89,14 +89,15 @@
 class VersionDetectionTest
     : public testing::TestWithParam<std::tuple<std::size_t, double>> {};
 
-// Fails if a bad version is not rolled back before the rollback time, or is
-// completed.
+// Fails if a bad version is not rolled back before the rollback time, is
+// completed, or gets more than the exposure bound.
 TEST_P(VersionDetectionTest, RollsBackInTime) {
   for (Fault fault : Faults()) {
     fault.conditions.hosts = std::get<0>(GetParam());
     fault.conditions.rate = std::get<1>(GetParam());
     fault.conditions.duration = seconds(45);
     std::uint64_t most_bad = 0;
+    double exposure = 0;
     base::Duration longest{};
     int rolled_back = 0;
     int in_full = 0;
@@ -107,12 +108,18 @@
       // Hosts with few calls need this long to learn what is slow.
       simulation.RunFor(seconds(fault.conditions.rate > 100 ? 10 : 45));
       simulation.Order();
+      const std::uint64_t arrivals_before = simulation.arrivals;
       simulation.RunFor(fault.conditions.duration + seconds(1));
       EXPECT_TRUE(simulation.violations.empty());
       ASSERT_TRUE(simulation.status);
       if (simulation.status->state == ShiftState::kRolledBack) ++rolled_back;
       if (simulation.status->stage == ShiftStage::kFull) ++in_full;
       most_bad = std::max(most_bad, simulation.bad_answers_at_verdict);
+      exposure = std::max(exposure,
+                          static_cast<double>(simulation.target_arrivals) /
+                              (0.1 * static_cast<double>(simulation.arrivals -
+                                                         arrivals_before) +
+                               50));
       if (simulation.bad_50th_at)
         longest = std::max(
             longest, simulation.last_target_call - *simulation.bad_50th_at);
@@ -123,8 +130,9 @@
               << ", in full " << in_full << ", bad answers at the verdict "
               << most_bad << ", 50th bad answer to last call "
               << std::chrono::duration_cast<milliseconds>(longest).count()
-              << " ms\n";
+              << " ms, part of the exposure bound " << exposure << "\n";
     EXPECT_EQ(rolled_back, kSeeds) << fault.name;
+    EXPECT_LE(exposure, 1) << fault.name;
     EXPECT_LE(longest, ExposureLimits().rollback_time) << fault.name;
   }
 }
