--- a/forward/include/berylreach/forward/service_arbiter.h
+++ b/forward/include/berylreach/forward/service_arbiter.h
@@ -59,6 +59,11 @@
   /// Whether the store was read and its order is the one of the known status.
   bool ReadSameOrder() const;
   void SetKnown(std::optional<VersionShiftStatus> status);
+  /// Whether the status brings back a shift that this host knows as complete,
+  /// which the store has lost.
+  bool IsReturnToComplete(const VersionShiftStatus& status) const;
+  /// The status that the store lacks, as it may be written now.
+  VersionShiftStatus LackingStatus() const;
   void UpdateGone();
   void Forget();
   void OnCallFailed();
@@ -92,6 +97,8 @@
   /// The newest status that this host knows.
   std::optional<VersionShiftStatus> known_;
   base::TimePoint known_at_{};
+  /// The latest order whose shift was complete.
+  std::optional<ShiftOrderId> completed_order_;
   base::TimePoint stage_since_{};
   /// The records as read last; empty if they may have changed since.
   std::optional<ShiftRecords> records_;
@@ -99,6 +106,8 @@
   bool is_lacking_ = false;
   /// Whether the records must be read although no step is due.
   std::optional<base::TimePoint> check_since_;
+  /// The latest era of the store that a read has stated; 0 if none.
+  std::uint64_t era_ = 0;
   base::TimePoint grace_until_{};
   std::optional<DueStep> due_;
   Pending pending_ = Pending::kNone;
--- a/forward/lib/service_arbiter.cc
+++ b/forward/lib/service_arbiter.cc
@@ -120,6 +120,7 @@
   known_ = std::move(status);
   known_at_ = clock_.Now();
   if (!known_) return;
+  if (known_->state == ShiftState::kComplete) completed_order_ = known_->order;
   if (order_ && known_->target_version == order_->target_version &&
       (!evidence_ || evidence_->order() != known_->order))
     maybe_repeated_ = false;
@@ -131,6 +132,9 @@
   if (pending_ != Pending::kRead) return;
   pending_ = Pending::kNone;
   failed_at_.reset();
+  // The store may show a later era before this host hears of it.
+  if (era_ > 0 && records.era > era_) OnStoreRestored();
+  era_ = std::max(era_, records.era);
   check_since_.reset();
   is_lacking_ = false;
   records_ = std::move(records);
@@ -138,7 +142,9 @@
   if (stored && (!known_ || IsNewer(*stored, *known_))) {
     SetKnown(stored);
   } else if (known_ && stored != known_) {
-    if (ReadSameOrder() && (known_->is_verdict() || IsInGrace())) {
+    if (ReadSameOrder() && stored && IsReturnToComplete(*stored)) {
+      SetKnown(stored);
+    } else if (ReadSameOrder() && (known_->is_verdict() || IsInGrace())) {
       is_lacking_ = true;
     } else if (!IsInGrace()) {
       SetKnown(stored);
@@ -169,7 +175,8 @@
     records_->status = written_;
     records_->status_revision = status_revision;
   }
-  if (!known_ || IsNewer(written_, *known_)) SetKnown(written_);
+  if (!known_ || IsNewer(written_, *known_) || IsReturnToComplete(written_))
+    SetKnown(written_);
   std::string text = ShiftStateName(written_.state);
   if (written_.state == ShiftState::kRunning)
     text += std::string(" ") + ShiftStageName(written_.stage);
@@ -197,8 +204,9 @@
 
 VersionReportAnswer ServiceArbiter::OnReport(const VersionShiftReport& report) {
   const bool has_later_order = known_ && report.order > known_->order;
+  // A host that knows the shift as complete writes that itself.
   const bool lacks_verdict =
-      report.state != ShiftState::kRunning &&
+      report.state == ShiftState::kRolledBack &&
       (!known_ || (known_->order == report.order && !known_->is_verdict()));
   if (lacks_verdict) SetKnown(StatusOf(report));
   if (lacks_verdict || has_later_order || !known_) {
--- a/forward/lib/service_arbiter_steps.cc
+++ b/forward/lib/service_arbiter_steps.cc
@@ -93,17 +93,43 @@
   situation.bad_route = evidence_->judge().bad_route();
   situation.target = evidence_->totals().TargetSum();
   situation.others = evidence_->totals().OthersSum();
-  situation.settled =
-      evidence_->IsSettled(hosts_, known_->step, stage_since_, SettleTime());
+  // Hosts keep a newer status that the store has lost for the grace period.
+  situation.settled = evidence_->IsSettled(
+      hosts_, known_->step, std::max(stage_since_, grace_until_), SettleTime());
   return situation;
 }
 
+bool ServiceArbiter::IsReturnToComplete(
+    const VersionShiftStatus& status) const {
+  return known_ && known_->state == ShiftState::kComplete &&
+         status.order == known_->order &&
+         status.state == ShiftState::kRunning &&
+         status.stage == ShiftStage::kFull;
+}
+
+VersionShiftStatus ServiceArbiter::LackingStatus() const {
+  VersionShiftStatus status = *known_;
+  if (status.state != ShiftState::kComplete || others_gone_since_)
+    return status;
+  // Hosts that know a later order, which the store has lost too, may use other
+  // versions again.
+  status.state = ShiftState::kRunning;
+  status.stage = ShiftStage::kFull;
+  status.cause = "the store has lost a complete shift";
+  return status;
+}
+
 std::optional<VersionShiftStatus> ServiceArbiter::Next() const {
-  if (is_lacking_) return known_;
+  if (is_lacking_) return LackingStatus();
   // The store may lack an order for a while after it has come back from a copy,
   // or the status that answers it.
   if (IsInGrace() && !AnswersOrder()) return std::nullopt;
-  return NextStatus(Situation());
+  std::optional<VersionShiftStatus> next = NextStatus(Situation());
+  const bool is_reversal = next && known_ &&
+                           completed_order_ == known_->order &&
+                           next->state == ShiftState::kRolledBack;
+  if (is_reversal) return std::nullopt;
+  return next;
 }
 
 base::Duration ServiceArbiter::Delay(const VersionShiftStatus& next) const {
--- a/forward/unittests/version_shift/shift_controller_test.cc
+++ b/forward/unittests/version_shift/shift_controller_test.cc
@@ -281,6 +281,7 @@
       EXPECT_EQ(verdict,
                 is_bad ? ShiftState::kRolledBack : ShiftState::kComplete);
       const std::uint64_t before = simulation->target_arrivals;
+      if (!is_bad) simulation->List("v1", false);
       simulation->RestoreCopy();
       simulation->RunFor(seconds(5));
       EXPECT_EQ(State(), verdict) << copy_at;
--- a/forward/unittests/version_shift/shift_simulation.cc
+++ b/forward/unittests/version_shift/shift_simulation.cc
@@ -314,6 +314,9 @@
   // A host that has not learned of a verdict before the store lost it may write
   // the status that it knows.
   const bool is_in_grace = time.Now() - restored_at_ < seconds(6);
+  // A complete shift comes back by way of the full stage.
+  const bool is_full =
+      next.state == ShiftState::kRunning && next.stage == ShiftStage::kFull;
   bool is_repeated = false;
   ShiftOrderId latest_order;
   for (const VersionShiftStatus& former : written)
@@ -325,6 +328,7 @@
     // is handled again.
     if (former.is_verdict() && former.order == next.order &&
         former.order == latest_order && former.state != next.state &&
+        !(former.state == ShiftState::kComplete && is_full) &&
         (next.is_verdict() || !is_in_grace))
       violations.push_back("a verdict was reversed");
   }
