--- a/forward/lib/service_arbiter_steps.cc
+++ b/forward/lib/service_arbiter_steps.cc
@@ -88,9 +88,12 @@
   if (target_gone_since_) situation.target_gone_for = now - *target_gone_since_;
   if (others_gone_since_) situation.others_gone_for = now - *others_gone_since_;
   if (evidence_ == nullptr || !situation.status_answers_order) return situation;
-  situation.verdict = evidence_->judge().verdict();
-  situation.final_verdict = evidence_->judge().FinalVerdict();
-  situation.bad_route = evidence_->judge().bad_route();
+  // A complete shift that the store has lost is not judged again.
+  if (completed_order_ != known_->order) {
+    situation.verdict = evidence_->judge().verdict();
+    situation.final_verdict = evidence_->judge().FinalVerdict();
+    situation.bad_route = evidence_->judge().bad_route();
+  }
   situation.target = evidence_->totals().TargetSum();
   situation.others = evidence_->totals().OthersSum();
   // Hosts keep a newer status that the store has lost for the grace period.
