--- a/forward/lib/version_judge.cc
+++ b/forward/lib/version_judge.cc
@@ -10,9 +10,11 @@
 /// Least rate of bad answers that is expected of a good version.
 constexpr double kMinExpectedRate = 0.01;
 
-/// Added to the expected rate while no other version is in use: nothing shows
-/// then what the conditions of the moment do to any version.
-constexpr double kRateAlone = 0.05;
+/// Added to the expected rates while no other version is in use: nothing shows
+/// then what the conditions of the moment do to any version. They slow answers
+/// down more often than they make them fail.
+constexpr double kFailureRateAlone = 0.02;
+constexpr double kSlowRateAlone = 0.05;
 
 /// The alternative hypothesis is the expected rate plus this.
 constexpr double kBadExcess = 0.15;
@@ -134,7 +136,9 @@
   const double error = std::sqrt(
       mean * (1 - mean) / (static_cast<double>(all.calls) + kPriorWeight));
   const double rate = std::max(kMinExpectedRate, mean + error);
-  if (!others_in_use) return rate + kRateAlone;
+  if (!others_in_use)
+    return rate +
+           (fault == Fault::kFailed ? kFailureRateAlone : kSlowRateAlone);
   const VersionCounts in_window =
       Difference(in_zone, previous_.OthersIn(route, zone));
   if (in_window.calls < kMinWindowCalls) return rate;
