--- a/forward/include/berylreach/forward/service_arbiter.h
+++ b/forward/include/berylreach/forward/service_arbiter.h
@@ -90,6 +90,8 @@
   std::optional<base::TimePoint> target_gone_since_;
   std::optional<base::TimePoint> others_gone_since_;
   bool target_was_listed_ = false;
+  /// When a leaf of the target was listed again, after none had been.
+  base::TimePoint target_back_at_{};
   /// The order in this host's view of the store.
   std::optional<VersionShiftOrder> order_;
   bool malformed_ = false;
--- a/forward/include/berylreach/forward/shift_evidence.h
+++ b/forward/include/berylreach/forward/shift_evidence.h
@@ -32,16 +32,18 @@
 
   const VersionJudge& judge() const { return *judge_; }
   const VersionTotals& totals() const { return totals_; }
-  bool has_reports() const { return !hosts_.empty(); }
+  /// Whether hosts report to this one now, and not only to others.
+  bool HasRecentReports() const;
   /// The highest step that a host acts on.
   std::uint64_t highest_step() const { return highest_step_; }
   /// The latest estimate of the time since the order was first handled.
   base::Duration Elapsed() const;
 
   /// Whether none of `hosts` sends calls to other versions any more, or has
-  /// such calls running. kFull is in force since `step`, which was known at
-  /// `since`; after `settle_time` it is in force at hosts that have not
-  /// reported it, and the calls that they had sent before have ended.
+  /// such calls running. kFull is in force since `step`; reports from before
+  /// `since` do not show that. After `settle_time` from then it is in force at
+  /// hosts that have not reported it, and the calls that they had sent before
+  /// have ended.
   bool IsSettled(const std::vector<std::string>& hosts, std::uint64_t step,
                  base::TimePoint since, base::Duration settle_time) const;
 
@@ -66,6 +68,7 @@
   VersionTotals totals_;
   std::unique_ptr<VersionJudge> judge_;
   std::uint64_t highest_step_ = 0;
+  std::optional<base::TimePoint> received_at_;
   /// When the order was first handled, by the estimates of the reports.
   std::optional<base::TimePoint> started_at_;
 };
--- a/forward/lib/service_arbiter.cc
+++ b/forward/lib/service_arbiter.cc
@@ -53,6 +53,7 @@
     if (leaves.listed == 0) continue;
     (version == order->target_version ? has_target : has_others) = true;
   }
+  if (has_target && target_gone_since_) target_back_at_ = clock_.Now();
   const auto update = [this](std::optional<base::TimePoint>& since, bool has) {
     if (has) since.reset();
     if (!has && !since) since = clock_.Now();
--- a/forward/lib/service_arbiter_steps.cc
+++ b/forward/lib/service_arbiter_steps.cc
@@ -140,7 +140,8 @@
   const bool is_towards_target =
       next.state == ShiftState::kComplete ||
       (next.state == ShiftState::kRunning && next.stage == ShiftStage::kFull);
-  const bool has_reports = evidence_ != nullptr && evidence_->has_reports();
+  const bool has_reports =
+      evidence_ != nullptr && evidence_->HasRecentReports();
   if (is_towards_target && rank_ >= kReportedRanks && !has_reports)
     delay += kDelayWithoutReports;
   return delay;
--- a/forward/lib/shift_evidence.cc
+++ b/forward/lib/shift_evidence.cc
@@ -6,6 +6,9 @@
 namespace berylreach::forward {
 namespace {
 
+/// Hosts whose counts change report at least this often.
+constexpr std::chrono::seconds kRecent{3};
+
 /// Returns what `now` adds to `before`; nothing if it is lower, which a report
 /// of the same process never is.
 VersionCounts Growth(const VersionCounts& now, const VersionCounts& before) {
@@ -40,6 +43,7 @@
   host.stage = report.stage;
   host.old_calls_running = report.old_calls_running;
   host.received_at = clock_.Now();
+  received_at_ = clock_.Now();
   highest_step_ = std::max(highest_step_, report.step);
   const base::TimePoint started = clock_.Now() - report.elapsed;
   if (!started_at_ || started < *started_at_) started_at_ = started;
@@ -63,6 +67,10 @@
   judge_->Update(totals_, others_in_use, target_leaves);
 }
 
+bool ShiftEvidence::HasRecentReports() const {
+  return received_at_ && clock_.Now() - *received_at_ < kRecent;
+}
+
 base::Duration ShiftEvidence::Elapsed() const {
   return started_at_ ? clock_.Now() - *started_at_ : base::Duration::zero();
 }
--- a/forward/unittests/version_shift/shift_controller_test.cc
+++ b/forward/unittests/version_shift/shift_controller_test.cc
@@ -50,6 +50,23 @@
   EXPECT_EQ(simulation->refused_calls, 0);
 }
 
+// Fails if `complete` cuts long calls to old leaves, also those of hosts whose
+// reports do not arrive.
+TEST_F(ShiftControllerTest, LongCallsToOldLeavesAreWaitedFor) {
+  for (const double lost : {0.0, 0.3}) {
+    Begin({.duration = seconds(20),
+           .timeout = milliseconds(8000),
+           .long_calls = 0.1,
+           .lost_messages = lost});
+    simulation->Order();
+    simulation->RunFor(seconds(14));
+    EXPECT_EQ(simulation->status->stage, ShiftStage::kFull);
+    simulation->RunFor(seconds(12));
+    EXPECT_EQ(State(), ShiftState::kComplete);
+    EXPECT_EQ(simulation->violations, std::vector<std::string>());
+  }
+}
+
 // Fails if a repeated order is taken as the one that was handled already.
 TEST_F(ShiftControllerTest, RepeatedOrderStartsAgain) {
   Begin();
--- a/forward/unittests/version_shift/shift_interleavings_test.cc
+++ b/forward/unittests/version_shift/shift_interleavings_test.cc
@@ -91,11 +91,14 @@
   std::size_t complete = 0;
   std::size_t rolled_back = 0;
   for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
-    ShiftSimulation simulation({.hosts = 5,
-                                .rate = 40,
-                                .duration = seconds(20),
-                                .lost_messages = seed % 2 == 0 ? 0 : 0.2},
-                               seed);
+    ShiftSimulation simulation(
+        {.hosts = 5,
+         .rate = 40,
+         .duration = seconds(20),
+         .timeout = milliseconds(seed % 3 == 0 ? 7000 : 1000),
+         .long_calls = seed % 3 == 0 ? 0.1 : 0,
+         .lost_messages = seed % 2 == 0 ? 0 : 0.2},
+        seed);
     Disturber disturber(simulation);
     simulation.RunFor(seconds(5));
     simulation.Order();
--- a/forward/unittests/version_shift/shift_simulation.cc
+++ b/forward/unittests/version_shift/shift_simulation.cc
@@ -430,6 +430,8 @@
     latency = 1e6;
   // The request that is hedged after some time cancels the call.
   const double limit = static_cast<double>(conditions.timeout.count());
+  if (conditions.long_calls > 0 && Chance(conditions.long_calls))
+    latency = 0.9 * limit;
   if (latency > limit) {
     latency = limit;
     end.outcome = CallOutcome::kCancelled;
--- a/forward/unittests/version_shift/shift_simulation.h
+++ b/forward/unittests/version_shift/shift_simulation.h
@@ -44,6 +44,8 @@
   /// What happens to leaves of both versions.
   double failure_rate = 0.003;
   bool pauses = true;
+  /// Part of the calls that take nine tenths of the timeout.
+  double long_calls = 0;
   bool noisy_old = false;
   double old_latency_factor = 1;
   double slow_zone_factor = 1;
