--- a/gateway/include/berylreach/gateway/gateway_settings.h
+++ b/gateway/include/berylreach/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "berylreach/forward/extra_call_budget.h"
 #include "berylreach/forward/leaf_directory.h"
 #include "berylreach/forward/shared_limit.h"
+#include "berylreach/forward/version_shift.h"
 #include "berylreach/gateway/wire_names.h"
 
 namespace berylreach::gateway {
@@ -28,6 +29,8 @@
   /// Time within which a host must apply a new version of the configuration.
   std::chrono::milliseconds config_apply{4000};
   forward::QuotaBounds quotas;
+  /// Bounds on what a version may get before it is known to be good.
+  forward::ExposureLimits exposure;
   /// Time between SIGTERM and SIGKILL, within which the process must exit.
   std::chrono::milliseconds stop_grace{6000};
   /// Number of CPU cores that the host may use; may be fractional.
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -116,10 +116,16 @@
                  const std::string& body, base::TimePoint deadline) {
             return SendQuotaMessage(id, host, body, deadline);
           }),
+      version_reporting_(
+          clock, settings_.host, settings_.exposure,
+          [this](const std::string& host, const std::string& body) {
+            return SendVersionReport(host, body);
+          }),
       timer_(io),
       periodic_timer_(io),
       last_active_at_(clock.Now()) {
   ObserveDirectory();
+  selector_.SetVersionShifts(&version_reporting_.shifts());
   planner_.SetReachable([this](const forward::LeafRecord& host) {
     return leaf_connections_.IsReachable(host.entry().id);
   });
@@ -145,6 +151,7 @@
 void Gateway::SetHosts(std::vector<forward::HostEntry> hosts) {
   std::vector<std::string> names;
   for (const forward::HostEntry& host : hosts) names.push_back(host.name);
+  version_reporting_.SetHosts(names);
   cold_call_limit_.SetHosts(settings_.host, std::move(names));
   leaf_rate_limit_.SetHosts(settings_.host, settings_.location, hosts);
   quota_gate_.SetHosts(hosts);
@@ -285,6 +292,7 @@
   AdvanceShardSets();
   if (!ViewMayBeStale()) quota_gate_.OnViewCurrent();
   quota_gate_.Tick();
+  version_reporting_.Tick();
   ReportUnansweredCalls();
   forward::RequestQuarantine::Actions actions;
   quarantine_.Tick(actions);
@@ -408,6 +416,7 @@
   metrics_.AppendTo(text);
   tenant_metrics_.AppendTo(text);
   quota_gate_.AppendMetrics(text);
+  version_reporting_.AppendTo(text);
   return text;
 }
 
--- a/gateway/lib/gateway_groups.cc
+++ b/gateway/lib/gateway_groups.cc
@@ -6,6 +6,7 @@
 #include "berylreach/gateway/group_codec.h"
 #include "berylreach/gateway/quota_codec.h"
 #include "berylreach/gateway/suspect_codec.h"
+#include "berylreach/gateway/version_report_codec.h"
 #include "berylreach/host/log.h"
 #include "group_field.h"
 #include "tenant_fields.h"
@@ -73,6 +74,10 @@
     OnQuotaMessage(connection, request);
     return;
   }
+  if (request.target == kVersionReportPath) {
+    OnVersionReport(connection, request);
+    return;
+  }
   const auto header = ParseGroupHeader(request.fields.Find(kGroupField));
   const forward::Route* route = nullptr;
   // A route table of another version is suitable too if the digest of its route
