Derive hedge delays from the calls of the route at all leaves

A call to a leaf without samples was hedged after 20 ms, whatever its work, and both calls ran to the end; a leaf with cheap calls counted as stuck while it ran a costly one. Hosts now keep an estimate for each route and a factor for each leaf. The factors of the slowest leaves are in the metrics.

--- a/forward/include/berylreach/forward/leaf_directory.h
+++ b/forward/include/berylreach/forward/leaf_directory.h
@@ -101,6 +101,12 @@
       if (IsUsable(*leaf)) visit(leaf);
   }
 
+  /// Calls `visit` with each listed leaf, usable or not.
+  template <typename Visit>
+  void ForEachListed(Visit visit) const {
+    for (const auto& [id, leaf] : leaves_) visit(*leaf);
+  }
+
   /// Returns the record of a listed leaf; null if there is none.
   std::shared_ptr<LeafRecord> Find(const std::string& id) const;
   std::size_t size() const { return leaves_.size(); }
--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -5,11 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/leaf_entry.h"
+#include "berylreach/forward/route_latency.h"
 
 namespace berylreach::forward {
 
@@ -56,7 +58,7 @@
   Distance distance() const { return distance_; }
   const std::string& region() const { return region_; }
   /// Number of calls of this host that are running on the leaf.
-  std::size_t running() const { return sent_at_.size(); }
+  std::size_t running() const { return calls_.size(); }
 
   /// Applies a newer entry of the same incarnation.
   void Update(LeafEntry entry, base::TimePoint now);
@@ -95,8 +97,10 @@
   void SetRateLimit(std::optional<double> rate) { rate_limit_ = rate; }
   std::optional<double> rate_limit() const { return rate_limit_; }
 
-  /// Records that a call was sent at `now`.
-  void OnCallSent(base::TimePoint now);
+  /// Records that a call was sent at `now`. `route` is the estimate of the
+  /// calls of its route, which the answer updates; null if there is none.
+  void OnCallSent(base::TimePoint now,
+                  std::shared_ptr<RouteLatency> route = nullptr);
   /// Records that a call ended at `now`; `sent` must be the time that was
   /// passed to OnCallSent.
   void OnCallEnded(base::TimePoint sent, base::TimePoint now,
@@ -122,8 +126,18 @@
   /// its recovery is noticed.
   base::Duration BusyTime(base::TimePoint now) const;
 
-  /// Time without an answer after which another leaf is likely to be faster.
-  base::Duration HedgeDelay(base::TimePoint now) const;
+  /// Time without an answer after which another leaf is likely to be faster,
+  /// for a call of `route`, which may be null. It is derived from the calls of
+  /// the route at all leaves, unless this leaf has answered calls of this route
+  /// only.
+  base::Duration HedgeDelay(base::TimePoint now,
+                            const RouteLatency* route = nullptr) const;
+
+  /// Factor by which the leaf is slower than other leaves that serve the same
+  /// routes. Without new samples it goes to 1.
+  double LatencyFactor(base::TimePoint now) const;
+  /// When a call last ended without having been cancelled.
+  base::TimePoint last_sample() const { return last_sample_; }
 
   /// Whether a call has been unanswered for longer than HedgeDelay and the leaf
   /// has answered no other call since that one was sent.
@@ -142,9 +156,23 @@
   double failure_rate() const { return failure_rate_ + refusal_rate_; }
 
  private:
-  /// Send time of the oldest call that was sent after the last answer; empty if
-  /// there is none.
-  std::optional<base::TimePoint> UnansweredSince() const;
+  /// A call that was sent and has not ended.
+  struct RunningCall {
+    base::TimePoint sent;
+    std::shared_ptr<RouteLatency> route;
+  };
+
+  /// The oldest call that was sent after the last answer; null if there is
+  /// none.
+  const RunningCall* OldestUnanswered() const;
+  /// Updates the factor and the estimate of the route after an answered call.
+  void UpdateRoute(const std::shared_ptr<RouteLatency>& route,
+                   base::Duration latency, base::TimePoint now);
+  /// Whether the latency of a call of `route` is better estimated from the
+  /// route's calls at all leaves than from those at this leaf.
+  bool FollowsRoute(const RouteLatency* route) const;
+  /// The part of the latency that is due to the distance.
+  base::Duration WayTime() const;
   /// Factor by which the rates have decayed since the last sample.
   double RateDecay(base::TimePoint now) const;
   /// Latency assumed for a leaf at this distance without samples.
@@ -167,12 +195,17 @@
   /// the pause.
   bool on_trial_ = false;
   base::TimePoint cold_until_{};
-  /// Send times of running calls, in ascending order.
-  std::deque<base::TimePoint> sent_at_;
+  /// Running calls in the order in which they were sent.
+  std::deque<RunningCall> calls_;
   base::TimePoint last_answer_{};
   base::TimePoint last_sample_{};
   base::Duration mean_{0};
   base::Duration deviation_{0};
+  /// The route of the first answered call, and whether calls of other routes
+  /// have been answered since.
+  std::shared_ptr<RouteLatency> answered_route_;
+  bool answered_other_routes_ = false;
+  double latency_factor_ = 1;
   double failure_rate_ = 0;
   double refusal_rate_ = 0;
   /// Time from which the leaf is tried again after it refused a call; empty
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -8,6 +8,7 @@
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/cold_call_limit.h"
 #include "berylreach/forward/configuration.h"
+#include "berylreach/forward/latency_model.h"
 #include "berylreach/forward/leaf_directory.h"
 #include "berylreach/forward/leaf_rate_limit.h"
 #include "berylreach/forward/service_shares.h"
@@ -52,8 +53,13 @@
   /// Returns the best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
 
-  /// Records that a call to the leaf is sent at `now`.
-  void OnSent(LeafRecord& leaf, base::TimePoint now) const;
+  /// Records that a call of `route`, an estimate of `latencies()` or null, to
+  /// the leaf is sent at `now`.
+  void OnSent(LeafRecord& leaf, base::TimePoint now,
+              LatencyModel::RouteEstimate route = nullptr) const;
+
+  /// The estimates of all routes.
+  LatencyModel& latencies() { return latencies_; }
 
   /// Time until the first leaf of the service permits a call by its statements
   /// (pauses and rate limits): zero if one does so soon, the longest duration
@@ -94,6 +100,7 @@
   ColdCallLimit& cold_;
   LeafRateLimit& rate_;
   const ServiceShares& shares_;
+  LatencyModel latencies_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -276,6 +276,8 @@
   RunContext& context_;
   std::shared_ptr<const RouteTable> table_;
   const Route& route_;
+  /// The estimate of the route's calls.
+  LatencyModel::RouteEstimate latency_;
   CallerRequest request_;
   std::uint64_t seed_;
   std::vector<Subrequest> subrequests_;
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -58,6 +58,24 @@
 /// Fewer failures may be coincidence.
 constexpr std::uint32_t kFailuresBeforeBackoff = 3;
 
+/// Least time that a call counts as work, and the largest ratio of a call's
+/// time to the mean of its route, so that one call shifts a factor little.
+constexpr milliseconds kMinWork{1};
+constexpr double kMaxRatio = 16;
+
+/// Latency assumed for a leaf at this distance without samples.
+base::Duration DefaultLatencyAt(Distance distance) {
+  switch (distance) {
+    case Distance::kSameZone:
+      return milliseconds(10);
+    case Distance::kSameRegion:
+      return milliseconds(12);
+    case Distance::kOtherRegion:
+      return milliseconds(50);
+  }
+  return milliseconds(50);
+}
+
 double Seconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -90,11 +108,11 @@
 
 bool LeafRecord::AcceptsCall(base::TimePoint now) const {
   if (leaving_ || IsPaused(now)) return false;
-  return !on_trial_ || sent_at_.empty();
+  return !on_trial_ || calls_.empty();
 }
 
 bool LeafRecord::IsTrialDue(base::TimePoint now) const {
-  if (!sent_at_.empty() || now < next_trial_) return false;
+  if (!calls_.empty() || now < next_trial_) return false;
   if (consecutive_failures_ > 0 && now < last_sample_ + kEstimateDecayTime)
     return false;
   if (refused_until_) return now >= *refused_until_;
@@ -103,15 +121,22 @@
   return mean_ <= DefaultLatency() && now >= last_sample_ + kTrialInterval;
 }
 
-void LeafRecord::OnCallSent(base::TimePoint now) {
+void LeafRecord::OnCallSent(base::TimePoint now,
+                            std::shared_ptr<RouteLatency> route) {
   if (IsTrialDue(now)) next_trial_ = now + kTrialInterval;
-  sent_at_.push_back(now);
+  calls_.push_back({now, std::move(route)});
 }
 
 void LeafRecord::OnCallEnded(base::TimePoint sent, base::TimePoint now,
                              CallOutcome outcome) {
-  const auto found = std::find(sent_at_.begin(), sent_at_.end(), sent);
-  if (found != sent_at_.end()) sent_at_.erase(found);
+  const auto found = std::find_if(
+      calls_.begin(), calls_.end(),
+      [sent](const RunningCall& call) { return call.sent == sent; });
+  std::shared_ptr<RouteLatency> route;
+  if (found != calls_.end()) {
+    route = std::move(found->route);
+    calls_.erase(found);
+  }
   if (outcome == CallOutcome::kCancelled) return;
   if (outcome == CallOutcome::kLost) MarkDoubtful(now);
   if (outcome == CallOutcome::kAnswered || outcome == CallOutcome::kShed ||
@@ -136,6 +161,7 @@
       refusal_rate_ = 0;
     }
     base::Duration sample = now - sent;
+    if (route != nullptr) UpdateRoute(route, sample, now);
     if (mean_ == base::Duration::zero()) {
       mean_ = sample;
       deviation_ = sample / 2;
@@ -164,6 +190,38 @@
   }
 }
 
+base::Duration LeafRecord::WayTime() const {
+  return DefaultLatency() - DefaultLatencyAt(Distance::kSameZone);
+}
+
+bool LeafRecord::FollowsRoute(const RouteLatency* route) const {
+  return route != nullptr && route->is_known() &&
+         (answered_other_routes_ || answered_route_.get() != route);
+}
+
+void LeafRecord::UpdateRoute(const std::shared_ptr<RouteLatency>& route,
+                             base::Duration latency, base::TimePoint now) {
+  if (answered_route_ == nullptr) answered_route_ = route;
+  if (answered_route_ != route) answered_other_routes_ = true;
+  const base::Duration time =
+      std::max<base::Duration>(latency - WayTime(), kMinWork);
+  if (route->is_known()) {
+    const double ratio = std::clamp(
+        Seconds(time) /
+            Seconds(std::max<base::Duration>(route->mean(), kMinWork)),
+        1 / kMaxRatio, kMaxRatio);
+    const double factor = LatencyFactor(now);
+    latency_factor_ = factor + (ratio - factor) / kMeanDivisor;
+  }
+  route->OnAnswer(time);
+}
+
+double LeafRecord::LatencyFactor(base::TimePoint now) const {
+  const double age =
+      std::min(1.0, Seconds(now - last_sample_) / Seconds(kEstimateDecayTime));
+  return latency_factor_ + (1 - latency_factor_) * age;
+}
+
 void LeafRecord::OnAnswerTo(base::TimePoint sent) {
   if (doubtful_since_ && sent >= *doubtful_since_) doubtful_since_.reset();
 }
@@ -177,15 +235,7 @@
 }
 
 base::Duration LeafRecord::DefaultLatency() const {
-  switch (distance_) {
-    case Distance::kSameZone:
-      return milliseconds(10);
-    case Distance::kSameRegion:
-      return milliseconds(12);
-    case Distance::kOtherRegion:
-      return milliseconds(50);
-  }
-  return milliseconds(50);
+  return DefaultLatencyAt(distance_);
 }
 
 base::Duration LeafRecord::Mean(base::TimePoint now) const {
@@ -200,7 +250,7 @@
 base::Duration LeafRecord::LoadAdjustedMean(base::TimePoint now) const {
   const auto slots =
       static_cast<double>(std::max<std::size_t>(1, entry_.slots));
-  const auto running = static_cast<double>(sent_at_.size());
+  const auto running = static_cast<double>(calls_.size());
   // Calls in the leaf's slots slow each other down slightly; calls beyond the
   // slots queue.
   const double load =
@@ -209,7 +259,7 @@
 }
 
 base::Duration LeafRecord::BusyTime(base::TimePoint now) const {
-  return sent_at_.empty() ? base::Duration::zero() : LoadAdjustedMean(now);
+  return calls_.empty() ? base::Duration::zero() : LoadAdjustedMean(now);
 }
 
 base::Duration LeafRecord::Cost(base::TimePoint now) const {
@@ -221,30 +271,41 @@
   return cost;
 }
 
-base::Duration LeafRecord::HedgeDelay(base::TimePoint now) const {
+base::Duration LeafRecord::HedgeDelay(base::TimePoint now,
+                                      const RouteLatency* route) const {
+  if (FollowsRoute(route)) {
+    const auto expected = std::chrono::duration_cast<base::Duration>(
+        (route->mean() + kOverdueDeviations * route->deviation()) *
+        LatencyFactor(now));
+    return std::max<base::Duration>(WayTime() + expected + kTimerMargin,
+                                    kMinHedgeDelay);
+  }
   if (mean_ == base::Duration::zero()) return 2 * DefaultLatency();
   const base::Duration overdue =
       Mean(now) + kOverdueDeviations * deviation_ + kTimerMargin;
   return std::max<base::Duration>(overdue, kMinHedgeDelay);
 }
 
-std::optional<base::TimePoint> LeafRecord::UnansweredSince() const {
-  const auto unanswered =
-      std::lower_bound(sent_at_.begin(), sent_at_.end(), last_answer_);
-  if (unanswered == sent_at_.end()) return std::nullopt;
-  return *unanswered;
+const LeafRecord::RunningCall* LeafRecord::OldestUnanswered() const {
+  const auto unanswered = std::find_if(
+      calls_.begin(), calls_.end(),
+      [this](const auto& call) { return call.sent >= last_answer_; });
+  return unanswered == calls_.end() ? nullptr : &*unanswered;
 }
 
 bool LeafRecord::HasOverdueCall(base::TimePoint now) const {
-  const auto since = UnansweredSince();
-  return since && now - *since > HedgeDelay(now);
+  const RunningCall* oldest = OldestUnanswered();
+  return oldest != nullptr &&
+         now - oldest->sent > HedgeDelay(now, oldest->route.get());
 }
 
 bool LeafRecord::IsUnresponsive(base::TimePoint now) const {
   if (now < unreachable_until_) return true;
-  const auto since = UnansweredSince();
-  return since && now - *since > std::max<base::Duration>(kUnresponsiveAfter,
-                                                          2 * HedgeDelay(now));
+  const RunningCall* oldest = OldestUnanswered();
+  return oldest != nullptr &&
+         now - oldest->sent >
+             std::max<base::Duration>(kUnresponsiveAfter,
+                                      2 * HedgeDelay(now, oldest->route.get()));
 }
 
 }  // namespace berylreach::forward
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -99,8 +99,9 @@
   return best;
 }
 
-void LeafSelector::OnSent(LeafRecord& leaf, base::TimePoint now) const {
-  leaf.OnCallSent(now);
+void LeafSelector::OnSent(LeafRecord& leaf, base::TimePoint now,
+                          LatencyModel::RouteEstimate route) const {
+  leaf.OnCallSent(now, std::move(route));
   if (leaf.IsCold(now)) cold_.OnCall(leaf.entry().id);
   if (leaf.rate_limit()) rate_.OnCall(leaf, now);
 }
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -46,6 +46,8 @@
     : context_(context),
       table_(std::move(table)),
       route_(route),
+      latency_(context.selector.latencies().Of(
+          route.name, route.scatters() ? "" : single_service)),
       request_(std::move(request)),
       seed_(base::Hash64(request_.id)) {
   total_ = route_.scatters() ? route_.shards.size() : 1;
@@ -269,15 +271,16 @@
   subrequest.tried.push_back(leaf->entry().id);
   const CallId id = context_.next_call();
   const bool sole_call = sole_call_ && !completed_any_;
-  subrequest.calls.push_back({.id = id,
-                              .leaf = leaf,
-                              .sent = now,
-                              .hedge_at = now + leaf->HedgeDelay(now),
-                              .sole_call = sole_call});
+  subrequest.calls.push_back(
+      {.id = id,
+       .leaf = leaf,
+       .sent = now,
+       .hedge_at = now + leaf->HedgeDelay(now, latency_.get()),
+       .sole_call = sole_call});
   ++calls_sent_;
   const std::size_t max_connections =
       context_.selector.ConnectionShare(*subrequest.service);
-  context_.selector.OnSent(*leaf, now);
+  context_.selector.OnSent(*leaf, now, latency_);
   actions.push_back(StartLeafCall{.call = id,
                                   .leaf = std::move(leaf),
                                   .max_connections = max_connections,
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "berylreach/gateway/leaf_metrics.h"
 #include "berylreach/host/log.h"
 #include "health_server.h"
 #include "listener.h"
@@ -379,6 +380,7 @@
   add("leaves", directory_.size());
   add("log_lines_dropped_total", host::DroppedLogLines());
   metrics_.AppendTo(text);
+  AppendSlowestLeaves(directory_, clock_.Now(), text);
   return text;
 }
 
--- a/gateway/lib/request_metrics.cc
+++ b/gateway/lib/request_metrics.cc
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include "metric_label.h"
+
 namespace berylreach::gateway {
 namespace {
 
@@ -31,21 +33,6 @@
   return "failed";
 }
 
-/// Escapes a label value; route names come from operators and may hold any
-/// character.
-std::string EscapeLabel(const std::string& value) {
-  std::string escaped;
-  for (const char c : value) {
-    if (c == '\\' || c == '"') escaped += '\\';
-    if (c == '\n') {
-      escaped += "\\n";
-    } else {
-      escaped += c;
-    }
-  }
-  return escaped;
-}
-
 }  // namespace
 
 void RequestMetrics::OnRequest(const std::string& route, RequestOutcome outcome,
