Compare leaves by the mean of the route and the factor of the leaf

A leaf's mean latency mixed the work of its routes, and kept its old value while it decayed: the one call that a recovered leaf got after seconds lowered it by an eighth only. Leaf calls of routes with an estimate are now compared by route mean times leaf factor, and a running call weighs more, since leaves slow down before their slots are full and other hosts may be calling them too. Calls to hosts, and routes without an estimate, are compared as before.

--- a/forward/include/berylreach/forward/leaf_record.h
+++ b/forward/include/berylreach/forward/leaf_record.h
@@ -119,7 +119,9 @@
 
   /// Expected latency of a new call, including the load of this host's running
   /// calls and penalties for recent failures, an overdue call and a cold leaf.
-  base::Duration Cost(base::TimePoint now) const;
+  /// `route` is the estimate of the call's route, or null.
+  base::Duration Cost(base::TimePoint now,
+                      const RouteLatency* route = nullptr) const;
 
   /// Expected latency of a new call, without penalties; zero if the leaf runs
   /// no call of this host, so that a leaf that was slow gets calls again and
@@ -179,7 +181,12 @@
   base::Duration DefaultLatency() const;
   /// The smoothed mean latency, increased for the load of this host's running
   /// calls.
-  base::Duration LoadAdjustedMean(base::TimePoint now) const;
+  base::Duration LoadAdjustedMean(base::TimePoint now,
+                                  const RouteLatency* route = nullptr) const;
+  /// The expected latency of a call of `route` without load: the mean of the
+  /// route times the factor of the leaf, or Mean if there is no estimate.
+  base::Duration ExpectedLatency(base::TimePoint now,
+                                 const RouteLatency* route) const;
   /// The smoothed mean latency. Without new samples, a high mean decays to the
   /// default.
   base::Duration Mean(base::TimePoint now) const;
--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -34,12 +34,15 @@
   /// Whether the call may serve as a trial call of a leaf that is not farther
   /// away than the best one. Hedges and retries may not.
   bool may_be_trial = false;
+  /// The estimate of the calls of the request's route; null if there is none.
+  const RouteLatency* route = nullptr;
 };
 
 /// Expected latency of `leaf` plus a small fraction that depends on `seed`, so
 /// that hosts do not all select the same one of several equal leaves.
 base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
-                            base::TimePoint now);
+                            base::TimePoint now,
+                            const RouteLatency* route = nullptr);
 
 /// Selects the leaf with the lowest expected latency among those that may be
 /// called.
--- a/forward/lib/leaf_record.cc
+++ b/forward/lib/leaf_record.cc
@@ -76,6 +76,13 @@
   return milliseconds(50);
 }
 
+/// Increase of the expected latency if all slots are in use. A host that runs
+/// groups has many slots, which hardly slow each other down. Some leaves take
+/// nearly twice as long once a second call runs, and a call of this host is
+/// also a sign of calls of other hosts to the same leaf.
+constexpr double kHostLoadSlope = 0.2;
+constexpr double kLeafLoadSlope = 1;
+
 double Seconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -247,23 +254,35 @@
                      (DefaultLatency() - mean_) * age);
 }
 
-base::Duration LeafRecord::LoadAdjustedMean(base::TimePoint now) const {
+base::Duration LeafRecord::ExpectedLatency(base::TimePoint now,
+                                           const RouteLatency* route) const {
+  if (route == nullptr || !route->is_known()) return Mean(now);
+  return WayTime() + std::chrono::duration_cast<base::Duration>(
+                         std::max<base::Duration>(route->mean(), kMinWork) *
+                         LatencyFactor(now));
+}
+
+base::Duration LeafRecord::LoadAdjustedMean(base::TimePoint now,
+                                            const RouteLatency* route) const {
   const auto slots =
       static_cast<double>(std::max<std::size_t>(1, entry_.slots));
   const auto running = static_cast<double>(calls_.size());
-  // Calls in the leaf's slots slow each other down slightly; calls beyond the
-  // slots queue.
+  const bool has_estimate = route != nullptr && route->is_known();
+  const double slope = has_estimate ? kLeafLoadSlope : kHostLoadSlope;
+  // Calls in the slots slow each other down; calls beyond the slots queue.
   const double load =
-      1 + 0.2 * running / slots + std::max(0.0, running + 1 - slots) / slots;
-  return std::chrono::duration_cast<base::Duration>(Mean(now) * load);
+      1 + slope * running / slots + std::max(0.0, running + 1 - slots) / slots;
+  return std::chrono::duration_cast<base::Duration>(
+      ExpectedLatency(now, route) * load);
 }
 
 base::Duration LeafRecord::BusyTime(base::TimePoint now) const {
   return calls_.empty() ? base::Duration::zero() : LoadAdjustedMean(now);
 }
 
-base::Duration LeafRecord::Cost(base::TimePoint now) const {
-  base::Duration cost = LoadAdjustedMean(now);
+base::Duration LeafRecord::Cost(base::TimePoint now,
+                                const RouteLatency* route) const {
+  base::Duration cost = LoadAdjustedMean(now, route);
   cost += std::chrono::duration_cast<base::Duration>(
       kFailurePenalty * failure_rate() * RateDecay(now));
   if (HasOverdueCall(now)) cost += kOverduePenalty;
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -49,13 +49,13 @@
 }  // namespace
 
 base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
-                            base::TimePoint now) {
+                            base::TimePoint now, const RouteLatency* route) {
   const std::uint64_t weight =
       base::RendezvousWeight(seed, base::Hash64(leaf.entry().id));
   const double jitter =
       kMaxJitter * static_cast<double>(weight) /
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  return std::chrono::duration_cast<base::Duration>(leaf.Cost(now) *
+  return std::chrono::duration_cast<base::Duration>(leaf.Cost(now, route) *
                                                     (1 + jitter));
 }
 
@@ -84,7 +84,7 @@
     if (leaf->IsCold(now) &&
         !cold_.MayCall(leaf->entry().id, query.service->cold_rate))
       return;
-    base::Duration cost = JitteredCost(*leaf, query.seed, now);
+    base::Duration cost = JitteredCost(*leaf, query.seed, now, query.route);
     const bool doubtful = query.avoid_doubtful && leaf->IsDoubtful(now);
     if (leaf->IsBackedOff(now) || doubtful) cost += kAvoidedLeafPenalty;
     if (query.may_be_trial && !doubtful && !leaf->IsCold(now) &&
--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -256,7 +256,8 @@
           .seed = seed_,
           .allow_unhealthy = allow_unhealthy,
           .avoid_doubtful = !route_.idempotent,
-          .may_be_trial = subrequest.tried.empty()};
+          .may_be_trial = subrequest.tried.empty(),
+          .route = latency_.get()};
 }
 
 bool RequestRun::SendCall(Subrequest& subrequest, bool allow_unhealthy,
--- a/forward/unittests/latency_model_test.cc
+++ b/forward/unittests/latency_model_test.cc
@@ -107,6 +107,100 @@
   EXPECT_NE(cheap_, costly_);
 }
 
+/// A host that calls three leaves of a service, one call after another.
+class LeafChoiceTest : public testing::Test {
+ protected:
+  LeafChoiceTest() {
+    clock_.Advance(std::chrono::hours(1));
+    for (const char* id : {"0", "1", "2"})
+      directory_.Put({.id = id,
+                      .service = "s",
+                      .address = "9:9",
+                      .zone = "z",
+                      .slots = 2});
+  }
+
+  /// Runs `count` calls of the route and returns how many went to leaf 0. Other
+  /// leaves answer after `latency`, leaf 0 after `factor` times that.
+  int CallsToFirst(const LatencyModel::RouteEstimate& route, int count,
+                   milliseconds latency, int factor) {
+    int first = 0;
+    for (int i = 0; i < count; ++i) {
+      const auto leaf = selector_.Choose(
+          {.service = &service_, .seed = ++seed_, .route = route.get()});
+      const bool is_first = leaf->entry().id == "0";
+      if (is_first) ++first;
+      const base::TimePoint sent = clock_.Now();
+      selector_.OnSent(*leaf, sent, route);
+      clock_.Advance(is_first ? latency * factor : latency);
+      leaf->OnCallEnded(sent, clock_.Now(), CallOutcome::kAnswered);
+      clock_.Advance(milliseconds(50));
+    }
+    return first;
+  }
+
+  base::ManualClock clock_;
+  LeafDirectory directory_{
+      clock_, {.zone = "z", .region = "r", .region_of_zone = {{"z", "r"}}}};
+  ColdCallLimit cold_{clock_, {}};
+  ServiceShares shares_{clock_};
+  LeafRateLimit rate_{shares_};
+  LeafSelector selector_{clock_, directory_, cold_, rate_, shares_};
+  Service service_{.name = "s", .max_connections = 25};
+  std::uint64_t seed_ = 0;
+  LatencyModel::RouteEstimate cheap_ = selector_.latencies().Of("cheap", "s");
+  LatencyModel::RouteEstimate costly_ = selector_.latencies().Of("costly", "s");
+};
+
+// Guards against a leaf that is avoided for long after it has recovered, since
+// each of the few calls that it gets lowers its estimate only a little.
+TEST_F(LeafChoiceTest, LeafThatWasSlowGetsItsShareAgainWithinSeconds) {
+  CallsToFirst(cheap_, 100, milliseconds(20), 1);
+  EXPECT_LT(CallsToFirst(cheap_, 150, milliseconds(20), 8), 20);
+  CallsToFirst(cheap_, 100, milliseconds(20), 1);  // 7 s
+  EXPECT_GT(CallsToFirst(cheap_, 100, milliseconds(20), 1), 20);
+}
+
+// Guards against a leaf that is avoided by cheap calls because it has run the
+// costly ones.
+TEST_F(LeafChoiceTest, LeafThatRanCostlyCallsStillGetsCheapOnes) {
+  CallsToFirst(cheap_, 60, milliseconds(10), 1);
+  CallsToFirst(costly_, 60, milliseconds(150), 1);
+  const auto first = directory_.Find("0");
+  for (int i = 0; i < 10; ++i) {
+    const base::TimePoint sent = clock_.Now();
+    first->OnCallSent(sent, costly_);
+    clock_.Advance(milliseconds(150));
+    first->OnCallEnded(sent, clock_.Now(), CallOutcome::kAnswered);
+  }
+  EXPECT_GT(CallsToFirst(cheap_, 60, milliseconds(10), 1), 10);
+}
+
+// Guards against calls to a leaf that already runs one, while equal leaves are
+// free: other hosts may be calling it too.
+TEST_F(LeafChoiceTest, LeafWithARunningCallIsUsedAfterFreeLeaves) {
+  CallsToFirst(cheap_, 100, milliseconds(20), 1);
+  const auto busy = directory_.Find("0");
+  const auto slower = directory_.Find("1");
+  directory_.Remove("2");
+  for (int i = 0; i < 30; ++i) {
+    const base::TimePoint sent = clock_.Now();
+    slower->OnCallSent(sent, cheap_);
+    busy->OnCallSent(sent, cheap_);
+    clock_.Advance(milliseconds(20));
+    busy->OnCallEnded(sent, clock_.Now(), CallOutcome::kAnswered);
+    clock_.Advance(milliseconds(6));
+    slower->OnCallEnded(sent, clock_.Now(), CallOutcome::kAnswered);
+  }
+  busy->OnCallSent(clock_.Now(), cheap_);
+  EXPECT_EQ(
+      selector_
+          .Choose({.service = &service_, .seed = 1, .route = cheap_.get()})
+          ->entry()
+          .id,
+      "1");
+}
+
 class CostlyRouteTest : public RunFixture {
  protected:
   /// Runs a request whose calls take `latency`, and returns the number of calls
