Test every request of a change of shards at the gateway

Requests are sent one after another while new leaves refuse calls until they are warm; each has to be answered from one set, and none from the old set after one from the new set.

--- a/gateway/unittests/gateway_shard_sets_test.cc
+++ b/gateway/unittests/gateway_shard_sets_test.cc
@@ -69,6 +69,44 @@
   EXPECT_EQ(leaves_["n0"].server->accepted_connections(), 1U);
 }
 
+// Guards against requests that fail or come late during the change, because new
+// leaves refuse calls while they are cold, and against answers of both sets.
+TEST_F(GatewayShardSetsTest, EveryRequestOfTheChangeIsAnsweredFromOneSet) {
+  near_ = MakeGateway("near", "a");
+  Load(*near_);
+  const std::string refusal = Response(503, "X-Not: 1\r\n", "");
+  AddLeaf("n0", refusal);
+  AddLeaf("n1", refusal);
+  const auto warm_at = std::chrono::steady_clock::now() + milliseconds(1000);
+  LearnNewSet(*near_, milliseconds(1000));
+  int old_answers = 0;
+  int new_answers = 0;
+  RawClient client(io_, callers_["near"]);
+  while (new_answers < 20) {
+    if (std::chrono::steady_clock::now() >= warm_at) {
+      leaves_["n0"].response = Response(200, "X-Sig: new0\r\n", kNewLow);
+      leaves_["n1"].response = Response(200, "X-Sig: new1\r\n", kNewHigh);
+    }
+    client.received().clear();
+    const auto sent = std::chrono::steady_clock::now();
+    client.Send(Request("/s/1"));
+    ASSERT_TRUE(RunUntil(io_, [&client] {
+      return client.received().size() > 60 &&
+             (client.received().ends_with(kLow) ||
+              client.received().ends_with(kNewLow) ||
+              !client.received().starts_with("HTTP/1.1 200"));
+    }));
+    const std::string& answer = client.received();
+    const bool from_old = answer.ends_with(kHigh + kLow);
+    const bool from_new = answer.ends_with(kNewHigh + kNewLow);
+    ASSERT_TRUE(from_old || from_new) << answer;
+    EXPECT_LT(std::chrono::steady_clock::now() - sent, milliseconds(2000));
+    EXPECT_FALSE(from_old && new_answers > 0) << "back to the old set";
+    ++(from_old ? old_answers : new_answers);
+  }
+  EXPECT_GT(old_answers, 0);
+}
+
 // Guards against hosts that decline each other's groups while some have changed
 // to a new set of shards and others have not.
 TEST_F(GatewayShardSetsTest, HostsRunGroupsOfBothSetsForEachOther) {
