--- a/forward/include/berylreach/forward/leaf_selector.h
+++ b/forward/include/berylreach/forward/leaf_selector.h
@@ -9,6 +9,7 @@
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/cold_call_limit.h"
 #include "berylreach/forward/configuration.h"
+#include "berylreach/forward/latency_model.h"
 #include "berylreach/forward/leaf_directory.h"
 #include "berylreach/forward/leaf_rate_limit.h"
 #include "berylreach/forward/service_shares.h"
@@ -37,12 +38,15 @@
   /// Whether the call may serve as a trial call of a leaf that is not farther
   /// away than the best one. Hedges and retries may not.
   bool may_be_trial = false;
+  /// The estimate of the calls of the request's route; null if there is none.
+  const RouteLatency* route = nullptr;
 };
 
 /// Expected latency of `leaf` plus a small fraction that depends on `seed`, so
 /// that hosts do not all select the same one of several equal leaves.
 base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
-                            base::TimePoint now);
+                            base::TimePoint now,
+                            const RouteLatency* route = nullptr);
 
 /// Selects the leaf with the lowest expected latency among those that may be
 /// called.
@@ -60,8 +64,13 @@
   /// Returns the best leaf, or null if none may be called now.
   std::shared_ptr<LeafRecord> Choose(const LeafQuery& query) const;
 
-  /// Records that a call to the leaf is sent at `now`.
-  void OnSent(LeafRecord& leaf, base::TimePoint now) const;
+  /// Records that a call of `route`, an estimate of `latencies()` or null, to
+  /// the leaf is sent at `now`.
+  void OnSent(LeafRecord& leaf, base::TimePoint now,
+              LatencyModel::RouteEstimate route = nullptr) const;
+
+  /// The estimates of all routes.
+  LatencyModel& latencies() { return latencies_; }
 
   /// Time until the first leaf of the service permits a call by its statements
   /// (pauses and rate limits): zero if one does so soon, the longest duration
@@ -116,6 +125,7 @@
   LeafRateLimit& rate_;
   const ServiceShares& shares_;
   VersionShifts* shifts_ = nullptr;
+  LatencyModel latencies_;
 };
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/request_run.h
+++ b/forward/include/berylreach/forward/request_run.h
@@ -284,6 +284,8 @@
   const Route& route_;
   /// Regions whose leaves may serve the request; empty for all.
   std::vector<std::string> regions_;
+  /// The estimate of the route's calls.
+  LatencyModel::RouteEstimate latency_;
   CallerRequest request_;
   std::uint64_t seed_;
   std::vector<Subrequest> subrequests_;
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -59,13 +59,13 @@
 }  // namespace
 
 base::Duration JitteredCost(const LeafRecord& leaf, std::uint64_t seed,
-                            base::TimePoint now) {
+                            base::TimePoint now, const RouteLatency* route) {
   const std::uint64_t weight =
       base::RendezvousWeight(seed, base::Hash64(leaf.entry().id));
   const double jitter =
       kMaxJitter * static_cast<double>(weight) /
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  return std::chrono::duration_cast<base::Duration>(leaf.Cost(now) *
+  return std::chrono::duration_cast<base::Duration>(leaf.Cost(now, route) *
                                                     (1 + jitter));
 }
 
@@ -144,7 +144,7 @@
     if (leaf->IsCold(now) &&
         !cold_.MayCall(leaf->entry().id, query.service->cold_rate))
       return;
-    base::Duration cost = JitteredCost(*leaf, query.seed, now);
+    base::Duration cost = JitteredCost(*leaf, query.seed, now, query.route);
     const bool doubtful = query.avoid_doubtful && leaf->IsDoubtful(now);
     if (leaf->IsBackedOff(now) || doubtful) cost += kAvoidedLeafPenalty;
     if (query.may_be_trial && !doubtful && !leaf->IsCold(now) &&
@@ -159,8 +159,9 @@
   return best;
 }
 
-void LeafSelector::OnSent(LeafRecord& leaf, base::TimePoint now) const {
-  leaf.OnCallSent(now);
+void LeafSelector::OnSent(LeafRecord& leaf, base::TimePoint now,
+                          LatencyModel::RouteEstimate route) const {
+  leaf.OnCallSent(now, std::move(route));
   if (leaf.IsCold(now)) cold_.OnCall(leaf.entry().id);
   if (leaf.rate_limit()) rate_.OnCall(leaf, now);
   if (shifts_ != nullptr) shifts_->OnSent(leaf);
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "berylreach/gateway/leaf_metrics.h"
 #include "berylreach/host/log.h"
 #include "health_server.h"
 #include "listener.h"
@@ -417,6 +418,7 @@
   tenant_metrics_.AppendTo(text);
   quota_gate_.AppendMetrics(text);
   version_reporting_.AppendTo(text);
+  AppendSlowestLeaves(directory_, clock_.Now(), text);
   return text;
 }
 
