--- a/gateway/lib/leaf_metrics.cc
+++ b/gateway/lib/leaf_metrics.cc
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "metric_label.h"
+#include "label.h"
 
 namespace berylreach::gateway {
 namespace {
