--- a/forward/unittests/version_shift/shift_simulation.h
+++ b/forward/unittests/version_shift/shift_simulation.h
@@ -207,6 +207,8 @@
   void KillLeaves();
   std::size_t Index(const std::string& host) const;
 
+  static constexpr std::size_t kZoneCount = 6;
+
   Copy copy_;
   /// The last write since the store came back from a copy.
   std::optional<VersionShiftStatus> last_commit_;
