--- a/forward/lib/shared_limit.cc
+++ b/forward/lib/shared_limit.cc
@@ -14,10 +14,10 @@
 constexpr double kCapacityPart = 0.25;
 /// Tokens that are granted before a window and used in it.
 constexpr double kLifePart = 0.3;
-constexpr double kStartPart = 0.1;
+constexpr double kStartPart = 0.05;
 constexpr double kUnconfirmedPart = 0.1;
-constexpr double kUnregisteredPart = 0.15;
-constexpr double kAllowancePart = 0.15;
+constexpr double kUnregisteredPart = 0.1;
+constexpr double kAllowancePart = 0.1;
 
 /// Longest time from a claim until the token is used.
 constexpr milliseconds kMaxLife{1000};
