--- a/gateway/unittests/gateway_quotas_test.cc
+++ b/gateway/unittests/gateway_quotas_test.cc
@@ -23,9 +23,9 @@
         {.name = "free", .api_keys = {forward::ApiKey::Of("free-key")}}};
   }
 
-  /// Makes a host that has been registered for longer than a newcomer.
-  std::unique_ptr<Gateway> MakeOldHost(const std::string& name,
-                                       const std::string& zone) {
+  /// Makes a host whose registration has a valid lease.
+  std::unique_ptr<Gateway> MakeRegistered(const std::string& name,
+                                          const std::string& zone) {
     auto gateway = MakeGateway(name, zone);
     gateway->OnLeaseRenewed({.sent = clock_.Now(), .is_new = true});
     return gateway;
@@ -69,7 +69,7 @@
 // Guards against a quota that is not enforced, or that other tenants, public
 // routes and other routes pay for.
 TEST_F(GatewayQuotasTest, AnExhaustedQuotaRefusesOnlyItsTenant) {
-  const auto gateway = MakeOldHost("g", "a");
+  const auto gateway = MakeRegistered("g", "a");
   Load(*gateway);
   PassNewcomerTime({"g"}, {gateway.get()});
   RawClient client(io_, callers_["g"]);
@@ -92,8 +92,8 @@
 // Guards against hosts that each grant the whole quota, and against groups that
 // are charged again by the host that runs them.
 TEST_F(GatewayQuotasTest, HostsShareTheQuota) {
-  near_ = MakeOldHost("near", "a");
-  far_ = MakeOldHost("far", "b");
+  near_ = MakeRegistered("near", "a");
+  far_ = MakeRegistered("far", "b");
   Load(*near_);
   Load(*far_);
   PassNewcomerTime({"near", "far"}, {near_.get(), far_.get()});
@@ -109,7 +109,7 @@
 // Guards against requests that are held although no owner can be asked, and
 // that are refused as if their quota was exhausted.
 TEST_F(GatewayQuotasTest, WithoutAnOwnerTheRefusalSaysSo) {
-  const auto gateway = MakeOldHost("g", "a");
+  const auto gateway = MakeRegistered("g", "a");
   hosts_.clear();
   Load(*gateway);
   RawClient client(io_, callers_["g"]);
@@ -121,7 +121,7 @@
 // Guards against a request that runs after its caller has left, and against one
 // that never ends because its owner is silent.
 TEST_F(GatewayQuotasTest, CallersThatLeaveWhileTheyWaitAreForgotten) {
-  const auto gateway = MakeOldHost("g", "a");
+  const auto gateway = MakeRegistered("g", "a");
   TestServer silent(io_, clock_, [](ServerConnection&, const HttpRequest&) {});
   hosts_ = {{"silent", silent.address(), "a", 1}};
   Load(*gateway);
@@ -138,7 +138,7 @@
 // Guards against tokens that a stopping or paused host still grants, and
 // against malformed claims that change its buckets.
 TEST_F(GatewayQuotasTest, AnswersClaimsOfOtherHosts) {
-  const auto gateway = MakeOldHost("g", "a");
+  const auto gateway = MakeRegistered("g", "a");
   Load(*gateway);
   PassNewcomerTime({"g"}, {gateway.get()});
   RawClient peer(io_, peers_["g"]);
@@ -161,7 +161,7 @@
 // Guards against messages and metrics in deployments without quotas.
 TEST_F(GatewayQuotasTest, WithoutQuotasNothingIsSent) {
   configuration_.tenants.erase(configuration_.tenants.begin());
-  const auto gateway = MakeOldHost("g", "a");
+  const auto gateway = MakeRegistered("g", "a");
   Load(*gateway);
   RawClient client(io_, callers_["g"]);
   EXPECT_EQ(StatusOf(client, Keyed("/o/1", "free-key")), "200");
