Begin shares ahead, and ask each host for a confirmation once at a time

Cause: a new owner asked for confirmations only when claims arrived, so after a common start most shares stayed at the rate of an unconfirmed owner for 30 s. Asking at each tick and on each answer repeated questions that were under way: one test of 200 hosts took 52 s instead of 0.2 s. Change: owners begin their shares while they are newcomers, and a host is asked again after 250 ms only.

--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -95,7 +95,8 @@
     base::TimePoint not_before{};
     /// Hosts that have confirmed, and whether they registered only recently.
     std::map<std::string, bool> confirmed;
-    base::TimePoint asked_at{};
+    /// When each host that has not confirmed was last asked.
+    std::map<std::string, base::TimePoint> asked_at;
     base::TimePoint claimed_at{};
     /// Tokens that owners of other regions have given. Together with `tokens`
     /// they fit into the bucket, so that they may stay in it.
@@ -163,6 +164,7 @@
   /// Since when the buckets fill that were not in use; later than began_at_
   /// after a pause.
   base::TimePoint fill_from_;
+  base::TimePoint prepared_at_{};
   std::optional<base::TimePoint> lease_sent_;
   /// When the claims were sent by which other hosts of the region have
   /// confirmed that their leases may have expired.
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -24,7 +24,10 @@
 constexpr milliseconds kVainBorrowInterval{200};
 constexpr double kUsefulPart = 0.1;
 /// Most shares that are begun at once without a claim.
-constexpr std::size_t kMaxPrepared = 32;
+constexpr std::size_t kMaxPrepared = 128;
+/// Interval at which shares are begun without a claim, as the list of hosts
+/// grows after a common start.
+constexpr seconds kPrepareInterval{4};
 
 /// Time within which owners of other regions answer.
 constexpr milliseconds kBorrowTime{55};
@@ -118,7 +121,11 @@
 
 void QuotaOwner::PrepareShares() {
   // Later, a new share is granted in full without confirmation.
-  if (!MayGrant() || clock_.Now() >= began_at_ + kLeaseTime) return;
+  const base::TimePoint now = clock_.Now();
+  if (!MayGrant() || limits_.empty() || now >= began_at_ + kLeaseTime ||
+      now < prepared_at_ + kPrepareInterval)
+    return;
+  prepared_at_ = now;
   const std::string& region = owners_.regions().front();
   std::size_t begun = 0;
   for (const auto& [name, limit] : limits_) {
@@ -324,7 +331,6 @@
     if ((newcomer || grant.status == GrantStatus::kGranted) &&
         sent >= confirm_from_) {
       share.confirmed[from] = newcomer;
-      share.asked_at = {};
       AskToConfirm({claim.limit, claim.region}, share, actions);
     }
     return;
@@ -341,6 +347,11 @@
 void QuotaOwner::Tick(Actions& actions) {
   const base::TimePoint now = clock_.Now();
   PrepareShares();
+  // Shares that were begun by a shorter list of hosts would ask for ever.
+  std::erase_if(shares_, [this](const auto& entry) {
+    return owners_.OwnerOf(entry.first.first, entry.first.second) !=
+           owners_.self();
+  });
   for (auto& [key, share] : shares_) AskToConfirm(key, share, actions);
   AskForWitnesses(actions);
   std::erase_if(shares_, [&](const auto& entry) {
--- a/forward/lib/quota_owner_change.cc
+++ b/forward/lib/quota_owner_change.cc
@@ -109,24 +109,28 @@
                               Actions& actions) const {
   const base::TimePoint now = clock_.Now();
   if (now >= share.full_from || share.full_from == share.not_before) return;
-  if (now < share.asked_at + kConfirmInterval || now < confirm_from_) return;
+  if (now < confirm_from_) return;
   const std::vector<std::string> others =
       owners_.RankedOthers(key.first, key.second, kMaxAsked);
   // A host that knows of no other may have an old list.
   if (others.empty()) return;
   std::size_t to_ask = 1 + 2 * share.confirmed.size();
+  bool all_confirmed = true;
   bool complete = others.size() < kMaxAsked;
   for (const std::string& other : others) {
     const auto confirmed = share.confirmed.find(other);
     if (confirmed != share.confirmed.end()) {
       if (confirmed->second) continue;
       // The first host in rank that is no newcomer.
-      complete = share.asked_at != now;
+      complete = all_confirmed;
       break;
     }
+    all_confirmed = false;
     complete = false;
     if (to_ask-- == 0) break;
-    share.asked_at = now;
+    base::TimePoint& asked_at = share.asked_at[other];
+    if (now < asked_at + kConfirmInterval) continue;
+    asked_at = now;
     actions.push_back({other,
                        {.limit = key.first,
                         .region = key.second,
--- a/forward/unittests/quota_changes_test.cc
+++ b/forward/unittests/quota_changes_test.cc
@@ -33,6 +33,20 @@
   }
 }
 
+// Guards against requests that are refused within their quotas for 30 s after a
+// common start, until owners grant in full.
+TEST(QuotaChangesTest, OwnersGrantInFullSoonAfterACommonStart) {
+  QuotaSimulation simulation({.hosts = 75, .seed = 3});
+  simulation.SetLimits({{"a", 2, 2}});
+  simulation.time.RunFor(seconds(12));
+  const seconds played{18};
+  simulation.Load("a", 1, simulation.time.Now() + played, AnyHost(simulation));
+  simulation.time.RunFor(played);
+  const QuotaOutcome& outcome = simulation.outcomes["a"];
+  EXPECT_GT(outcome.admitted.size(), 10U);
+  EXPECT_EQ(outcome.over_limit + outcome.no_owner, 0U);
+}
+
 // Guards against an exhausted quota whose claims delay or refuse the requests
 // of others. At a fifth of its rate, random demand stays within a burst of 5.
 TEST(QuotaChangesTest, AnExhaustedQuotaCostsOthersNothing) {
