--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -20,7 +20,7 @@
   gateway/lib/{feed,group,quota,suspect,version_report}_codec.cc \
   gateway/lib/{endpoint_address,request_fingerprint,http_message}.cc \
   platform/lib/{codec,tenant_codec,platform_settings,store_page,version_shift_codec}.cc \
-  forward/lib/{leaf_directory,leaf_record,api_key,route_table,version_shift}.cc; do
+  forward/lib/{leaf_directory,leaf_record,route_latency,api_key,route_table,version_shift}.cc; do
   object="$out/$(echo "$source" | tr / -).o"
   echo "$source $object"
 done >"$out/sources.txt"
