Share the conversion of seconds and the rule for allowed regions

Cause: three files of the quotas and leaf_rate_limit each converted seconds, and LeafSelector, ShardSetHandover and the opening of connections ahead each had the rule for lists of allowed regions. Change: base/seconds.h and forward/allowed_regions.h; behaviour is the same.

--- a/forward/lib/leaf_rate_limit.cc
+++ b/forward/lib/leaf_rate_limit.cc
@@ -8,10 +8,12 @@
 #include <limits>
 
 #include "berylreach/base/rendezvous.h"
+#include "berylreach/base/seconds.h"
 
 namespace berylreach::forward {
 namespace {
 
+using base::Seconds;
 /// Sum of the bucket sizes of all hosts: seconds of the limit, and calls. A
 /// leaf may get that many calls at once beyond its limit.
 constexpr double kBurstSeconds = 1;
@@ -46,11 +48,6 @@
   return std::max(kMinRate, leaf.rate_limit().value_or(0));
 }
 
-base::Duration Seconds(double seconds) {
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 void LeafRateLimit::SetHosts(const std::string& self, const Location& location,
--- a/forward/lib/leaf_selector.cc
+++ b/forward/lib/leaf_selector.cc
@@ -7,6 +7,7 @@
 
 #include "berylreach/base/hash.h"
 #include "berylreach/base/rendezvous.h"
+#include "berylreach/forward/allowed_regions.h"
 #include "berylreach/forward/version_shifts.h"
 
 namespace berylreach::forward {
@@ -42,9 +43,9 @@
          std::find(values->begin(), values->end(), value) != values->end();
 }
 
-bool IsAllowedRegion(const LeafQuery& query, const LeafRecord& leaf) {
-  return query.regions == nullptr || query.regions->empty() ||
-         Contains(query.regions, leaf.region());
+bool AllowsRegionOf(const LeafQuery& query, const LeafRecord& leaf) {
+  return query.regions == nullptr ||
+         IsAllowedRegion(*query.regions, leaf.region());
 }
 
 /// Whether a call may go to the leaf. `last_resort` tells whether no leaf of a
@@ -135,7 +136,7 @@
   auto best_cost = base::Duration::max();
   const auto consider = [&](const std::shared_ptr<LeafRecord>& leaf) {
     if (!condition(*leaf)) return;
-    if (!IsAllowedRegion(query, *leaf)) return;
+    if (!AllowsRegionOf(query, *leaf)) return;
     if (Contains(query.tried, leaf->entry().id)) return;
     if (leaf->running() >= connections || !leaf->AcceptsCall(now)) return;
     if (rate_.MayCallAt(*leaf, now) > now) return;
@@ -210,7 +211,7 @@
       query.service->name, [&](const std::shared_ptr<LeafRecord>& leaf) {
         any = any ||
               ((!permit || MayUse(*permit, *leaf, last_resort)) &&
-               IsAllowedRegion(query, *leaf) &&
+               AllowsRegionOf(query, *leaf) &&
                !Contains(query.tried, leaf->entry().id) && condition(*leaf));
       });
   return any;
--- a/forward/lib/quota_client.cc
+++ b/forward/lib/quota_client.cc
@@ -4,9 +4,13 @@
 #include <algorithm>
 #include <cmath>
 
+#include "berylreach/base/seconds.h"
+
 namespace berylreach::forward {
 namespace {
 
+using base::InSeconds;
+using base::Seconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -35,15 +39,6 @@
 /// Retry-After of a request for which no owner can be asked.
 constexpr milliseconds kNoOwnerRetryAfter{1000};
 
-double InSeconds(base::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-base::Duration Seconds(double seconds) {
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 /// Name under which a host's answer that it does not own a share is remembered.
 std::string ShareOf(const std::string& host, const std::string& limit,
                     const std::string& region) {
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -4,9 +4,13 @@
 #include <algorithm>
 #include <cmath>
 
+#include "berylreach/base/seconds.h"
+
 namespace berylreach::forward {
 namespace {
 
+using base::InSeconds;
+using base::Seconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -50,15 +54,6 @@
 /// Sums of fractions of a token count as whole from this far below.
 constexpr double kRounding = 1e-9;
 
-double InSeconds(base::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-base::Duration Seconds(double seconds) {
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 QuotaOwner::QuotaOwner(const base::Clock& clock, LimitOwners& owners,
--- a/forward/lib/shard_set_handover.cc
+++ b/forward/lib/shard_set_handover.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "berylreach/forward/allowed_regions.h"
 #include "berylreach/forward/min_answered.h"
 
 namespace berylreach::forward {
@@ -17,20 +18,13 @@
   return found == configuration.routes.end() ? nullptr : &*found;
 }
 
-/// Whether `allowed` contains the region; an empty list allows all.
-bool Allows(const std::vector<std::string>& allowed,
-            const std::string& region) {
-  return allowed.empty() ||
-         std::find(allowed.begin(), allowed.end(), region) != allowed.end();
-}
-
 /// Whether a region that `before` allowed may no longer be used after it.
 bool TakesRegionsAway(const std::vector<std::string>& before,
                       const std::vector<std::string>& after) {
   if (after.empty()) return false;
   return before.empty() || std::any_of(before.begin(), before.end(),
                                        [&after](const auto& region) {
-                                         return !Allows(after, region);
+                                         return !IsAllowedRegion(after, region);
                                        });
 }
 
@@ -148,7 +142,7 @@
     for (const std::string& shard : newest.shards) {
       base::TimePoint warm_at = deadline;
       directory_.ForEachUsable(shard, [&](const auto& leaf) {
-        if (Allows(newest.regions, leaf->region()))
+        if (IsAllowedRegion(newest.regions, leaf->region()))
           warm_at = std::min(warm_at, leaf->cold_until());
       });
       ready_at = std::max(ready_at, warm_at);
@@ -164,7 +158,7 @@
   const auto is_served = [&](const std::string& shard) {
     bool served = false;
     directory_.ForEachUsable(shard, [&](const auto& leaf) {
-      served = served || (Allows(route.regions, leaf->region()) &&
+      served = served || (IsAllowedRegion(route.regions, leaf->region()) &&
                           !(only_warm && leaf->IsCold(now)));
     });
     return served;
--- a/forward/lib/shared_limit.cc
+++ b/forward/lib/shared_limit.cc
@@ -3,9 +3,12 @@
 
 #include <algorithm>
 
+#include "berylreach/base/seconds.h"
+
 namespace berylreach::forward {
 namespace {
 
+using base::InSeconds;
 using std::chrono::milliseconds;
 
 /// Parts of the excess that the bound permits beyond rate and burst. An owner's
@@ -24,10 +27,6 @@
 /// Smallest part of kLifePart that is left for the time at a host.
 constexpr double kMinHostPart = 0.25;
 
-double InSeconds(base::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 LimitPlan PlanLimit(const LimitSpec& spec, const QuotaBounds& bounds,
--- a/gateway/lib/gateway_shard_sets.cc
+++ b/gateway/lib/gateway_shard_sets.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "berylreach/base/hash.h"
+#include "berylreach/forward/allowed_regions.h"
 #include "berylreach/gateway/gateway.h"
 #include "berylreach/host/log.h"
 
@@ -92,10 +93,8 @@
   const std::uint64_t seed = base::Hash64(settings_.host);
   const auto add = [&](const std::shared_ptr<forward::LeafRecord>& leaf) {
     const std::string& id = leaf->entry().id;
-    const bool allowed = route.regions.empty() ||
-                         std::find(route.regions.begin(), route.regions.end(),
-                                   leaf->region()) != route.regions.end();
-    if (!allowed || leaf->IsBackedOff(now) || leaf->IsPaused(now) ||
+    if (!forward::IsAllowedRegion(route.regions, leaf->region()) ||
+        leaf->IsBackedOff(now) || leaf->IsPaused(now) ||
         leaf_connections_.HasConnection(id))
       return;
     missing.emplace_back(base::Hash64(id) ^ seed, leaf);
