--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -178,11 +178,10 @@
     shutdown(listener_, SHUT_RDWR);
     close(listener_);
     const std::lock_guard lock(mutex_);
-    for (const int connection : connections_) {
-      const linger now{1, 0};
-      setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-      shutdown(connection, SHUT_RDWR);
-    }
+    // Disconnecting a TCP socket resets the connection.
+    const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
+    for (const int connection : connections_)
+      connect(connection, &none, sizeof(none));
   }
 
  private:
