--- a/review/6/play.cc
+++ b/review/6/play.cc
@@ -11,12 +11,16 @@
 constexpr int kHosts = 6;
 constexpr int kLeaves = 6;
 constexpr milliseconds kWorkTime{20};
-/// Time for which a crashed leaf is silent. It is less than three heartbeat
-/// intervals (1.2 s each), so that the entry of the leaf stays.
-constexpr milliseconds kSilent{3000};
-/// Time from the return of a leaf to its first entry: half a heartbeat
-/// interval.
-constexpr milliseconds kFirstEntry{600};
+/// Interval of a leaf's heartbeats, and the time without one after which the
+/// platform removes its entry.
+constexpr milliseconds kHeartbeat{1200};
+constexpr milliseconds kEntryLifetime = 3 * kHeartbeat;
+/// Time for which a crashed leaf is silent.
+constexpr milliseconds kSilent{2000};
+/// Time from the return of a leaf to its first heartbeat.
+constexpr milliseconds kFirstHeartbeat{300};
+/// Time for which a leaf that has started again is cold (`cold_start_s`).
+constexpr milliseconds kCold{3000};
 /// From the settings: the time after which retries count.
 constexpr double kContactSeconds = 6;
 /// Retries after that time which the rule allows.
@@ -37,7 +41,7 @@
   const json::object service = {{"name", "buckle"},
                                 {"health_path", "/healthz"},
                                 {"max_conns", 510},
-                                {"cold_start_s", 3.0},
+                                {"cold_start_s", kCold.count() / 1000.0},
                                 {"cold_per_s", 0.0}};
   const json::object limits = {{"max_header_bytes", 16384},
                                {"max_body_bytes", 262144},
@@ -57,6 +61,14 @@
   /// Number of its starts so far.
   std::atomic<int> starts = 1;
   std::atomic<bool> silent = false;
+  /// The Unix time of the last start, and the end of the time in which the leaf
+  /// is cold.
+  std::int64_t born = UnixMs();
+  Clock::time_point cold_until{};
+  Clock::time_point last_heartbeat{};
+  Clock::time_point next_heartbeat{};
+  /// What the entry says; it is written again when that changes.
+  std::string entry;
 };
 
 class Play {
@@ -71,6 +83,7 @@
   int Run() {
     store_.Put("op/config", Configuration());
     for (int i = 0; i < kLeaves; ++i) StartLeaf(i);
+    clients_.emplace_back([this] { RunHeartbeats(); });
     StartHosts();
     if (!WaitUntilReady(hosts_, milliseconds(15000))) {
       record_.Say("the hosts are not ready");
@@ -129,29 +142,70 @@
         LoopbackIp(2) + ":0", [this, &leaf](const Message& request, int) {
           return Serve(leaf, request);
         });
-    Register(leaf);
+    // The leaves beat at different moments.
+    leaf.next_heartbeat = Clock::now() + number * kHeartbeat / kLeaves;
+    Beat(leaf);
   }
 
-  void Register(const Leaf& leaf) {
+  /// Milliseconds for which the leaf stays cold.
+  static std::int64_t ColdLeft(const Leaf& leaf) {
+    return std::max<std::int64_t>(
+        0, std::chrono::ceil<milliseconds>(leaf.cold_until - Clock::now())
+               .count());
+  }
+
+  /// Writes the entry of the leaf if more than its `seq` has changed.
+  void Beat(Leaf& leaf) {
+    leaf.last_heartbeat = Clock::now();
+    const std::int64_t cold = ColdLeft(leaf);
+    const std::string entry =
+        std::to_string(leaf.born) + (cold > 0 ? " cold" : " warm");
+    if (entry == leaf.entry) return;
+    leaf.entry = entry;
     store_.Put("servers/" + leaf.id,
-               json::serialize(
-                   json::object{{"service", "buckle"},
-                                {"addr", leaf.server->address()},
-                                {"zone", leaf.zone},
-                                {"version", "v1"},
-                                {"slots", 4},
-                                {"state", "ready"},
-                                {"cold_left_ms", 0},
-                                {"born", 1700000000000 + 10000 * leaf.starts},
-                                {"seq", 1}}));
-    record_.Add(leaf.id + " writes its entry of start " +
-                std::to_string(leaf.starts));
+               json::serialize(json::object{{"service", "buckle"},
+                                            {"addr", leaf.server->address()},
+                                            {"zone", leaf.zone},
+                                            {"version", "v1"},
+                                            {"slots", 4},
+                                            {"state", "ready"},
+                                            {"cold_left_ms", cold},
+                                            {"born", leaf.born},
+                                            {"seq", 1}}));
+    record_.Add(leaf.id + " writes its entry: born " + entry);
+  }
+
+  /// Lets the leaves beat, and removes the entries of those that are silent for
+  /// too long.
+  void RunHeartbeats() {
+    while (!ended_) {
+      std::this_thread::sleep_for(milliseconds(10));
+      const std::lock_guard lock(beats_);
+      const auto now = Clock::now();
+      for (const auto& leaf : leaves_) {
+        if (!leaf->silent && now >= leaf->next_heartbeat) {
+          leaf->next_heartbeat = now + kHeartbeat;
+          Beat(*leaf);
+        }
+        if (now - leaf->last_heartbeat < kEntryLifetime || leaf->entry.empty())
+          continue;
+        leaf->entry.clear();
+        store_.Delete("servers/" + leaf->id);
+        record_.Add("the entry of " + leaf->id + " is removed");
+      }
+    }
   }
 
   std::string Serve(Leaf& leaf, const Message& request) {
     if (leaf.silent) return "";
     const std::string instance = "X-Instance-Id: " + leaf.id + "\r\n";
-    if (request.Target() == "/healthz") return Response(200, instance, "");
+    if (request.Target() == "/healthz") {
+      const std::lock_guard lock(beats_);
+      return Response(
+          200,
+          instance + "X-Cold-Ms: " + std::to_string(ColdLeft(leaf)) + "\r\n",
+          "");
+    }
     if (request.Field("x-expect-instance") != leaf.id)
       return Response(421, instance, "");
     const std::string id = request.Field("x-request-id");
@@ -181,11 +235,13 @@
     record_.Add(leaf.id + " crashes and falls silent");
     std::thread([this, &leaf] {
       std::this_thread::sleep_for(kSilent);
+      const std::lock_guard lock(beats_);
       ++leaf.starts;
+      leaf.born = UnixMs();
+      leaf.cold_until = Clock::now() + kCold;
+      leaf.next_heartbeat = Clock::now() + kFirstHeartbeat;
       leaf.silent = false;
       record_.Add(leaf.id + " is back under its id");
-      std::this_thread::sleep_for(kFirstEntry);
-      Register(leaf);
     }).detach();
   }
 
@@ -257,6 +313,8 @@
   std::atomic<int> others_ = 0;
   std::atomic<int> others_lost_ = 0;
   std::mutex mutex_;
+  /// Protects what heartbeats read and write.
+  std::mutex beats_;
   std::map<std::string, double> sent_;
   std::vector<Arrival> arrivals_;
 };
--- a/review/8/play.cc
+++ b/review/8/play.cc
@@ -173,7 +173,7 @@
                                             {"slots", 2},
                                             {"state", "ready"},
                                             {"cold_left_ms", cold.count()},
-                                            {"born", 1700000000000},
+                                            {"born", UnixMs()},
                                             {"seq", 1}}));
   }
 
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -13,6 +13,13 @@
 
 namespace standin {
 
+/// The Unix time in milliseconds.
+inline std::int64_t UnixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// The file in which a run writes what was sent, answered and run.
 class Record {
  public:
--- a/review/standins-2/quota_deployment.h
+++ b/review/standins-2/quota_deployment.h
@@ -149,7 +149,7 @@
                                             {"slots", 8},
                                             {"state", "ready"},
                                             {"cold_left_ms", 0},
-                                            {"born", 1700000000000 + number},
+                                            {"born", UnixMs()},
                                             {"seq", 4}}));
   }
 
