Send the store the keys of listings as they are

Seen by callers: while an entry under an odd name stood at the end of a page of the store, no request was served by hosts that started: never ready with &, +, %, # or a blank in the name, or ready without a leaf with %7a. Cause: StoreClient::Range put the last key of a page into the query unescaped, so that the store read another key, or could not read the request, and the next page was the same one, none, or one behind all leaves. The stand-in of the store decoded no query either, so no test could see it. Change: all parameters of the store's calls are percent-encoded by one function, which the client of the own interface uses too (it had its own). Encoding covers every byte but the unreserved ones, so no name can end or split the parameter.

--- a/transport/lib/store_codec.cc
+++ b/transport/lib/store_codec.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <utility>
 
+#include "berylreach/base/percent_encoding.h"
 #include "berylreach/config/base64.h"
 #include "client_connection.h"
 
@@ -16,27 +17,6 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
-/// Whether a character of a key needs no escape in a path.
-bool IsPlain(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9') || c == '/' || c == '-' || c == '_' || c == '.';
-}
-
-constexpr char kHexDigits[] = "0123456789ABCDEF";
-
-std::string EscapeKey(const std::string& key) {
-  std::string escaped;
-  for (const char c : key) {
-    if (IsPlain(c)) {
-      escaped.push_back(c);
-      continue;
-    }
-    const auto byte = static_cast<unsigned char>(c);
-    escaped += {'%', kHexDigits[byte >> 4], kHexDigits[byte & 15]};
-  }
-  return escaped;
-}
-
 /// Reads the value and revision of the single entry in the answer to a read;
 /// false if the answer is invalid.
 bool ReadEntry(const std::string& body, model::StoreResult& result) {
@@ -70,7 +50,7 @@
 
 std::string FormatStoreRequest(const model::StoreRequest& request,
                                const std::string& host) {
-  std::string target = "/v1/kv/" + EscapeKey(request.key);
+  std::string target = "/v1/kv/" + base::PercentEncode(request.key);
   switch (request.operation) {
     case model::StoreOperation::kCompareAndSwap:
       target += "?cas=" + std::to_string(request.revision);
