Read a page that brings nothing new again later, not at once

Cause: the reader took every answered page for progress, repeated it without delay, and ended a listing at an empty page whatever the store said. Change: forward::ListingCursor accepts a page only if it is the last one or brings a key that no earlier page has brought, which holds whatever the order of the store's keys. Any other page counts as a failed read: logged, delayed, followers told. StorePage moves to a header of its own.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -13,21 +13,12 @@
 #include "berylreach/base/clock.h"
 #include "berylreach/forward/change_log.h"
 #include "berylreach/forward/host_entry.h"
+#include "berylreach/forward/listing_cursor.h"
+#include "berylreach/forward/store_page.h"
 #include "berylreach/forward/store_position.h"
 
 namespace berylreach::forward {
 
-/// One page of a listing, or the changes reported by a watch.
-struct StorePage {
-  std::vector<RecordChange> changes;
-  /// Position of the store when it built the page.
-  StorePosition position;
-  /// More pages follow; the next one starts after the last key.
-  bool truncated = false;
-
-  friend bool operator==(const StorePage&, const StorePage&) = default;
-};
-
 /// Action: read the page of records whose keys sort after `after`.
 struct ReadPage {
   /// Only the records of registered hosts instead of all records.
@@ -140,7 +131,8 @@
   /// registered hosts known so far.
   void StartNextRead(const std::vector<HostEntry>& hosts, Actions& actions);
 
-  /// Handle the answers to reads of the store.
+  /// Handle the answers to reads of the store. A page that brings nothing new
+  /// although more follow counts as a failed read, which is repeated later.
   void OnPage(StorePage page, Actions& actions);
   void OnChanges(StorePage page, Actions& actions);
   /// Handles the store's answer that it has discarded the changes after this
@@ -197,8 +189,7 @@
     /// Position of the first page. The pages are not one snapshot, so the
     /// changes since then must be read after the listing.
     StorePosition position;
-    /// The next page starts after this key.
-    std::string after;
+    ListingCursor cursor;
   };
 
   /// A position of the store whose changes the pending watch has not reported.
@@ -240,8 +231,8 @@
   StorePosition position_;
   /// The latest era of the store that this host has heard of; 0 if none.
   std::uint64_t era_ = 0;
-  /// The last key of the host records read so far, or empty once all are known.
-  std::optional<std::string> hosts_after_ = "";
+  /// Listing of the host records, until all are known.
+  std::optional<ListingCursor> hosts_ = ListingCursor{};
   std::optional<Listing> listing_ = Listing{};
   std::optional<MissingChanges> missing_;
   /// The host whose feed is being read, and hosts that could not serve their
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -72,7 +72,7 @@
                                 Actions& actions) {
   if (is_pending()) return;
   read_sent_at_ = clock_.Now();
-  if (hosts_after_) {
+  if (hosts_) {
     StartPage(true, actions);
     return;
   }
@@ -99,8 +99,9 @@
 
 void StoreReader::StartPage(bool hosts_only, Actions& actions) {
   pending_ = hosts_only ? Pending::kHosts : Pending::kListing;
+  const ListingCursor& cursor = hosts_only ? *hosts_ : listing_->cursor;
   actions.push_back(
-      ReadPage{hosts_only, hosts_only ? *hosts_after_ : listing_->after,
+      ReadPage{hosts_only, cursor.after(),
                store_answered_last_ ? kPageTimeout : short_timeout_});
 }
 
@@ -118,6 +119,12 @@
 }
 
 void StoreReader::OnPage(StorePage page, Actions& actions) {
+  const ListingCursor& cursor =
+      pending_ == Pending::kHosts ? *hosts_ : listing_->cursor;
+  if (!cursor.Accepts(page)) {
+    RetryLater("range without a new key", kAnsweredStatus, actions);
+    return;
+  }
   OnStoreAnswered(actions);
   const Pending read = std::exchange(pending_, Pending::kNone);
   if (!AcceptEra(page.position, actions)) return;
@@ -129,26 +136,18 @@
 }
 
 void StoreReader::OnHostsPage(StorePage page, Actions& actions) {
-  if (page.truncated && !page.changes.empty()) {
-    hosts_after_ = page.changes.back().key;
-  } else {
-    hosts_after_.reset();
-  }
+  hosts_->Advance(page);
+  if (!page.truncated) hosts_.reset();
   actions.push_back(ApplyRecordChanges{std::move(page.changes), std::nullopt});
 }
 
 void StoreReader::OnListingPage(StorePage page, Actions& actions) {
-  if (listing_->after.empty())
+  if (listing_->cursor.at_start())
     listing_->position = {.era = era_, .revision = page.position.revision};
-  std::string last_key;
-  for (RecordChange& item : page.changes) {
-    last_key = item.key;
+  listing_->cursor.Advance(page);
+  for (RecordChange& item : page.changes)
     if (item.value) listing_->records[item.key] = std::move(*item.value);
-  }
-  if (page.truncated && !last_key.empty()) {
-    listing_->after = last_key;
-    return;
-  }
+  if (page.truncated) return;
   // Only now are all changes up to the listing's revision applied. Watching
   // from there any sooner would lose them.
   position_ = listing_->position;
@@ -201,7 +200,7 @@
   era_ = era;
   if (!restored) return false;
   listing_ = Listing{};
-  if (hosts_after_) hosts_after_ = "";
+  if (hosts_) hosts_ = ListingCursor{};
   missing_.reset();
   actions.push_back(ReportStoreRestored{era});
   return true;
--- a/forward/unittests/simulated_store.h
+++ b/forward/unittests/simulated_store.h
@@ -29,6 +29,15 @@
   kReset
 };
 
+/// How pages of listings go wrong, so that none brings the rest.
+enum class PagingFault {
+  kNone,
+  /// Each page is the first one.
+  kFirstPageOnly,
+  /// Pages are empty, though more is said to follow.
+  kEmptyPages
+};
+
 /// Status of a call and its page; status 0 stands for a reset connection.
 struct StoreAnswer {
   int status = 0;
@@ -105,6 +114,7 @@
     return condition_ != StoreCondition::kServing || !condition_for_.empty() ||
            answer_time_ != kUsualAnswerTime;
   }
+  void SetPagingFault(PagingFault fault) { paging_fault_ = fault; }
   /// Forgets the waiting watches without an answer, as if their connections
   /// had been lost on the way.
   void ForgetWatches() { watches_.clear(); }
@@ -134,9 +144,13 @@
     if (!Arrive(host, reply)) return;
     ++pages_;
     StoreAnswer answer{200, {.position = Position()}};
+    const std::string start =
+        paging_fault_ == PagingFault::kFirstPageOnly ? "" : after;
+    const std::size_t size =
+        paging_fault_ == PagingFault::kEmptyPages ? 0 : kPageSize;
     for (const auto& [key, value] : items_) {
-      if (!key.starts_with(prefix) || key <= after) continue;
-      if (answer.page.changes.size() == kPageSize) {
+      if (!key.starts_with(prefix) || key <= start) continue;
+      if (answer.page.changes.size() == size) {
         answer.page.truncated = true;
         break;
       }
@@ -272,6 +286,7 @@
   std::map<std::string, StoreCondition> condition_for_;
   std::set<std::string> cut_off_;
   milliseconds answer_time_ = kUsualAnswerTime;
+  PagingFault paging_fault_ = PagingFault::kNone;
   std::size_t calls_ = 0;
   std::size_t renewals_ = 0;
   std::size_t revision_reads_ = 0;
