--- a/gateway/lib/feed_codec.cc
+++ b/gateway/lib/feed_codec.cc
@@ -26,8 +26,11 @@
 }
 
 std::optional<forward::ChangeSet> ParseChangeSet(std::string_view text) {
+  // Keys may hold any bytes, also some that are no text.
+  constexpr boost::json::parse_options options{.allow_invalid_utf8 = true};
   boost::json::error_code error;
-  const auto root = boost::json::parse({text.data(), text.size()}, error);
+  const auto root = boost::json::parse({text.data(), text.size()}, error,
+                                       boost::json::storage_ptr(), options);
   if (error || !root.is_object()) return std::nullopt;
   const auto& object = root.get_object();
   const auto* revision = object.if_contains("revision");
