Take no list for the signature of a part

Seen by callers: none yet. A part whose X-Reply-Stamp held a comma would have added entries to X-Part-Stamps, so that the whole answer named parts that it does not hold (MIXED). Cause: signatures are joined with commas as they are. Change: a scattering run takes an answer whose signature is no single entry for one without a signature: the shard is retried or missing. A host that sends more signatures than shards was rejected already. Result: SignatureThatIsAListCountsAsMissing failed before (four entries, two of them in one, and no part missing) and passes now.

--- a/forward/lib/request_run.cc
+++ b/forward/lib/request_run.cc
@@ -37,6 +37,12 @@
   return std::chrono::duration_cast<base::Duration>(span * share);
 }
 
+/// Whether the text can be one entry of a list that is separated by commas, as
+/// the signatures of a merged answer are.
+bool IsListEntry(std::string_view text) {
+  return !text.empty() && text.find(',') == std::string_view::npos;
+}
+
 }  // namespace
 
 RequestRun::RequestRun(RunContext& context,
@@ -134,7 +140,9 @@
     FinishIfDecided(actions);
     return;
   }
-  if (!rejected && reply.success() && !reply.signature.empty()) {
+  const bool is_signed = route_.scatters() ? IsListEntry(reply.signature)
+                                           : !reply.signature.empty();
+  if (!rejected && reply.success() && is_signed) {
     subrequest->reply = std::move(reply);
     subrequest->state = SubrequestState::kAnswered;
     ++answered_;
--- a/forward/unittests/request_run_test.cc
+++ b/forward/unittests/request_run_test.cc
@@ -182,6 +182,20 @@
   EXPECT_EQ(reply_->reply.body, kLow + kLow);
 }
 
+// Guards against a signature that adds entries to the list of a merged answer,
+// which then names more parts than it holds (issue 50).
+TEST_F(RequestRunTest, SignatureThatIsAListCountsAsMissing) {
+  route_.attempts = 1;
+  StartRun(route_);
+  for (int i = 0; i < 3; ++i) Reply(started_[i], Success(kLow));
+  Reply(started_[3],
+        {.status = 200, .signature = "sig-c, sig-d", .body = kHigh});
+  ASSERT_TRUE(reply_);
+  EXPECT_EQ(reply_->signatures, std::vector<std::string>(3, "sig-" + kLow));
+  EXPECT_EQ(reply_->missing_shards, 1U);
+  EXPECT_EQ(reply_->reply.body, kLow + kLow);
+}
+
 TEST_F(RequestRunTest, PassesSingleAnswerThrough) {
   StartRun(single_leaf_route_);
   ASSERT_EQ(started_.size(), 1U);
