Let the largest incomplete response give way when room runs out

Cause: all incomplete answers share 40 MiB, and whoever came last found no room, mostly a sound answer, while those without end kept theirs until their deadlines. Change: base::ReceiveQuota gives up the largest answer first. It moves from gateway to base, since the client of the own interface needs it too.

--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -8,8 +8,8 @@
 #include <string_view>
 
 #include "berylreach/base/clock.h"
+#include "berylreach/base/receive_quota.h"
 #include "berylreach/gateway/http_message.h"
-#include "berylreach/gateway/receive_quota.h"
 
 namespace berylreach::gateway {
 
@@ -54,12 +54,13 @@
 
 /// An HTTP/1.1 client connection that carries one exchange (a request and its
 /// response) at a time. All calls must come from the event loop's thread.
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
+                         private base::ReceiveQuota::Holder {
  public:
   /// `handler` must outlive this connection, unless Close is called first.
   ClientConnection(boost::asio::io_context& io,
                    ClientConnectionHandler& handler, const base::Clock& clock);
-  ~ClientConnection();
+  ~ClientConnection() override;
 
   /// Connects to `address` ("IP:port") and sends `bytes`, or leaves the
   /// connection idle if `bytes` is empty. `is_head` says that the method is
@@ -72,9 +73,11 @@
   /// Limits a response, including its interim responses, to
   /// `max_response_bytes`. All incomplete responses of the connections that
   /// share `quota` are limited by it together; `quota` must outlive this
-  /// connection, unless Close is called first. Beyond either limit the exchange
-  /// fails with kBroken. Takes effect when the connection opens.
-  void SetResponseLimits(std::size_t max_response_bytes, ReceiveQuota& quota) {
+  /// connection, unless Close is called first. Beyond the limit, or if the
+  /// quota gives the response up, the exchange fails with kBroken. Takes effect
+  /// when the connection opens.
+  void SetResponseLimits(std::size_t max_response_bytes,
+                         base::ReceiveQuota& quota) {
     max_response_bytes_ = max_response_bytes;
     quota_ = &quota;
   }
@@ -113,8 +116,9 @@
   void WaitRead();
   void OnReadable();
   /// Counts received bytes against the limit and the quota; false if either is
-  /// exceeded.
+  /// exceeded, or if the connection was closed meanwhile.
   bool CountBytes(std::size_t size);
+  void GiveUp() override { Fail(ExchangeFailure::kBroken); }
   /// Returns the bytes of a completed or failed response to the quota.
   void ReturnToQuota();
   void Consume(const char* data, std::size_t size);
@@ -136,7 +140,7 @@
   /// Received bytes that the parser has not consumed.
   std::string unparsed_;
   std::size_t max_response_bytes_;
-  ReceiveQuota* quota_ = nullptr;
+  base::ReceiveQuota* quota_ = nullptr;
   /// Bytes received of the response being read.
   std::size_t received_ = 0;
   /// Bytes to send, of which the first `written_` are sent.
--- a/gateway/include/berylreach/gateway/leaf_connections.h
+++ b/gateway/include/berylreach/gateway/leaf_connections.h
@@ -159,7 +159,7 @@
   boost::asio::io_context& io_;
   const base::Clock& clock_;
   std::string id_field_;
-  ReceiveQuota quota_;
+  base::ReceiveQuota quota_;
   OnDone on_done_;
   OnProgress on_progress_;
   OnReset on_reset_;
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -218,7 +218,7 @@
       return;
     }
     if (!CountBytes(size)) {
-      Fail(ExchangeFailure::kBroken);
+      if (!closed_) Fail(ExchangeFailure::kBroken);
       return;
     }
     Consume(ReadBuffer::Data(), size);
@@ -230,16 +230,19 @@
 
 bool ClientConnection::CountBytes(std::size_t size) {
   if (received_ + size > max_response_bytes_) return false;
-  if (quota_ != nullptr && !quota_->TryTake(size)) return false;
+  if (quota_ != nullptr && !quota_->Take(*this, size)) return false;
   received_ += size;
-  return true;
+  // The quota may have given up other exchanges, whose end closes this
+  // connection if they belong to the same request.
+  if (closed_) ReturnToQuota();
+  return !closed_;
 }
 
 void ClientConnection::ReturnToQuota() {
   // The destructor of a closed connection may run after that of the quota,
   // which must then not be accessed. Close has returned all bytes, so
   // `received_` is 0.
-  if (quota_ != nullptr && received_ > 0) quota_->Return(received_);
+  if (quota_ != nullptr && received_ > 0) quota_->Return(*this);
   received_ = 0;
 }
 
--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -104,7 +104,7 @@
   tcp::acceptor acceptor_;
   Recorder recorder_;
   std::size_t answer_limit_ = 0;
-  std::optional<ReceiveQuota> quota_;
+  std::optional<base::ReceiveQuota> quota_;
   std::shared_ptr<ClientConnection> connection_;
   std::optional<tcp::socket> peer_;
   std::string endless_bytes_;
@@ -332,6 +332,28 @@
   EXPECT_EQ(quota_->available(), std::size_t{1} << 16);
 }
 
+// Guards against a response of a sound leaf that is lost because others, which
+// never end, have used up the quota (issue 50).
+TEST_F(ClientConnectionTest, LargestIncompleteResponseGivesWay) {
+  constexpr std::size_t quota = std::size_t{128} * 1024;
+  Limit(quota, quota);
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\n\r\n" + std::string(100 * 1024, 'x'));
+  ASSERT_TRUE(
+      RunUntil(io_, [this] { return quota_->available() < 30 * 1024; }));
+  const auto endless = std::exchange(connection_, nullptr);
+  const auto endless_peer = std::exchange(peer_, std::nullopt);
+  const std::string body(60 * 1024, 'y');
+  Open();
+  PeerSends("HTTP/1.1 200 OK\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+  ASSERT_TRUE(Answered());
+  EXPECT_EQ(recorder_.response->body, body);
+  EXPECT_TRUE(endless->closed());
+  EXPECT_EQ(recorder_.failure, ExchangeFailure::kBroken);
+  EXPECT_EQ(quota_->available(), quota);
+}
+
 // Guards against sending the rest of a long request body over a connection that
 // already carries another request.
 TEST_F(ClientConnectionTest, ResponseBeforeTheBodyIsWrittenEndsTheConnection) {
