Bound every part of an answer on the own interface

Seen by callers: none yet. A leaf, store or host list of the own interface that sent one chunk's extensions, chunks with extensions or a trailer without end was read, and kept in memory, until the call's deadline. Cause: Beast's async_read limits the header and the body only; the rest of an answer collected in a buffer without a limit, and no limit held for all calls together. Change: the client reads in pieces of 64 KiB, keeps at most 128 KiB that cannot be parsed yet, and gives an answer up at 16 MiB in all.

--- a/transport/lib/client_connection.cc
+++ b/transport/lib/client_connection.cc
@@ -1,19 +1,28 @@
 // The client side of one HTTP connection.
 #include "client_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
 namespace berylreach::transport {
 namespace {
 
-/// Maximum body size of an answer from a leaf, the store or the host list.
-constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{16} * 1024 * 1024;
+/// Maximum size of an answer from a leaf, the store or the host list.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+
+/// Maximum size of one read.
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+
+/// Maximum size of received bytes that are not parsed yet: a header, a chunk's
+/// extensions or a trailer, which are parsed as a whole.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{128} * 1024;
 
 }  // namespace
 
-ClientConnection::ClientConnection(asio::io_context& context)
-    : socket_(context) {}
+ClientConnection::ClientConnection(asio::io_context& context,
+                                   base::ReceiveQuota& quota)
+    : socket_(context), quota_(quota), buffer_(kMaxUnparsedBytes) {}
 
 void ClientConnection::Connect(const tcp::endpoint& endpoint,
                                ConnectCallback done) {
@@ -63,17 +72,69 @@
 
 void ClientConnection::Read() {
   parser_.emplace();
-  parser_->body_limit(kMaxBodyBytes);
-  http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+  parser_->body_limit(kMaxAnswerBytes);
+  parser_->eager(true);
+  received_ = 0;
+  ReadSome();
+}
+
+void ClientConnection::ReadSome() {
+  const std::size_t room =
+      std::min(kReadBytes, buffer_.max_size() - buffer_.size());
+  if (room == 0) {
+    Finish(ExchangeOutcome::kLost);
+    return;
+  }
+  socket_.async_read_some(
+      buffer_.prepare(room),
+      [self = shared_from_this()](const ErrorCode& error, std::size_t size) {
         if (!self->exchange_done_) return;
-        self->Finish(error ? ExchangeOutcome::kLost
-                           : ExchangeOutcome::kAnswered);
+        self->buffer_.commit(size);
+        if (error) {
+          self->OnEnd(error == asio::error::eof);
+        } else if (self->CountBytes(size)) {
+          self->Parse();
+        } else if (self->exchange_done_) {
+          self->Finish(ExchangeOutcome::kLost);
+        }
       });
 }
 
+bool ClientConnection::CountBytes(std::size_t size) {
+  received_ += size;
+  if (received_ > kMaxAnswerBytes || !quota_.Take(*this, size)) return false;
+  // The quota may have given up other exchanges, whose end may end this one.
+  if (!exchange_done_) quota_.Return(*this);
+  return static_cast<bool>(exchange_done_);
+}
+
+void ClientConnection::Parse() {
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    ErrorCode error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error == http::error::need_more) break;
+    if (error) {
+      Finish(ExchangeOutcome::kLost);
+      return;
+    }
+  }
+  if (parser_->is_done()) {
+    Finish(ExchangeOutcome::kAnswered);
+  } else {
+    ReadSome();
+  }
+}
+
+void ClientConnection::OnEnd(bool clean) {
+  ErrorCode error;
+  // An answer without a stated length is completed by the end of the stream.
+  if (clean && parser_->got_some()) parser_->put_eof(error);
+  Finish(clean && !error && parser_->is_done() ? ExchangeOutcome::kAnswered
+                                               : ExchangeOutcome::kLost);
+}
+
 void ClientConnection::Finish(ExchangeOutcome outcome) {
+  quota_.Return(*this);
   Exchange exchange;
   exchange.outcome = outcome;
   if (outcome == ExchangeOutcome::kAnswered) {
@@ -95,6 +156,7 @@
   connect_done_ = nullptr;
   exchange_done_ = nullptr;
   reusable_ = false;
+  quota_.Return(*this);
   ErrorCode ignored;
   socket_.close(ignored);
 }
--- a/transport/lib/client_connection.h
+++ b/transport/lib/client_connection.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "berylreach/base/receive_quota.h"
 #include "io.h"
 
 namespace berylreach::transport {
@@ -26,12 +27,16 @@
 
 /// A connection that carries one request at a time. All methods are called on
 /// one thread. After Close no callback is called.
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
+                         private base::ReceiveQuota::Holder {
  public:
   using ConnectCallback = std::function<void(const ErrorCode&)>;
   using ExchangeCallback = std::function<void(Exchange)>;
 
-  explicit ClientConnection(asio::io_context& context);
+  /// `quota` limits the incomplete answers of all connections that share it,
+  /// and must outlive this connection.
+  ClientConnection(asio::io_context& context, base::ReceiveQuota& quota);
+  ~ClientConnection() override { quota_.Return(*this); }
 
   void Connect(const tcp::endpoint& endpoint, ConnectCallback done);
 
@@ -52,10 +57,22 @@
  private:
   void WriteRest(std::size_t written);
   void Read();
+  void ReadSome();
+  /// Counts received bytes of the answer against its limit and the quota; false
+  /// if either is exceeded, or if the exchange has ended meanwhile.
+  bool CountBytes(std::size_t size);
+  void Parse();
+  /// Handles the end of the stream; `clean` if the peer closed it without an
+  /// error.
+  void OnEnd(bool clean);
+  void GiveUp() override { Finish(ExchangeOutcome::kLost); }
   void Finish(ExchangeOutcome outcome);
 
   tcp::socket socket_;
+  base::ReceiveQuota& quota_;
   boost::beast::flat_buffer buffer_;
+  /// Bytes received of the answer being read.
+  std::size_t received_ = 0;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string request_;
   ConnectCallback connect_done_;
--- a/transport/lib/client_pool.cc
+++ b/transport/lib/client_pool.cc
@@ -28,8 +28,9 @@
   bool reusable_afterwards = true;
 };
 
-ClientPool::ClientPool(asio::io_context& context, std::string address)
-    : context_(context), address_(std::move(address)) {}
+ClientPool::ClientPool(asio::io_context& context, base::ReceiveQuota& quota,
+                       std::string address)
+    : context_(context), quota_(quota), address_(std::move(address)) {}
 
 void ClientPool::Send(std::string request, std::chrono::milliseconds timeout,
                       bool dedicated_connection, Callback on_result) {
@@ -47,7 +48,7 @@
     Write(pending);
     return;
   }
-  pending->connection = std::make_shared<ClientConnection>(context_);
+  pending->connection = std::make_shared<ClientConnection>(context_, quota_);
   const auto endpoint = ParseEndpoint(address_);
   if (!endpoint) {
     asio::post(context_, [self = shared_from_this(), pending] {
--- a/transport/lib/client_pool.h
+++ b/transport/lib/client_pool.h
@@ -22,7 +22,9 @@
   /// the request may have been sent.
   using Callback = std::function<void(Exchange)>;
 
-  ClientPool(asio::io_context& context, std::string address);
+  /// `quota` limits the incomplete answers, and must outlive the pool.
+  ClientPool(asio::io_context& context, base::ReceiveQuota& quota,
+             std::string address);
 
   /// Sends a request. With `dedicated_connection` it uses a new connection that
   /// is closed afterwards.
@@ -44,6 +46,7 @@
   std::shared_ptr<ClientConnection> TakeIdle();
 
   asio::io_context& context_;
+  base::ReceiveQuota& quota_;
   const std::string address_;
   std::vector<std::shared_ptr<ClientConnection>> idle_;
   std::unordered_set<std::shared_ptr<PendingRequest>> pending_requests_;
--- a/transport/lib/host_list_client.cc
+++ b/transport/lib/host_list_client.cc
@@ -52,6 +52,7 @@
         options(std::move(list_options)),
         on_result(std::move(callback)),
         pool(std::make_shared<ClientPool>(thread.impl().context,
+                                          thread.impl().receive_quota,
                                           options.address)) {}
 
   void Read() {
--- a/transport/lib/leaf_connections.cc
+++ b/transport/lib/leaf_connections.cc
@@ -15,7 +15,8 @@
 }
 
 void LeafPool::Open() {
-  const auto connection = std::make_shared<ClientConnection>(context_.io);
+  const auto connection =
+      std::make_shared<ClientConnection>(context_.io, context_.quota);
   open_.insert(connection);
   ++opening_;
   const auto endpoint = ParseEndpoint(address_);
--- a/transport/lib/leaf_control_requests.cc
+++ b/transport/lib/leaf_control_requests.cc
@@ -42,7 +42,8 @@
     if (open_.size() >= max_connections_) Drop(TakeIdle());
     const auto endpoint = ParseEndpoint(address_);
     if (open_.size() >= max_connections_ || !endpoint) return false;
-    control->connection = std::make_shared<ClientConnection>(context_.io);
+    control->connection =
+        std::make_shared<ClientConnection>(context_.io, context_.quota);
     open_.insert(control->connection);
     control->connection->Connect(*endpoint, [self = shared_from_this(),
                                              control](const ErrorCode& error) {
--- a/transport/lib/leaf_pool.h
+++ b/transport/lib/leaf_pool.h
@@ -27,6 +27,7 @@
   /// Objects and callbacks that the pools of all leaves share.
   struct Context {
     asio::io_context& io;
+    base::ReceiveQuota& quota;
     const base::Clock& clock;
     const UpstreamOptions& options;
     /// Time after which an unanswered call of a service causes a probe.
--- a/transport/lib/store_client.cc
+++ b/transport/lib/store_client.cc
@@ -16,6 +16,7 @@
         options(std::move(store_options)),
         on_result(std::move(callback)),
         pool(std::make_shared<ClientPool>(thread.impl().context,
+                                          thread.impl().receive_quota,
                                           options.address)),
         requests(options.channel_capacity, [this] {
           thread.Post([self = shared_from_this()] { self->TakeRequests(); });
--- a/transport/lib/upstream_client.cc
+++ b/transport/lib/upstream_client.cc
@@ -60,6 +60,7 @@
     // Close closes the pools, which then make no further callbacks, so the
     // callbacks need not keep this object alive.
     return {thread.impl().context,
+            thread.impl().receive_quota,
             clock,
             options,
             [this](const model::ServiceName& service) {
--- a/transport/unittests/store_client_test.cc
+++ b/transport/unittests/store_client_test.cc
@@ -151,5 +151,61 @@
   EXPECT_EQ(all[1], std::nullopt);
 }
 
+/// An answer that never ends: its beginning, and what follows again and again.
+struct EndlessAnswer {
+  std::string name;
+  std::string head;
+  std::string piece;
+};
+
+class EndlessAnswerTest : public StoreClientTest,
+                          public testing::WithParamInterface<EndlessAnswer> {};
+
+// Guards against a peer that uses up the memory of the process with bytes that
+// it sends until the connection is closed (issue 50).
+TEST_P(EndlessAnswerTest, IsGivenUpWithinTheLimitOfAnAnswer) {
+  constexpr std::size_t piece_bytes = std::size_t{64} * 1024;
+  // The limit of an answer, and what the buffers of both sockets may hold.
+  constexpr std::size_t max_bytes = std::size_t{32} * 1024 * 1024;
+  Open(kConditionLimit);
+  ASSERT_TRUE(client_->Send({1, StoreOperation::kRead, "k", {}, 0, {}}));
+  TestSocket socket = store_.Accept();
+  socket.ReadHttp();
+  std::string pieces;
+  while (pieces.size() < piece_bytes) pieces += GetParam().piece;
+  std::size_t sent = 0;
+  bool open = socket.Write(GetParam().head);
+  while (open && sent < max_bytes) {
+    open = socket.Write(pieces);
+    sent += pieces.size();
+  }
+  EXPECT_LT(sent, max_bytes);
+  const auto results = results_.Wait(1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].outcome, StoreOutcome::kUnknown);
+}
+
+constexpr char kChunked[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, EndlessAnswerTest,
+    testing::Values(
+        EndlessAnswer{"StatusLine", "HTTP/1.1 200 ", "x"},
+        EndlessAnswer{"Field", "HTTP/1.1 200 OK\r\nX-A: ", "x"},
+        EndlessAnswer{"Fields", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+        EndlessAnswer{"BodyWithoutLength", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+        EndlessAnswer{"BodyOfHugeLength",
+                      "HTTP/1.1 200 OK\r\nContent-Length: 100000000000000"
+                      "\r\n\r\n",
+                      "x"},
+        EndlessAnswer{"Chunks", kChunked, "3\r\nabc\r\n"},
+        EndlessAnswer{"ChunkExtension", std::string(kChunked) + "3;", "a=b;"},
+        EndlessAnswer{"ChunkExtensions", kChunked, "3;a=b;c=d;e=f\r\nabc\r\n"},
+        EndlessAnswer{"Trailer", std::string(kChunked) + "0\r\n", "X-A: b\r\n"},
+        EndlessAnswer{"Interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        EndlessAnswer{"NoHttp", "", "no HTTP at all "}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace berylreach::transport
--- a/transport/unittests/test_socket.cc
+++ b/transport/unittests/test_socket.cc
@@ -59,14 +59,15 @@
   return TestSocket(fd);
 }
 
-void TestSocket::Write(const std::string& bytes) const {
+bool TestSocket::Write(const std::string& bytes) const {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
     const ssize_t count =
         send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-    if (count <= 0) return;
+    if (count <= 0) return false;
     sent += static_cast<std::size_t>(count);
   }
+  return true;
 }
 
 bool TestSocket::ReadMore() {
--- a/transport/unittests/test_socket.h
+++ b/transport/unittests/test_socket.h
@@ -17,7 +17,8 @@
   /// Connects to an address such as "127.0.0.1:8080".
   static TestSocket Connect(const std::string& address);
 
-  void Write(const std::string& bytes) const;
+  /// Returns false if the peer has closed the connection.
+  bool Write(const std::string& bytes) const;
   /// Reads up to and including `end`, or to the end of the stream or a timeout.
   std::string ReadUntil(const std::string& end);
   /// Reads to the end of the stream or a timeout.
