Accept large answers of the store only where records are read

Cause: each of a host's six clients of the store and of feeds took up to 16 MiB, though four of them only read answers of a few items; no bound held for all together.

--- a/gateway/include/berylreach/gateway/client_connection.h
+++ b/gateway/include/berylreach/gateway/client_connection.h
@@ -71,14 +71,18 @@
             base::TimePoint connect_deadline,
             base::TimePoint response_deadline);
   /// Limits a response, including its interim responses, to
-  /// `max_response_bytes`. All incomplete responses of the connections that
-  /// share `quota` are limited by it together; `quota` must outlive this
-  /// connection, unless Close is called first. Beyond the limit, or if the
-  /// quota gives the response up, the exchange fails with kBroken. Takes effect
-  /// when the connection opens.
+  /// `max_response_bytes`; beyond that the exchange fails with kBroken. Takes
+  /// effect when the connection opens.
+  void SetMaxResponseBytes(std::size_t max_response_bytes) {
+    max_response_bytes_ = max_response_bytes;
+  }
+  /// Limits a response as SetMaxResponseBytes does. All incomplete responses of
+  /// the connections that share `quota` are limited by it together; `quota`
+  /// must outlive this connection, unless Close is called first. If the quota
+  /// gives the response up, the exchange fails with kBroken.
   void SetResponseLimits(std::size_t max_response_bytes,
                          base::ReceiveQuota& quota) {
-    max_response_bytes_ = max_response_bytes;
+    SetMaxResponseBytes(max_response_bytes);
     quota_ = &quota;
   }
   /// Enables TCP keep-alive probes once the connection has been idle for
--- a/gateway/include/berylreach/gateway/http_client.h
+++ b/gateway/include/berylreach/gateway/http_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,13 +26,20 @@
   friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
 };
 
+/// Maximum size of a response that holds many records: a page or changes of the
+/// store, or a feed of another host.
+inline constexpr std::size_t kMaxRecordsResponseBytes =
+    std::size_t{16} * 1024 * 1024;
+
 /// Sends one request at a time over one connection with TCP keep-alive probes.
 /// All calls must come from the event loop's thread.
 class HttpClient : public ClientConnectionHandler {
  public:
   using OnAnswer = std::function<void(HttpAnswer)>;
 
-  HttpClient(boost::asio::io_context& io, const base::Clock& clock);
+  /// A response of more than `max_response_bytes` counts as none.
+  HttpClient(boost::asio::io_context& io, const base::Clock& clock,
+             std::size_t max_response_bytes);
   ~HttpClient() override;
 
   /// Sends a request to `address` ("IP:port"). `body` is JSON and is sent with
@@ -59,6 +67,7 @@
 
   boost::asio::io_context& io_;
   const base::Clock& clock_;
+  const std::size_t max_response_bytes_;
   std::string address_;
   std::shared_ptr<ClientConnection> connection_;
   OnAnswer on_answer_;
--- a/gateway/lib/client_connection.cc
+++ b/gateway/lib/client_connection.cc
@@ -19,8 +19,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// Default maximum size of a response. The largest responses are pages of
-/// records from the store.
+/// Default maximum size of a response.
 constexpr std::size_t kMaxResponseBytes = std::size_t{16} * 1024 * 1024;
 
 /// Bytes read from one connection before other connections and timers run.
--- a/gateway/lib/http_client.cc
+++ b/gateway/lib/http_client.cc
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-HttpClient::HttpClient(boost::asio::io_context& io, const base::Clock& clock)
-    : io_(io), clock_(clock) {}
+HttpClient::HttpClient(boost::asio::io_context& io, const base::Clock& clock,
+                       std::size_t max_response_bytes)
+    : io_(io), clock_(clock), max_response_bytes_(max_response_bytes) {}
 
 HttpClient::~HttpClient() {
   if (connection_) connection_->Close();
@@ -43,6 +44,7 @@
   address_ = address;
   connection_ = std::make_shared<ClientConnection>(io_, *this, clock_);
   connection_->EnableTcpKeepAlive(kTcpKeepAliveIdle);
+  connection_->SetMaxResponseBytes(max_response_bytes_);
   connection_->Open(address_, std::move(bytes), false, now + kConnectTimeout,
                     now + timeout);
 }
--- a/gateway/unittests/status_line_test.cc
+++ b/gateway/unittests/status_line_test.cc
@@ -57,7 +57,7 @@
                         connection.Respond(response, true);
                       });
     std::optional<HttpAnswer> answer;
-    HttpClient client(io_, clock_);
+    HttpClient client(io_, clock_, kMaxRecordsResponseBytes);
     client.Call(server.address(), "GET", "/", "", kWaitLimit,
                 [&](HttpAnswer done) { answer = std::move(done); });
     EXPECT_TRUE(RunFor(milliseconds(2000), [&] { return answer.has_value(); }));
