Spell out the widths of sizes in tests

Cause: the linter reports products of int that are widened (bugprone-implicit-widening-of-multiplication-result).

--- a/gateway/unittests/client_connection_test.cc
+++ b/gateway/unittests/client_connection_test.cc
@@ -338,12 +338,13 @@
   constexpr std::size_t quota = std::size_t{128} * 1024;
   Limit(quota, quota);
   Open();
-  PeerSends("HTTP/1.1 200 OK\r\n\r\n" + std::string(100 * 1024, 'x'));
-  ASSERT_TRUE(
-      RunUntil(io_, [this] { return quota_->available() < 30 * 1024; }));
+  PeerSends("HTTP/1.1 200 OK\r\n\r\n" +
+            std::string(std::size_t{100} * 1024, 'x'));
+  ASSERT_TRUE(RunUntil(
+      io_, [this] { return quota_->available() < std::size_t{30} * 1024; }));
   const auto endless = std::exchange(connection_, nullptr);
   const auto endless_peer = std::exchange(peer_, std::nullopt);
-  const std::string body(60 * 1024, 'y');
+  const std::string body(std::size_t{60} * 1024, 'y');
   Open();
   PeerSends("HTTP/1.1 200 OK\r\nContent-Length: " +
             std::to_string(body.size()) + "\r\n\r\n" + body);
