--- a/forward/include/berylreach/forward/change_log.h
+++ b/forward/include/berylreach/forward/change_log.h
@@ -2,6 +2,7 @@
 // hosts that read the records from this host instead of the store.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -30,6 +31,10 @@
   /// that it does not list.
   bool is_full_listing = false;
   std::vector<RecordChange> changes;
+  /// The sender's view holds all changes that the store acknowledged until this
+  /// time after the arrival of the poll; negative for a time before it, and
+  /// empty if the sender does not state it.
+  std::optional<std::chrono::milliseconds> current_after_arrival;
 
   friend bool operator==(const ChangeSet&, const ChangeSet&) = default;
 };
--- a/forward/include/berylreach/forward/leaf_observation.h
+++ b/forward/include/berylreach/forward/leaf_observation.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "berylreach/base/clock.h"
+#include "berylreach/forward/view_currency.h"
 
 namespace berylreach::forward {
 
@@ -18,13 +20,17 @@
   kReplaced,
   /// Discovery no longer lists it.
   kUnlisted,
-  /// It has answered a call or a health check.
+  /// A process with its id has answered a call or a health check. A leaf that
+  /// has started again may have the id that it had.
   kAnswered,
 };
 
 struct LeafObservation {
   /// Id of the incarnation.
   std::string leaf;
+  /// Start time of the incarnation that discovery listed under the id; 0 if it
+  /// is not known.
+  std::uint64_t started_unix_ms = 0;
   LeafSign sign = LeafSign::kAnswered;
   /// When the observed state was current: for an answer, the time at which its
   /// call was sent.
@@ -34,18 +40,34 @@
 };
 
 /// The fate of a leaf's process after it has left a call unanswered.
-enum class LeafFate { kUnknown, kAlive, kCrashed };
+enum class LeafFate {
+  kUnknown,
+  /// A process with the leaf's id runs. Whether it is the one that was called
+  /// shows when discovery has had the time to list its start (IsSameProcess).
+  kAnswers,
+  kAlive,
+  kCrashed,
+};
 
-/// Time within which discovery lists a leaf that was restarted at once. Until
-/// then an answer does not show that the process is still the same, because a
-/// leaf may keep its id.
-inline constexpr std::chrono::milliseconds kRestartListedWithin{1200};
+/// A call that a leaf left unanswered.
+struct UnansweredCall {
+  /// Start time of the incarnation that was called; 0 if it is not known.
+  std::uint64_t started_unix_ms = 0;
+  base::TimePoint lost_at{};
+};
 
-/// Returns what an observation says about a leaf that left a call unanswered at
-/// `lost_at`. A connection that is reset, times out or is accepted shows
-/// nothing: the link may be cut, the process slow or frozen, or another process
-/// may listen at the address.
+/// Returns what an observation of a leaf says about the process that left
+/// `call` unanswered. A connection that is reset, times out or is accepted
+/// shows nothing: the link may be cut, the process slow or frozen, or another
+/// process may listen at the address.
 LeafFate FateShownBy(const LeafObservation& observation,
-                     base::TimePoint lost_at);
+                     const UnansweredCall& call);
+
+/// Whether the process that answered under a leaf's id at `answered_at` is the
+/// one that discovery lists, given that the view of discovery lists no other
+/// one. A process that has started under a former id is listed with its start
+/// within `restart_listed_within`, if it and this host reach the store.
+bool IsSameProcess(base::TimePoint answered_at, const ViewCurrency& view,
+                   std::chrono::milliseconds restart_listed_within);
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/request_quarantine.h
+++ b/forward/include/berylreach/forward/request_quarantine.h
@@ -38,8 +38,10 @@
   /// Identifies the run within this process.
   std::uint64_t run = 0;
   std::uint64_t fingerprint = 0;
-  /// Id of the leaf incarnation, and its address.
+  /// Id of the leaf incarnation, its start time (0 if it is not known), and its
+  /// address.
   std::string leaf;
+  std::uint64_t started_unix_ms = 0;
   std::string address;
   /// No other call of the request was running, and an earlier leaf may have
   /// crashed while it ran the request.
@@ -77,7 +79,9 @@
   /// seconds.
   static constexpr std::chrono::seconds kEvidenceWait{8};
 
-  explicit RequestQuarantine(const base::Clock& clock);
+  /// `restart_listed_within` is explained at IsSameProcess.
+  RequestQuarantine(const base::Clock& clock,
+                    std::chrono::milliseconds restart_listed_within);
 
   /// Decides how an attempt may run. A suspect request may run one attempt at a
   /// time: no other attempt is admitted until the outcome of the first is known
@@ -104,12 +108,17 @@
   bool AwaitsObservations() const {
     return !runs_.empty() || !suspicions_.empty();
   }
-  /// Appends what other hosts must learn to `actions`.
-  void OnLeafObserved(const LeafObservation& observation, Actions& actions);
+  /// Appends what other hosts must learn to `actions`. Returns whether the
+  /// observation says anything new about a leaf whose fate is waited for.
+  bool OnLeafObserved(const LeafObservation& observation, Actions& actions);
   /// Records that discovery lists the incarnation `leaf` at `address`, so that
   /// no other incarnation runs there any more.
   void OnLeafListed(const std::string& leaf, const std::string& address,
                     Actions& actions);
+  /// Sets how current the view of discovery is, which decides whether a leaf
+  /// that answers again is the process that was called. Takes effect at the
+  /// next Tick.
+  void SetViewCurrency(const ViewCurrency& view) { view_ = view; }
   /// Records the end of a run. Appends what other hosts must learn to
   /// `actions`.
   void OnRunEnded(const EndedRun& run, Actions& actions);
@@ -138,6 +147,14 @@
   struct UnresolvedCall {
     LostCall call;
     base::TimePoint lost_at{};
+    /// When a process with the leaf's id was first seen to answer again.
+    std::optional<base::TimePoint> answered_at;
+  };
+
+  /// A leaf of a held request that this host checks for another one.
+  struct CheckedLeaf {
+    model::UnansweredLeaf leaf;
+    std::optional<base::TimePoint> answered_at;
   };
 
   /// The evidence from one run.
@@ -157,13 +174,15 @@
   /// have crashed.
   struct Suspicion {
     base::TimePoint until{};
-    /// No attempt is admitted before this time.
+    /// No attempt is admitted before these times, since this host or another
+    /// one waits for the fate of a leaf.
     base::TimePoint held_until{};
+    base::TimePoint held_by_others_until{};
     /// Other hosts know of it.
     bool shared = false;
     /// Leaves of a held request that this host checks for another one, and the
     /// time at which it learned of them.
-    std::vector<std::string> leaves_of_others;
+    std::vector<CheckedLeaf> leaves_of_others;
     base::TimePoint learned_at{};
   };
 
@@ -185,6 +204,9 @@
   bool Conclude(Run& run, Actions& actions);
   /// Puts the request of a run with unresolved calls under suspicion.
   void Suspect(const Run& run);
+  /// Ends this host's own suspicion of a request, since it is proven which of
+  /// its leaves have crashed.
+  void EndOwnSuspicion(std::uint64_t fingerprint);
   /// Lifts the suspicion of a request, since its lost calls are explained;
   /// `completed` is whether this is because a call has completed.
   void LiftSuspicion(std::uint64_t fingerprint, bool completed,
@@ -194,17 +216,36 @@
   bool ForgetLostCalls(std::uint64_t fingerprint);
   bool IsSuspected(std::uint64_t fingerprint) const;
   bool IsHeld(std::uint64_t fingerprint) const;
+  bool IsHeldByOthers(std::uint64_t fingerprint) const;
   bool HasUnresolvedCalls(std::uint64_t fingerprint) const;
   void PublishSuspicion(std::uint64_t fingerprint, Actions& actions);
-  /// Leaves of the request's sole calls, or of its other ones, whose fate is
-  /// not known.
-  std::vector<std::string> UnresolvedLeaves(std::uint64_t fingerprint,
-                                            bool sole_calls) const;
+  /// Adds the leaves of the run whose fate is not known to an entry: those of
+  /// sole calls, and the others.
+  static void AddUnresolvedLeaves(const Run& run, model::SuspectEntry& entry);
   bool MergeSuspicion(const model::SuspectEntry& entry, bool checks_leaves);
-  /// Applies an observation to held requests of other hosts.
-  void ResolveForOthers(const LeafObservation& observation, Actions& actions);
+  /// Whether this host itself waits for the fate of all leaves for which the
+  /// entry holds its request.
+  bool WaitsForLeavesOf(const model::SuspectEntry& entry) const;
+  /// Applies an observation to held requests of other hosts. Returns the same
+  /// as OnLeafObserved.
+  bool ResolveForOthers(const LeafObservation& observation, Actions& actions);
+  /// Returns what an observation says that is new about a leaf of a held
+  /// request of another host.
+  static LeafFate ObserveForOthers(const LeafObservation& observation,
+                                   Suspicion& suspicion);
+  /// Ends the wait for leaves that have answered, once discovery shows that
+  /// they are the processes that were called, and for those that have shown
+  /// nothing in time.
+  void ResolveAlive(Actions& actions);
+  void ResolveAliveForOthers(Actions& actions);
+  bool IsAlive(const std::optional<base::TimePoint>& answered_at) const {
+    return answered_at &&
+           IsSameProcess(*answered_at, view_, restart_listed_within_);
+  }
 
   const base::Clock& clock_;
+  const std::chrono::milliseconds restart_listed_within_;
+  ViewCurrency view_;
   quarantine::Quarantine quarantine_;
   /// Runs with lost calls by run id.
   std::unordered_map<std::uint64_t, Run> runs_;
--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -16,6 +16,7 @@
 #include "berylreach/forward/listing_cursor.h"
 #include "berylreach/forward/store_page.h"
 #include "berylreach/forward/store_position.h"
+#include "berylreach/forward/view_currency.h"
 
 namespace berylreach::forward {
 
@@ -150,7 +151,7 @@
   /// the store serves this host at all. `sent` is the time at which it was
   /// sent, and `status` is 0 if there was no response.
   void OnRenewalFailed(base::TimePoint sent, int status, Actions& actions);
-  void OnRenewalAnswered() { renewal_answered_at_ = clock_.Now(); }
+  void OnRenewalAnswered(base::TimePoint sent);
   /// Handles the position of the store that a call beside the reads has
   /// returned. A watch that is not answered soon although the store has newer
   /// changes is lost; CheckWatch then ends it.
@@ -169,6 +170,8 @@
   /// Position of the store up to which all changes have been applied; its
   /// revision is 0 if there is no view yet.
   StorePosition position() const { return position_; }
+  /// How current the view is.
+  ViewCurrency currency() const { return currency_.currency(); }
   /// Whether a read or a wake-up is pending, so that StartNextRead has nothing
   /// to start.
   bool is_pending() const { return pending_ != Pending::kNone; }
@@ -189,6 +192,8 @@
     /// Position of the first page. The pages are not one snapshot, so the
     /// changes since then must be read after the listing.
     StorePosition position;
+    /// When the first page was requested.
+    base::TimePoint began_at{};
     ListingCursor cursor;
   };
 
@@ -212,6 +217,9 @@
   void RetryLater(const std::string& read, int status, Actions& actions);
   void MarkStoreLost(const std::string& read, int status, Actions& actions);
   void OnStoreAnswered(Actions& actions);
+  /// Until when all acknowledged changes are in the view, by the answer of the
+  /// store that has just arrived to a read of changes.
+  base::TimePoint CurrentByAnswer(bool has_changes) const;
   /// Handles an answer to the pending read, of the store or of another host.
   void MarkAvailable(Actions& actions);
   void ConfirmIfAwaited(Actions& actions);
@@ -228,6 +236,10 @@
   const std::chrono::milliseconds watch_wait_;
   Pending pending_ = Pending::kNone;
   base::TimePoint read_sent_at_{};
+  /// Time for which the store holds the pending read back while there are no
+  /// changes.
+  std::chrono::milliseconds read_wait_{};
+  ViewCurrencyTracker currency_;
   StorePosition position_;
   /// The latest era of the store that this host has heard of; 0 if none.
   std::uint64_t era_ = 0;
--- a/forward/lib/request_quarantine.cc
+++ b/forward/lib/request_quarantine.cc
@@ -44,8 +44,15 @@
 /// Limits the memory for calls whose leaves do not answer.
 constexpr std::size_t kMaxRunsWithLostCalls = 1024;
 
-bool Contains(const std::vector<std::string>& leaves, const std::string& leaf) {
-  return std::find(leaves.begin(), leaves.end(), leaf) != leaves.end();
+/// Returns the fate that an observation shows, and records in `answered_at` the
+/// first answer after the loss. Later answers show nothing new.
+LeafFate Observe(const LeafObservation& observation, const UnansweredCall& call,
+                 std::optional<base::TimePoint>& answered_at) {
+  const LeafFate fate = FateShownBy(observation, call);
+  if (fate != LeafFate::kAnswers) return fate;
+  if (answered_at) return LeafFate::kUnknown;
+  answered_at = observation.at;
+  return fate;
 }
 
 milliseconds TimeUntil(base::TimePoint end, base::TimePoint now) {
@@ -55,8 +62,11 @@
 
 }  // namespace
 
-RequestQuarantine::RequestQuarantine(const base::Clock& clock)
-    : clock_(clock), quarantine_(clock, kProvenCapacity) {}
+RequestQuarantine::RequestQuarantine(const base::Clock& clock,
+                                     milliseconds restart_listed_within)
+    : clock_(clock),
+      restart_listed_within_(restart_listed_within),
+      quarantine_(clock, kProvenCapacity) {}
 
 RunPermit RequestQuarantine::Admit(std::uint64_t fingerprint,
                                    base::TimePoint answer_deadline) {
@@ -87,7 +97,9 @@
   const auto found = suspicions_.find(fingerprint);
   return found == suspicions_.end()
              ? milliseconds(0)
-             : TimeUntil(found->second.held_until, clock_.Now());
+             : TimeUntil(std::max(found->second.held_until,
+                                  found->second.held_by_others_until),
+                         clock_.Now());
 }
 
 void RequestQuarantine::OnCallLost(LostCall call) {
@@ -118,7 +130,7 @@
   for (auto it = runs_.begin(); it != runs_.end();) {
     Run& run = it->second;
     const std::size_t resolved =
-        std::erase_if(run.unresolved, [&](const UnresolvedCall& unresolved) {
+        std::erase_if(run.unresolved, [&](UnresolvedCall& unresolved) {
           const LeafFate fate = fate_of(unresolved);
           if (fate != LeafFate::kCrashed) return fate == LeafFate::kAlive;
           ++run.crashed_leaves;
@@ -131,27 +143,36 @@
   }
 }
 
-void RequestQuarantine::OnLeafObserved(const LeafObservation& observation,
+bool RequestQuarantine::OnLeafObserved(const LeafObservation& observation,
                                        Actions& actions) {
+  bool shows_fate = false;
   ResolveCalls(
-      [&observation](const UnresolvedCall& unresolved) {
-        return unresolved.call.leaf == observation.leaf
-                   ? FateShownBy(observation, unresolved.lost_at)
-                   : LeafFate::kUnknown;
+      [&](UnresolvedCall& unresolved) {
+        const LostCall& call = unresolved.call;
+        if (call.leaf != observation.leaf) return LeafFate::kUnknown;
+        const LeafFate fate = Observe(observation,
+                                      {.started_unix_ms = call.started_unix_ms,
+                                       .lost_at = unresolved.lost_at},
+                                      unresolved.answered_at);
+        shows_fate = shows_fate || fate != LeafFate::kUnknown;
+        return fate;
       },
       actions);
-  ResolveForOthers(observation, actions);
+  return ResolveForOthers(observation, actions) || shows_fate;
 }
 
-void RequestQuarantine::ResolveForOthers(const LeafObservation& observation,
+bool RequestQuarantine::ResolveForOthers(const LeafObservation& observation,
                                          Actions& actions) {
+  bool shows_fate = false;
   std::vector<std::uint64_t> crashed;
   std::vector<std::uint64_t> alive;
-  for (const auto& [fingerprint, suspicion] : suspicions_) {
-    if (!Contains(suspicion.leaves_of_others, observation.leaf)) continue;
-    const LeafFate fate = FateShownBy(observation, suspicion.learned_at);
+  for (auto& [fingerprint, suspicion] : suspicions_) {
+    const LeafFate fate = ObserveForOthers(observation, suspicion);
+    shows_fate = shows_fate || fate != LeafFate::kUnknown;
     if (fate == LeafFate::kCrashed) crashed.push_back(fingerprint);
-    if (fate == LeafFate::kAlive) alive.push_back(fingerprint);
+    // The life of one leaf shows nothing about the others.
+    if (fate == LeafFate::kAlive && suspicion.leaves_of_others.empty())
+      alive.push_back(fingerprint);
   }
   for (const std::uint64_t fingerprint : crashed) {
     suspicions_.erase(fingerprint);
@@ -160,6 +181,52 @@
   }
   for (const std::uint64_t fingerprint : alive)
     LiftSuspicion(fingerprint, /*completed=*/false, actions);
+  return shows_fate;
+}
+
+LeafFate RequestQuarantine::ObserveForOthers(const LeafObservation& observation,
+                                             Suspicion& suspicion) {
+  auto& leaves = suspicion.leaves_of_others;
+  const auto checked =
+      std::find_if(leaves.begin(), leaves.end(), [&](const CheckedLeaf& each) {
+        return each.leaf.id == observation.leaf;
+      });
+  if (checked == leaves.end()) return LeafFate::kUnknown;
+  const LeafFate fate =
+      Observe(observation,
+              {.started_unix_ms = checked->leaf.started_unix_ms,
+               .lost_at = suspicion.learned_at},
+              checked->answered_at);
+  if (fate == LeafFate::kAlive) leaves.erase(checked);
+  return fate;
+}
+
+void RequestQuarantine::ResolveAlive(Actions& actions) {
+  const base::TimePoint now = clock_.Now();
+  // The fate of leaves that show nothing in time stays unknown. Leaves that do
+  // not answer for other reasons than a crash are the usual case.
+  ResolveCalls(
+      [this, now](const UnresolvedCall& unresolved) {
+        return now >= unresolved.lost_at + kEvidenceWait ||
+                       IsAlive(unresolved.answered_at)
+                   ? LeafFate::kAlive
+                   : LeafFate::kUnknown;
+      },
+      actions);
+}
+
+void RequestQuarantine::ResolveAliveForOthers(Actions& actions) {
+  std::vector<std::uint64_t> alive;
+  for (auto& [fingerprint, suspicion] : suspicions_) {
+    const std::size_t ended = std::erase_if(
+        suspicion.leaves_of_others, [this](const CheckedLeaf& checked) {
+          return IsAlive(checked.answered_at);
+        });
+    if (ended > 0 && suspicion.leaves_of_others.empty())
+      alive.push_back(fingerprint);
+  }
+  for (const std::uint64_t fingerprint : alive)
+    LiftSuspicion(fingerprint, /*completed=*/false, actions);
 }
 
 void RequestQuarantine::OnLeafListed(const std::string& leaf,
@@ -192,12 +259,21 @@
   if (run.crashed_leaves == 0) {
     LiftSuspicion(fingerprint, /*completed=*/false, actions);
   } else {
-    // What has been proven takes its place.
-    suspicions_.erase(fingerprint);
+    EndOwnSuspicion(fingerprint);
   }
   return true;
 }
 
+void RequestQuarantine::EndOwnSuspicion(std::uint64_t fingerprint) {
+  // What has been proven takes its place. It shows nothing about the leaves of
+  // other hosts.
+  if (IsHeldByOthers(fingerprint)) {
+    suspicions_.at(fingerprint).held_until = {};
+  } else {
+    suspicions_.erase(fingerprint);
+  }
+}
+
 void RequestQuarantine::OnRunEnded(const EndedRun& ended, Actions& actions) {
   if (ended.probed_first && ended.completed)
     quarantine_.OnCompletedExclusive(ended.fingerprint, actions);
@@ -240,13 +316,14 @@
     leaves.push_back(leaf);
   };
   for (const auto& [fingerprint, suspicion] : suspicions_)
-    for (const std::string& leaf : suspicion.leaves_of_others) add(leaf);
+    for (const CheckedLeaf& checked : suspicion.leaves_of_others)
+      if (!checked.answered_at) add(checked.leaf.id);
   for (const auto& [id, run] : runs_) {
     // Another call of a run that goes on may still complete, so that its lost
     // calls need no explanation.
     if (!run.publish_at) continue;
     for (const UnresolvedCall& unresolved : run.unresolved)
-      add(unresolved.call.leaf);
+      if (!unresolved.answered_at) add(unresolved.call.leaf);
   }
   return leaves;
 }
@@ -279,15 +356,37 @@
       entry.hold_for.count() > 0 && !IsHeld(entry.fingerprint);
   Suspicion& suspicion = suspicions_[entry.fingerprint];
   suspicion.until = std::max(suspicion.until, end(entry.expires_in));
-  suspicion.held_until = std::max(suspicion.held_until, end(entry.hold_for));
+  // Entries come back to the host that has sent them.
+  if (!WaitsForLeavesOf(entry))
+    suspicion.held_by_others_until =
+        std::max(suspicion.held_by_others_until, end(entry.hold_for));
   suspicion.shared = true;
   if (adds_hold && checks_leaves) {
-    suspicion.leaves_of_others = entry.unanswered_leaves;
+    suspicion.leaves_of_others.clear();
+    for (const model::UnansweredLeaf& leaf : entry.unanswered_leaves)
+      suspicion.leaves_of_others.push_back({.leaf = leaf});
     suspicion.learned_at = now;
   }
   return adds_suspicion || adds_hold;
 }
 
+bool RequestQuarantine::WaitsForLeavesOf(const SuspectEntry& entry) const {
+  const auto waits_for = [&](const model::UnansweredLeaf& leaf) {
+    return std::any_of(runs_.begin(), runs_.end(), [&](const auto& item) {
+      const Run& run = item.second;
+      return run.fingerprint == entry.fingerprint &&
+             std::any_of(run.unresolved.begin(), run.unresolved.end(),
+                         [&leaf](const UnresolvedCall& unresolved) {
+                           return unresolved.call.sole_call &&
+                                  unresolved.call.leaf == leaf.id;
+                         });
+    });
+  };
+  return !entry.unanswered_leaves.empty() &&
+         std::all_of(entry.unanswered_leaves.begin(),
+                     entry.unanswered_leaves.end(), waits_for);
+}
+
 void RequestQuarantine::Suspect(const Run& run) {
   const base::TimePoint now = clock_.Now();
   Suspicion& suspicion = suspicions_[run.fingerprint];
@@ -332,7 +431,15 @@
 
 bool RequestQuarantine::IsHeld(std::uint64_t fingerprint) const {
   const auto found = suspicions_.find(fingerprint);
-  return found != suspicions_.end() && clock_.Now() < found->second.held_until;
+  return IsHeldByOthers(fingerprint) ||
+         (found != suspicions_.end() &&
+          clock_.Now() < found->second.held_until);
+}
+
+bool RequestQuarantine::IsHeldByOthers(std::uint64_t fingerprint) const {
+  const auto found = suspicions_.find(fingerprint);
+  return found != suspicions_.end() &&
+         clock_.Now() < found->second.held_by_others_until;
 }
 
 bool RequestQuarantine::HasUnresolvedCalls(std::uint64_t fingerprint) const {
@@ -349,41 +456,32 @@
   Suspicion& suspicion = found->second;
   suspicion.shared = true;
   const base::TimePoint now = clock_.Now();
-  actions.push_back(quarantine::PublishSuspects{
-      {{{.fingerprint = fingerprint,
-         .state = SuspectState::kSuspect,
-         .expires_in = TimeUntil(suspicion.until, now),
-         .hold_for = TimeUntil(suspicion.held_until, now),
-         .unanswered_leaves =
-             UnresolvedLeaves(fingerprint, /*sole_calls=*/true),
-         .doubtful_leaves =
-             UnresolvedLeaves(fingerprint, /*sole_calls=*/false)}}}});
+  SuspectEntry entry{.fingerprint = fingerprint,
+                     .state = SuspectState::kSuspect,
+                     .expires_in = TimeUntil(suspicion.until, now),
+                     .hold_for = TimeUntil(suspicion.held_until, now)};
+  for (const auto& [id, run] : runs_)
+    if (run.fingerprint == fingerprint) AddUnresolvedLeaves(run, entry);
+  actions.push_back(quarantine::PublishSuspects{{{std::move(entry)}}});
 }
 
-std::vector<std::string> RequestQuarantine::UnresolvedLeaves(
-    std::uint64_t fingerprint, bool sole_calls) const {
-  std::vector<std::string> leaves;
-  for (const auto& [id, run] : runs_) {
-    if (run.fingerprint != fingerprint) continue;
-    for (const UnresolvedCall& unresolved : run.unresolved)
-      if (unresolved.call.sole_call == sole_calls &&
-          leaves.size() < kMaxNamedLeaves)
-        leaves.push_back(unresolved.call.leaf);
+void RequestQuarantine::AddUnresolvedLeaves(const Run& run,
+                                            SuspectEntry& entry) {
+  for (const UnresolvedCall& unresolved : run.unresolved) {
+    const LostCall& call = unresolved.call;
+    if (call.sole_call && entry.unanswered_leaves.size() < kMaxNamedLeaves)
+      entry.unanswered_leaves.push_back(
+          {.id = call.leaf, .started_unix_ms = call.started_unix_ms});
+    if (!call.sole_call && entry.doubtful_leaves.size() < kMaxNamedLeaves)
+      entry.doubtful_leaves.push_back(call.leaf);
   }
-  return leaves;
 }
 
 void RequestQuarantine::Tick(Actions& actions) {
   quarantine_.Tick();
   const base::TimePoint now = clock_.Now();
-  // The fate of these leaves stays unknown. Leaves that do not answer for other
-  // reasons than a crash are the usual case.
-  ResolveCalls(
-      [now](const UnresolvedCall& unresolved) {
-        return now >= unresolved.lost_at + kEvidenceWait ? LeafFate::kAlive
-                                                         : LeafFate::kUnknown;
-      },
-      actions);
+  ResolveAlive(actions);
+  ResolveAliveForOthers(actions);
   for (auto& [id, run] : runs_) {
     if (run.unresolved.empty() || !run.publish_at || now < *run.publish_at)
       continue;
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -35,7 +35,8 @@
 /// Status of a successful answer, for the log.
 constexpr int kAnsweredStatus = 200;
 
-/// Time within which a watch reports a change that another call has seen.
+/// Time within which a waiting watch or feed reports a change, unless it is
+/// lost.
 constexpr milliseconds kWatchReportTime{300};
 
 /// Delay after a change before the next watch, so that further changes arrive
@@ -110,12 +111,11 @@
   missing_.reset();
   // A watch that is sent while the store is away is lost, and this host would
   // wait for it although the store has returned.
-  if (confirming_ || !store_answered_last_) {
-    actions.push_back(ReadChanges{position_.revision, kNoWait, short_timeout_});
-  } else {
-    actions.push_back(ReadChanges{position_.revision, watch_wait_,
-                                  watch_wait_ + kWatchTimeoutMargin});
-  }
+  const bool waits = !confirming_ && store_answered_last_;
+  read_wait_ = waits ? watch_wait_ : kNoWait;
+  actions.push_back(
+      ReadChanges{position_.revision, read_wait_,
+                  waits ? watch_wait_ + kWatchTimeoutMargin : short_timeout_});
 }
 
 void StoreReader::OnPage(StorePage page, Actions& actions) {
@@ -142,8 +142,10 @@
 }
 
 void StoreReader::OnListingPage(StorePage page, Actions& actions) {
-  if (listing_->cursor.at_start())
+  if (listing_->cursor.at_start()) {
     listing_->position = {.era = era_, .revision = page.position.revision};
+    listing_->began_at = read_sent_at_;
+  }
   listing_->cursor.Advance(page);
   for (RecordChange& item : page.changes)
     if (item.value) listing_->records[item.key] = std::move(*item.value);
@@ -151,6 +153,7 @@
   // Only now are all changes up to the listing's revision applied. Watching
   // from there any sooner would lose them.
   position_ = listing_->position;
+  currency_.OnReadAnswered(clock_.Now(), listing_->began_at);
   actions.push_back(ReplaceRecords{std::move(listing_->records), position_});
   listing_.reset();
   actions.push_back(SetFeedFresh{true});
@@ -166,6 +169,7 @@
   // The revision that was asked for has another meaning in another era.
   if (!AcceptEra(page.position, actions) || listing_) return;
   const bool changed = !page.changes.empty();
+  currency_.OnReadAnswered(clock_.Now(), CurrentByAnswer(changed));
   position_.revision = std::max(position_.revision, page.position.revision);
   actions.push_back(ApplyRecordChanges{std::move(page.changes), position_});
   ConfirmIfAwaited(actions);
@@ -199,6 +203,7 @@
   const bool restored = era_ != 0 || position_.revision != 0;
   era_ = era;
   if (!restored) return false;
+  currency_.OnInterrupted();
   listing_ = Listing{};
   if (hosts_) hosts_ = ListingCursor{};
   missing_.reset();
@@ -228,6 +233,9 @@
   const bool from_copy = position_.era < era_;
   failed_feeds_.erase(feed_host_);
   MarkAvailable(actions);
+  if (changes.current_after_arrival)
+    currency_.OnReadAnswered(clock_.Now(),
+                             read_sent_at_ + *changes.current_after_arrival);
   pending_ = Pending::kNone;
   // The other host's view is complete, so no listing is needed any more.
   if (position_.revision != 0 || changes.is_full_listing) listing_.reset();
@@ -247,6 +255,7 @@
 
 void StoreReader::OnFeedFailed(bool answered) {
   pending_ = Pending::kNone;
+  currency_.OnInterrupted();
   // The view of this host is older than that of the host which failed, and
   // another host may not answer for a while either. A host without a view
   // serves no callers yet and may wait for it.
@@ -260,6 +269,14 @@
   if (pending_ == Pending::kWakeUp) pending_ = Pending::kNone;
 }
 
+void StoreReader::OnRenewalAnswered(base::TimePoint sent) {
+  renewal_answered_at_ = clock_.Now();
+  // The store would have answered the watch before the renewal if there had
+  // been changes.
+  if (watches_store() && !missing_ && read_sent_at_ <= sent)
+    currency_.PresumeCurrent(sent - kWatchReportTime);
+}
+
 void StoreReader::OnRenewalFailed(base::TimePoint sent, int status,
                                   Actions& actions) {
   if (!store_available_ || pending_ == Pending::kFeed) return;
@@ -284,6 +301,7 @@
   actions.push_back(CancelRead{});
   actions.push_back(LogFailedRead{NameOfPendingRead(), 0, Waited()});
   pending_ = Pending::kNone;
+  currency_.OnInterrupted();
   // The next read asks the store to answer at once.
   store_answered_last_ = false;
 }
@@ -292,6 +310,7 @@
   actions.push_back(SetFeedFresh{false});
   actions.push_back(CancelRead{});
   pending_ = Pending::kNone;
+  currency_.OnInterrupted();
   confirming_ = true;
   // Pages read before the pause may be much older than those after it.
   if (listing_) listing_ = Listing{};
@@ -308,6 +327,7 @@
 void StoreReader::MarkStoreLost(const std::string& read, int status,
                                 Actions& actions) {
   actions.push_back(SetFeedFresh{false});
+  currency_.OnInterrupted();
   store_answered_last_ = false;
   if (std::exchange(store_available_, false))
     actions.push_back(ReportStoreLost{read, status});
@@ -319,6 +339,13 @@
   MarkAvailable(actions);
 }
 
+base::TimePoint StoreReader::CurrentByAnswer(bool has_changes) const {
+  // The store has answered at some time since the read was sent, and without
+  // changes only after it has waited for them.
+  const bool waited = !has_changes && Waited() >= read_wait_;
+  return read_sent_at_ + (waited ? read_wait_ : milliseconds(0));
+}
+
 void StoreReader::MarkAvailable(Actions& actions) {
   failures_ = 0;
   short_timeout_ = kShortTimeout;
--- a/forward/unittests/crash_evidence_test.cc
+++ b/forward/unittests/crash_evidence_test.cc
@@ -36,6 +36,9 @@
 struct WayDown {
   LeafSign sign = LeafSign::kConnectionRefused;
   milliseconds observed_after{0};
+  /// Time after which the leaf answers again under its id; unset if it has
+  /// another one. Then all hosts observe the sign, in the list of leaves.
+  std::optional<milliseconds> answers_after{};
 };
 
 constexpr WayDown kRefused{LeafSign::kConnectionRefused, milliseconds(1)};
@@ -44,6 +47,14 @@
 /// The machine is silent until it is back, or until discovery drops its entry.
 constexpr WayDown kSilent{LeafSign::kReplaced, milliseconds(2000)};
 constexpr WayDown kVanished{LeafSign::kUnlisted, milliseconds(4600)};
+/// The leaf is back under its id, and its next heartbeat shows the start.
+constexpr milliseconds kHeartbeat{1200};
+constexpr WayDown BackUnderItsId(milliseconds silence,
+                                 milliseconds until_listed) {
+  return {.sign = LeafSign::kReplaced,
+          .observed_after = silence + until_listed,
+          .answers_after = silence};
+}
 
 /// Hosts that exchange suspect entries.
 class Fleet {
@@ -51,7 +62,8 @@
   explicit Fleet(std::size_t hosts) {
     clock_.Advance(std::chrono::hours(1));
     for (std::size_t i = 0; i < hosts; ++i) {
-      hosts_.push_back(std::make_unique<RequestQuarantine>(clock_));
+      hosts_.push_back(
+          std::make_unique<RequestQuarantine>(clock_, 2 * kHeartbeat));
       names_.push_back("host" + std::to_string(i));
     }
   }
@@ -85,6 +97,7 @@
       clock_.Advance(step - clock_.Now());
       for (std::size_t i = 0; i < hosts_.size(); ++i) {
         RequestQuarantine::Actions actions;
+        hosts_[i]->SetViewCurrency({.since = {}, .until = clock_.Now()});
         hosts_[i]->Tick(actions);
         Publish(i, actions);
         if (check_) CheckLeaves(i);
@@ -117,6 +130,10 @@
     Publish(host, actions);
   }
 
+  void ObserveAtAll(const LeafObservation& observation) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) Observe(i, observation);
+  }
+
   void Observe(std::size_t host, const LeafObservation& observation) {
     RequestQuarantine::Actions actions;
     this->host(host).OnLeafObserved(observation, actions);
@@ -167,8 +184,14 @@
     const WayDown way = ways[static_cast<std::size_t>(crashes_) % ways.size()];
     const std::string leaf = "leaf" + std::to_string(++crashes_);
     fleet_.After(way.observed_after, [this, host, leaf, way] {
-      fleet_.Observe(host, {.leaf = leaf, .sign = way.sign});
+      if (way.answers_after) {
+        fleet_.ObserveAtAll({.leaf = leaf, .sign = way.sign});
+      } else {
+        fleet_.Observe(host, {.leaf = leaf, .sign = way.sign});
+      }
     });
+    if (way.answers_after)
+      answers_from_[leaf] = fleet_.now() + *way.answers_after;
     return {.run = run_,
             .fingerprint = kFingerprint,
             .leaf = leaf,
@@ -185,10 +208,21 @@
     }
   }
 
+  void SetUp() override {
+    fleet_.SetCheck([this](std::size_t, const std::string& leaf) {
+      const auto from = answers_from_.find(leaf);
+      return from != answers_from_.end() && fleet_.now() >= from->second
+                 ? std::optional(LeafSign::kAnswered)
+                 : std::nullopt;
+    });
+  }
+
   Fleet fleet_{std::get<0>(GetParam())};
   std::uint64_t run_ = 0;
   int crashes_ = 0;
   std::size_t attempts_ = 0;
+  /// When the leaves that are back under their ids answer health checks again.
+  std::map<std::string, base::TimePoint> answers_from_;
 };
 
 TEST_P(CrashingRequestTest, OneTimeRequestCrashesTwoLeaves) {
@@ -210,6 +244,20 @@
                         std::vector{kRefused, kSilent, kRestartedAtOnce},
                         std::vector{kVanished, kRestartedAtOnce, kRefused})));
 
+// Guards against a leaf that answers under its id before discovery lists its
+// start, which showed all hosts that it had not crashed (review case 6).
+INSTANTIATE_TEST_SUITE_P(
+    LeavesBackUnderTheirIds, CrashingRequestTest,
+    testing::Combine(
+        testing::Values(6, 200),
+        testing::Values(
+            std::vector{BackUnderItsId(milliseconds(2000), milliseconds(300))},
+            std::vector{BackUnderItsId(milliseconds(2000), milliseconds(2000))},
+            std::vector{BackUnderItsId(milliseconds(100), milliseconds(1300))},
+            std::vector{BackUnderItsId(milliseconds(3500), milliseconds(2000))},
+            std::vector{kRefused, BackUnderItsId(milliseconds(2000),
+                                                 milliseconds(800))})));
+
 /// Good requests that are sent again and again while leaves crash under another
 /// request and links are cut.
 class StormTest : public testing::Test {
--- a/forward/unittests/killing_request_test.cc
+++ b/forward/unittests/killing_request_test.cc
@@ -218,7 +218,7 @@
   const Route& fetch() const { return single_leaf_route_; }
 
  private:
-  RequestQuarantine quarantine_{clock_};
+  RequestQuarantine quarantine_{clock_, std::chrono::milliseconds(2400)};
   std::uint64_t runs_ = 0;
 };
 
--- a/forward/unittests/request_quarantine_test.cc
+++ b/forward/unittests/request_quarantine_test.cc
@@ -13,6 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t kRequest = 7;
+constexpr milliseconds kRestartListedWithin{2400};
 
 class RequestQuarantineTest : public testing::Test {
  protected:
@@ -28,14 +29,30 @@
                             .leaf = leaf,
                             .sole_call = sole_call});
   }
-  /// Observes that the leaf has crashed, or that it answers a later call.
+  void Observe(const std::string& leaf, LeafSign sign,
+               std::uint64_t started_unix_ms = 0) {
+    quarantine_.OnLeafObserved({.leaf = leaf,
+                                .started_unix_ms = started_unix_ms,
+                                .sign = sign,
+                                .at = clock_.Now()},
+                               actions_);
+  }
+  /// Runs the periodic task with a view of discovery that is current.
+  void TickWithCurrentView(base::TimePoint since = {}) {
+    quarantine_.SetViewCurrency({.since = since, .until = clock_.Now()});
+    quarantine_.Tick(actions_);
+  }
+  /// Observes that the leaf has crashed, or that it answers a later call and
+  /// that discovery lists no other process after that.
   void CheckLeaf(const std::string& leaf, bool crashed) {
-    if (!crashed) clock_.Advance(kRestartListedWithin + milliseconds(1));
-    quarantine_.OnLeafObserved(
-        {.leaf = leaf,
-         .sign = crashed ? LeafSign::kConnectionRefused : LeafSign::kAnswered,
-         .at = clock_.Now()},
-        actions_);
+    if (crashed) {
+      Observe(leaf, LeafSign::kConnectionRefused);
+      return;
+    }
+    clock_.Advance(milliseconds(1));
+    Observe(leaf, LeafSign::kAnswered);
+    clock_.Advance(kRestartListedWithin);
+    TickWithCurrentView();
   }
   void EndRun(std::uint64_t run, bool completed, bool probed_first = false) {
     quarantine_.OnRunEnded({.run = run,
@@ -50,7 +67,7 @@
     return {.fingerprint = kRequest,
             .expires_in = std::chrono::seconds(8),
             .hold_for = std::chrono::seconds(8),
-            .unanswered_leaves = {leaf}};
+            .unanswered_leaves = {{.id = leaf}}};
   }
   model::SuspectEntry Published() const {
     return std::get<quarantine::PublishSuspects>(actions_.back())
@@ -58,7 +75,7 @@
   }
 
   base::ManualClock clock_;
-  RequestQuarantine quarantine_{clock_};
+  RequestQuarantine quarantine_{clock_, kRestartListedWithin};
   RequestQuarantine::Actions actions_;
 };
 
@@ -148,7 +165,7 @@
   EndRun(2, /*completed=*/true, /*probed_first=*/true);
   EXPECT_EQ(Published().state, model::SuspectState::kCleared);
   EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
-  RequestQuarantine other(clock_);
+  RequestQuarantine other(clock_, kRestartListedWithin);
   EXPECT_TRUE(other.Merge({.fingerprint = kRequest,
                            .state = model::SuspectState::kSuspect,
                            .crashes = 1,
@@ -222,11 +239,12 @@
   EXPECT_EQ(shared.crashes, 0U);
   EXPECT_EQ(shared.state, model::SuspectState::kSuspect);
   EXPECT_GT(shared.hold_for, milliseconds(7000));
-  EXPECT_EQ(shared.unanswered_leaves, std::vector<std::string>{"a"});
+  EXPECT_EQ(shared.unanswered_leaves,
+            std::vector<model::UnansweredLeaf>{{.id = "a"}});
   quarantine_.Tick(actions_);
   EXPECT_EQ(actions_.size(), 1U) << "it is shared once";
 
-  RequestQuarantine other(clock_);
+  RequestQuarantine other(clock_, kRestartListedWithin);
   EXPECT_TRUE(other.Merge(shared));
   EXPECT_FALSE(other.Merge(shared)) << "already known";
   EXPECT_EQ(other.Admit(kRequest, clock_.Now() + milliseconds(300)),
@@ -246,7 +264,7 @@
 // is cut: hosts that check for it report what they see.
 TEST_F(RequestQuarantineTest, OtherHostsFindOutTheFateOfAHeldRequestsLeaves) {
   const model::SuspectEntry held = HeldBecauseOf("a");
-  RequestQuarantine bystander(clock_);
+  RequestQuarantine bystander(clock_, kRestartListedWithin);
   ASSERT_TRUE(bystander.Merge(held, /*checks_leaves=*/false));
   EXPECT_TRUE(bystander.LeavesToCheck().empty());
   ASSERT_TRUE(quarantine_.Merge(held, /*checks_leaves=*/true));
@@ -300,19 +318,109 @@
   EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
 }
 
-// Guards against a restarted leaf that is taken for the process that left the
-// call unanswered, since discovery lists the new incarnation a little later.
-TEST_F(RequestQuarantineTest, AnswerSoonAfterTheLossExplainsNothing) {
+// Guards against a leaf that is back under its id after some seconds and is
+// taken for the process that left the call unanswered, since it answers before
+// discovery lists its start (review case 6).
+TEST_F(RequestQuarantineTest, AnswerUnderTheIdOfACrashedLeafIsNoProofOfLife) {
+  for (const int silence_ms : {1, 2000, 4000}) {
+    const auto request = static_cast<std::uint64_t>(silence_ms);
+    quarantine_.OnCallLost({.run = request,
+                            .fingerprint = request,
+                            .leaf = "a",
+                            .sole_call = true});
+    quarantine_.OnRunEnded({.run = request, .fingerprint = request}, actions_);
+    clock_.Advance(milliseconds(silence_ms));
+    Observe("a", LeafSign::kAnswered);
+    clock_.Advance(kRestartListedWithin - milliseconds(1));
+    TickWithCurrentView();
+    actions_.clear();
+    EXPECT_EQ(quarantine_.Admit(request, clock_.Now()), RunPermit::kHeld)
+        << silence_ms;
+    Observe("a", LeafSign::kReplaced);
+    ASSERT_EQ(actions_.size(), 1U) << silence_ms;
+    EXPECT_EQ(Published().crashes, 1U) << silence_ms;
+  }
+}
+
+// Guards against a good request that is held for longer than it takes to tell
+// that its leaf has not started again.
+TEST_F(RequestQuarantineTest, AnswerExplainsTheCallOnceDiscoveryIsCurrent) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  clock_.Advance(milliseconds(1));
+  Observe("a", LeafSign::kAnswered);
+  EXPECT_TRUE(quarantine_.LeavesToCheck().empty()) << "no more is to be seen";
+  clock_.Advance(kRestartListedWithin);
+  quarantine_.Tick(actions_);
+  EXPECT_EQ(Admit(), RunPermit::kHeld) << "the view may be old";
+  TickWithCurrentView();
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// Guards against the same while the store is away, so that the start of a leaf
+// is listed only after its return.
+TEST_F(RequestQuarantineTest, AnswerDuringAnOutageExplainsNothingUntilLater) {
   LoseCall(1, "a", /*sole_call=*/true);
   EndRun(1, false);
+  clock_.Advance(milliseconds(1));
+  Observe("a", LeafSign::kAnswered);
   clock_.Advance(kRestartListedWithin);
-  quarantine_.OnLeafObserved(
-      {.leaf = "a", .sign = LeafSign::kAnswered, .at = clock_.Now()}, actions_);
+  const base::TimePoint returned_at = clock_.Now();
+  TickWithCurrentView(returned_at);
   EXPECT_EQ(Admit(), RunPermit::kHeld);
-  quarantine_.OnLeafObserved(
-      {.leaf = "a", .sign = LeafSign::kReplaced, .at = clock_.Now()}, actions_);
-  ASSERT_FALSE(actions_.empty());
-  EXPECT_EQ(Published().crashes, 1U);
+  clock_.Advance(kRestartListedWithin);
+  TickWithCurrentView(returned_at);
+  EXPECT_EQ(Admit(), RunPermit::kUnrestricted);
+}
+
+// Guards against an answer of a process that discovery has listed already when
+// the loss of the former one's call is noticed. Clocks of leaves may be behind.
+TEST_F(RequestQuarantineTest, AnswerOfAnotherStartShowsACrash) {
+  for (const std::uint64_t other_start : {2000, 500}) {
+    quarantine_.OnCallLost({.run = other_start,
+                            .fingerprint = other_start,
+                            .leaf = "a",
+                            .started_unix_ms = 1000});
+    quarantine_.OnRunEnded({.run = other_start, .fingerprint = other_start},
+                           actions_);
+    actions_.clear();
+    Observe("a", LeafSign::kAnswered, other_start);
+    ASSERT_FALSE(actions_.empty());
+    EXPECT_EQ(Published().crashes, 1U);
+  }
+}
+
+// Guards against an attempt that crashes a third leaf, since this host's proof
+// for the first one ends the hold of another host that waits for the second.
+TEST_F(RequestQuarantineTest, OwnProofDoesNotEndTheHoldOfAnotherHost) {
+  LoseCall(1, "a");
+  EndRun(1, false);
+  ASSERT_TRUE(quarantine_.Merge(HeldBecauseOf("b")));
+  CheckLeaf("a", /*crashed=*/true);
+  EXPECT_EQ(Admit(), RunPermit::kHeld);
+}
+
+// Guards against a host that takes its own entry, which others pass on to it,
+// for that of another host.
+TEST_F(RequestQuarantineTest, OwnProofEndsAHoldThatHasComeBack) {
+  LoseCall(1, "a", /*sole_call=*/true);
+  EndRun(1, false);
+  quarantine_.Merge(HeldBecauseOf("a"));
+  CheckLeaf("a", /*crashed=*/true);
+  EXPECT_EQ(Admit(), RunPermit::kProbeFirst);
+}
+
+// Guards against a hold that is lifted at all hosts since one of two leaves is
+// alive.
+TEST_F(RequestQuarantineTest, LifeOfOneLeafShowsNothingAboutAnother) {
+  model::SuspectEntry held = HeldBecauseOf("a");
+  held.unanswered_leaves.push_back({.id = "b", .started_unix_ms = 1000});
+  ASSERT_TRUE(quarantine_.Merge(held, /*checks_leaves=*/true));
+  CheckLeaf("a", false);
+  EXPECT_TRUE(actions_.empty());
+  EXPECT_EQ(Admit(), RunPermit::kHeld);
+  Observe("b", LeafSign::kAnswered, /*started_unix_ms=*/3000);
+  EXPECT_EQ(Admit(), RunPermit::kBlocked);
 }
 
 // Guards against a crash that is noticed late because the run of the request
@@ -338,7 +446,8 @@
   clock_.Advance(milliseconds(100));
   quarantine_.Tick(actions_);
   ASSERT_EQ(actions_.size(), 1U);
-  EXPECT_EQ(Published().unanswered_leaves, std::vector<std::string>{"b"});
+  EXPECT_EQ(Published().unanswered_leaves,
+            std::vector<model::UnansweredLeaf>{{.id = "b"}});
   EXPECT_EQ(Published().doubtful_leaves, std::vector<std::string>{"a"});
 }
 
--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -76,6 +76,8 @@
   /// Position of the store up to which this host knows all changes; its
   /// revision is 0 if the host has no view yet.
   StorePosition position() const { return reader_->position(); }
+  /// How current this host takes its view for.
+  ViewCurrency currency() const { return reader_->currency(); }
   std::string RecordKey() const {
     return SimulatedStore::kHostPrefix + entry_.name;
   }
@@ -98,6 +100,7 @@
   struct Poll {
     ReadFeed read;
     std::function<void(std::optional<ChangeSet>)> reply;
+    base::TimePoint arrived{};
   };
 
   /// Runs `run` after `delay`, or once the host is not frozen any more.
@@ -239,24 +242,33 @@
         reader_->OnStoreEra(read.known_era, actions);
       });
     }
+    const Poll poll{read, std::move(reply), time_.Now()};
     if (!fresh_) {
-      reply(std::nullopt);
+      poll.reply(std::nullopt);
     } else if (const auto set = log_.ChangesFor(follower)) {
-      reply(set);
+      Reply(poll, set);
     } else if (!read.wait) {
-      reply(log_.NoChangesFor(follower));
+      Reply(poll, log_.NoChangesFor(follower));
     } else {
       const std::uint64_t id = next_poll_++;
-      polls_[id] = {read, std::move(reply)};
+      polls_[id] = poll;
       After(kMaxPollTime, [this, id] {
-        const auto poll = polls_.extract(id);
-        if (!poll) return;
-        const FollowerState waiting = FollowerOf(poll.mapped().read);
-        poll.mapped().reply(log_.NoChangesFor(waiting));
+        const auto waiting = polls_.extract(id);
+        if (!waiting) return;
+        Reply(waiting.mapped(),
+              log_.NoChangesFor(FollowerOf(waiting.mapped().read)));
       });
     }
   }
 
+  /// Replies to a poll, and states how current this host's view is.
+  void Reply(const Poll& poll, std::optional<ChangeSet> set) {
+    if (set)
+      set->current_after_arrival = std::chrono::floor<milliseconds>(
+          reader_->currency().until - poll.arrived);
+    poll.reply(set);
+  }
+
   static FollowerState FollowerOf(const ReadFeed& read) {
     return {.view = read.view, .known_era = read.known_era};
   }
@@ -289,7 +301,7 @@
       if (!fresh_) {
         poll.reply(std::nullopt);
       } else if (const auto set = log_.ChangesFor(FollowerOf(poll.read))) {
-        poll.reply(set);
+        Reply(poll, set);
       } else {
         polls_[id] = std::move(poll);
       }
@@ -312,7 +324,7 @@
         const int status = answer.status;
         reader_->OnStoreEra(answer.page.position.era, actions);
         if (status == 200) {
-          reader_->OnRenewalAnswered();
+          reader_->OnRenewalAnswered(sent);
         } else {
           reader_->OnRenewalFailed(sent, status, actions);
         }
--- a/forward/unittests/staleness_check.h
+++ b/forward/unittests/staleness_check.h
@@ -46,6 +46,7 @@
     if (!host.running() || host.frozen() || store.IsCutOff(host.entry().name))
       disturbed_at = now;
     const base::TimePoint last = std::max(disturbed_at, store_disturbed_at_);
+    CheckCurrency(host, now >= last + contact_);
     if (violation_ || now < last + contact_) return;
     const auto missed = store.ChangedAfter(host.position());
     if (!missed || now <= *missed + bound_) return;
@@ -55,10 +56,28 @@
                  " ms after the last disturbance";
   }
 
+  /// Checks that a host does not take its view for more current than it is,
+  /// but for the time in which it may not notice that its watch was lost in a
+  /// disturbance.
+  void CheckCurrency(const SimulatedHost& host, bool in_touch) {
+    if (violation_ || !host.running()) return;
+    const auto missed = simulation_.store.ChangedAfter(host.position());
+    const base::TimePoint until = host.currency().until;
+    if (!missed ||
+        until <= *missed + (in_touch ? milliseconds(0) : kLostWatchTime))
+      return;
+    violation_ = host.entry().name + " takes its view for current until " +
+                 std::to_string(Milliseconds(until - *missed)) +
+                 " ms after a change that it misses";
+  }
+
   static std::int64_t Milliseconds(base::Duration duration) {
     return std::chrono::duration_cast<milliseconds>(duration).count();
   }
 
+  /// Time within which a host notices that its watch was lost.
+  static constexpr milliseconds kLostWatchTime{2000};
+
   StoreSimulation& simulation_;
   const milliseconds contact_;
   const milliseconds bound_;
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -182,6 +182,29 @@
   }
 }
 
+// Guards against a view that is never known to be current although nothing
+// disturbs the host, so that what waits for it waits in vain.
+TEST(StoreReaderTest, UndisturbedHostKnowsThatItsViewIsCurrent) {
+  // A renewal each second, of which one may fall into the delay after a change,
+  // and the time that a watch may take to report.
+  constexpr milliseconds max_reader_lag{2500};
+  // A poll and its wait besides.
+  constexpr milliseconds max_follower_lag{max_reader_lag + milliseconds(2200)};
+  StoreSimulation simulation({6}, kMaxStaleness);
+  simulation.time.RunFor(kMaxStaleness);
+  for (milliseconds passed{0}; passed < seconds(20);
+       passed += milliseconds(50)) {
+    simulation.time.RunFor(milliseconds(50));
+    if (passed.count() % 3000 == 0) simulation.store.Put("leaf1", "x");
+    for (std::size_t i = 0; i < simulation.hosts.size(); ++i) {
+      const ViewCurrency view = simulation.hosts[i]->currency();
+      ASSERT_LE(simulation.time.Now() - view.until,
+                i < 2 ? max_reader_lag : max_follower_lag)
+          << "host " << i << " after " << passed.count() << " ms";
+    }
+  }
+}
+
 // Guards against short timeouts that end each read of a store that is slow for
 // a long time.
 TEST(StoreReaderTest, SlowStoreIsStillRead) {
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -48,6 +48,9 @@
   /// Sets whether this host's view of the store is fresh. When it becomes
   /// stale, waiting followers get status 503.
   void SetFresh(bool fresh);
+  /// Sets the time before which all acknowledged changes are in this host's
+  /// view.
+  void SetViewCurrentAt(base::TimePoint at) { view_current_at_ = at; }
   /// Responds without changes to followers whose long poll has timed out.
   void CheckTimeouts();
 
@@ -56,21 +59,28 @@
   struct PendingPoll {
     std::weak_ptr<ServerConnection> connection;
     forward::FollowerState follower;
-    base::TimePoint respond_by{};
+    base::TimePoint arrived{};
   };
 
   forward::FollowerState ParsePoll(std::string_view target) const;
   bool RespondIfChanged(ServerConnection& connection,
-                        const forward::FollowerState& follower);
+                        const forward::FollowerState& follower,
+                        base::TimePoint arrived);
   /// Responds that there are no changes, unless this host's view is behind the
   /// follower's.
   void RespondNoChange(ServerConnection& connection,
-                       const forward::FollowerState& follower);
+                       const forward::FollowerState& follower,
+                       base::TimePoint arrived);
+  /// Responds with `set` to the poll that arrived at `arrived`, and states how
+  /// current this host's view is.
+  void RespondWith(ServerConnection& connection, forward::ChangeSet set,
+                   base::TimePoint arrived) const;
 
   const base::Clock& clock_;
   forward::ChangeLog log_;
   std::function<void(std::uint64_t)> on_later_era_;
   bool fresh_ = false;
+  base::TimePoint view_current_at_{};
   std::vector<PendingPoll> pending_polls_;
 };
 
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -57,6 +57,10 @@
   /// Called when the first complete listing of the leaves has arrived.
   void SetDirectoryLoaded() { directory_loaded_ = true; }
 
+  /// Sets how current this host's view of the deployment is. To be called
+  /// several times a second.
+  void SetViewCurrency(const forward::ViewCurrency& view);
+
   /// Sets the callback that is called after the process or its machine was
   /// suspended. Callers are then refused until OnStateRefreshed is called, but
   /// for at most one second.
--- a/gateway/include/berylreach/gateway/gateway_settings.h
+++ b/gateway/include/berylreach/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
   forward::Location location;
   forward::ExtraCallLimits extra_calls;
   forward::ColdCallLimits cold_calls;
+  /// Interval at which leaves write their entries in service discovery.
+  std::chrono::milliseconds leaf_heartbeat{1200};
   /// Time within which a host must apply a new version of the configuration.
   std::chrono::milliseconds config_apply{4000};
   forward::QuotaBounds quotas;
--- a/gateway/lib/feed_codec.cc
+++ b/gateway/lib/feed_codec.cc
@@ -3,6 +3,8 @@
 #include "berylreach/gateway/feed_codec.h"
 
 #include <boost/json.hpp>
+#include <chrono>
+#include <cstdint>
 #include <utility>
 
 #include "berylreach/config/base64.h"
@@ -22,6 +24,8 @@
   root["revision"] = set.position.revision;
   root["whole"] = set.is_full_listing;
   root["changes"] = std::move(changes);
+  if (set.current_after_arrival)
+    root["current_after_arrival_ms"] = set.current_after_arrival->count();
   return boost::json::serialize(root);
 }
 
@@ -49,6 +53,12 @@
     if (error) return std::nullopt;
   }
   set.is_full_listing = whole->get_bool();
+  // Builds that do not know how current their view is leave the field out.
+  if (const auto* current = object.if_contains("current_after_arrival_ms")) {
+    set.current_after_arrival =
+        std::chrono::milliseconds(current->to_number<std::int32_t>(error));
+    if (error) return std::nullopt;
+  }
   for (const auto& row : changes->get_array()) {
     const auto* fields = row.if_object();
     const auto* key = fields == nullptr ? nullptr : fields->if_contains("key");
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -1,7 +1,9 @@
 // Handles the long polls of followers.
 #include "berylreach/gateway/feed_server.h"
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 #include "berylreach/gateway/feed_codec.h"
@@ -15,6 +17,9 @@
 /// of changes from elsewhere within seconds.
 constexpr std::chrono::seconds kMaxPollTime{2};
 
+/// Limits the age that is stated for this host's view.
+constexpr std::chrono::hours kMaxViewAge{1};
+
 void Respond(ServerConnection& connection, int status, std::string_view body) {
   connection.Respond(ResponseBytes(status, ReasonOf(status), "", body, true),
                      true);
@@ -60,37 +65,47 @@
     Respond(connection, 503, "");
     return;
   }
-  if (RespondIfChanged(connection, follower)) return;
+  const base::TimePoint now = clock_.Now();
+  if (RespondIfChanged(connection, follower, now)) return;
   if (target.ends_with(kFeedNoWaitSuffix)) {
-    RespondNoChange(connection, follower);
+    RespondNoChange(connection, follower, now);
     return;
   }
-  pending_polls_.push_back(
-      {connection.weak_from_this(), follower, clock_.Now() + kMaxPollTime});
+  pending_polls_.push_back({connection.weak_from_this(), follower, now});
 }
 
 bool FeedServer::RespondIfChanged(ServerConnection& connection,
-                                  const forward::FollowerState& follower) {
-  const auto set = log_.ChangesFor(follower);
+                                  const forward::FollowerState& follower,
+                                  base::TimePoint arrived) {
+  auto set = log_.ChangesFor(follower);
   if (!set) return false;
-  Respond(connection, 200, FormatChangeSet(*set));
+  RespondWith(connection, std::move(*set), arrived);
   return true;
 }
 
 void FeedServer::RespondNoChange(ServerConnection& connection,
-                                 const forward::FollowerState& follower) {
-  if (const auto none = log_.NoChangesFor(follower)) {
-    Respond(connection, 200, FormatChangeSet(*none));
+                                 const forward::FollowerState& follower,
+                                 base::TimePoint arrived) {
+  if (auto none = log_.NoChangesFor(follower)) {
+    RespondWith(connection, std::move(*none), arrived);
   } else {
     Respond(connection, 503, "");
   }
 }
 
+void FeedServer::RespondWith(ServerConnection& connection,
+                             forward::ChangeSet set,
+                             base::TimePoint arrived) const {
+  set.current_after_arrival = std::chrono::floor<std::chrono::milliseconds>(
+      std::max<base::Duration>(view_current_at_ - arrived, -kMaxViewAge));
+  Respond(connection, 200, FormatChangeSet(set));
+}
+
 void FeedServer::Publish() {
   for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (!RespondIfChanged(*connection, poll.follower))
+    if (!RespondIfChanged(*connection, poll.follower, poll.arrived))
       pending_polls_.push_back(std::move(poll));
   }
 }
@@ -108,8 +123,8 @@
   for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (now >= poll.respond_by) {
-      RespondNoChange(*connection, poll.follower);
+    if (now >= poll.arrived + kMaxPollTime) {
+      RespondNoChange(*connection, poll.follower, poll.arrived);
     } else {
       pending_polls_.push_back(std::move(poll));
     }
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -60,6 +60,10 @@
 constexpr double kRequestsPerCore = 256;
 constexpr double kLeafCallsPerCore = 6144;
 
+/// Heartbeats of a leaf within which discovery lists a process that has started
+/// under a former id: one until it writes, and one until that shows.
+constexpr int kRestartListedHeartbeats = 2;
+
 limits::AdmissionOptions AdmissionFor(double cores) {
   return {
       .max_requests =
@@ -86,7 +90,7 @@
       admission_(clock, AdmissionFor(settings_.cores)),
       planner_(clock, settings_.host, settings_.location, directory_, selector_,
                service_shares_),
-      quarantine_(clock),
+      quarantine_(clock, kRestartListedHeartbeats * settings_.leaf_heartbeat),
       suspect_queue_(clock),
       tables_(clock),
       shard_sets_(clock, directory_, settings_.config_apply),
--- a/gateway/lib/gateway_quarantine.cc
+++ b/gateway/lib/gateway_quarantine.cc
@@ -42,12 +42,27 @@
   return "request_blocked";
 }
 
+const char* NameOf(forward::LeafSign sign) {
+  switch (sign) {
+    case forward::LeafSign::kConnectionRefused:
+      return "connection refused";
+    case forward::LeafSign::kReplaced:
+      return "replaced";
+    case forward::LeafSign::kUnlisted:
+      return "unlisted";
+    case forward::LeafSign::kAnswered:
+      break;
+  }
+  return "answered";
+}
+
 forward::LostCall ToLostCall(std::uint64_t run_id,
                              const forward::RequestRun& run,
                              const forward::SubrequestCall& call) {
   return {.run = run_id,
           .fingerprint = run.request().fingerprint,
           .leaf = call.leaf->entry().id,
+          .started_unix_ms = call.leaf->entry().started_unix_ms,
           .address = call.leaf->entry().address,
           .sole_call = call.sole_call};
 }
@@ -85,6 +100,7 @@
       {.run = running.request,
        .fingerprint = request->second.run->request().fingerprint,
        .leaf = leaf.id,
+       .started_unix_ms = leaf.started_unix_ms,
        .address = leaf.address,
        .sole_call = running.sole_call});
   leaf_connections_.TryConnect(
@@ -184,15 +200,25 @@
                           forward::LeafSign sign, base::TimePoint at) {
   if (!quarantine_.AwaitsObservations()) return;
   forward::RequestQuarantine::Actions actions;
-  quarantine_.OnLeafObserved(
+  const bool shows_fate = quarantine_.OnLeafObserved(
       {.leaf = leaf.entry().id,
+       .started_unix_ms = leaf.entry().started_unix_ms,
        .sign = sign,
        .at = at,
        .was_leaving = leaf.leaving() || leaf.entry().draining},
       actions);
+  if (shows_fate)
+    host::LogStateChange("suspect_leaf_observed",
+                         leaf.entry().service + " " + leaf.entry().id,
+                         NameOf(sign));
   PublishSuspects(actions);
 }
 
+void Gateway::SetViewCurrency(const forward::ViewCurrency& view) {
+  quarantine_.SetViewCurrency(view);
+  feed_.SetViewCurrentAt(view.until);
+}
+
 void Gateway::ObserveDirectory() {
   directory_.SetObservers(
       [this](const forward::LeafEntry& leaf) {
@@ -273,9 +299,9 @@
                               planner_.HostNames());
   if (!quarantine_.Merge(*entry, checks_leaves)) return;
   LogSuspect(*entry, "another host");
-  for (const auto* leaves :
-       {&entry->unanswered_leaves, &entry->doubtful_leaves})
-    for (const std::string& leaf : *leaves) MarkDoubtful(leaf);
+  for (const model::UnansweredLeaf& leaf : entry->unanswered_leaves)
+    MarkDoubtful(leaf.id);
+  for (const std::string& leaf : entry->doubtful_leaves) MarkDoubtful(leaf);
   suspect_queue_.Put(*entry);
   NotifyHosts();
 }
--- a/gateway/lib/suspect_codec.cc
+++ b/gateway/lib/suspect_codec.cc
@@ -2,6 +2,7 @@
 #include "berylreach/gateway/suspect_codec.h"
 
 #include <boost/json.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -61,6 +62,25 @@
   return texts;
 }
 
+/// Returns the leaves with the ids of one member and the start times of
+/// another, which hosts of an older version do not send.
+std::vector<model::UnansweredLeaf> LeavesMember(
+    const boost::json::object& object) {
+  std::vector<model::UnansweredLeaf> leaves;
+  for (std::string& id : StringsMember(object, "leaves"))
+    leaves.push_back({.id = std::move(id)});
+  const auto* starts = object.if_contains("leaf_starts");
+  if (starts == nullptr || !starts->is_array() ||
+      starts->get_array().size() != leaves.size())
+    return leaves;
+  for (std::size_t i = 0; i < leaves.size(); ++i) {
+    boost::json::error_code error;
+    const auto start = starts->get_array()[i].to_number<std::uint64_t>(error);
+    if (!error) leaves[i].started_unix_ms = start;
+  }
+  return leaves;
+}
+
 }  // namespace
 
 std::string FormatSuspect(const model::SuspectEntry& entry) {
@@ -71,7 +91,14 @@
   value["expires_in_ms"] = entry.expires_in.count();
   if (entry.hold_for.count() > 0) {
     value["hold_ms"] = entry.hold_for.count();
-    value["leaves"] = boost::json::value_from(entry.unanswered_leaves);
+    boost::json::array ids;
+    boost::json::array starts;
+    for (const model::UnansweredLeaf& leaf : entry.unanswered_leaves) {
+      ids.emplace_back(leaf.id);
+      starts.emplace_back(leaf.started_unix_ms);
+    }
+    value["leaves"] = std::move(ids);
+    value["leaf_starts"] = std::move(starts);
   }
   if (!entry.doubtful_leaves.empty())
     value["doubtful"] = boost::json::value_from(entry.doubtful_leaves);
@@ -98,7 +125,7 @@
       .crashes = *crashes,
       .expires_in = std::chrono::milliseconds(*expires_in_ms),
       .hold_for = std::chrono::milliseconds(hold_ms.value_or(0)),
-      .unanswered_leaves = StringsMember(object, "leaves"),
+      .unanswered_leaves = LeavesMember(object),
       .doubtful_leaves = StringsMember(object, "doubtful"),
       .completed = BoolMember(object, "completed")};
 }
--- a/gateway/unittests/suspect_codec_test.cc
+++ b/gateway/unittests/suspect_codec_test.cc
@@ -19,11 +19,12 @@
 }
 
 TEST(SuspectCodecTest, HoldsRoundTrip) {
-  const model::SuspectEntry entry{.fingerprint = 1,
-                                  .expires_in = std::chrono::seconds(8),
-                                  .hold_for = std::chrono::milliseconds(7900),
-                                  .unanswered_leaves = {"i-1", "i-2"},
-                                  .doubtful_leaves = {"i-3"}};
+  const model::SuspectEntry entry{
+      .fingerprint = 1,
+      .expires_in = std::chrono::seconds(8),
+      .hold_for = std::chrono::milliseconds(7900),
+      .unanswered_leaves = {{"i-1", 1764856000123}, {"i-2"}},
+      .doubtful_leaves = {"i-3"}};
   EXPECT_EQ(ParseSuspect(FormatSuspect(entry)), entry);
   const model::SuspectEntry cleared{.fingerprint = 1,
                                     .state = model::SuspectState::kCleared,
--- a/model/include/berylreach/model/suspect_update.h
+++ b/model/include/berylreach/model/suspect_update.h
@@ -17,6 +17,17 @@
              ///< two leaves crashed while running the same request.
 };
 
+/// A leaf that left a call unanswered.
+struct UnansweredLeaf {
+  std::string id;
+  /// Start time of the process that was called, in Unix milliseconds by the
+  /// leaf's clock; 0 if it is not known. A leaf may start again under its id.
+  std::uint64_t started_unix_ms = 0;
+
+  friend bool operator==(const UnansweredLeaf&,
+                         const UnansweredLeaf&) = default;
+};
+
 /// One entry of the quarantine table. When two entries of a fingerprint are
 /// merged, the one with more `crashes` wins, then the one with the higher
 /// state; if both are equal and the state is kSuspect, the lists of canary
@@ -39,9 +50,8 @@
   /// Time for which no attempt should be admitted, since the outcome of one is
   /// not known yet.
   std::chrono::milliseconds hold_for{0};
-  /// Ids of the leaves that left the attempt with the unknown outcome
-  /// unanswered.
-  std::vector<std::string> unanswered_leaves;
+  /// The leaves that left the attempt with the unknown outcome unanswered.
+  std::vector<UnansweredLeaf> unanswered_leaves;
   /// Ids of other leaves that left a call of the request unanswered. They may
   /// be down.
   std::vector<std::string> doubtful_leaves;
