--- a/forward/include/berylreach/forward/quota_owner.h
+++ b/forward/include/berylreach/forward/quota_owner.h
@@ -16,8 +16,8 @@
 
 namespace berylreach::forward {
 
-/// Event: the store has renewed or granted the lease of this host's
-/// registration.
+/// Event: the store has registered this host under a lease, or renewed the
+/// lease of its registration, so that other hosts see it until the lease ends.
 struct LeaseRenewed {
   /// When the acknowledged call was sent.
   base::TimePoint sent{};
@@ -57,6 +57,9 @@
   /// buckets at once.
   void SetLimits(const std::vector<LimitSpec>& limits);
   void OnLeaseRenewed(const LeaseRenewed& event);
+  /// Records that the other hosts may not see this host's registration, so that
+  /// its rights have ended until it has a new one.
+  void OnRegistrationLost();
   /// Set whether the view of the deployment is current. Without a current view,
   /// as after a pause of the process, nothing is granted.
   void OnProcessPaused();
@@ -122,7 +125,8 @@
   /// while its lease is valid, or while no host of its region has a valid one.
   base::TimePoint RightsEnd() const;
   bool LeaseIsValid() const {
-    return lease_sent_ && clock_.Now() < *lease_sent_ + kLeaseValid;
+    return lease_sent_ && !registration_lost_ &&
+           clock_.Now() < *lease_sent_ + kLeaseValid;
   }
   void AskForWitnesses(Actions& actions);
   void OnWitness(const std::string& from, base::TimePoint sent);
@@ -166,6 +170,7 @@
   base::TimePoint fill_from_;
   base::TimePoint prepared_at_{};
   std::optional<base::TimePoint> lease_sent_;
+  bool registration_lost_ = false;
   /// When the claims were sent by which other hosts of the region have
   /// confirmed that their leases may have expired.
   std::map<std::string, base::TimePoint> witnesses_;
--- a/forward/lib/quota_owner.cc
+++ b/forward/lib/quota_owner.cc
@@ -87,6 +87,8 @@
 
 void QuotaOwner::OnLeaseRenewed(const LeaseRenewed& event) {
   const base::TimePoint now = clock_.Now();
+  if (registration_lost_ && !event.is_new) return;
+  registration_lost_ = false;
   if (event.is_new && lease_sent_) {
     shares_.clear();
     began_at_ = now;
@@ -98,6 +100,11 @@
   lease_sent_ = std::max(lease_sent_.value_or(event.sent), event.sent);
 }
 
+void QuotaOwner::OnRegistrationLost() {
+  AccrueAll();
+  registration_lost_ = true;
+}
+
 void QuotaOwner::OnProcessPaused() { view_current_ = false; }
 
 void QuotaOwner::OnViewCurrent() {
--- a/forward/lib/quota_owner_change.cc
+++ b/forward/lib/quota_owner_change.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 base::TimePoint QuotaOwner::RightsEnd() const {
-  if (!lease_sent_) return {};
+  if (!lease_sent_ || registration_lost_) return {};
   return std::max(*lease_sent_ + kLeaseValid, witnessed_until_);
 }
 
--- a/forward/unittests/quota_changes_test.cc
+++ b/forward/unittests/quota_changes_test.cc
@@ -108,6 +108,67 @@
   }
 }
 
+// Guards against two owners of one share: a host whose record is gone goes on
+// granting in full as long as it renews its lease, and so does its successor
+// (review case 7). Its callers lose a part of the quota for a moment only.
+TEST(QuotaChangesTest, HostThatNobodySeesGivesUpItsShares) {
+  const LimitSpec limit{"a", 100, 20};
+  for (std::size_t lost = 0; lost < 6; ++lost) {
+    QuotaSimulation simulation({.hosts = 6, .seed = lost + 1});
+    simulation.SetLimits({limit});
+    simulation.time.RunFor(kWarmUp);
+    simulation.Load("a", 240, simulation.time.Now() + seconds(60),
+                    AnyHost(simulation));
+    simulation.time.RunFor(seconds(5));
+    simulation.LoseRecord(*simulation.hosts[lost]);
+    simulation.time.RunFor(seconds(40));
+    EXPECT_LE(simulation.LargestWindow("a"), BoundOf(limit)) << lost;
+    const std::size_t before = simulation.outcomes["a"].admitted.size();
+    simulation.time.RunFor(seconds(10));
+    const std::size_t later = simulation.outcomes["a"].admitted.size() - before;
+    EXPECT_GE(static_cast<double>(later), 0.9 * limit.rate * 10) << lost;
+  }
+}
+
+/// Claims more tokens than there are for `played`, while the store renews the
+/// lease each second. Returns the tokens granted.
+double ClaimFor(seconds played, base::ManualClock& clock, QuotaOwner& owner) {
+  constexpr milliseconds step{100};
+  double granted = 0;
+  for (milliseconds passed{0}; passed < played; passed += step) {
+    clock.Advance(step);
+    if (passed.count() % 1000 == 0) owner.OnLeaseRenewed({.sent = clock.Now()});
+    QuotaOwner::Actions actions;
+    granted +=
+        owner
+            .OnClaim("h1", {.limit = "a", .region = "r0", .tokens = 1000},
+                     actions)
+            .tokens;
+  }
+  return granted;
+}
+
+// Guards against an owner that takes a renewed lease for the proof that other
+// hosts see it (review case 7).
+TEST(QuotaChangesTest, OwnerWithoutARecordGrantsLittleUntilItIsRegistered) {
+  base::ManualClock clock;
+  LimitOwners owners(clock, "h0", SimulatedLocation(0, 1));
+  owners.SetHosts({{.name = "h0", .zone = "z0"}});
+  const LimitSpec limit{"a", 100, 20};
+  QuotaOwner owner(clock, owners, {});
+  owner.SetLimits({limit});
+  owner.OnLeaseRenewed({.sent = clock.Now(), .is_new = true});
+  ClaimFor(kWarmUp, clock, owner);
+  EXPECT_GE(ClaimFor(seconds(10), clock, owner), 0.95 * limit.rate * 10);
+  owner.OnRegistrationLost();
+  EXPECT_LE(ClaimFor(seconds(10), clock, owner), 0.1 * limit.rate * 10);
+  // A new registration is that of a newcomer, since others may have taken over.
+  owner.OnLeaseRenewed({.sent = clock.Now(), .is_new = true});
+  EXPECT_LE(ClaimFor(seconds(10), clock, owner), 0.1 * limit.rate * 10);
+  ClaimFor(kWarmUp, clock, owner);
+  EXPECT_GE(ClaimFor(seconds(10), clock, owner), 0.95 * limit.rate * 10);
+}
+
 // Guards against callers that are all told to return at the same time.
 TEST(QuotaChangesTest, RefusedCallersReturnOneAfterTheOther) {
   base::ManualClock clock;
--- a/forward/unittests/quota_simulation.h
+++ b/forward/unittests/quota_simulation.h
@@ -85,6 +85,8 @@
     base::TimePoint frozen_at{};
     std::vector<std::function<void()>> held_events;
     bool cut_from_store = false;
+    /// The record is gone, though its lease is renewed.
+    bool record_lost = false;
     /// Hosts with different sides cannot exchange messages.
     int side = 0;
   };
@@ -179,6 +181,13 @@
 
   bool store_away = false;
 
+  /// Removes the record of a host, whose lease goes on.
+  void LoseRecord(Host& host) {
+    if (records_.erase(host.entry.name) == 0) return;
+    host.record_lost = true;
+    Announce();
+  }
+
   /// After an outage or a partition of the store, hosts read what they missed.
   void RefreshLists() { Announce(); }
 
@@ -288,6 +297,7 @@
       After(host, milliseconds(1000), [this, &host] { Register(host); });
       return;
     }
+    host.record_lost = false;
     Record& record = records_[host.entry.name];
     record = {host.entry, next_lease_++, sent + kSimulatedLeaseTtl};
     host.process->lease = record.lease;
@@ -296,29 +306,41 @@
       host.process->owner.OnLeaseRenewed(
           {.sent = sent,
            .is_new = std::exchange(host.process->registered, true)});
-      After(host, milliseconds(3000), [this, &host] { Renew(host); });
+      RenewLater(host);
     });
     ExpireAt(host.entry.name);
   }
 
+  void RenewLater(Host& host, milliseconds delay = milliseconds(3000)) {
+    // A new registration begins renewals of its own.
+    After(host, delay, [this, &host, lease = host.process->lease] {
+      if (host.process->lease == lease) Renew(host);
+    });
+  }
+
   void Renew(Host& host) {
     const base::TimePoint sent = time.Now();
     if (store_away || host.cut_from_store) {
-      After(host, milliseconds(1000), [this, &host] { Renew(host); });
+      RenewLater(host, milliseconds(1000));
       return;
     }
     const auto record = records_.find(host.entry.name);
-    if (record == records_.end() ||
-        record->second.lease != host.process->lease) {
+    if (record != records_.end()) {
+      if (record->second.lease != host.process->lease) {
+        Register(host);
+        return;
+      }
+      record->second.expires = sent + kSimulatedLeaseTtl;
+      ExpireAt(host.entry.name);
+    } else if (!host.record_lost) {
+      // Its lease has ended.
       Register(host);
       return;
     }
-    record->second.expires = sent + kSimulatedLeaseTtl;
-    ExpireAt(host.entry.name);
     After(host, milliseconds(5), [&host, sent] {
       host.process->owner.OnLeaseRenewed({.sent = sent});
     });
-    After(host, milliseconds(3000), [this, &host] { Renew(host); });
+    RenewLater(host);
   }
 
   void ExpireAt(const std::string& name) {
@@ -354,6 +376,14 @@
   void ReadHosts(Host& host) {
     std::vector<HostEntry> list;
     for (const auto& [name, record] : records_) list.push_back(record.entry);
+    // A host always counts itself.
+    if (!records_.contains(host.entry.name)) list.push_back(host.entry);
+    if (host.record_lost) {
+      host.process->owner.OnRegistrationLost();
+      After(host, milliseconds(1000), [this, &host] {
+        if (host.record_lost) Register(host);
+      });
+    }
     host.process->owners.SetHosts(list);
     host.process->client.OnHostsChanged();
   }
--- a/gateway/include/berylreach/gateway/gateway.h
+++ b/gateway/include/berylreach/gateway/gateway.h
@@ -79,6 +79,10 @@
     quota_gate_.OnLeaseRenewed(event);
   }
 
+  /// Handles the loss of this host's record, without which other hosts take
+  /// over the limits that it owns, although its lease is renewed.
+  void OnHostRecordLost() { quota_gate_.OnRegistrationLost(); }
+
   /// Sets the callback that publishes a suspect entry through the store: what
   /// this host has learned about a request suspected of crashing leaves.
   void SetSuspectPublisher(
--- a/gateway/include/berylreach/gateway/quota_gate.h
+++ b/gateway/include/berylreach/gateway/quota_gate.h
@@ -65,6 +65,7 @@
   void OnLeaseRenewed(const forward::LeaseRenewed& event) {
     owner_.OnLeaseRenewed(event);
   }
+  void OnRegistrationLost() { owner_.OnRegistrationLost(); }
   void OnProcessPaused() { owner_.OnProcessPaused(); }
   void OnViewCurrent() { owner_.OnViewCurrent(); }
   /// Begins a planned stop: this host grants nothing more. Requests are still
