State of which commit a host is

Change: a package build_info states release, commit, whether the compiled sources differ from it, compiler and instruction set: in the line `started` of both kinds of hosts, in `--version` of berylreachd and berylctl, in the metric berylreach_build_info, in /v1/status and so in `berylctl status`. Tests: the check of `--version` keeps its line and gains one for the commit; that of `berylctl status` gains the build of a host that states none.

--- a/config/include/berylreach/config/host_status.h
+++ b/config/include/berylreach/config/host_status.h
@@ -23,6 +23,8 @@
   bool has_lease = false;
   /// Whether a load balancer may send requests to the host.
   bool ready = false;
+  /// What the host's program was built from; empty if it does not state it.
+  std::string build;
 
   friend bool operator==(const HostStatus&, const HostStatus&) = default;
 };
--- a/config/lib/host_status.cc
+++ b/config/lib/host_status.cc
@@ -6,6 +6,11 @@
 #include "object_reader.h"
 
 namespace berylreach::config {
+namespace {
+
+constexpr std::size_t kMaxBuildBytes = 256;
+
+}  // namespace
 
 std::string EncodeHostStatus(const HostStatus& status) {
   return json::serialize(json::object{
@@ -16,7 +21,8 @@
       {"document",
        {{"version", status.document.version}, {"hash", status.document.hash}}},
       {"lease", status.has_lease},
-      {"ready", status.ready}});
+      {"ready", status.ready},
+      {"build", status.build}});
 }
 
 Parsed<HostStatus> ParseHostStatus(std::string_view body) {
@@ -37,6 +43,7 @@
                 });
   status.has_lease = reader.Bool("lease");
   status.ready = reader.Bool("ready");
+  if (reader.Has("build")) status.build = reader.Text("build", kMaxBuildBytes);
   if (result.findings.empty()) result.value = std::move(status);
   return result;
 }
--- a/config/unittests/host_test.cc
+++ b/config/unittests/host_test.cc
@@ -57,7 +57,9 @@
 }
 
 TEST(HostStatusTest, JsonFormRoundTrips) {
-  const HostStatus status{{"h1"}, ~0ULL, {"a"}, 4, {9, "abc"}, true, false};
+  const HostStatus status{
+      {"h1"},     ~0ULL, {"a"}, 4,
+      {9, "abc"}, true,  false, "1.2.3, commit 0123456789ab"};
   EXPECT_EQ(ParseHostStatus(EncodeHostStatus(status)).value, status);
   EXPECT_EQ(ParseHostStatus("{}").findings.size(), 7U);
 }
--- a/gateway/lib/gateway.cc
+++ b/gateway/lib/gateway.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "berylreach/build_info/build_info.h"
 #include "berylreach/gateway/leaf_metrics.h"
 #include "berylreach/host/log.h"
 #include "health_server.h"
@@ -387,6 +388,7 @@
     text.append("berylreach_").append(name).append(" ");
     text.append(std::to_string(value)).append("\n");
   };
+  text += build_info::MetricLine(build_info::ThisBuild());
   add("requests_total", counters_.requests);
   add("answered_total", counters_.answered);
   add("partial_total", counters_.partial);
--- a/host/lib/http_frontend.cc
+++ b/host/lib/http_frontend.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 
+#include "berylreach/build_info/build_info.h"
 #include "berylreach/config/caller_reply_codec.h"
 #include "berylreach/config/caller_request_codec.h"
 #include "berylreach/config/host_status.h"
@@ -55,6 +56,7 @@
   status.document = core.document();
   status.has_lease = core.HoldsLease();
   status.ready = core.ready();
+  status.build = build_info::Describe(build_info::ThisBuild());
   transport::HttpResponse response;
   response.body = config::EncodeHostStatus(status);
   return response;
@@ -130,6 +132,7 @@
     return AnswerFromCore(request.token, [this](const core::HostCore& core) {
       transport::HttpResponse response;
       response.content_type = kTextExposition;
+      response.body = build_info::MetricLine(build_info::ThisBuild());
       AppendCoreMetrics(core, response.body);
       metrics_.AppendTo(response.body);
       return response;
--- a/scripts/process_tests/command_line.sh
+++ b/scripts/process_tests/command_line.sh
@@ -42,6 +42,7 @@
 for program in "$berylreachd" "$berylctl_program"; do
   expect 0 '^exit codes' "$program" --help
   expect 0 '[0-9]+\.[0-9]+\.[0-9]+$' "$program" --version
+  expect 0 '^commit (unknown|[0-9a-f]{12}(\+changed)?)$' "$program" --version
   expect 2 '--nonsense' "$program" --nonsense
   expect 2 'help' "$program"
 done
--- a/tools/berylctl/include/berylreach/berylctl/run.h
+++ b/tools/berylctl/include/berylreach/berylctl/run.h
@@ -1,6 +1,8 @@
 // Runs one command of berylctl; separate from main() so that tests can call it.
 #pragma once
 
+#include <string>
+
 #include "berylreach/berylctl/exit_code.h"
 #include "berylreach/berylctl/options.h"
 #include "berylreach/berylctl/runtime.h"
@@ -14,6 +16,7 @@
 /// Help text with all subcommands, flags and exit codes.
 const char* UsageText();
 
-const char* VersionText();
+/// Text of --version: the release and what the program was built from.
+std::string VersionText();
 
 }  // namespace berylreach::berylctl
--- a/tools/berylctl/lib/run.cc
+++ b/tools/berylctl/lib/run.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "berylreach/berylctl/commands.h"
+#include "berylreach/build_info/build_info.h"
 #include "report.h"
 
 namespace berylreach::berylctl {
@@ -64,7 +65,9 @@
   return result.assume_error().code;
 }
 
-const char* VersionText() { return BERYLREACH_VERSION; }
+std::string VersionText() {
+  return build_info::VersionText("berylctl", build_info::ThisBuild());
+}
 
 const char* UsageText() {
   return R"(berylctl controls the environments of berylreach.
--- a/tools/berylctl/lib/status_command.cc
+++ b/tools/berylctl/lib/status_command.cc
@@ -20,6 +20,7 @@
   result["document"] = ToJson(view.status->document);
   result["lease"] = view.status->has_lease;
   result["ready"] = view.status->ready;
+  result["build"] = view.status->build;
   return result;
 }
 
@@ -34,7 +35,10 @@
   out << "epoch " << view.status->epoch << "  version "
       << view.status->document.version << "  "
       << (view.status->has_lease ? "lease" : "no lease") << "  "
-      << (view.status->ready ? "ready" : "not ready") << '\n';
+      << (view.status->ready ? "ready" : "not ready") << "  build "
+      << (view.status->build.empty() ? "unknown"
+                                     : Printable(view.status->build))
+      << '\n';
 }
 
 Failure LagFailure(const model::DocumentRef& document) {
--- a/tools/berylctl/main.cc
+++ b/tools/berylctl/main.cc
@@ -78,7 +78,7 @@
     return ExitCode::kSuccess;
   }
   if (command_line::IsSet("version")) {
-    std::cout << "berylctl " << VersionText() << '\n';
+    std::cout << VersionText();
     return ExitCode::kSuccess;
   }
   Options options;
--- a/tools/berylctl/unittests/read_commands_test.cc
+++ b/tools/berylctl/unittests/read_commands_test.cc
@@ -77,7 +77,7 @@
   ReportStatus(Host("h1", 1001), Head("trial").document);
   EXPECT_EQ(RunCommand("status"), ExitCode::kHostsLag);
   EXPECT_THAT(out.str(), HasSubstr("h1  a  127.0.0.1:1001  epoch 3  version 1  "
-                                   "lease  ready"));
+                                   "lease  ready  build unknown\n"));
   EXPECT_THAT(out.str(), HasSubstr("h2  a  127.0.0.1:1002  does not answer"));
   // Another process may respond at the address of a host that has exited.
   ReportStatus({{"h9"}, 7, {"a"}, "", "127.0.0.1:1002"},
--- a/tools/berylreachd/main.cc
+++ b/tools/berylreachd/main.cc
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "berylreach/build_info/build_info.h"
 #include "berylreach/command_line/parse.h"
 #include "berylreach/config/host_settings.h"
 #include "berylreach/host/host_process.h"
@@ -134,6 +135,9 @@
   // Writing to a connection that the peer has closed must not end the process.
   signal(SIGPIPE, SIG_IGN);
   berylreach::host::StartLog(settings.host.value);
+  berylreach::host::LogStateChange(
+      "started", settings.host.value,
+      berylreach::build_info::Describe(berylreach::build_info::ThisBuild()));
   std::atomic<bool> stopped = false;
   auto process = berylreach::host::HostProcess::Start(settings, [&stopped] {
     stopped = true;
@@ -178,7 +182,8 @@
     return EXIT_SUCCESS;
   }
   if (berylreach::command_line::IsSet("version")) {
-    std::cout << "berylreachd " BERYLREACH_VERSION "\n";
+    std::cout << berylreach::build_info::VersionText(
+        "berylreachd", berylreach::build_info::ThisBuild());
     return EXIT_SUCCESS;
   }
   if (FLAGS_platform && positional.empty() && FLAGS_settings.empty())
