Compare claims of the age of changes with the changes that they are made for

Cause: RandomDisturbancesTest compares the time after which a change is claimed to have been acknowledged with the first position of the store that the host lacked. A return of the store from a copy that equals it takes a position and changes no record, so a true claim for a later change ("after 28,673 ms", made at 29,100) was compared with the return at 6,860. The check was wrong, not the claim: no record was younger than claimed. Change: claims are compared with the first record that the host lacked. A return that changes records counts as before, and so do all returns in the checks of how far a host lags behind and of how current it takes its view for.

--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -311,7 +311,7 @@
   /// Compares the times that are given for what this host learns now.
   void CheckClaims(base::TimePoint acknowledged_after,
                    base::TimePoint proven_after) {
-    const auto missed = store_.ChangedAfter(known_);
+    const auto missed = store_.RecordChangedAfter(known_);
     if (!missed) return;
     late_claims_.acknowledged =
         std::max(late_claims_.acknowledged, acknowledged_after - *missed);
--- a/forward/unittests/simulated_store.h
+++ b/forward/unittests/simulated_store.h
@@ -68,6 +68,7 @@
   /// Returns to the copy taken last: later changes are lost, their revisions
   /// are given out again, and the era rises. Waiting watches are forgotten.
   void Restore() {
+    const bool changes_records = items_ != copy_.items;
     items_ = copy_.items;
     revision_ = copy_.revision;
     std::erase_if(history_, [this](const auto& change) {
@@ -77,6 +78,7 @@
     ++era_;
     watches_.clear();
     changed_at_[Position()] = time_.Now();
+    if (changes_records) record_changed_at_[Position()] = time_.Now();
   }
   /// Discards the history and cuts the waiting watches.
   void Compact() {
@@ -148,9 +150,11 @@
   }
   /// When the first change after `view` was made; nothing if there is none.
   std::optional<base::TimePoint> ChangedAfter(StorePosition view) const {
-    const auto found = changed_at_.upper_bound(view);
-    return found == changed_at_.end() ? std::nullopt
-                                      : std::optional(found->second);
+    return FirstAfter(view, changed_at_);
+  }
+  /// Same, but a return from a copy counts only if it changed records.
+  std::optional<base::TimePoint> RecordChangedAfter(StorePosition view) const {
+    return FirstAfter(view, record_changed_at_);
   }
   /// Number of calls, renewals included.
   std::size_t calls() const { return calls_; }
@@ -222,9 +226,16 @@
     Reply reply;
   };
 
+  static std::optional<base::TimePoint> FirstAfter(
+      StorePosition view, const std::map<StorePosition, base::TimePoint>& all) {
+    const auto found = all.upper_bound(view);
+    return found == all.end() ? std::nullopt : std::optional(found->second);
+  }
+
   void Record(RecordChange change) {
     history_.emplace_back(++revision_, std::move(change));
     changed_at_[Position()] = time_.Now();
+    record_changed_at_[Position()] = time_.Now();
     for (const std::uint64_t id : WatchIds()) AnswerWatch(id);
   }
 
@@ -305,6 +316,7 @@
   std::map<std::string, std::string> items_;
   std::vector<std::pair<std::uint64_t, RecordChange>> history_;
   std::map<StorePosition, base::TimePoint> changed_at_;
+  std::map<StorePosition, base::TimePoint> record_changed_at_;
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 0;
   Copy copy_;
