Trace when rollbacks and suspicions take effect on hosts that learn of them late

Both times run from what leaves did (the 50th bad answer, a crash) and a host counts from when it learns of the record, so they rely on how long it may take to learn. The troubles of LateVersionTest moved to a header of their own, unchanged.

--- a/forward/unittests/late_version_test.cc
+++ b/forward/unittests/late_version_test.cc
@@ -11,6 +11,7 @@
 #include <tuple>
 
 #include "berylreach/forward/shard_set_handover.h"
+#include "reader_trouble.h"
 #include "store_simulation.h"
 
 namespace berylreach::forward {
@@ -40,23 +41,6 @@
     ASSERT_EQ(host->versions().in_force(), 1U) << host->entry().name;
 }
 
-/// What happens to the reader of a version that is about to be acknowledged.
-enum class ReaderTrouble {
-  kFrozen,
-  /// So short that the reader still answers the polls of its followers, before
-  /// it notices that it was paused.
-  kFrozenShortly,
-  /// Same, in the pause after an earlier change: it sends its next watch, other
-  /// calls and its answers to the polls all at once.
-  kFrozenInPause,
-  kKilled,
-  kCutOff,
-  kHeldUpShortly,
-  kHeldUp,
-  kWatchLost,
-  kBothFrozen
-};
-
 /// The trouble, the time within which versions must be applied, and the time of
 /// a message to the store.
 class LateVersionTest
@@ -66,53 +50,6 @@
   static ReaderTrouble trouble() { return std::get<0>(GetParam()); }
   static milliseconds apply_time() { return std::get<1>(GetParam()); }
   static milliseconds to_store() { return std::get<2>(GetParam()); }
-
-  static void Disturb(StoreSimulation& simulation, std::size_t reader) {
-    SimulatedHost& host = *simulation.hosts[reader];
-    const std::string& name = host.entry().name;
-    switch (trouble()) {
-      case ReaderTrouble::kFrozen:
-        host.Freeze(seconds(4));
-        break;
-      case ReaderTrouble::kFrozenShortly:
-        host.Freeze(milliseconds(2500), milliseconds(100));
-        break;
-      case ReaderTrouble::kFrozenInPause:
-        simulation.store.Put("leaf1", "2");
-        simulation.time.RunFor(milliseconds(100));
-        host.Freeze(milliseconds(2500), milliseconds(100));
-        break;
-      case ReaderTrouble::kKilled:
-        host.Kill();
-        break;
-      case ReaderTrouble::kCutOff:
-        simulation.store.SetCutOff(name, true);
-        break;
-      case ReaderTrouble::kHeldUpShortly:
-        HoldUp(simulation, name, milliseconds(1000));
-        break;
-      case ReaderTrouble::kHeldUp:
-        HoldUp(simulation, name, milliseconds(2000));
-        break;
-      case ReaderTrouble::kWatchLost:
-        simulation.store.ForgetWatchesOf(name);
-        break;
-      case ReaderTrouble::kBothFrozen:
-        host.Freeze(seconds(4));
-        simulation.time.After(milliseconds(2500), [&simulation, reader] {
-          simulation.hosts[1 - reader]->Freeze(seconds(4));
-        });
-        break;
-    }
-  }
-
-  static void HoldUp(StoreSimulation& simulation, const std::string& name,
-                     milliseconds duration) {
-    simulation.store.SetHeldUp(name, true);
-    simulation.time.After(duration, [&simulation, name] {
-      simulation.store.SetHeldUp(name, false);
-    });
-  }
 };
 
 // Guards against followers that learn of a version late, since their reader has
@@ -129,7 +66,7 @@
                                   .to_host = kToHost});
       ASSERT_NO_FATAL_FAILURE(RunUntilServing(simulation));
       simulation.time.RunFor(start);
-      Disturb(simulation, reader);
+      DisturbReader(simulation, trouble(), reader);
       simulation.time.RunFor(step);
       PutVersion(simulation, 2);
       simulation.time.RunFor(apply_time());
@@ -143,14 +80,9 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Troubles, LateVersionTest,
-    testing::Combine(
-        testing::Values(ReaderTrouble::kFrozen, ReaderTrouble::kFrozenShortly,
-                        ReaderTrouble::kFrozenInPause, ReaderTrouble::kKilled,
-                        ReaderTrouble::kCutOff, ReaderTrouble::kHeldUpShortly,
-                        ReaderTrouble::kHeldUp, ReaderTrouble::kWatchLost,
-                        ReaderTrouble::kBothFrozen),
-        testing::Values(seconds(4), seconds(6), seconds(8)),
-        testing::Values(milliseconds(20), milliseconds(45))));
+    testing::Combine(testing::ValuesIn(kReaderTroubles),
+                     testing::Values(seconds(4), seconds(6), seconds(8)),
+                     testing::Values(milliseconds(20), milliseconds(45))));
 
 /// The number of hosts of the zone, the time within which versions must be
 /// applied, and the time of a message to the store.
--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -79,6 +79,14 @@
     });
   }
 
+  /// Sets a function that gets each record of a listing and each change that
+  /// this host learns; the value of a deleted record is empty.
+  void SetOnRecord(std::function<void(const std::string& key,
+                                      const std::optional<std::string>& value)>
+                       on_record) {
+    on_record_ = std::move(on_record);
+  }
+
   const HostEntry& entry() const { return entry_; }
   bool running() const { return running_; }
   bool frozen() const { return time_.Now() < frozen_until_; }
@@ -322,6 +330,10 @@
     return {.view = read.view, .known_era = read.known_era};
   }
 
+  void Report(const std::string& key, const std::optional<std::string>& value) {
+    if (on_record_) on_record_(key, value);
+  }
+
   void Run(const CancelRead&) { ++read_; }
   void Run(const WakeUpAfter& wake_up) {
     const std::uint64_t read = ++read_;
@@ -334,6 +346,7 @@
     CheckClaims(listing.proven_after, listing.proven_after);
     known_ = listing.position;
     view_ = listing.records;
+    for (const auto& [key, value] : view_) Report(key, value);
     const auto version = view_.find(SimulatedVersions::kKey);
     if (version != view_.end())
       versions_->OnRecord(version->second, listing.proven_after);
@@ -346,6 +359,7 @@
     for (const RecordChange& change : changes.changes) {
       if (change.key == SimulatedVersions::kKey && change.value)
         versions_->OnRecord(*change.value, changes.acknowledged_after);
+      Report(change.key, change.value);
       if (change.value) {
         view_[change.key] = *change.value;
       } else {
@@ -479,6 +493,9 @@
   Find find_;
   std::optional<StoreReader> reader_;
   std::map<std::string, std::string> view_;
+  std::function<void(const std::string& key,
+                     const std::optional<std::string>& value)>
+      on_record_;
   ChangeLog log_;
   /// Position up to which changes have been learned, for the check of claims.
   StorePosition known_;
