Give up a poll by the age of the view, not by the time of the latest answer

What callers saw: a host whose reader is cut off from the store, does not notice, and falls silent learns of a change up to 5.9 s after its acknowledgement: evacuated zones and rolled-back versions get requests beyond their 5 s. Cause: a follower relied on its reader for 3 s from its latest poll, but an answer makes its view no younger than the reader's own. Evidence: the trace shows the poll sent 1.9 s after the cut and given up 3.0 s later; the first read after it goes to the store. PollTimesFor gives the wait and the timeout of a poll by the age of the follower's view: it is given up once that may be 3.5 s. `wait` of the feed holds milliseconds; polls of older builds and of readers that state nothing are as before. StoreReader decides on the timeout now, not platform. Why it works: the time until a follower reads the store itself is bounded by the age of its view, in whatever order its readers fail.

--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -44,8 +44,10 @@
   /// host has heard of.
   StorePosition view;
   std::uint64_t known_era = 0;
-  /// Whether the host may delay its response until there are changes.
-  bool wait = true;
+  /// Time for which the host may hold its response back while there are no
+  /// changes.
+  std::chrono::milliseconds wait{};
+  std::chrono::milliseconds timeout{};
 };
 
 /// Action: drop the read in flight, from the store or from another host.
@@ -219,6 +221,7 @@
 
   void StartPage(bool hosts_only, Actions& actions);
   void StartChanges(Actions& actions);
+  void StartFeed(const HostEntry& host, Actions& actions);
   /// Handles the era of an answer to the pending read, which has ended. Returns
   /// whether the answer belongs to the latest era.
   bool AcceptEra(StorePosition position, Actions& actions);
@@ -272,6 +275,9 @@
   /// feed, each with the time until which it is not asked again.
   std::string feed_host_;
   std::map<std::string, base::TimePoint> failed_feeds_;
+  /// Whether the latest answer of a feed stated how current the view of its
+  /// host was.
+  bool feed_states_currency_ = false;
   /// Whether the next read is one of the store instead of another feed.
   bool ask_store_next_ = false;
   /// Whether a pause of this process must be followed by a read without wait.
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "berylreach/forward/choose_feed_host.h"
+#include "berylreach/forward/poll_times.h"
 
 namespace berylreach::forward {
 namespace {
@@ -90,13 +91,7 @@
               return FeedFailed(host);
             });
   if (feed) {
-    pending_ = Pending::kFeed;
-    feed_host_ = feed->name;
-    store_answered_last_ = false;
-    // A host that follows another one serves no followers, since they would
-    // have to wait for that host in turn.
-    actions.push_back(SetFeedFresh{false});
-    actions.push_back(ReadFeed{*feed, position_, era_, !confirming_});
+    StartFeed(*feed, actions);
   } else if (listing_) {
     StartPage(false, actions);
   } else {
@@ -124,6 +119,20 @@
                   waits ? watch_wait_ + kWatchTimeoutMargin : short_timeout_});
 }
 
+void StoreReader::StartFeed(const HostEntry& host, Actions& actions) {
+  pending_ = Pending::kFeed;
+  feed_host_ = host.name;
+  store_answered_last_ = false;
+  const PollTimes times = PollTimesFor(
+      feed_states_currency_ ? std::optional(clock_.Now() - currency().until)
+                            : std::nullopt);
+  const milliseconds wait = confirming_ ? milliseconds(0) : times.wait;
+  // A host that follows another one serves no followers, since they would have
+  // to wait for that host in turn.
+  actions.push_back(SetFeedFresh{false});
+  actions.push_back(ReadFeed{host, position_, era_, wait, times.timeout});
+}
+
 void StoreReader::OnPage(StorePage page, Actions& actions) {
   const ListingCursor& cursor =
       pending_ == Pending::kHosts ? *hosts_ : listing_->cursor;
@@ -249,6 +258,7 @@
       changes.changes_after_arrival
           ? read_sent_at_ + *changes.changes_after_arrival
           : currency().until;
+  feed_states_currency_ = changes.current_after_arrival.has_value();
   if (changes.current_after_arrival)
     currency_.OnReadAnswered(clock_.Now(),
                              read_sent_at_ + *changes.current_after_arrival);
--- a/forward/unittests/reader_trouble.h
+++ b/forward/unittests/reader_trouble.h
@@ -24,7 +24,9 @@
   kHeldUpShortly,
   kHeldUp,
   kWatchLost,
-  kBothFrozen
+  kBothFrozen,
+  /// Cut off from the store, and silent before it notices that.
+  kCutOffThenSilent
 };
 
 inline constexpr std::array kReaderTroubles{
@@ -32,7 +34,7 @@
     ReaderTrouble::kFrozenInPause, ReaderTrouble::kKilled,
     ReaderTrouble::kCutOff,        ReaderTrouble::kHeldUpShortly,
     ReaderTrouble::kHeldUp,        ReaderTrouble::kWatchLost,
-    ReaderTrouble::kBothFrozen};
+    ReaderTrouble::kBothFrozen,    ReaderTrouble::kCutOffThenSilent};
 
 /// Holds up the answers of the store to a host for some time.
 inline void HoldUp(StoreSimulation& simulation, const std::string& host,
@@ -82,6 +84,11 @@
         simulation.hosts[1 - reader]->Freeze(seconds(4));
       });
       break;
+    case ReaderTrouble::kCutOffThenSilent:
+      simulation.store.SetCutOff(name, true);
+      simulation.time.After(milliseconds(2600),
+                            [&host] { host.Freeze(seconds(10)); });
+      break;
   }
 }
 
--- a/forward/unittests/simulated_host.h
+++ b/forward/unittests/simulated_host.h
@@ -118,13 +118,11 @@
   static constexpr milliseconds kRenewIntervalOfReaders{1000};
   static constexpr milliseconds kRenewTimeout{1500};
   static constexpr milliseconds kRepeatedRenewTimeout{2500};
-  static constexpr milliseconds kFeedTimeout{3000};
   static constexpr milliseconds kProbeInterval{1000};
   static constexpr milliseconds kProbeIntervalWithFollowers{500};
   static constexpr milliseconds kMaxTimeBetweenPolls{3000};
   static constexpr milliseconds kLostProbeDelay{200};
   static constexpr milliseconds kProbeTimeout{500};
-  static constexpr milliseconds kMaxPollTime{2000};
   static constexpr milliseconds kVersionsInterval{100};
 
   struct Poll {
@@ -269,7 +267,7 @@
         });
       });
     }
-    After(kFeedTimeout + kTimeoutCheckInterval,
+    After(read.timeout + kTimeoutCheckInterval,
           [end] { end(std::nullopt, false); });
   }
 
@@ -288,12 +286,12 @@
       poll.reply(std::nullopt);
     } else if (const auto set = log_.ChangesFor(follower)) {
       Reply(poll, set);
-    } else if (!read.wait) {
+    } else if (read.wait == milliseconds(0)) {
       Reply(poll, log_.NoChangesFor(follower));
     } else {
       const std::uint64_t id = next_poll_++;
       polls_[id] = poll;
-      After(kMaxPollTime, [this, id] {
+      After(read.wait, [this, id] {
         const auto waiting = polls_.extract(id);
         if (!waiting) return;
         Reply(waiting.mapped(),
--- a/forward/unittests/store_reader_test.cc
+++ b/forward/unittests/store_reader_test.cc
@@ -4,6 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "berylreach/base/manual_clock.h"
 #include "store_simulation.h"
 
 namespace berylreach::forward {
@@ -29,6 +35,29 @@
   }
 }
 
+/// The poll that a follower sends after its reader has stated how current its
+/// view was, this long before the answer; empty if it states nothing.
+ReadFeed PollAfterAnswer(std::optional<milliseconds> age) {
+  base::ManualClock clock;
+  const auto host = [](const std::string& name, double cores) {
+    return HostEntry{name, name, "z", cores};
+  };
+  StoreReader reader(clock, host("follower", 0.5), kMaxStaleness);
+  StoreReader::Actions actions;
+  ListEmptyStore(reader, actions);
+  clock.Advance(std::chrono::hours(1));
+  const std::vector<HostEntry> zone = {host("r1", 2), host("r2", 2),
+                                       host("f1", 0.5), host("f2", 0.5),
+                                       host("follower", 0.5)};
+  reader.StartNextRead(zone, actions);
+  ChangeSet answer{.position = {.revision = 3}};
+  if (age) answer.current_after_arrival = -*age;
+  reader.OnFeedAnswer(answer, actions);
+  actions.clear();
+  reader.StartNextRead(zone, actions);
+  return std::get<ReadFeed>(actions.back());
+}
+
 /// Plays an outage of the store and a change just after it. Returns the time
 /// from the store's return until all hosts have the change.
 std::optional<milliseconds> RecoveryTime(int hosts, StoreCondition condition,
@@ -101,6 +130,25 @@
   }
 }
 
+// Guards against followers that wait for a reader by the time of its latest
+// answer and not by the age of what it knew then.
+TEST(StoreReaderTest, PollsWaitByTheAgeOfTheView) {
+  const ReadFeed usual = PollAfterAnswer(milliseconds(800));
+  EXPECT_EQ(usual.wait, milliseconds(2000));
+  EXPECT_EQ(usual.timeout, milliseconds(2700));
+  const ReadFeed late = PollAfterAnswer(seconds(20));
+  EXPECT_EQ(late.wait, milliseconds(300));
+  EXPECT_EQ(late.timeout, milliseconds(800));
+}
+
+// Guards against short polls of readers of older builds, which do not state how
+// current their view is.
+TEST(StoreReaderTest, PollsOfReadersThatStateNothingWaitInFull) {
+  const ReadFeed poll = PollAfterAnswer(std::nullopt);
+  EXPECT_EQ(poll.wait, milliseconds(2000));
+  EXPECT_EQ(poll.timeout, milliseconds(3000));
+}
+
 // Guards against a host that waits for a watch which was lost alone, as when
 // one connection goes silent while the store serves all other calls.
 TEST(StoreReaderTest, WatchLostAloneIsReplaced) {
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -2,6 +2,7 @@
 // that read them from this host.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,19 +16,18 @@
 
 namespace berylreach::gateway {
 
-/// Path of the request `GET /feed?after=REVISION&era=ERA&known=KNOWN`. The
-/// response is delayed until there are changes after REVISION of ERA or the
-/// long poll times out. Status 503 says that this host's own view of the store
-/// is stale, or older than the era KNOWN, the latest that the follower has
-/// heard of.
+/// Path of the request `GET /feed?after=REVISION&era=ERA&known=KNOWN&wait=MS`.
+/// The response is delayed until there are changes after REVISION of ERA, but
+/// by no more than MS milliseconds. Without MS, as in polls of older builds, it
+/// is delayed for as long as a poll may wait. Status 503 says that this host's
+/// own view of the store is stale, or older than the era KNOWN, the latest that
+/// the follower has heard of.
 inline constexpr std::string_view kFeedPath = "/feed";
-/// End of a request target that asks for an immediate response, with or without
-/// changes.
-inline constexpr std::string_view kFeedNoWaitSuffix = "&wait=0";
 
-/// Returns the target of a poll by a follower whose view is at `view`.
+/// Returns the target of a poll by a follower whose view is at `view`, and that
+/// may be held for `wait`.
 std::string FeedTarget(forward::StorePosition view, std::uint64_t known_era,
-                       bool wait);
+                       std::chrono::milliseconds wait);
 
 /// Serves long polls: holds the requests of followers until there are changes.
 /// All calls must come from the event loop's thread.
@@ -63,9 +63,11 @@
     std::weak_ptr<ServerConnection> connection;
     forward::FollowerState follower;
     base::TimePoint arrived{};
+    /// When it is answered without changes.
+    base::TimePoint ends{};
   };
 
-  forward::FollowerState ParsePoll(std::string_view target) const;
+  forward::FollowerState ParseFollower(std::string_view target) const;
   bool RespondIfChanged(ServerConnection& connection,
                         const forward::FollowerState& follower,
                         base::TimePoint arrived);
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -15,7 +15,7 @@
 /// Longest time for which a poll is held. A follower that gets no response for
 /// longer assumes that this host is dead or unresponsive, and must then learn
 /// of changes from elsewhere within seconds.
-constexpr std::chrono::seconds kMaxPollTime{2};
+constexpr std::chrono::milliseconds kMaxPollTime{2000};
 
 /// A follower polls again soon after each response.
 constexpr std::chrono::seconds kMaxTimeBetweenPolls{3};
@@ -29,6 +29,11 @@
 }
 
 constexpr std::string_view kEraParameter = "&era=";
+constexpr std::string_view kWaitParameter = "&wait=";
+
+bool HasParameter(std::string_view target, std::string_view name) {
+  return target.find(name) != std::string_view::npos;
+}
 
 std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
   std::uint64_t number = 0;
@@ -39,29 +44,38 @@
   return number;
 }
 
+/// Time for which a poll may be held; polls of older builds may not state it.
+std::chrono::milliseconds PollTimeOf(std::string_view target) {
+  if (!HasParameter(target, kWaitParameter)) return kMaxPollTime;
+  const auto max = static_cast<std::uint64_t>(kMaxPollTime.count());
+  return std::chrono::milliseconds(
+      std::min(NumberParameter(target, kWaitParameter), max));
+}
+
 }  // namespace
 
 std::string FeedTarget(forward::StorePosition view, std::uint64_t known_era,
-                       bool wait) {
+                       std::chrono::milliseconds wait) {
   return std::string(kFeedPath) + "?after=" + std::to_string(view.revision) +
          std::string(kEraParameter) + std::to_string(view.era) +
-         "&known=" + std::to_string(known_era) +
-         std::string(wait ? "" : kFeedNoWaitSuffix);
+         "&known=" + std::to_string(known_era) + std::string(kWaitParameter) +
+         std::to_string(wait.count());
 }
 
-forward::FollowerState FeedServer::ParsePoll(std::string_view target) const {
+forward::FollowerState FeedServer::ParseFollower(
+    std::string_view target) const {
   // Builds that know no eras state none. Their view is taken for one of the
   // present era; otherwise they would get all records at each poll.
-  const bool states_era = target.find(kEraParameter) != std::string_view::npos;
-  return {.view = {.era = states_era ? NumberParameter(target, kEraParameter)
-                                     : log_.position().era,
+  return {.view = {.era = HasParameter(target, kEraParameter)
+                              ? NumberParameter(target, kEraParameter)
+                              : log_.position().era,
                    .revision = NumberParameter(target, "?after=")},
           .known_era = NumberParameter(target, "&known=")};
 }
 
 void FeedServer::OnRequest(ServerConnection& connection,
                            std::string_view target) {
-  const forward::FollowerState follower = ParsePoll(target);
+  const forward::FollowerState follower = ParseFollower(target);
   if (log_.IsBehind(follower) && on_later_era_)
     on_later_era_(follower.known_era);
   if (!fresh_) {
@@ -71,11 +85,13 @@
   const base::TimePoint now = clock_.Now();
   polled_at_ = now;
   if (RespondIfChanged(connection, follower, now)) return;
-  if (target.ends_with(kFeedNoWaitSuffix)) {
+  const std::chrono::milliseconds wait = PollTimeOf(target);
+  if (wait == std::chrono::milliseconds(0)) {
     RespondNoChange(connection, follower, now);
     return;
   }
-  pending_polls_.push_back({connection.weak_from_this(), follower, now});
+  pending_polls_.push_back(
+      {connection.weak_from_this(), follower, now, now + wait});
 }
 
 bool FeedServer::RespondIfChanged(ServerConnection& connection,
@@ -138,7 +154,7 @@
   for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
     const auto connection = poll.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (now >= poll.arrived + kMaxPollTime) {
+    if (now >= poll.ends) {
       RespondNoChange(*connection, poll.follower, poll.arrived);
     } else {
       pending_polls_.push_back(std::move(poll));
