Shorten polls only of readers that heed what polls ask

Cause: found in reading. A reader of an older build holds each poll for 2 s, whatever the poll asks, so that a follower with a view 1.8 s old, as after each change, gave it up after 1.7 s. While the hosts of a fleet are replaced one by one, all followers of old readers would have read the store again and again. Change: a reader states in its answer for how long it may have held the poll (`poll_wait_ms`); only then do the wait and the timeout go by the age of the view. The feed server keeps a poll in one type, with its wait.

--- a/forward/include/berylreach/forward/change_log.h
+++ b/forward/include/berylreach/forward/change_log.h
@@ -40,6 +40,9 @@
   /// changes after it, whatever has disturbed the sender. Empty if the sender
   /// does not know it.
   std::optional<std::chrono::milliseconds> changes_after_arrival;
+  /// Time for which the sender may have held the poll back, as the poll asked;
+  /// empty if the sender is of a build that does not heed what polls ask.
+  std::optional<std::chrono::milliseconds> poll_wait;
 
   friend bool operator==(const ChangeSet&, const ChangeSet&) = default;
 };
--- a/forward/include/berylreach/forward/poll_times.h
+++ b/forward/include/berylreach/forward/poll_times.h
@@ -24,10 +24,11 @@
 inline constexpr std::chrono::milliseconds kMaxFollowedViewAge{3500};
 
 /// Returns the times of a poll by a follower whose view is known to have been
-/// current until `view_age` ago; empty if the other host does not state how
-/// current its own view is. An answer makes a view no younger than that of the
-/// host which sends it, so the time for which a follower may rely on that host
-/// ends by the age of the view, not by the time of the latest answer.
+/// current until `view_age` ago; empty if the other host is of a build that
+/// holds polls for as long as it sees fit. An answer makes a view no younger
+/// than that of the host which sends it, so the time for which a follower may
+/// rely on that host ends by the age of the view, not by the time of the latest
+/// answer.
 PollTimes PollTimesFor(std::optional<base::Duration> view_age);
 
 }  // namespace berylreach::forward
--- a/forward/include/berylreach/forward/store_reader.h
+++ b/forward/include/berylreach/forward/store_reader.h
@@ -275,9 +275,9 @@
   /// feed, each with the time until which it is not asked again.
   std::string feed_host_;
   std::map<std::string, base::TimePoint> failed_feeds_;
-  /// Whether the latest answer of a feed stated how current the view of its
-  /// host was.
-  bool feed_states_currency_ = false;
+  /// Whether the host that answered a poll last holds polls only for as long as
+  /// they ask, and states how current its view is.
+  bool feed_heeds_wait_ = false;
   /// Whether the next read is one of the store instead of another feed.
   bool ask_store_next_ = false;
   /// Whether a pause of this process must be followed by a read without wait.
--- a/forward/lib/store_reader.cc
+++ b/forward/lib/store_reader.cc
@@ -124,8 +124,8 @@
   feed_host_ = host.name;
   store_answered_last_ = false;
   const PollTimes times = PollTimesFor(
-      feed_states_currency_ ? std::optional(clock_.Now() - currency().until)
-                            : std::nullopt);
+      feed_heeds_wait_ ? std::optional(clock_.Now() - currency().until)
+                       : std::nullopt);
   const milliseconds wait = confirming_ ? milliseconds(0) : times.wait;
   // A host that follows another one serves no followers, since they would have
   // to wait for that host in turn.
@@ -258,7 +258,7 @@
       changes.changes_after_arrival
           ? read_sent_at_ + *changes.changes_after_arrival
           : currency().until;
-  feed_states_currency_ = changes.current_after_arrival.has_value();
+  feed_heeds_wait_ = changes.poll_wait.has_value();
   if (changes.current_after_arrival)
     currency_.OnReadAnswered(clock_.Now(),
                              read_sent_at_ + *changes.current_after_arrival);
--- a/forward/unittests/store_reading/simulated_host.h
+++ b/forward/unittests/store_reading/simulated_host.h
@@ -308,6 +308,7 @@
         return std::chrono::floor<milliseconds>(at - poll.arrived);
       };
       set->current_after_arrival = after_arrival(reader_->currency().until);
+      set->poll_wait = poll.read.wait;
       if (const auto after = log_.AcknowledgedAfter(poll.read.view))
         set->changes_after_arrival = after_arrival(*after);
     }
--- a/forward/unittests/store_reading/store_reader_test.cc
+++ b/forward/unittests/store_reading/store_reader_test.cc
@@ -36,8 +36,9 @@
 }
 
 /// The poll that a follower sends after its reader has stated how current its
-/// view was, this long before the answer; empty if it states nothing.
-ReadFeed PollAfterAnswer(std::optional<milliseconds> age) {
+/// view was, this long before the answer. `heeds_wait` is whether the reader
+/// holds polls for as long as they ask.
+ReadFeed PollAfterAnswer(milliseconds age, bool heeds_wait) {
   base::ManualClock clock;
   const auto host = [](const std::string& name, double cores) {
     return HostEntry{name, name, "z", cores};
@@ -51,7 +52,8 @@
                                        host("follower", 0.5)};
   reader.StartNextRead(zone, actions);
   ChangeSet answer{.position = {.revision = 3}};
-  if (age) answer.current_after_arrival = -*age;
+  answer.current_after_arrival = -age;
+  if (heeds_wait) answer.poll_wait = milliseconds(2000);
   reader.OnFeedAnswer(answer, actions);
   actions.clear();
   reader.StartNextRead(zone, actions);
@@ -133,18 +135,18 @@
 // Guards against followers that wait for a reader by the time of its latest
 // answer and not by the age of what it knew then.
 TEST(StoreReaderTest, PollsWaitByTheAgeOfTheView) {
-  const ReadFeed usual = PollAfterAnswer(milliseconds(800));
+  const ReadFeed usual = PollAfterAnswer(milliseconds(800), true);
   EXPECT_EQ(usual.wait, milliseconds(2000));
   EXPECT_EQ(usual.timeout, milliseconds(2700));
-  const ReadFeed late = PollAfterAnswer(seconds(20));
+  const ReadFeed late = PollAfterAnswer(seconds(20), true);
   EXPECT_EQ(late.wait, milliseconds(300));
   EXPECT_EQ(late.timeout, milliseconds(800));
 }
 
-// Guards against short polls of readers of older builds, which do not state how
-// current their view is.
-TEST(StoreReaderTest, PollsOfReadersThatStateNothingWaitInFull) {
-  const ReadFeed poll = PollAfterAnswer(std::nullopt);
+// Guards against followers that take readers of older builds for silent, which
+// hold each poll for 2 s, and all read the store while hosts are replaced.
+TEST(StoreReaderTest, PollsOfReadersThatHeedNoWaitLastInFull) {
+  const ReadFeed poll = PollAfterAnswer(milliseconds(1800), false);
   EXPECT_EQ(poll.wait, milliseconds(2000));
   EXPECT_EQ(poll.timeout, milliseconds(3000));
 }
--- a/gateway/include/berylreach/gateway/feed_server.h
+++ b/gateway/include/berylreach/gateway/feed_server.h
@@ -58,28 +58,29 @@
   void CheckTimeouts();
 
  private:
-  /// A request of a follower that waits for changes.
-  struct PendingPoll {
-    std::weak_ptr<ServerConnection> connection;
+  /// A request of a follower.
+  struct Poll {
     forward::FollowerState follower;
     base::TimePoint arrived{};
-    /// When it is answered without changes.
-    base::TimePoint ends{};
+    /// Time for which it may be held while there are no changes.
+    std::chrono::milliseconds wait{};
+  };
+
+  /// A poll that waits for changes.
+  struct PendingPoll {
+    std::weak_ptr<ServerConnection> connection;
+    Poll poll;
   };
 
   forward::FollowerState ParseFollower(std::string_view target) const;
-  bool RespondIfChanged(ServerConnection& connection,
-                        const forward::FollowerState& follower,
-                        base::TimePoint arrived);
+  bool RespondIfChanged(ServerConnection& connection, const Poll& poll);
   /// Responds that there are no changes, unless this host's view is behind the
   /// follower's.
-  void RespondNoChange(ServerConnection& connection,
-                       const forward::FollowerState& follower,
-                       base::TimePoint arrived);
-  /// Responds with `set` to the poll that arrived at `arrived`, and states how
-  /// current this host's view is, and how old the changes may be.
+  void RespondNoChange(ServerConnection& connection, const Poll& poll);
+  /// Responds to `poll` with `set`, and states how current this host's view is,
+  /// and how old the changes may be.
   void RespondWith(ServerConnection& connection, forward::ChangeSet set,
-                   base::TimePoint arrived,
+                   const Poll& poll,
                    std::optional<base::TimePoint> acknowledged_after) const;
 
   const base::Clock& clock_;
--- a/gateway/lib/feed_codec.cc
+++ b/gateway/lib/feed_codec.cc
@@ -14,6 +14,7 @@
 
 constexpr char kCurrentField[] = "current_after_arrival_ms";
 constexpr char kChangesField[] = "changes_after_arrival_ms";
+constexpr char kPollWaitField[] = "poll_wait_ms";
 
 /// Reads a field into `time` if it is there; returns false if it is malformed.
 bool ReadTime(const boost::json::object& object, const char* field,
@@ -44,6 +45,7 @@
     root[kCurrentField] = set.current_after_arrival->count();
   if (set.changes_after_arrival)
     root[kChangesField] = set.changes_after_arrival->count();
+  if (set.poll_wait) root[kPollWaitField] = set.poll_wait->count();
   return boost::json::serialize(root);
 }
 
@@ -71,9 +73,10 @@
     if (error) return std::nullopt;
   }
   set.is_full_listing = whole->get_bool();
-  // Builds that do not know how current their view is leave the fields out.
+  // Older builds leave some of these fields out.
   if (!ReadTime(object, kCurrentField, set.current_after_arrival) ||
-      !ReadTime(object, kChangesField, set.changes_after_arrival))
+      !ReadTime(object, kChangesField, set.changes_after_arrival) ||
+      !ReadTime(object, kPollWaitField, set.poll_wait))
     return std::nullopt;
   for (const auto& row : changes->get_array()) {
     const auto* fields = row.if_object();
--- a/gateway/lib/feed_server.cc
+++ b/gateway/lib/feed_server.cc
@@ -82,65 +82,61 @@
     Respond(connection, 503, "");
     return;
   }
-  const base::TimePoint now = clock_.Now();
-  polled_at_ = now;
-  if (RespondIfChanged(connection, follower, now)) return;
-  const std::chrono::milliseconds wait = PollTimeOf(target);
-  if (wait == std::chrono::milliseconds(0)) {
-    RespondNoChange(connection, follower, now);
+  const Poll poll{follower, clock_.Now(), PollTimeOf(target)};
+  polled_at_ = poll.arrived;
+  if (RespondIfChanged(connection, poll)) return;
+  if (poll.wait == std::chrono::milliseconds(0)) {
+    RespondNoChange(connection, poll);
     return;
   }
-  pending_polls_.push_back(
-      {connection.weak_from_this(), follower, now, now + wait});
+  pending_polls_.push_back({connection.weak_from_this(), poll});
 }
 
 bool FeedServer::RespondIfChanged(ServerConnection& connection,
-                                  const forward::FollowerState& follower,
-                                  base::TimePoint arrived) {
-  auto set = log_.ChangesFor(follower);
+                                  const Poll& poll) {
+  auto set = log_.ChangesFor(poll.follower);
   if (!set) return false;
-  RespondWith(connection, std::move(*set), arrived,
-              log_.AcknowledgedAfter(follower.view));
+  RespondWith(connection, std::move(*set), poll,
+              log_.AcknowledgedAfter(poll.follower.view));
   return true;
 }
 
 void FeedServer::RespondNoChange(ServerConnection& connection,
-                                 const forward::FollowerState& follower,
-                                 base::TimePoint arrived) {
-  if (auto none = log_.NoChangesFor(follower)) {
-    RespondWith(connection, std::move(*none), arrived, std::nullopt);
+                                 const Poll& poll) {
+  if (auto none = log_.NoChangesFor(poll.follower)) {
+    RespondWith(connection, std::move(*none), poll, std::nullopt);
   } else {
     Respond(connection, 503, "");
   }
 }
 
 void FeedServer::RespondWith(
-    ServerConnection& connection, forward::ChangeSet set,
-    base::TimePoint arrived,
+    ServerConnection& connection, forward::ChangeSet set, const Poll& poll,
     std::optional<base::TimePoint> acknowledged_after) const {
-  const auto after_arrival = [arrived](base::TimePoint at) {
+  const auto after_arrival = [&poll](base::TimePoint at) {
     return std::chrono::floor<std::chrono::milliseconds>(
-        std::max<base::Duration>(at - arrived, -kMaxViewAge));
+        std::max<base::Duration>(at - poll.arrived, -kMaxViewAge));
   };
   set.current_after_arrival = after_arrival(view_current_at_);
   if (acknowledged_after)
     set.changes_after_arrival = after_arrival(*acknowledged_after);
+  set.poll_wait = poll.wait;
   Respond(connection, 200, FormatChangeSet(set));
 }
 
 void FeedServer::Publish() {
-  for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
-    const auto connection = poll.connection.lock();
+  for (PendingPoll& pending : std::exchange(pending_polls_, {})) {
+    const auto connection = pending.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (!RespondIfChanged(*connection, poll.follower, poll.arrived))
-      pending_polls_.push_back(std::move(poll));
+    if (!RespondIfChanged(*connection, pending.poll))
+      pending_polls_.push_back(std::move(pending));
   }
 }
 
 void FeedServer::SetFresh(bool fresh) {
   if (std::exchange(fresh_, fresh) == fresh || fresh) return;
-  for (const PendingPoll& poll : std::exchange(pending_polls_, {})) {
-    const auto connection = poll.connection.lock();
+  for (const PendingPoll& pending : std::exchange(pending_polls_, {})) {
+    const auto connection = pending.connection.lock();
     if (connection && !connection->closed()) Respond(*connection, 503, "");
   }
 }
@@ -151,13 +147,13 @@
 
 void FeedServer::CheckTimeouts() {
   const base::TimePoint now = clock_.Now();
-  for (PendingPoll& poll : std::exchange(pending_polls_, {})) {
-    const auto connection = poll.connection.lock();
+  for (PendingPoll& pending : std::exchange(pending_polls_, {})) {
+    const auto connection = pending.connection.lock();
     if (!connection || connection->closed()) continue;
-    if (now >= poll.ends) {
-      RespondNoChange(*connection, poll.follower, poll.arrived);
+    if (now >= pending.poll.arrived + pending.poll.wait) {
+      RespondNoChange(*connection, pending.poll);
     } else {
-      pending_polls_.push_back(std::move(poll));
+      pending_polls_.push_back(std::move(pending));
     }
   }
 }
--- a/gateway/unittests/http_message_test.cc
+++ b/gateway/unittests/http_message_test.cc
@@ -85,7 +85,8 @@
       .is_full_listing = true,
       .changes = {{"a", std::string("\x00\xff", 2)}, {"b", std::nullopt}},
       .current_after_arrival = std::chrono::milliseconds(-1250),
-      .changes_after_arrival = std::chrono::milliseconds(300)};
+      .changes_after_arrival = std::chrono::milliseconds(300),
+      .poll_wait = std::chrono::milliseconds(1200)};
   EXPECT_EQ(ParseChangeSet(FormatChangeSet(set)), set);
 }
 
@@ -109,6 +110,8 @@
             "current_after_arrival_ms":1e300})",
         R"({"revision":1,"whole":true,"changes":[],
             "changes_after_arrival_ms":"x"})",
+        R"({"revision":1,"whole":true,"changes":[],
+            "poll_wait_ms":"x"})",
         R"({"revision":1,"whole":true,"changes":[{"key":1}]})",
         R"({"revision":1,"whole":true,"changes":[{"key":"a","value":"!"}]})"})
     EXPECT_EQ(ParseChangeSet(text), std::nullopt) << text;
